--- /dev/null
+++ b/src/cluster/cluster-record.ts
@@ -0,0 +1,98 @@
+import {z} from 'zod';
+import {nameSchema, planSchema, jobSchema} from './intent.js';
+import {resourcesSchema} from './resources.js';
+
+const attemptSchema = z.strictObject({taskId: nameSchema, attempt: z.int().positive()});
+const agentSchema = z.strictObject({vmId: nameSchema, agentIncarnation: nameSchema});
+const backendServerSchema = agentSchema.extend({backendServerId: nameSchema});
+
+/** What a placement decision was computed from, so that replay can run it again. */
+export const placementDecisionSchema = z.strictObject({
+	policy: z.string(),
+	seed: z.int(),
+	stateOffset: z.int(),
+	/** The best candidates with their scores in thousandths, best first; at most five. */
+	candidates: z.array(z.strictObject({
+		vmId: nameSchema, scoreMilli: z.int(), harmMilli: z.int(), room: resourcesSchema,
+	}).readonly()).max(5).readonly(),
+	consideredVms: z.int().min(0),
+	reason: z.string(),
+}).readonly();
+
+export type PlacementDecision = z.infer<typeof placementDecisionSchema>;
+
+/** Every record that the system writes to the log; the cluster state is a pure function of them in log order. */
+export const clusterRecordSchema = z.discriminatedUnion('kind', [
+	z.strictObject({
+		kind: z.literal('entry-registered'), entryId: nameSchema, failureDomain: nameSchema, operatorAddress: z.string(),
+	}),
+	z.strictObject({kind: z.literal('entry-alive')}),
+	z.strictObject({
+		kind: z.literal('entry-ended'), entryId: nameSchema, incarnation: nameSchema, reason: z.string(),
+	}),
+	agentSchema.extend({
+		kind: z.literal('vm-registered'),
+		failureDomain: nameSchema,
+		rack: nameSchema,
+		requestAddress: z.string(),
+		capacity: resourcesSchema,
+		runningTasks: z.array(attemptSchema.readonly()).readonly(),
+	}),
+	agentSchema.extend({kind: z.literal('vm-unreachable')}),
+	agentSchema.extend({kind: z.literal('vm-reachable')}),
+	agentSchema.extend({kind: z.literal('vm-revoked'), reason: z.string()}),
+	agentSchema.extend({kind: z.literal('vm-lease-expired')}),
+	agentSchema.extend({kind: z.literal('vm-quarantined'), reason: z.string()}),
+	agentSchema.extend({kind: z.literal('vm-unquarantined'), reason: z.string()}),
+	backendServerSchema.extend({
+		kind: z.literal('backend-server-announced'),
+		service: nameSchema,
+		slots: z.int().positive(),
+		connections: z.int().positive(),
+	}),
+	backendServerSchema.extend({kind: z.literal('backend-server-leaving')}),
+	backendServerSchema.extend({kind: z.literal('backend-server-gone')}),
+	z.strictObject({kind: z.literal('plan-confirmed'), plan: planSchema}),
+	/** A job that a team submits directly; operators' jobs arrive inside a plan. */
+	z.strictObject({kind: z.literal('job-submitted'), job: jobSchema}),
+	z.strictObject({kind: z.literal('tasks-cancelled'), taskIds: z.array(nameSchema).max(10_000).readonly()}),
+	/** A job or task that no VM could ever hold. */
+	z.strictObject({kind: z.literal('task-unplaceable'), taskId: nameSchema, lacks: z.string()}),
+	agentSchema.extend({
+		kind: z.literal('task-claimed'),
+		taskId: nameSchema,
+		attempt: z.int().positive(),
+		/** The amount to commit: the larger of declared and observed size. */
+		committed: resourcesSchema,
+		evictTaskIds: z.array(nameSchema).max(16).readonly(),
+		decision: placementDecisionSchema,
+	}),
+	attemptSchema.extend({kind: z.literal('task-started'), agentIncarnation: nameSchema}),
+	attemptSchema.extend({
+		kind: z.literal('task-ended'),
+		agentIncarnation: nameSchema,
+		outcome: z.enum(['finished', 'failed', 'refused-not-run', 'cancelled']),
+		reason: z.string(),
+	}),
+	attemptSchema.extend({
+		kind: z.literal('task-checkpointed'),
+		agentIncarnation: nameSchema,
+		checkpoint: z.string().max(1024),
+		reason: z.string(),
+	}),
+	attemptSchema.extend({kind: z.literal('evict-requested'), reason: z.string()}),
+	agentSchema.extend({
+		kind: z.literal('key-claimed'),
+		/** SHA-256 of service and caller's key, in base64url. */
+		keyHash: z.string(),
+		bodyHash: z.string(),
+		service: nameSchema,
+		backendServerId: nameSchema,
+	}),
+	/** Claims at or below `throughOffset` are forgotten; their agents refuse them too. */
+	z.strictObject({kind: z.literal('keys-expired'), throughOffset: z.int()}),
+]).readonly();
+
+export type ClusterRecord = z.infer<typeof clusterRecordSchema>;
+
+export type ClusterRecordOf<Kind extends ClusterRecord['kind']> = Extract<ClusterRecord, {kind: Kind}>;
--- /dev/null
+++ b/src/cluster/cluster-state.ts
@@ -0,0 +1,151 @@
+import {type Map, type OrderedMap, type Set} from 'immutable';
+import {type PlacementDecision} from './cluster-record.js';
+import {
+	type PriorityClass, type RequestLimits, type Service, type TaskSpec, type Weights,
+} from './intent.js';
+import {type Resources} from './resources.js';
+
+/** An entry process that registered itself in the log. */
+export type EntryMember = Readonly<{
+	entryId: string;
+	incarnation: string;
+	failureDomain: string;
+	operatorAddress: string;
+	/** Offset of the newest record of this incarnation. */
+	lastOffset: number;
+}>;
+
+/** `live` takes work, `revoked` renews no lease, `expired` certainly runs no leased task any more. */
+export type VmPhase = 'live' | 'revoked' | 'expired';
+
+/** A VM with its agent's current incarnation. */
+export type Vm = Readonly<{
+	vmId: string;
+	agentIncarnation: string;
+	failureDomain: string;
+	rack: string;
+	requestAddress: string;
+	capacity: Resources;
+	/** Sum of what live claims and backend servers commit; never more than `capacity` through a claim. */
+	committed: Resources;
+	phase: VmPhase;
+	draining: boolean;
+	quarantined: boolean;
+	/** Incarnations of the entries that report the agent unreachable. */
+	unreachableFrom: Set<string>;
+	/** Tasks whose current attempt is claimed for this VM and has not ended. */
+	taskIds: Set<string>;
+	backendServerIds: Set<string>;
+}>;
+
+export type BackendServerPhase = 'serving' | 'leaving' | 'gone';
+
+/** A backend server as its agent announced it. */
+export type BackendServer = Readonly<{
+	backendServerId: string;
+	service: string;
+	vmId: string;
+	agentIncarnation: string;
+	slots: number;
+	connections: number;
+	phase: BackendServerPhase;
+	/** Set by an operator's drain, apart from the backend server's own leaving. */
+	draining: boolean;
+	committed: Resources;
+}>;
+
+/**
+`queued` waits for a claim, `claimed` is bound to a VM, `running` was reported started, `evicting` must checkpoint and stop,
+`cancelling` must stop; `finished`, `failed`, `cancelled` and `unplaceable` are final.
+*/
+export type TaskPhase = 'queued' | 'claimed' | 'running' | 'evicting' | 'cancelling' | 'finished' | 'failed' | 'cancelled' | 'unplaceable';
+
+/** Where the current attempt of a task is bound to. */
+export type TaskClaim = Readonly<{
+	vmId: string;
+	agentIncarnation: string;
+	claimOffset: number;
+	/** Incarnation of the entry that wrote the claim. */
+	writerIncarnation: string;
+	committed: Resources;
+	evictTaskIds: readonly string[];
+	decision: PlacementDecision;
+}>;
+
+/** A task with its current attempt; `attempt` is 0 until the first claim. */
+export type Task = Readonly<{
+	spec: TaskSpec;
+	jobId: string;
+	teamId: string;
+	workClass: 'latency-critical' | 'batch';
+	priority: PriorityClass;
+	phase: TaskPhase;
+	attempt: number;
+	claim: TaskClaim | undefined;
+	checkpoint: string;
+	failures: number;
+	evictions: number;
+	/** VMs on which attempts failed or were refused, newest last; at most five. */
+	failedOnVmIds: readonly string[];
+	submittedOffset: number;
+	changedOffset: number;
+	/** Why the task is in its phase, for `explain`. */
+	reason: string;
+}>;
+
+/** A key of a non-idempotent request, bound to one agent incarnation for good. */
+export type KeyClaim = Readonly<{
+	keyHash: string;
+	bodyHash: string;
+	service: string;
+	vmId: string;
+	agentIncarnation: string;
+	backendServerId: string;
+	claimOffset: number;
+}>;
+
+/** The configuration that operators confirmed; `offset` is that of the plan that changed it last. */
+export type Configuration = Readonly<{
+	offset: number;
+	services: Map<string, Service>;
+	quotas: Map<string, Resources>;
+	requestLimits: RequestLimits;
+	weights: Weights;
+	drainingVmIds: Set<string>;
+	drainingFailureDomains: Set<string>;
+	drainingBackendServerIds: Set<string>;
+}>;
+
+/** What became of a confirmed plan. */
+export type PlanDecision = Readonly<{
+	planId: string;
+	offset: number;
+	accepted: boolean;
+	/** Why the plan was rejected: what changed since, in words; empty when accepted. */
+	reason: string;
+}>;
+
+/** Everything that the entries agree on: a pure function of the log up to `offset`. */
+export type ClusterState = Readonly<{
+	/** Offset of the last record applied; -1 before the first. */
+	offset: number;
+	entries: Map<string, EntryMember>;
+	endedIncarnations: Set<string>;
+	/** Highest sequence applied for each writer incarnation. */
+	sequences: Map<string, number>;
+	vms: Map<string, Vm>;
+	backendServers: Map<string, BackendServer>;
+	tasks: Map<string, Task>;
+	/** Identifiers of queued tasks by priority class, oldest first. */
+	queued: Map<PriorityClass, OrderedMap<string, true>>;
+	/** Task identifiers of each job that is not yet forgotten. */
+	jobs: Map<string, readonly string[]>;
+	/** What the live claims of each team commit. */
+	committedByTeam: Map<string, Resources>;
+	keys: OrderedMap<string, KeyClaim>;
+	keysForgottenThroughOffset: number;
+	configuration: Configuration;
+	planDecisions: OrderedMap<string, PlanDecision>;
+	/** Offset of the last change of each entity that a plan may touch. */
+	entityOffsets: Map<string, number>;
+}>;
--- /dev/null
+++ b/src/cluster/resources.ts
@@ -0,0 +1,57 @@
+import {z} from 'zod';
+
+/** Amounts of what a VM offers and a task demands. */
+export const resourcesSchema = z.strictObject({
+	processorsMilli: z.int().min(0),
+	memoryMb: z.int().min(0),
+	accelerators: z.int().min(0),
+}).readonly();
+
+/** Amounts of what a VM offers and a task demands; 1,000 `processorsMilli` are one core. */
+export type Resources = z.infer<typeof resourcesSchema>;
+
+/** The neutral element of {@link addResources}. */
+export const noResources: Resources = {processorsMilli: 0, memoryMb: 0, accelerators: 0};
+
+/**
+Adds two amounts.
+
+@example
+addResources({processorsMilli: 500, memoryMb: 64, accelerators: 0}, {processorsMilli: 500, memoryMb: 0, accelerators: 1});
+// => {processorsMilli: 1000, memoryMb: 64, accelerators: 1}
+*/
+export function addResources(left: Resources, right: Resources): Resources {
+	return {
+		processorsMilli: left.processorsMilli + right.processorsMilli,
+		memoryMb: left.memoryMb + right.memoryMb,
+		accelerators: left.accelerators + right.accelerators,
+	};
+}
+
+/**
+Subtracts `right` from `left`; amounts never go below zero.
+
+@example
+subtractResources({processorsMilli: 500, memoryMb: 64, accelerators: 0}, {processorsMilli: 200, memoryMb: 64, accelerators: 0});
+// => {processorsMilli: 300, memoryMb: 0, accelerators: 0}
+*/
+export function subtractResources(left: Resources, right: Resources): Resources {
+	return {
+		processorsMilli: Math.max(0, left.processorsMilli - right.processorsMilli),
+		memoryMb: Math.max(0, left.memoryMb - right.memoryMb),
+		accelerators: Math.max(0, left.accelerators - right.accelerators),
+	};
+}
+
+/**
+Tells whether `demand` fits into `room` in every dimension.
+
+@example
+fitsInto({processorsMilli: 500, memoryMb: 64, accelerators: 0}, {processorsMilli: 1000, memoryMb: 64, accelerators: 0});
+// => true
+*/
+export function fitsInto(demand: Resources, room: Resources): boolean {
+	return demand.processorsMilli <= room.processorsMilli
+		&& demand.memoryMb <= room.memoryMb
+		&& demand.accelerators <= room.accelerators;
+}
--- /dev/null
+++ b/src/log/log-service.ts
@@ -0,0 +1,30 @@
+import {type Result} from 'true-myth/result';
+import {type TypedError} from '../errors/typed-error.js';
+
+/** `maybe-applied` means that the answer was lost: the write may have taken effect. */
+export type LogErrorKind = 'log-unavailable' | 'log-rate-limited' | 'log-maybe-applied' | 'log-protocol';
+
+export type LogError = TypedError<LogErrorKind>;
+
+/** One value with its place in a stream. */
+export type StreamValue = Readonly<{offset: number; value: string}>;
+
+/** What a read returned; the tail was reached when `nextOffset` equals `tailOffset`. */
+export type StreamPage = Readonly<{
+	values: readonly StreamValue[];
+	/** Where to read on. */
+	nextOffset: number;
+	/** The offset that the next append gets, as of this answer. */
+	tailOffset: number;
+	firstRetainedOffset: number;
+}>;
+
+/** The platform's append-only log service. Every call resolves; failures are values. */
+export type LogService = Readonly<{
+	/** Appends all values or none; returns the offset of the first. */
+	append: (stream: string, values: readonly string[]) => Promise<Result<number, LogError>>;
+	/** Reads from `fromOffset`; waits up to `waitMs` for a first value when there is none. */
+	read: (stream: string, fromOffset: number, options: Readonly<{limit: number; waitMs: number}>) => Promise<Result<StreamPage, LogError>>;
+	/** Tells the bounds of a stream. */
+	bounds: (stream: string) => Promise<Result<Readonly<{firstRetainedOffset: number; tailOffset: number}>, LogError>>;
+}>;
--- /dev/null
+++ b/src/settings/entry-settings.ts
@@ -0,0 +1,52 @@
+import {z} from 'zod';
+import {nameSchema} from '../cluster/intent.js';
+
+const addressSchema = z.string().regex(/^\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}$/v, 'use an IP number and a port, such as 127.0.0.1:8080');
+
+/** Metrics settings of both roles. */
+export const metricsSettingsSchema = z.strictObject({
+	statsdAddress: addressSchema.optional().describe('Where StatsD metrics go; none are sent without it'),
+	prefix: z.string().default('arbutushinge.').describe('Prefix of every metric name'),
+}).readonly();
+
+/** Settings of `arbutushinge entry`. */
+export const entrySettingsSchema = z.strictObject({
+	role: z.literal('entry').describe('Role that this file is for'),
+	entryId: nameSchema.describe('Name of this entry, unique in the deployment'),
+	failureDomain: nameSchema.describe('Failure domain that this VM is in'),
+	region: nameSchema.default('default').describe('Region that this VM is in'),
+	callerAddress: addressSchema.describe('Where callers and the balancer\'s health check connect'),
+	operatorAddress: addressSchema.describe('Where operator commands connect'),
+	agentAddress: addressSchema.describe('Where agents open their stream'),
+	operatorTokenFile: z.string().describe('File that holds the operators\' token'),
+	peerOperatorAddresses: z.array(addressSchema).readonly().default([]).describe('Operator addresses of the other entries, asked for state when the log is down at start'),
+	logServiceUrl: z.url().describe('Address of the platform\'s log service'),
+	logStream: nameSchema.default('arbutushinge').describe('Stream that holds the cluster records'),
+	logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info').describe('Least severe level that is logged'),
+	metrics: metricsSettingsSchema.default({prefix: 'arbutushinge.'}),
+	timings: z.strictObject({
+		appendIntervalMs: z.int().min(1).default(20).describe('Shortest time between two appends of this entry'),
+		entryHeartbeatMs: z.int().min(50).default(1000).describe('Time between two entry-alive records'),
+		entryTimeoutMs: z.int().min(200).default(5000).describe('Time without a record after which an entry is declared ended'),
+		heartbeatTimeoutMs: z.int().min(100).default(3000).describe('Time without a heartbeat after which an agent is reported unreachable'),
+		leaseDurationMs: z.int().min(200).default(15_000).describe('D: how long a lease lasts from the sending of the agent\'s heartbeat'),
+		logFreshnessMs: z.int().min(50).default(2000).describe('F: age of the newest read of the log\'s tail up to which leases are granted'),
+		leaseMarginMs: z.int().min(50).default(1000).describe('Margin for clock drift added to F + D before leases count as expired'),
+		commandTakeoverMs: z.int().min(50).default(500).describe('Time after which an entry sends the start of another entry\'s claim'),
+		placementTakeoverMs: z.int().min(50).default(300).describe('Time after which an entry places a task that another entry should place'),
+		snapshotEveryMs: z.int().min(1000).default(60_000).describe('Longest time between two snapshots'),
+		keyRetentionMs: z.int().min(1000).default(600_000).describe('W: how long keys of non-idempotent requests are remembered'),
+		shutdownDelayMs: z.int().min(0).default(2000).describe('Time between not ready and the closing of the callers\' port'),
+	}).readonly().prefault({}),
+	snapshotEveryRecords: z.int().min(10).default(5000).describe('Records after which a snapshot is written'),
+	limits: z.strictObject({
+		headerBytes: z.int().min(1024).default(16_384).describe('Largest header of a caller\'s request'),
+		bodyBytes: z.int().min(1024).default(67_108_864).describe('Largest body of a caller\'s request'),
+		keyedBodyBytes: z.int().min(1024).default(1_048_576).describe('Largest body of a keyed request, which is held in memory'),
+		connections: z.int().min(1).default(4096).describe('Most connections of callers'),
+		idleTimeoutMs: z.int().min(100).default(30_000).describe('Time without a byte after which a caller\'s connection is closed'),
+		defaultDeadlineMs: z.int().min(1).default(10_000).describe('Deadline of a request that names none'),
+	}).readonly().prefault({}),
+}).readonly();
+
+export type EntrySettings = z.infer<typeof entrySettingsSchema>;
--- /dev/null
+++ b/src/telemetry/metrics.ts
@@ -0,0 +1,10 @@
+/** Tags of a metric, such as `{service: 'loaf-ordering'}`. */
+export type MetricTags = Readonly<Record<string, string>>;
+
+/** StatsD metrics; names are listed in docs/operations.md. */
+export type Metrics = Readonly<{
+	increment: (name: string, count?: number, tags?: MetricTags) => void;
+	gauge: (name: string, value: number, tags?: MetricTags) => void;
+	timingMs: (name: string, durationMs: number, tags?: MetricTags) => void;
+	close: () => Promise<void>;
+}>;
--- /dev/null
+++ b/src/telemetry/timeline-event.ts
@@ -0,0 +1,30 @@
+import {z} from 'zod';
+
+/** One event of the timeline that all processes contribute to. */
+export const timelineEventSchema = z.strictObject({
+	process: z.string(),
+	/** Counts the events of a process, so that their order is kept. */
+	sequence: z.int().min(0),
+	wallTimeMs: z.number(),
+	event: z.string(),
+	/** Offset of the log record that the process had applied. */
+	offset: z.int(),
+	taskId: z.string().optional(),
+	requestId: z.string().optional(),
+	vmId: z.string().optional(),
+	/** Request or task that caused the event in another process, for the causal order. */
+	cause: z.string().optional(),
+	detail: z.string().optional(),
+}).readonly();
+
+export type TimelineEvent = z.infer<typeof timelineEventSchema>;
+
+/** What a caller passes: the timeline adds process, sequence and time. */
+export type TimelineEntry = Readonly<Omit<TimelineEvent, 'process' | 'sequence' | 'wallTimeMs'>>;
+
+/** A bounded ring of the newest events of one process. */
+export type Timeline = Readonly<{
+	record: (entry: TimelineEntry) => void;
+	/** Events with a sequence of at least `fromSequence`, oldest first. */
+	read: (fromSequence?: number) => readonly TimelineEvent[];
+}>;
