--- a/src/cluster/intent.ts
+++ b/src/cluster/intent.ts
@@ -45,6 +45,8 @@
 	taskId: nameSchema,
 	demand: resourcesSchema,
 	declaredRunTimeMs: z.int().positive(),
+	/** Kind of work, for what is learned about interference; the team's name stands in for it. */
+	taskKind: nameSchema.optional(),
 	payload: z.string().max(4096),
 }).readonly();
 
--- /dev/null
+++ b/src/cluster/liveness.ts
@@ -0,0 +1,22 @@
+import {type ClusterState, type EntryMember, type Vm} from './cluster-state.js';
+
+/**
+Lists the incarnations of the entries that are registered and were not declared ended.
+
+@example
+liveEntryIncarnations(state); // => ['a81f…', 'c02e…']
+*/
+export function liveEntryIncarnations(state: ClusterState): readonly string[] {
+	return [...state.entries.values()].map((entry: EntryMember) => entry.incarnation);
+}
+
+/**
+Tells whether an agent incarnation may hold leases and take work.
+
+@example
+isLiveAgent(state, 'vm-1', 'f3a9…'); // => true
+*/
+export function isLiveAgent(state: ClusterState, vmId: string, agentIncarnation: string): boolean {
+	const vm: Vm | undefined = state.vms.get(vmId);
+	return vm?.agentIncarnation === agentIncarnation && vm.phase === 'live';
+}
--- /dev/null
+++ b/src/dispatch/agent-commands.ts
@@ -0,0 +1,132 @@
+import {type Task, type Vm} from '../cluster/cluster-state.js';
+import {isLiveAgent} from '../cluster/liveness.js';
+import {type AgentCommand, type ControlEffect} from '../entry/control-effect.js';
+import {type EntryContext} from '../entry/entry-context.js';
+import {type AgentLink} from './agent-link.js';
+
+/** Time after which a command that shows no result is sent again. */
+const commandRepeatMs = 2000;
+
+/** When this entry read each claim, so that it can take over commands of a writer that died. */
+export type ClaimReadTimes = Readonly<{get: (key: string) => number | undefined}>;
+
+/**
+Compares the claims for a VM with what was sent on the agent's stream and sends the missing commands.
+
+@example
+const {link, effects} = reconcileCommands(link, claimReadTimes, context);
+*/
+export function reconcileCommands(
+	link: AgentLink,
+	claimReadTimes: ClaimReadTimes,
+	context: EntryContext,
+): Readonly<{link: AgentLink; effects: readonly ControlEffect[]}> {
+	const vm = context.cluster.vms.get(link.vmId);
+	if (!vm || !isLiveAgent(context.cluster, link.vmId, link.agentIncarnation)) {
+		return {link, effects: []};
+	}
+
+	const effects: ControlEffect[] = [];
+	let sentCommands = link.sentCommands.filter((_sentAtMs, key) => vm.taskIds.has(taskIdOf(key)));
+	for (const taskId of vm.taskIds) {
+		const task = context.cluster.tasks.get(taskId);
+		const command = task && commandFor(task, vm);
+		if (!task || !command || !isTurnOf(task, claimReadTimes, context)) {
+			continue;
+		}
+
+		const key = commandKey(task, command);
+		const sentAtMs = sentCommands.get(key);
+		if (sentAtMs !== undefined && context.nowMs - sentAtMs < commandRepeatMs) {
+			continue;
+		}
+
+		sentCommands = sentCommands.set(key, context.nowMs);
+		effects.push({kind: 'send-to-agent', vmId: link.vmId, command});
+	}
+
+	return {link: {...link, sentCommands}, effects};
+}
+
+/**
+Cancels what an agent runs although no claim binds it to the VM, such as an attempt that was claimed elsewhere
+after its lease expired.
+
+@example
+const effects = cancelUnclaimedTasks(link, context);
+*/
+export function cancelUnclaimedTasks(link: AgentLink, context: EntryContext): readonly ControlEffect[] {
+	return link.hello.runningTasks
+		.filter(running => {
+			const task = context.cluster.tasks.get(running.taskId);
+			return task?.claim?.vmId !== link.vmId || task.attempt !== running.attempt;
+		})
+		.map(({taskId, attempt}) => ({
+			kind: 'send-to-agent',
+			vmId: link.vmId,
+			command: {case: 'cancelTask', value: {taskId, attempt}},
+		}));
+}
+
+function commandFor(task: Task, vm: Vm): AgentCommand | undefined {
+	const {claim, attempt} = task;
+	const {taskId} = task.spec;
+	if (claim?.vmId !== vm.vmId) {
+		return undefined;
+	}
+
+	switch (task.phase) {
+		case 'claimed': {
+			return {
+				case: 'startTask',
+				value: {
+					taskId,
+					attempt,
+					agentIncarnation: vm.agentIncarnation,
+					claimOffset: BigInt(claim.claimOffset),
+					latencyCritical: task.workClass === 'latency-critical',
+					demand: claim.committed,
+					declaredRunTimeMs: task.spec.declaredRunTimeMs,
+					payload: task.spec.payload,
+					checkpoint: task.checkpoint,
+					evictTaskIds: [...claim.evictTaskIds],
+				},
+			};
+		}
+
+		case 'evicting': {
+			return {case: 'evictTask', value: {taskId, attempt, reason: task.reason}};
+		}
+
+		case 'cancelling': {
+			return {case: 'cancelTask', value: {taskId, attempt}};
+		}
+
+		case 'queued':
+		case 'running':
+		case 'finished':
+		case 'failed':
+		case 'cancelled':
+		case 'unplaceable': {
+			return undefined;
+		}
+	}
+}
+
+/** The claim's writer sends at once, the others only when the writer may have died. */
+function isTurnOf(task: Task, claimReadTimes: ClaimReadTimes, context: EntryContext): boolean {
+	if (task.claim?.writerIncarnation === context.incarnation) {
+		return true;
+	}
+
+	const readAtMs = claimReadTimes.get(`${task.spec.taskId}/${task.attempt}`);
+	return readAtMs === undefined || context.nowMs - readAtMs >= context.settings.timings.commandTakeoverMs;
+}
+
+function commandKey(task: Task, command: AgentCommand): string {
+	return `${task.spec.taskId}/${task.attempt}/${command.case ?? ''}`;
+}
+
+function taskIdOf(key: string): string {
+	return key.slice(0, key.indexOf('/'));
+}
--- /dev/null
+++ b/src/dispatch/agent-configuration.ts
@@ -0,0 +1,45 @@
+import {type ControlEffect} from '../entry/control-effect.js';
+import {type EntryContext} from '../entry/entry-context.js';
+import {type AgentLink} from './agent-link.js';
+
+/**
+Sends the part of the configuration that concerns the VM when it differs from what was sent last on the stream.
+
+@example
+const {link, effects} = pushConfiguration(link, context);
+*/
+export function pushConfiguration(
+	link: AgentLink,
+	context: EntryContext,
+): Readonly<{link: AgentLink; effects: readonly ControlEffect[]}> {
+	const {configuration, vms, backendServers} = context.cluster;
+	const vm = vms.get(link.vmId);
+	if (vm?.agentIncarnation !== link.agentIncarnation) {
+		return {link, effects: []};
+	}
+
+	const onVm = [...vm.backendServerIds].map(id => backendServers.get(id)).filter(found => found !== undefined);
+	const serviceNames = [...new Set(onVm.map(({service}) => service))].toSorted();
+	const services = serviceNames
+		.map(name => configuration.services.get(name))
+		.filter(found => found !== undefined)
+		.map(({service, latencyTargetMs, demandPerBackendServer}) => ({service, latencyTargetMs, demandPerBackendServer}));
+	const drainingBackendServers = onVm
+		.filter(({draining}) => draining)
+		.map(({backendServerId}) => backendServerId)
+		.toSorted();
+	const value = {services, drainingBackendServers, vmDraining: vm.draining};
+	const sentConfiguration = JSON.stringify([configuration.offset, value]);
+	if (sentConfiguration === link.sentConfiguration) {
+		return {link, effects: []};
+	}
+
+	return {
+		link: {...link, sentConfiguration},
+		effects: [{
+			kind: 'send-to-agent',
+			vmId: link.vmId,
+			command: {case: 'configuration', value: {offset: BigInt(Math.max(0, configuration.offset)), ...value}},
+		}],
+	};
+}
--- /dev/null
+++ b/src/dispatch/agent-link.ts
@@ -0,0 +1,22 @@
+import {type Map} from 'immutable';
+import {type BackendServerReport, type Hello, type TaskEvent} from '../generated/arbutushinge/v1/agent_pb.js';
+
+/** What an entry knows of one agent through its stream; lost with the stream. */
+export type AgentLink = Readonly<{
+	vmId: string;
+	sessionId: string;
+	agentIncarnation: string;
+	hello: Hello;
+	/** Whether the tasks that the hello lists were compared with the claims. */
+	isHelloChecked: boolean;
+	appliedConfigurationOffset: number;
+	/** Digest of the configuration that was sent last on this stream. */
+	sentConfiguration: string;
+	/** Newest report of each backend server of the VM. */
+	backendServers: Map<string, BackendServerReport>;
+	/** When each command was last sent on this stream. */
+	sentCommands: Map<string, number>;
+	/** Task events that are not in the log yet. */
+	pendingTaskEvents: Map<bigint, TaskEvent>;
+	leaving: boolean;
+}>;
--- /dev/null
+++ b/src/entry/agent-stream-server.ts
@@ -0,0 +1,153 @@
+import {createServer, type Http2Server, type ServerHttp2Session} from 'node:http2';
+import {randomUUID} from 'node:crypto';
+import {once} from 'node:events';
+import {create} from '@bufbuild/protobuf';
+import {type ConnectRouter} from '@connectrpc/connect';
+import {connectNodeAdapter} from '@connectrpc/connect-node';
+import {
+	AgentSession, type AgentMessage, type EntryMessage, EntryMessageSchema,
+} from '../generated/arbutushinge/v1/agent_pb.js';
+import {type EventLog} from '../telemetry/event-log.js';
+import {type AgentCommand} from './control-effect.js';
+import {type EntryEvent} from './entry-event.js';
+import {createMessageQueue, type MessageQueue} from './message-queue.js';
+
+/** Accepts the agents' streams, turns their messages into events and sends commands. */
+export type AgentStreamServer = Readonly<{
+	listen: () => Promise<void>;
+	/** Sends a command; returns false when the VM has no stream to this entry. */
+	send: (vmId: string, command: AgentCommand) => boolean;
+	close: () => Promise<void>;
+}>;
+
+/** Commands that may wait for a slow agent; beyond that the stream is closed and the agent connects anew. */
+const maxQueuedCommands = 4096;
+
+/**
+Creates the server for the agents' streams.
+
+@example
+const server = createAgentStreamServer({address: '127.0.0.1:7002', dispatch, eventLog});
+await server.listen();
+*/
+export function createAgentStreamServer({address, dispatch, eventLog}: Readonly<{
+	address: string;
+	dispatch: (event: EntryEvent) => void;
+	eventLog: EventLog;
+}>): AgentStreamServer {
+	const queues = new Map<string, MessageQueue<EntryMessage>>();
+	const sessions = new Set<ServerHttp2Session>();
+
+	async function * connect(messages: AsyncIterable<AgentMessage>): AsyncGenerator<EntryMessage> {
+		const sessionId = randomUUID();
+		const queue = createMessageQueue<EntryMessage>(maxQueuedCommands);
+		let vmId: string | undefined;
+		const reading = (async () => {
+			try {
+				for await (const {message} of messages) {
+					if (message.case === 'hello') {
+						vmId = message.value.vmId;
+						queues.get(vmId)?.close();
+						queues.set(vmId, queue);
+						dispatch({kind: 'agent-hello', sessionId, hello: message.value});
+					} else if (vmId !== undefined) {
+						dispatchMessage(message, sessionId);
+					}
+				}
+			} catch (error: unknown) {
+				eventLog.debug('agent-stream-broken', {vmId, reason: String(error)});
+			} finally {
+				queue.close();
+			}
+		})();
+
+		try {
+			yield * queue;
+		} finally {
+			queue.close();
+			if (vmId !== undefined && queues.get(vmId) === queue) {
+				queues.delete(vmId);
+			}
+
+			dispatch({kind: 'agent-session-closed', sessionId});
+		}
+
+		await reading;
+	}
+
+	function dispatchMessage(message: AgentMessage['message'], sessionId: string): void {
+		switch (message.case) {
+			case 'heartbeat': {
+				dispatch({kind: 'agent-heartbeat', sessionId, heartbeat: message.value});
+				break;
+			}
+
+			case 'taskEvents': {
+				dispatch({kind: 'agent-task-events', sessionId, events: message.value.events});
+				break;
+			}
+
+			case 'hello':
+			case undefined: {
+				// An unknown message of a newer agent is skipped; its heartbeats still count.
+				eventLog.warn('agent-message-unknown', {sessionId});
+				break;
+			}
+		}
+	}
+
+	function routes(router: ConnectRouter): void {
+		router.service(AgentSession, {connect});
+	}
+
+	const server: Http2Server = createServer(connectNodeAdapter({routes}));
+	server.on('session', session => {
+		sessions.add(session);
+		session.on('close', () => {
+			sessions.delete(session);
+		});
+		session.on('error', (error: Error) => {
+			eventLog.debug('agent-connection-failed', {reason: error.message});
+		});
+	});
+
+	return {
+		async listen() {
+			const [host, port] = address.split(':');
+			server.listen(Number(port), host);
+			await once(server, 'listening');
+		},
+		send(vmId, command) {
+			const queue = queues.get(vmId);
+			if (!queue) {
+				return false;
+			}
+
+			const isQueued = queue.push(create(EntryMessageSchema, {message: command}));
+			if (!isQueued) {
+				queue.close();
+			}
+
+			return isQueued;
+		},
+		async close() {
+			for (const queue of queues.values()) {
+				queue.close();
+			}
+
+			const closed = once(server, 'close');
+			server.close();
+			for (const session of sessions) {
+				session.close();
+			}
+
+			const forced = setTimeout(() => {
+				for (const session of sessions) {
+					session.destroy();
+				}
+			}, 500);
+			await closed;
+			clearTimeout(forced);
+		},
+	};
+}
--- /dev/null
+++ b/src/entry/control-effect.ts
@@ -0,0 +1,29 @@
+import {type MessageInitShape} from '@bufbuild/protobuf';
+import {type ClusterRecord} from '../cluster/cluster-record.js';
+import {type EntryMessageSchema} from '../generated/arbutushinge/v1/agent_pb.js';
+import {type EventFields} from '../telemetry/event-log.js';
+import {type TimelineEntry} from '../telemetry/timeline-event.js';
+
+/** A message to an agent in the form that the generated code creates messages from. */
+export type AgentCommand = NonNullable<MessageInitShape<typeof EntryMessageSchema>['message']>;
+
+/** Answer to an operator or to a job's submitter that waits for the log to decide. */
+export type DeferredAnswer = Readonly<{
+	result: 'accepted' | 'rejected' | 'unknown';
+	offset: number;
+	reason: string;
+}>;
+
+/** What the entry's control decisions ask the shell to do. */
+export type ControlEffect
+	= | Readonly<{kind: 'append-record'; record: ClusterRecord}>
+		| Readonly<{kind: 'send-to-agent'; vmId: string; command: AgentCommand}>
+		| Readonly<{kind: 'write-snapshot'}>
+		| Readonly<{kind: 'restart-incarnation'; reason: string}>
+		| Readonly<{kind: 'answer-deferred'; replyId: string; answer: DeferredAnswer}>
+		| Readonly<{kind: 'record-timeline'; entry: TimelineEntry}>
+		| Readonly<{kind: 'log-event'; level: 'debug' | 'info' | 'warn' | 'error'; event: string; fields: EventFields}>
+		| Readonly<{kind: 'count-metric'; name: string; count: number}>;
+
+/** A new state of one manager with the effects of the step. */
+export type Step<State, Effect = ControlEffect> = Readonly<{state: State; effects: readonly Effect[]}>;
--- /dev/null
+++ b/src/entry/deferred-answers.ts
@@ -0,0 +1,128 @@
+import {Map} from 'immutable';
+import {type ClusterRecord} from '../cluster/cluster-record.js';
+import {type ClusterState, type TaskPhase} from '../cluster/cluster-state.js';
+import {type ControlEffect, type DeferredAnswer, type Step} from './control-effect.js';
+import {type EntryContext, isLogFresh} from './entry-context.js';
+import {type DeferredSubject} from './entry-event.js';
+
+/** Operators and submitters that wait for the log's decision. */
+export type DeferredAnswers = Map<string, Readonly<{subject: DeferredSubject; askedAtMs: number}>>;
+
+export const noDeferredAnswers: DeferredAnswers = Map();
+
+/** Time after which the answer is `unknown`; asking again with the same id is safe. */
+const deferredTimeoutMs = 5000;
+
+/**
+Takes a question: answers at once when the state already holds the decision or the log is out of reach, and otherwise
+appends the record that the log decides on.
+
+@example
+const {state, effects} = askDeferred(noDeferredAnswers, 'reply-1', {kind: 'plan', plan}, context);
+*/
+export function askDeferred(
+	state: DeferredAnswers,
+	replyId: string,
+	subject: DeferredSubject,
+	context: EntryContext,
+): Step<DeferredAnswers> {
+	const decided = decisionOf(subject, context.cluster);
+	if (decided) {
+		return {state, effects: [{kind: 'answer-deferred', replyId, answer: decided}]};
+	}
+
+	if (!isLogFresh(context)) {
+		const reason = 'the log service is out of reach, so nothing was written; ask again when status shows the log as reachable';
+		return {state, effects: [{kind: 'answer-deferred', replyId, answer: {result: 'rejected', offset: context.cluster.offset, reason}}]};
+	}
+
+	const record = recordFor(subject, context.cluster);
+	if (!record) {
+		const reason = 'the job is not known; check the job id with status';
+		return {state, effects: [{kind: 'answer-deferred', replyId, answer: {result: 'rejected', offset: context.cluster.offset, reason}}]};
+	}
+
+	return {
+		state: state.set(replyId, {subject, askedAtMs: context.nowMs}),
+		effects: [{kind: 'append-record', record}],
+	};
+}
+
+/**
+Answers the questions that the cluster state decides by now, and those that waited too long with `unknown`.
+
+@example
+const {state, effects} = settleDeferred(waiting, context);
+*/
+export function settleDeferred(state: DeferredAnswers, context: EntryContext): Step<DeferredAnswers> {
+	const effects: ControlEffect[] = [];
+	let next = state;
+	for (const [replyId, {subject, askedAtMs}] of state) {
+		const hasTimedOut = context.nowMs - askedAtMs > deferredTimeoutMs;
+		const answer = decisionOf(subject, context.cluster) ?? (hasTimedOut ? timedOut(context) : undefined);
+		if (answer) {
+			next = next.delete(replyId);
+			effects.push({kind: 'answer-deferred', replyId, answer});
+		}
+	}
+
+	return {state: next, effects};
+}
+
+function timedOut(context: EntryContext): DeferredAnswer {
+	return {
+		result: 'unknown',
+		offset: context.cluster.offset,
+		reason: 'the log has not confirmed the record yet; ask again with the same id',
+	};
+}
+
+function recordFor(subject: DeferredSubject, cluster: ClusterState): ClusterRecord | undefined {
+	switch (subject.kind) {
+		case 'plan': {
+			return {kind: 'plan-confirmed', plan: subject.plan};
+		}
+
+		case 'job': {
+			return {kind: 'job-submitted', job: subject.job};
+		}
+
+		case 'cancel-job': {
+			const taskIds = cluster.jobs.get(subject.jobId);
+			return taskIds && {kind: 'tasks-cancelled', taskIds};
+		}
+	}
+}
+
+const stoppedPhases: ReadonlySet<TaskPhase> = new Set(['cancelling', 'cancelled', 'finished', 'failed', 'unplaceable']);
+
+function decisionOf(subject: DeferredSubject, cluster: ClusterState): DeferredAnswer | undefined {
+	switch (subject.kind) {
+		case 'plan': {
+			const decision = cluster.planDecisions.get(subject.plan.planId);
+			return decision && {
+				result: decision.accepted ? 'accepted' : 'rejected',
+				offset: decision.offset,
+				reason: decision.reason,
+			};
+		}
+
+		case 'job': {
+			const taskIds = cluster.jobs.get(subject.job.jobId);
+			if (!taskIds) {
+				return undefined;
+			}
+
+			const isSame = subject.job.tasks.every(({taskId}) => taskIds.includes(taskId));
+			return isSame
+				? {result: 'accepted', offset: cluster.offset, reason: ''}
+				: {result: 'rejected', offset: cluster.offset, reason: `job ${subject.job.jobId} exists with other tasks; use a new job id`};
+		}
+
+		case 'cancel-job': {
+			const taskIds = cluster.jobs.get(subject.jobId);
+			const isStopped = taskIds?.every(taskId => stoppedPhases.has(cluster.tasks.get(taskId)?.phase ?? 'cancelled'));
+			return isStopped ? {result: 'accepted', offset: cluster.offset, reason: ''} : undefined;
+		}
+	}
+}
--- /dev/null
+++ b/src/entry/entry-process.ts
@@ -0,0 +1,160 @@
+import {randomBytes, randomInt, randomUUID} from 'node:crypto';
+import {performance} from 'node:perf_hooks';
+import {setTimeout as delay} from 'node:timers/promises';
+import {computePlan} from '../cluster/compute-plan.js';
+import {type EntrySettings} from '../settings/entry-settings.js';
+import {createHttpLogService} from '../log/http-log-service.js';
+import {createSnapshotStore} from '../log/snapshot-store.js';
+import {type EventLog} from '../telemetry/event-log.js';
+import {type Metrics} from '../telemetry/metrics.js';
+import {type Timeline} from '../telemetry/timeline-event.js';
+import {createAgentStreamServer} from './agent-stream-server.js';
+import {createCallerServer, type Readiness} from './caller-server.js';
+import {createCallerExchanges} from './caller-exchange.js';
+import {createDeferredReplies} from './deferred-replies.js';
+import {type EntryEffect} from './entry-effect.js';
+import {createEntryEffectExecutor} from './entry-effect-executor.js';
+import {type EntryEvent} from './entry-event.js';
+import {type EntryState, initialEntryState} from './entry-state.js';
+import {createEventLoop} from './event-loop.js';
+import {createJobInterface} from './job-interface.js';
+import {createLogConnection} from './log-connection.js';
+import {createOperatorBackend} from './operator-backend.js';
+import {startOperatorServer} from './operator-server.js';
+import {reduceEntry} from './reduce-entry.js';
+import {createRequestForwarder} from './request-forwarder.js';
+
+/** A running entry. */
+export type EntryProcess = Readonly<{
+	/** Stops gracefully: not ready first, then no new connections, then the end of the requests in flight. */
+	stop: () => Promise<void>;
+}>;
+
+const tickMs = 50;
+const logTimeoutMs = 2000;
+const forwardConcurrency = 4096;
+const planExpiresInMs = 600_000;
+
+/**
+Wires and starts an entry.
+
+@example
+const entry = await startEntry({settings, token, eventLog, metrics, timeline});
+await entry.stop();
+*/
+export async function startEntry({settings, token, eventLog, metrics, timeline}: Readonly<{
+	settings: EntrySettings;
+	token: string;
+	eventLog: EventLog;
+	metrics: Metrics;
+	timeline: Timeline;
+}>): Promise<EntryProcess> {
+	let isStopping = false;
+	const incarnation = newIncarnation();
+	const logService = createHttpLogService({baseUrl: settings.logServiceUrl, timeoutMs: logTimeoutMs});
+	const snapshots = createSnapshotStore({service: logService, stream: `${settings.logStream}-snapshots`});
+	const exchanges = createCallerExchanges();
+	const deferredReplies = createDeferredReplies();
+
+	const loop = createEventLoop<EntryState, EntryEvent, EntryEffect>({
+		initialState: initialEntryState(incarnation),
+		reduce: (state, event) => reduceEntry(state, event, {
+			nowMs: performance.now(),
+			wallTimeMs: Date.now(),
+			seed: randomInt(0x7F_FF_FF_FF),
+			pendingAppends: logConnection.pendingAppends(),
+		}, settings),
+		execute(effect) {
+			execute(effect);
+		},
+	});
+	const {dispatch} = loop;
+
+	const logConnection = createLogConnection({
+		settings, token, logService, snapshots, eventLog, dispatch, state: loop.state, nowMs: () => performance.now(),
+	});
+	const agents = createAgentStreamServer({address: settings.agentAddress, dispatch, eventLog});
+	const forwarder = createRequestForwarder({
+		exchanges,
+		dispatch(event) {
+			dispatch({kind: 'request', event});
+		},
+		log: eventLog,
+		concurrency: forwardConcurrency,
+	});
+	const execute = createEntryEffectExecutor({
+		logConnection, agents, forwarder, deferredReplies, timeline, eventLog, metrics, dispatch, newIncarnation,
+	});
+
+	const readiness = (): Readiness => {
+		if (isStopping) {
+			return {isReady: false, reason: 'the entry is stopping'};
+		}
+
+		return loop.state().cluster.offset >= 0 || loop.state().log.tailConfirmedSentAtMs > Number.NEGATIVE_INFINITY
+			? {isReady: true, reason: ''}
+			: {isReady: false, reason: 'the entry has not read its configuration yet'};
+	};
+
+	const callers = createCallerServer({
+		settings,
+		dispatch(event) {
+			dispatch({kind: 'request', event});
+		},
+		exchanges,
+		jobs: createJobInterface({state: loop.state, ask}),
+		readiness,
+		nowMs: () => performance.now(),
+		log: eventLog,
+	});
+
+	async function ask(subject: Parameters<typeof deferredReplies.open>[0]['subject']) {
+		return deferredReplies.open({subject, dispatch, replyId: randomUUID()});
+	}
+
+	await logConnection.start(incarnation);
+	await agents.listen();
+	const operators = await startOperatorServer({
+		address: settings.operatorAddress,
+		token,
+		eventLog,
+		backend: createOperatorBackend({
+			settings,
+			state: loop.state,
+			ask,
+			logService,
+			timeline,
+			nowMs: () => performance.now(),
+			computePlan: intent => computePlan(loop.state().cluster, intent, {
+				planId: randomUUID(), nowMs: Date.now(), expiresInMs: planExpiresInMs,
+			}),
+		}),
+	});
+	await callers.listen();
+	const ticker = setInterval(() => {
+		dispatch({kind: 'tick'});
+	}, tickMs);
+	eventLog.info('entry-started', {entryId: settings.entryId, incarnation});
+
+	return {
+		async stop() {
+			isStopping = true;
+			eventLog.info('entry-stopping', {entryId: settings.entryId});
+			// The balancer needs this time to notice that the entry is no longer ready.
+			await delay(settings.timings.shutdownDelayMs);
+			await callers.close();
+			await operators.close();
+			await logConnection.leave(settings.entryId);
+			clearInterval(ticker);
+			await agents.close();
+			await forwarder.close();
+			await logConnection.close();
+			await metrics.close();
+			eventLog.info('entry-stopped', {entryId: settings.entryId});
+		},
+	};
+}
+
+function newIncarnation(): string {
+	return randomBytes(9).toString('base64url').replaceAll('-', '_');
+}
--- /dev/null
+++ b/src/entry/entry-state.ts
@@ -0,0 +1,65 @@
+import {Map} from 'immutable';
+import {type ClusterState} from '../cluster/cluster-state.js';
+import {emptyClusterState} from '../cluster/reduce-cluster.js';
+import {type AgentLink} from '../dispatch/agent-link.js';
+import {type EntryLivenessState, initialEntryLiveness} from '../membership/entry-liveness.js';
+import {initialVmLiveness, type VmLivenessState} from '../membership/vm-liveness.js';
+import {type FailureBlameState, initialFailureBlame} from '../placement/failure-blame.js';
+import {initialPlacement, type PlacementState} from '../placement/place-queued-tasks.js';
+import {initialRequestState, type RequestState} from '../requests/request-state.js';
+import {type AppendGuard, emptyAppendGuard} from './append-guard.js';
+import {type DeferredAnswers, noDeferredAnswers} from './deferred-answers.js';
+import {initialKeyExpiry, type KeyExpiryState} from './key-expiry.js';
+
+/** What an entry knows of the log's reach. */
+export type LogReach = Readonly<{
+	/** Sending time of the newest read that reached the tail. */
+	tailConfirmedSentAtMs: number;
+	reachable: boolean;
+}>;
+
+/** All state of an entry; only `cluster` is shared with the other entries, through the log. */
+export type EntryState = Readonly<{
+	incarnation: string;
+	cluster: ClusterState;
+	log: LogReach;
+	links: Map<string, AgentLink>;
+	/** When claims of other entries were read, by task and attempt. */
+	claimReadAtMs: Map<string, number>;
+	entryLiveness: EntryLivenessState;
+	vmLiveness: VmLivenessState;
+	placement: PlacementState;
+	requests: RequestState;
+	failureBlame: FailureBlameState;
+	deferred: DeferredAnswers;
+	keyExpiry: KeyExpiryState;
+	guard: AppendGuard;
+	snapshot: Readonly<{coversOffset: number; writtenAtMs: number; isWriting: boolean}>;
+	lastControlTickMs: number;
+}>;
+
+/**
+The state of an entry that has just started.
+
+@example
+let state = initialEntryState('a81f…');
+*/
+export function initialEntryState(incarnation: string): EntryState {
+	return {
+		incarnation,
+		cluster: emptyClusterState,
+		log: {tailConfirmedSentAtMs: Number.NEGATIVE_INFINITY, reachable: false},
+		links: Map(),
+		claimReadAtMs: Map(),
+		entryLiveness: initialEntryLiveness,
+		vmLiveness: initialVmLiveness,
+		placement: initialPlacement,
+		requests: initialRequestState,
+		failureBlame: initialFailureBlame,
+		deferred: noDeferredAnswers,
+		keyExpiry: initialKeyExpiry,
+		guard: emptyAppendGuard,
+		snapshot: {coversOffset: -1, writtenAtMs: Number.NEGATIVE_INFINITY, isWriting: false},
+		lastControlTickMs: Number.NEGATIVE_INFINITY,
+	};
+}
--- /dev/null
+++ b/src/entry/fetch-peer-state.ts
@@ -0,0 +1,41 @@
+import {request} from 'undici';
+import {type ClusterState} from '../cluster/cluster-state.js';
+import {decodeClusterState} from '../cluster/cluster-state-codec.js';
+
+const timeoutMs = 2000;
+
+/**
+Asks the other entries for their cluster state, for a start while the log is out of reach; the newest answer counts.
+Resolves with undefined when no peer answers.
+
+@example
+const cluster = await fetchPeerState({addresses: ['127.0.0.1:7003'], token});
+*/
+export async function fetchPeerState({addresses, token}: Readonly<{
+	addresses: readonly string[];
+	token: string;
+}>): Promise<ClusterState | undefined> {
+	const answers = await Promise.all(addresses.map(async address => fetchFrom(address, token)));
+	return answers
+		.filter(answer => answer !== undefined)
+		.toSorted((left, right) => right.offset - left.offset)[0];
+}
+
+async function fetchFrom(address: string, token: string): Promise<ClusterState | undefined> {
+	try {
+		const {statusCode, body} = await request(`http://${address}/peer-state`, {
+			headers: {authorization: `Bearer ${token}`},
+			headersTimeout: timeoutMs,
+			bodyTimeout: timeoutMs,
+		});
+		const bytes = await body.bytes();
+		return statusCode === 200 ? decodePeerState(bytes) : undefined;
+	} catch {
+		// A peer that is not there is the usual case at a first start.
+		return undefined;
+	}
+}
+
+function decodePeerState(bytes: Uint8Array): ClusterState | undefined {
+	return decodeClusterState(JSON.parse(new TextDecoder().decode(bytes)) as Parameters<typeof decodeClusterState>[0]);
+}
--- /dev/null
+++ b/src/entry/log-connection.ts
@@ -0,0 +1,149 @@
+import {type ClusterRecord} from '../cluster/cluster-record.js';
+import {decodeClusterState, encodeClusterState} from '../cluster/cluster-state-codec.js';
+import {createLogReader, type LogReader} from '../log/log-reader.js';
+import {type LogService} from '../log/log-service.js';
+import {createLogWriter, type LogWriter} from '../log/log-writer.js';
+import {type SnapshotStore} from '../log/snapshot-store.js';
+import {type EntrySettings} from '../settings/entry-settings.js';
+import {type EventLog} from '../telemetry/event-log.js';
+import {type EntryEvent} from './entry-event.js';
+import {type EntryState} from './entry-state.js';
+import {fetchPeerState} from './fetch-peer-state.js';
+
+/** The entry's writer, reader and snapshots on the log. */
+export type LogConnection = Readonly<{
+	/** Loads the newest state and starts to read. */
+	start: (incarnation: string) => Promise<void>;
+	append: (record: ClusterRecord) => void;
+	pendingAppends: () => number;
+	confirmTail: () => void;
+	writeSnapshot: () => void;
+	restartWriter: (incarnation: string) => void;
+	/** Declares this entry ended and appends nothing afterwards. */
+	leave: (entryId: string) => Promise<void>;
+	close: () => Promise<void>;
+}>;
+
+const maxBatchRecords = 1000;
+
+/**
+Creates the connection; `start` must be called before anything else.
+
+@example
+const connection = createLogConnection({settings, token, logService, snapshots, eventLog, dispatch, state, nowMs});
+await connection.start(incarnation);
+*/
+export function createLogConnection({settings, token, logService, snapshots, eventLog, dispatch, state, nowMs}: Readonly<{
+	settings: EntrySettings;
+	token: string;
+	logService: LogService;
+	snapshots: SnapshotStore;
+	eventLog: EventLog;
+	dispatch: (event: EntryEvent) => void;
+	state: () => EntryState;
+	nowMs: () => number;
+}>): LogConnection {
+	let writer: LogWriter | undefined;
+	let reader: LogReader | undefined;
+	let isLeaving = false;
+
+	function openWriter(incarnation: string): void {
+		writer = createLogWriter({
+			service: logService,
+			stream: settings.logStream,
+			writer: settings.entryId,
+			incarnation,
+			appendIntervalMs: settings.timings.appendIntervalMs,
+			maxBatchRecords,
+			onStatus(status) {
+				eventLog.debug('log-append', {status: String(status)});
+			},
+		});
+	}
+
+	function openReader(): void {
+		reader = createLogReader({
+			service: logService,
+			stream: settings.logStream,
+			fromOffset: state().cluster.offset + 1,
+			nowMs,
+			onPage({records, readSentAtMs, reachedTail}) {
+				dispatch({
+					kind: 'log-page', records, readSentAtMs, reachedTail,
+				});
+			},
+			onError(error) {
+				dispatch({kind: 'log-failed', message: error.message});
+			},
+			onRetentionPassed() {
+				void reloadState();
+			},
+		});
+	}
+
+	async function reloadState(): Promise<void> {
+		eventLog.warn('log-retention-passed', {offset: state().cluster.offset});
+		await reader?.close();
+		await loadState();
+		openReader();
+	}
+
+	async function loadState(): Promise<void> {
+		const loaded = await snapshots.loadNewest();
+		const encoded = loaded.isOk ? loaded.value : undefined;
+		const cluster = encoded
+			? decodeClusterState(encoded.value)
+			: await fetchPeerState({addresses: settings.peerOperatorAddresses, token});
+		if (cluster) {
+			eventLog.info('state-loaded', {offset: cluster.offset, from: encoded ? 'snapshot' : 'peer'});
+			dispatch({kind: 'snapshot-loaded', cluster});
+		}
+	}
+
+	async function writeSnapshot(): Promise<void> {
+		const {cluster} = state();
+		const written = await snapshots.write({coversOffset: cluster.offset, value: encodeClusterState(cluster)});
+		if (written.isErr) {
+			eventLog.warn('snapshot-failed', {reason: written.error.message});
+		}
+
+		dispatch({kind: 'snapshot-written', coversOffset: written.isOk ? cluster.offset : -1});
+	}
+
+	return {
+		async start(incarnation) {
+			await loadState();
+			openWriter(incarnation);
+			openReader();
+		},
+		append(record) {
+			if (!isLeaving) {
+				writer?.append(record);
+			}
+		},
+		pendingAppends: () => writer?.pendingCount() ?? 0,
+		confirmTail() {
+			void reader?.confirmTail();
+		},
+		writeSnapshot() {
+			void writeSnapshot();
+		},
+		restartWriter(incarnation) {
+			if (!isLeaving) {
+				void writer?.abandon();
+				openWriter(incarnation);
+			}
+		},
+		async leave(entryId) {
+			const {incarnation} = state();
+			writer?.append({
+				kind: 'entry-ended', entryId, incarnation, reason: 'graceful stop',
+			});
+			isLeaving = true;
+			await writer?.close();
+		},
+		async close() {
+			await reader?.close();
+		},
+	};
+}
--- /dev/null
+++ b/src/entry/record-timeline.ts
@@ -0,0 +1,44 @@
+import {type ClusterRecord} from '../cluster/cluster-record.js';
+import {type ClusterState} from '../cluster/cluster-state.js';
+import {type LoggedRecord} from '../log/log-envelope.js';
+import {type ControlEffect} from './control-effect.js';
+
+/** Records that would fill the timeline without telling an operator anything. */
+const quietKinds: ReadonlySet<ClusterRecord['kind']> = new Set(['entry-alive', 'key-claimed', 'keys-expired']);
+
+/**
+Turns this entry's own records, once read back, into timeline events and log lines, so that over all entries each
+record appears once.
+
+@example
+recordTimeline(records, before, after, incarnation);
+*/
+export function recordTimeline(
+	records: readonly LoggedRecord[],
+	before: ClusterState,
+	after: ClusterState,
+	incarnation: string,
+): readonly ControlEffect[] {
+	return records
+		.filter(({envelope}) => envelope.incarnation === incarnation && !quietKinds.has(envelope.record.kind))
+		.flatMap(({offset, envelope: {record}}) => {
+			const taskId = 'taskId' in record ? record.taskId : undefined;
+			const vmId = 'vmId' in record
+				? record.vmId
+				: (taskId && (after.tasks.get(taskId)?.claim ?? before.tasks.get(taskId)?.claim)?.vmId) || undefined;
+			const detail = 'reason' in record ? record.reason : undefined;
+			return [
+				{
+					kind: 'record-timeline',
+					entry: {
+						event: record.kind, offset, taskId, vmId, detail, cause: taskId,
+					},
+				},
+				{
+					kind: 'log-event', level: 'info', event: record.kind, fields: {
+						offset, taskId, vmId, reason: detail,
+					},
+				},
+			] satisfies ControlEffect[];
+		});
+}
--- /dev/null
+++ b/src/entry/reduce-agent-event.ts
@@ -0,0 +1,214 @@
+import {Map} from 'immutable';
+import {pushConfiguration} from '../dispatch/agent-configuration.js';
+import {cancelUnclaimedTasks, reconcileCommands} from '../dispatch/agent-commands.js';
+import {type AgentLink} from '../dispatch/agent-link.js';
+import {recordsForBackendServers} from '../dispatch/backend-server-relay.js';
+import {acknowledgeTaskEvents, relayTaskEvents} from '../dispatch/task-event-relay.js';
+import {type Heartbeat, type Hello} from '../generated/arbutushinge/v1/agent_pb.js';
+import {answerHeartbeat} from '../membership/lease-grant.js';
+import {noteVmHeard} from '../membership/vm-liveness.js';
+import {observeUsage} from '../placement/observe-usage.js';
+import {type EntrySettings} from '../settings/entry-settings.js';
+import {noResources} from '../cluster/resources.js';
+import {mayAppend, pruneAppendGuard} from './append-guard.js';
+import {type ControlEffect} from './control-effect.js';
+import {type EntryContext} from './entry-context.js';
+import {type EntryEvent, type EventInputs} from './entry-event.js';
+import {type EntryState} from './entry-state.js';
+
+type AgentEvent = Extract<EntryEvent, {kind: 'agent-hello' | 'agent-heartbeat' | 'agent-task-events' | 'agent-session-closed'}>;
+
+type ControlStep = Readonly<{state: EntryState; effects: readonly ControlEffect[]}>;
+
+/**
+Handles what arrives on an agent's stream.
+
+@example
+const {state, effects} = reduceAgentEvent(state, {kind: 'agent-session-closed', sessionId}, inputs, settings);
+*/
+export function reduceAgentEvent(
+	state: EntryState,
+	event: AgentEvent,
+	inputs: EventInputs,
+	settings: EntrySettings,
+): ControlStep {
+	const context = agentContext(state, inputs, settings);
+	switch (event.kind) {
+		case 'agent-hello': {
+			return openLink(state, event.sessionId, event.hello, context);
+		}
+
+		case 'agent-heartbeat': {
+			const link = linkOf(state, event.sessionId);
+			return link ? hearHeartbeat(state, link, event.heartbeat, context) : {state, effects: []};
+		}
+
+		case 'agent-task-events': {
+			const link = linkOf(state, event.sessionId);
+			if (!link) {
+				return {state, effects: []};
+			}
+
+			const relayed = relayTaskEvents(link, event.events, context);
+			return {state: withLink(state, relayed.link), effects: relayed.effects};
+		}
+
+		case 'agent-session-closed': {
+			const link = linkOf(state, event.sessionId);
+			return {state: link ? {...state, links: state.links.delete(link.vmId)} : state, effects: []};
+		}
+	}
+}
+
+/**
+Brings the streams of the given VMs, or of all, in line with the cluster state: registration, configuration, commands,
+acknowledgements and the state of backend servers.
+
+@example
+refreshLinks(state, new Set(['vm-1']), inputs, settings);
+*/
+export function refreshLinks(
+	state: EntryState,
+	vmIds: ReadonlySet<string> | undefined,
+	inputs: EventInputs,
+	settings: EntrySettings,
+): ControlStep {
+	let next: EntryState = {...state, guard: pruneAppendGuard(state.guard, inputs.nowMs)};
+	const effects: ControlEffect[] = [];
+	for (const vmId of vmIds ?? state.links.keys()) {
+		const link = next.links.get(vmId);
+		if (link) {
+			const refreshed = refreshLink(next, link, agentContext(next, inputs, settings));
+			next = refreshed.state;
+			effects.push(...refreshed.effects);
+		}
+	}
+
+	return {state: next, effects};
+}
+
+function agentContext(state: EntryState, inputs: EventInputs, settings: EntrySettings): EntryContext {
+	return {
+		...inputs,
+		cluster: state.cluster,
+		settings,
+		incarnation: state.incarnation,
+		tailConfirmedSentAtMs: state.log.tailConfirmedSentAtMs,
+	};
+}
+
+function linkOf(state: EntryState, sessionId: string): AgentLink | undefined {
+	return state.links.find(link => link.sessionId === sessionId);
+}
+
+function withLink(state: EntryState, link: AgentLink): EntryState {
+	return {...state, links: state.links.set(link.vmId, link)};
+}
+
+function openLink(state: EntryState, sessionId: string, hello: Hello, context: EntryContext): ControlStep {
+	const link: AgentLink = {
+		vmId: hello.vmId,
+		sessionId,
+		agentIncarnation: hello.agentIncarnation,
+		hello,
+		isHelloChecked: false,
+		appliedConfigurationOffset: -1,
+		sentConfiguration: '',
+		backendServers: Map(),
+		sentCommands: Map(),
+		pendingTaskEvents: Map(),
+		leaving: false,
+	};
+	const vmLiveness = noteVmHeard(state.vmLiveness, hello.vmId, hello.agentIncarnation, context.nowMs);
+	return refreshLink({...withLink(state, link), vmLiveness}, link, context);
+}
+
+function hearHeartbeat(state: EntryState, link: AgentLink, heartbeat: Heartbeat, context: EntryContext): ControlStep {
+	const heard: AgentLink = {
+		...link,
+		appliedConfigurationOffset: Number(heartbeat.appliedConfigurationOffset),
+		leaving: heartbeat.leaving,
+		backendServers: link.backendServers.merge(heartbeat.backendServers.map(report => [report.backendServerId, report])),
+	};
+	const vmLiveness = noteVmHeard(state.vmLiveness, link.vmId, link.agentIncarnation, context.nowMs);
+	const observed = observeUsage({estimates: state.placement.interference, history: state.placement.history}, {
+		vmId: link.vmId, usage: heartbeat.usage, backendServers: heartbeat.backendServers, receivedAtMs: context.nowMs,
+	}, context.cluster);
+	const placement = {...state.placement, interference: observed.estimates, history: observed.history};
+	const refreshed = refreshLink({...withLink(state, heard), vmLiveness, placement}, heard, context);
+	const answers = answerHeartbeat(
+		{vmId: link.vmId, agentIncarnation: link.agentIncarnation, sequence: heartbeat.sequence},
+		context,
+	);
+	return {state: refreshed.state, effects: [...answers, ...refreshed.effects]};
+}
+
+function refreshLink(state: EntryState, link: AgentLink, context: EntryContext): ControlStep {
+	const registration = registerVm(state, link, context);
+	const checked = checkHello(link, context);
+	const configured = pushConfiguration(checked.link, context);
+	const commanded = reconcileCommands(configured.link, state.claimReadAtMs, context);
+	const acknowledged = acknowledgeTaskEvents(commanded.link, context.cluster);
+	const reported = reportBackendServers(registration.state, acknowledged.link, context);
+	return {
+		state: withLink(reported.state, acknowledged.link),
+		effects: [
+			...registration.effects,
+			...checked.effects,
+			...configured.effects,
+			...commanded.effects,
+			...acknowledged.effects,
+			...reported.effects,
+		],
+	};
+}
+
+function registerVm(state: EntryState, link: AgentLink, context: EntryContext): ControlStep {
+	const {hello} = link;
+	const subject = `vm-registered/${hello.agentIncarnation}`;
+	const vm = context.cluster.vms.get(link.vmId);
+	const isKnown = vm?.agentIncarnation === hello.agentIncarnation
+		|| vm?.formerAgentIncarnations.includes(hello.agentIncarnation);
+	if (isKnown || !mayAppend(state.guard, subject, context.nowMs)) {
+		return {state, effects: []};
+	}
+
+	const {processorsMilli, memoryMb, accelerators} = hello.capacity ?? noResources;
+	return {
+		state: {...state, guard: state.guard.set(subject, context.nowMs)},
+		effects: [{
+			kind: 'append-record',
+			record: {
+				kind: 'vm-registered',
+				vmId: hello.vmId,
+				agentIncarnation: hello.agentIncarnation,
+				failureDomain: hello.failureDomain,
+				rack: hello.rack,
+				requestAddress: hello.requestAddress,
+				capacity: {processorsMilli, memoryMb, accelerators},
+				runningTasks: hello.runningTasks.map(({taskId, attempt}) => ({taskId, attempt})),
+			},
+		}],
+	};
+}
+
+function checkHello(link: AgentLink, context: EntryContext): Readonly<{link: AgentLink; effects: readonly ControlEffect[]}> {
+	const isRegistered = context.cluster.vms.get(link.vmId)?.agentIncarnation === link.agentIncarnation;
+	return link.isHelloChecked || !isRegistered
+		? {link, effects: []}
+		: {link: {...link, isHelloChecked: true}, effects: cancelUnclaimedTasks(link, context)};
+}
+
+function reportBackendServers(state: EntryState, link: AgentLink, context: EntryContext): ControlStep {
+	const effects: ControlEffect[] = [];
+	let {guard} = state;
+	for (const record of recordsForBackendServers(link, context)) {
+		const subject = `${record.kind}/${link.vmId}/${'backendServerId' in record ? record.backendServerId : ''}`;
+		if (mayAppend(guard, subject, context.nowMs)) {
+			guard = guard.set(subject, context.nowMs);
+			effects.push({kind: 'append-record', record});
+		}
+	}
+
+	return {state: {...state, guard}, effects};
+}
--- /dev/null
+++ b/src/entry/reduce-entry.ts
@@ -0,0 +1,250 @@
+import {type ClusterState} from '../cluster/cluster-state.js';
+import {applyRecord} from '../cluster/reduce-cluster.js';
+import {ownerByRendezvous} from '../cluster/rendezvous.js';
+import {tickEntryLiveness, resetEntryObservation} from '../membership/entry-liveness.js';
+import {tickVmLiveness} from '../membership/vm-liveness.js';
+import {noteAttempts, tickFailureBlame} from '../placement/failure-blame.js';
+import {placeQueuedTasks} from '../placement/place-queued-tasks.js';
+import {type RequestEvent} from '../requests/request-event.js';
+import {reduceRequests} from '../requests/reduce-requests.js';
+import {type EntrySettings} from '../settings/entry-settings.js';
+import {reduceAgentEvent, refreshLinks} from './reduce-agent-event.js';
+import {askDeferred, settleDeferred} from './deferred-answers.js';
+import {type EntryContext} from './entry-context.js';
+import {type EntryEffect} from './entry-effect.js';
+import {type EntryEvent, type EventInputs} from './entry-event.js';
+import {type EntryState} from './entry-state.js';
+import {tickKeyExpiry} from './key-expiry.js';
+import {recordTimeline} from './record-timeline.js';
+import {touchedVmIds} from './touched-vms.js';
+
+/** A new state of the entry with the effects of the step. */
+export type EntryStep = Readonly<{state: EntryState; effects: readonly EntryEffect[]}>;
+
+type Handler<Kind extends EntryEvent['kind']> = (
+	state: EntryState,
+	event: Extract<EntryEvent, {kind: Kind}>,
+	inputs: EventInputs,
+	settings: EntrySettings,
+) => EntryStep;
+
+/** Time between two rounds of liveness, expiry and reconciliation. */
+const controlTickMs = 250;
+
+const handlers: {readonly [Kind in EntryEvent['kind']]: Handler<Kind>} = {
+	'log-page': reduceLogPage,
+	'log-failed': reduceLogFailure,
+	'snapshot-loaded': (state, event) => ({
+		state: event.cluster.offset > state.cluster.offset
+			? {...state, cluster: event.cluster, snapshot: {...state.snapshot, coversOffset: event.cluster.offset}}
+			: state,
+		effects: [],
+	}),
+	'snapshot-written': (state, event, inputs) => ({
+		state: {
+			...state,
+			snapshot: {
+				coversOffset: Math.max(state.snapshot.coversOffset, event.coversOffset),
+				writtenAtMs: inputs.nowMs,
+				isWriting: false,
+			},
+		},
+		effects: [],
+	}),
+	'incarnation-started': (state, event) => ({state: {...state, incarnation: event.incarnation}, effects: []}),
+	'agent-hello': reduceAgentEvent,
+	'agent-heartbeat'(state, event, inputs, settings) {
+		const step = reduceAgentEvent(state, event, inputs, settings);
+		const link = step.state.links.find(({sessionId}) => sessionId === event.sessionId);
+		return link
+			? continueWithRequest(step, {
+				kind: 'agent-load-reported',
+				vmId: link.vmId,
+				backendServers: event.heartbeat.backendServers.map(({backendServerId, activeRequests, queuedRequests}) =>
+					({backendServerId, activeRequests, queuedRequests})),
+			}, inputs, settings)
+			: step;
+	},
+	'agent-task-events': reduceAgentEvent,
+	'agent-session-closed': reduceAgentEvent,
+	tick: reduceTick,
+	'deferred-asked'(state, event, inputs, settings) {
+		const step = askDeferred(state.deferred, event.replyId, event.subject, contextOf(state, inputs, settings));
+		return {state: {...state, deferred: step.state}, effects: step.effects};
+	},
+	request: (state, event, inputs, settings) => continueWithRequest({state, effects: []}, event.event, inputs, settings),
+};
+
+/**
+Computes the next state of an entry and what its shell has to do. Pure: time, chance and identifiers are inputs.
+
+@example
+const {state, effects} = reduceEntry(initialEntryState('a81f…'), {kind: 'tick'}, inputs, settings);
+*/
+export function reduceEntry(state: EntryState, event: EntryEvent, inputs: EventInputs, settings: EntrySettings): EntryStep {
+	const handler = handlers[event.kind] as Handler<EntryEvent['kind']>;
+	return handler(state, event, inputs, settings);
+}
+
+/**
+Bundles what the managers read while an event is handled.
+
+@example
+const context = contextOf(state, inputs, settings);
+*/
+export function contextOf(state: EntryState, inputs: EventInputs, settings: EntrySettings): EntryContext {
+	return {
+		...inputs,
+		cluster: state.cluster,
+		settings,
+		incarnation: state.incarnation,
+		tailConfirmedSentAtMs: state.log.tailConfirmedSentAtMs,
+	};
+}
+
+function reduceLogPage(
+	state: EntryState,
+	event: Extract<EntryEvent, {kind: 'log-page'}>,
+	inputs: EventInputs,
+	settings: EntrySettings,
+): EntryStep {
+	const before = state.cluster;
+	const cluster = event.records.reduce((current: ClusterState, record) => applyRecord(current, record), before);
+	const log = {
+		tailConfirmedSentAtMs: event.reachedTail
+			? Math.max(state.log.tailConfirmedSentAtMs, event.readSentAtMs)
+			: state.log.tailConfirmedSentAtMs,
+		reachable: true,
+	};
+	const entryLiveness = state.log.reachable ? state.entryLiveness : resetEntryObservation(state.entryLiveness, inputs.nowMs);
+	let step: EntryStep = {
+		state: {
+			...noteClaims(state, event, inputs),
+			cluster,
+			log,
+			entryLiveness,
+			failureBlame: noteAttempts(state.failureBlame, event.records, before),
+		},
+		effects: recordTimeline(event.records, before, cluster, state.incarnation),
+	};
+	if (event.records.length > 0) {
+		step = continueWith(step, refreshLinks(step.state, touchedVmIds(event.records, before, cluster), inputs, settings));
+		step = continueWith(step, settleAnswers(step.state, inputs, settings));
+		step = continueWithRequest(step, {kind: 'cluster-advanced', readBackKeyHashes: ownKeyHashes(event, state.incarnation)}, inputs, settings);
+		step = continueWith(step, place(step.state, inputs, settings));
+	}
+
+	return event.reachedTail
+		? continueWithRequest(step, {kind: 'tail-confirmed'}, inputs, settings)
+		: step;
+}
+
+function reduceLogFailure(
+	state: EntryState,
+	event: Extract<EntryEvent, {kind: 'log-failed'}>,
+	inputs: EventInputs,
+	settings: EntrySettings,
+): EntryStep {
+	const effects: EntryEffect[] = state.log.reachable
+		? [{
+			kind: 'log-event', level: 'warn', event: 'log-unreachable', fields: {reason: event.message},
+		}]
+		: [];
+	const next = {...state, log: {...state.log, reachable: false}};
+	return continueWithRequest({state: next, effects}, {kind: 'tail-unavailable'}, inputs, settings);
+}
+
+function reduceTick(
+	state: EntryState,
+	_event: Extract<EntryEvent, {kind: 'tick'}>,
+	inputs: EventInputs,
+	settings: EntrySettings,
+): EntryStep {
+	let step = continueWithRequest({state, effects: []}, {kind: 'tick'}, inputs, settings);
+	step = continueWith(step, place(step.state, inputs, settings));
+	return inputs.nowMs - state.lastControlTickMs < controlTickMs
+		? step
+		: continueWith(step, controlTick({...step.state, lastControlTickMs: inputs.nowMs}, inputs, settings));
+}
+
+function controlTick(state: EntryState, inputs: EventInputs, settings: EntrySettings): EntryStep {
+	const context = contextOf(state, inputs, settings);
+	const entryLiveness = tickEntryLiveness(state.entryLiveness, context);
+	const vmLiveness = tickVmLiveness(state.vmLiveness, context);
+	const failureBlame = tickFailureBlame(state.failureBlame, context);
+	const keyExpiry = tickKeyExpiry(state.keyExpiry, context);
+	const snapshot = tickSnapshot(state, context);
+	const next: EntryStep = {
+		state: {
+			...state,
+			entryLiveness: entryLiveness.state,
+			vmLiveness: vmLiveness.state,
+			failureBlame: failureBlame.state,
+			keyExpiry: keyExpiry.state,
+			snapshot: snapshot.state,
+			claimReadAtMs: state.claimReadAtMs.filter(atMs => inputs.nowMs - atMs < 60_000),
+		},
+		effects: [...entryLiveness.effects, ...vmLiveness.effects, ...failureBlame.effects, ...keyExpiry.effects, ...snapshot.effects],
+	};
+	const refreshed = continueWith(next, refreshLinks(next.state, undefined, inputs, settings));
+	return continueWith(refreshed, settleAnswers(refreshed.state, inputs, settings));
+}
+
+function tickSnapshot(state: EntryState, context: EntryContext): Readonly<{state: EntryState['snapshot']; effects: readonly EntryEffect[]}> {
+	const {snapshot, cluster} = state;
+	const {settings, nowMs} = context;
+	const newRecords = cluster.offset - snapshot.coversOffset;
+	const isDue = newRecords >= settings.snapshotEveryRecords
+		|| (newRecords > 0 && nowMs - snapshot.writtenAtMs >= settings.timings.snapshotEveryMs);
+	const owner = ownerByRendezvous([...cluster.entries.keys()], 'snapshot');
+	if (snapshot.isWriting || !isDue || owner !== state.incarnation || !state.log.reachable) {
+		return {state: snapshot, effects: []};
+	}
+
+	return {state: {...snapshot, isWriting: true}, effects: [{kind: 'write-snapshot'}]};
+}
+
+function place(state: EntryState, inputs: EventInputs, settings: EntrySettings): EntryStep {
+	const step = placeQueuedTasks(state.placement, contextOf(state, inputs, settings));
+	return {state: {...state, placement: step.state}, effects: step.effects};
+}
+
+function settleAnswers(state: EntryState, inputs: EventInputs, settings: EntrySettings): EntryStep {
+	const step = settleDeferred(state.deferred, contextOf(state, inputs, settings));
+	return {state: {...state, deferred: step.state}, effects: step.effects};
+}
+
+/** Remembers when claims of other entries were read, for the takeover of their commands. */
+function noteClaims(state: EntryState, event: Extract<EntryEvent, {kind: 'log-page'}>, inputs: EventInputs): EntryState {
+	const claims = event.records
+		.filter(({envelope}) => envelope.record.kind === 'task-claimed' && envelope.incarnation !== state.incarnation);
+	const claimReadAtMs = state.claimReadAtMs.withMutations(times => {
+		for (const {envelope: {record}} of claims) {
+			if (record.kind === 'task-claimed') {
+				times.set(`${record.taskId}/${record.attempt}`, inputs.nowMs);
+			}
+		}
+	});
+	return {...state, claimReadAtMs};
+}
+
+function ownKeyHashes(event: Extract<EntryEvent, {kind: 'log-page'}>, incarnation: string): readonly string[] {
+	return event.records.flatMap(({envelope}) =>
+		envelope.incarnation === incarnation && envelope.record.kind === 'key-claimed' ? [envelope.record.keyHash] : []);
+}
+
+function continueWith(step: EntryStep, next: EntryStep): EntryStep {
+	return {state: next.state, effects: [...step.effects, ...next.effects]};
+}
+
+function continueWithRequest(step: EntryStep, event: RequestEvent, inputs: EventInputs, settings: EntrySettings): EntryStep {
+	const {state} = step;
+	const next = reduceRequests(state.requests, event, {
+		cluster: state.cluster,
+		nowMs: inputs.nowMs,
+		tailConfirmedSentAtMs: state.log.tailConfirmedSentAtMs,
+		logReachable: state.log.reachable && inputs.nowMs - state.log.tailConfirmedSentAtMs <= settings.timings.logFreshnessMs,
+		seed: inputs.seed,
+	});
+	return {state: {...state, requests: next.state}, effects: [...step.effects, ...next.effects]};
+}
--- /dev/null
+++ b/src/placement/place-queued-tasks.ts
@@ -0,0 +1,276 @@
+import {Map} from 'immutable';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {uniformInt} from 'pure-rand/distribution/uniformInt';
+import {type ClusterState, type Task, type Vm} from '../cluster/cluster-state.js';
+import {type PriorityClass} from '../cluster/intent.js';
+import {ownerByRendezvous} from '../cluster/rendezvous.js';
+import {
+	addResources, fitsInto, noResources, type Resources,
+} from '../cluster/resources.js';
+import {type ControlEffect, type Step} from '../entry/control-effect.js';
+import {type EntryContext, isLogFresh} from '../entry/entry-context.js';
+import {chooseVm, type PlacementCandidate} from './choose-vm.js';
+import {lackingForever, roomOf, takesNewTasks} from './feasibility.js';
+import {
+	addPendingClaim, noPendingClaims, type PendingClaims, settlePendingClaims,
+} from './pending-claims.js';
+import {chooseVictims} from './choose-victims.js';
+import {noVmHistory, type VmHistory} from './observe-usage.js';
+import {harmOfPlacement, type InterferenceEstimates, noInterferenceEstimates} from './interference-estimates.js';
+
+/** What placement keeps between two passes; lost with the process without harm. */
+export type PlacementState = Readonly<{
+	pending: PendingClaims;
+	/** When this entry first saw a queued task that belongs to another entry. */
+	foreignSince: Map<string, number>;
+	interference: InterferenceEstimates;
+	history: VmHistory;
+}>;
+
+export const initialPlacement: PlacementState = {
+	pending: noPendingClaims, foreignSince: Map(), interference: noInterferenceEstimates, history: noVmHistory,
+};
+
+/** VMs that are looked at first for one task; a full scan follows only when none of them has room. */
+const sampledVms = 24;
+/** Claims that may be under way at once, which bounds the size of one append. */
+const maxPendingClaims = 512;
+/** Tasks looked at in one pass, which bounds the time of one pass. */
+const maxScannedTasks = 4096;
+
+const classOrder: readonly PriorityClass[] = ['urgent', 'normal', 'background'];
+
+type Pass = {
+	readonly context: EntryContext;
+	readonly vms: readonly Vm[];
+	/** Demands that found no room in this pass: a larger one finds none either. */
+	readonly withoutRoom: Resources[];
+	readonly claims: ControlEffect[];
+	readonly blockedTeams: Set<string>;
+	state: PlacementState;
+	scanned: number;
+};
+
+/**
+Claims VMs for queued tasks, the most urgent class first.
+
+@example
+const {state, effects} = placeQueuedTasks(initialPlacement, context);
+*/
+export function placeQueuedTasks(state: PlacementState, context: EntryContext): Step<PlacementState> {
+	const settled: PlacementState = {
+		...state,
+		pending: settlePendingClaims(state.pending, context.cluster, context.nowMs),
+		foreignSince: state.foreignSince.filter((_sinceMs, taskId) => context.cluster.tasks.get(taskId)?.phase === 'queued'),
+	};
+	if (!isLogFresh(context) || context.cluster.queued.every(tasks => tasks.isEmpty())) {
+		return {state: settled, effects: []};
+	}
+
+	const pass: Pass = {
+		context,
+		vms: [...context.cluster.vms.values()].filter(vm => takesNewTasks(vm, context.cluster)),
+		withoutRoom: [],
+		claims: [],
+		blockedTeams: new Set(),
+		state: settled,
+		scanned: 0,
+	};
+	for (const priority of classOrder) {
+		placeClass(pass, priority);
+	}
+
+	return {state: pass.state, effects: pass.claims};
+}
+
+function placeClass(pass: Pass, priority: PriorityClass): void {
+	const {cluster} = pass.context;
+	// Every class may scan its share, so that a flood of one leaves the others their turn.
+	let scannedOfClass = 0;
+	for (const taskId of cluster.queued.get(priority)?.keys() ?? []) {
+		if (scannedOfClass >= maxScannedTasks || pass.state.pending.byTask.size >= maxPendingClaims) {
+			return;
+		}
+
+		scannedOfClass++;
+		const task = cluster.tasks.get(taskId);
+		if (task && !pass.state.pending.byTask.has(taskId) && isOwnTurn(pass, task)) {
+			placeTask(pass, task);
+		}
+	}
+}
+
+function isOwnTurn(pass: Pass, task: Task): boolean {
+	const {cluster, settings, incarnation, nowMs} = pass.context;
+	const owner = ownerByRendezvous([...cluster.entries.keys()], task.jobId);
+	if (owner === undefined || owner === incarnation) {
+		return true;
+	}
+
+	const {taskId} = task.spec;
+	const sinceMs = pass.state.foreignSince.get(taskId);
+	if (sinceMs === undefined) {
+		pass.state = {...pass.state, foreignSince: pass.state.foreignSince.set(taskId, nowMs)};
+		return false;
+	}
+
+	return nowMs - sinceMs >= settings.timings.placementTakeoverMs;
+}
+
+function placeTask(pass: Pass, task: Task): void {
+	const {cluster, seed, nowMs} = pass.context;
+	const {demand, taskId} = task.spec;
+	if (pass.withoutRoom.some(failed => fitsInto(failed, demand)) || exceedsQuota(pass, task)) {
+		return;
+	}
+
+	const lacks = lackingForever(task, cluster);
+	if (lacks !== undefined) {
+		pass.claims.push({kind: 'append-record', record: {kind: 'task-unplaceable', taskId, lacks}});
+		return;
+	}
+
+	const taskSeed = (seed + task.submittedOffset + task.attempt) % 0x7F_FF_FF_FF;
+	const sample = sampleVms(pass.vms, taskSeed);
+	let considered = sample.length;
+	let candidates = candidatesAmong(pass, task, sample);
+	if (candidates.length === 0 && sample.length < pass.vms.length) {
+		considered = pass.vms.length;
+		candidates = candidatesAmong(pass, task, pass.vms);
+	}
+
+	if (candidates.length === 0 && task.priority === 'urgent') {
+		candidates = candidatesWithEvictions(pass, task);
+	}
+
+	const choice = chooseVm(
+		candidates.map(({candidate}) => candidate),
+		demand,
+		cluster.configuration.weights,
+		{seed: taskSeed, stateOffset: cluster.offset, consideredVms: considered},
+	);
+	if (!choice) {
+		pass.withoutRoom.push(demand);
+		return;
+	}
+
+	const chosen = candidates.find(({candidate}) => candidate.vmId === choice.vmId)!;
+	const attempt = task.attempt + 1;
+	pass.claims.push({
+		kind: 'append-record',
+		record: {
+			kind: 'task-claimed',
+			taskId,
+			attempt,
+			vmId: choice.vmId,
+			agentIncarnation: chosen.vm.agentIncarnation,
+			committed: demand,
+			evictTaskIds: chosen.evictTaskIds,
+			decision: choice.decision,
+		},
+	});
+	pass.state = {
+		...pass.state,
+		pending: addPendingClaim(pass.state.pending, taskId, {
+			vmId: choice.vmId, attempt, committed: demand, appendedAtMs: nowMs,
+		}),
+	};
+}
+
+function exceedsQuota(pass: Pass, task: Task): boolean {
+	const {cluster} = pass.context;
+	const quota = cluster.configuration.quotas.get(task.teamId);
+	if (!quota) {
+		return false;
+	}
+
+	const committed = cluster.committedByTeam.get(task.teamId, noResources);
+	return !fitsInto(addResources(committed, task.spec.demand), quota);
+}
+
+type FeasibleVm = Readonly<{vm: Vm; candidate: PlacementCandidate; evictTaskIds: readonly string[]}>;
+
+function candidatesAmong(pass: Pass, task: Task, vms: readonly Vm[]): readonly FeasibleVm[] {
+	const {cluster} = pass.context;
+	const found: FeasibleVm[] = [];
+	for (const vm of vms) {
+		const room = roomOf(vm, pass.state.pending.committedByVm.get(vm.vmId, noResources));
+		if (fitsInto(task.spec.demand, room)) {
+			found.push({vm, candidate: toCandidate(pass, task, vm, {room, evictions: 0}), evictTaskIds: []});
+		}
+	}
+
+	// Without a sibling count over the whole fleet, spread is judged among the candidates.
+	return withSiblings(found, task, cluster);
+}
+
+/** VMs on which evictions are weighed for one urgent task. */
+const sampledVmsForEviction = 64;
+
+function candidatesWithEvictions(pass: Pass, task: Task): readonly FeasibleVm[] {
+	const {cluster} = pass.context;
+	const found: FeasibleVm[] = [];
+	for (const vm of pass.vms.slice(0, sampledVmsForEviction)) {
+		// A VM with a claim under way is left alone: its victims may already be promised.
+		if (pass.state.pending.committedByVm.has(vm.vmId)) {
+			continue;
+		}
+
+		const victims = chooseVictims(vm, task, cluster);
+		if (victims) {
+			found.push({
+				vm,
+				candidate: toCandidate(pass, task, vm, {room: victims.roomAfterEviction, evictions: victims.taskIds.length}),
+				evictTaskIds: victims.taskIds,
+			});
+		}
+	}
+
+	return found;
+}
+
+function toCandidate(pass: Pass, task: Task, vm: Vm, facts: Readonly<{room: Resources; evictions: number}>): PlacementCandidate {
+	return {
+		vmId: vm.vmId,
+		capacity: vm.capacity,
+		...facts,
+		...harmOfPlacement(pass.state.interference, task, vm, pass.context.cluster),
+		siblingsInRack: 0,
+		siblingsInFailureDomain: 0,
+		failedBefore: task.failedOnVmIds.includes(vm.vmId),
+		wastesAccelerators: vm.capacity.accelerators > 0 && task.spec.demand.accelerators === 0,
+	};
+}
+
+function withSiblings(found: readonly FeasibleVm[], task: Task, cluster: ClusterState): readonly FeasibleVm[] {
+	if (task.workClass === 'batch') {
+		return found;
+	}
+
+	const siblings = (cluster.jobs.get(task.jobId) ?? [])
+		.map(taskId => cluster.tasks.get(taskId)?.claim?.vmId)
+		.map(vmId => (vmId === undefined ? undefined : cluster.vms.get(vmId)))
+		.filter(vm => vm !== undefined);
+	return found.map(entry => ({
+		...entry,
+		candidate: {
+			...entry.candidate,
+			siblingsInRack: siblings.filter(sibling => sibling.rack === entry.vm.rack).length,
+			siblingsInFailureDomain: siblings.filter(sibling => sibling.failureDomain === entry.vm.failureDomain).length,
+		},
+	}));
+}
+
+function sampleVms(vms: readonly Vm[], seed: number): readonly Vm[] {
+	if (vms.length <= sampledVms) {
+		return vms;
+	}
+
+	const generator = xoroshiro128plus(seed);
+	const picked = new Set<number>();
+	while (picked.size < sampledVms) {
+		picked.add(uniformInt(generator, 0, vms.length - 1));
+	}
+
+	return [...picked].map(index => vms[index]!);
+}
--- a/xo.config.js
+++ b/xo.config.js
@@ -11,6 +11,8 @@
 			'@typescript-eslint/no-restricted-types': 'off',
 			// One event at a time is the point of the sequential loops here.
 			'no-await-in-loop': 'off',
+			// Collections of the immutable library are made without `new`.
+			'new-cap': ['error', {capIsNewExceptions: ['Map', 'Set', 'List', 'OrderedMap', 'OrderedSet']}],
 		},
 	},
 ];
