--- a/src/cluster/cluster-state.ts
+++ b/src/cluster/cluster-state.ts
@@ -1,4 +1,6 @@
-import {type Map, type OrderedMap, type Set} from 'immutable';
+import {
+	type Map, type OrderedMap, type OrderedSet, type Set,
+} from 'immutable';
 import {type PlacementDecision} from './cluster-record.js';
 import {
 	type PriorityClass, type RequestLimits, type Service, type TaskSpec, type Weights,
@@ -22,11 +24,13 @@
 export type Vm = Readonly<{
 	vmId: string;
 	agentIncarnation: string;
+	/** Earlier incarnations, newest last; a late registration of one of them is ignored. */
+	formerAgentIncarnations: readonly string[];
 	failureDomain: string;
 	rack: string;
 	requestAddress: string;
 	capacity: Resources;
-	/** Sum of what live claims and backend servers commit; never more than `capacity` through a claim. */
+	/** Sum of what counted claims and backend servers commit; never more than `capacity`. */
 	committed: Resources;
 	phase: VmPhase;
 	draining: boolean;
@@ -36,6 +40,10 @@
 	/** Tasks whose current attempt is claimed for this VM and has not ended. */
 	taskIds: Set<string>;
 	backendServerIds: Set<string>;
+	/** Claims whose room is not free yet, oldest first; they are counted once the tasks that they evict have gone. */
+	waitingTaskIds: readonly string[];
+	/** Backend servers whose demand is not committed in full yet, oldest first; they are served before the waiting claims. */
+	waitingBackendServerIds: readonly string[];
 }>;
 
 export type BackendServerPhase = 'serving' | 'leaving' | 'gone';
@@ -68,11 +76,13 @@
 	/** Incarnation of the entry that wrote the claim. */
 	writerIncarnation: string;
 	committed: Resources;
+	/** Whether `committed` is part of the VM's sum; false while the claim waits for the tasks that it evicts. */
+	counted: boolean;
 	evictTaskIds: readonly string[];
 	decision: PlacementDecision;
 }>;
 
-/** A task with its current attempt; `attempt` is 0 until the first claim. */
+/** A task with its current attempt; `attempt` is 0 until the first claim. `claim` is set only while an attempt is live. */
 export type Task = Readonly<{
 	spec: TaskSpec;
 	jobId: string;
@@ -129,17 +139,29 @@
 export type ClusterState = Readonly<{
 	/** Offset of the last record applied; -1 before the first. */
 	offset: number;
+	/** Live entries by writer incarnation. */
 	entries: Map<string, EntryMember>;
-	endedIncarnations: Set<string>;
-	/** Highest sequence applied for each writer incarnation. */
+	/** The newest ended writer incarnations, oldest first. */
+	endedIncarnations: OrderedSet<string>;
+	/** Highest sequence applied for each live writer incarnation. */
 	sequences: Map<string, number>;
 	vms: Map<string, Vm>;
+	/** VMs in phase `expired`, oldest first; the oldest are forgotten. */
+	expiredVmIds: OrderedSet<string>;
 	backendServers: Map<string, BackendServer>;
+	/** Backend servers in phase `gone`, oldest first; the oldest are forgotten. */
+	goneBackendServerIds: OrderedSet<string>;
 	tasks: Map<string, Task>;
 	/** Identifiers of queued tasks by priority class, oldest first. */
 	queued: Map<PriorityClass, OrderedMap<string, true>>;
 	/** Task identifiers of each job that is not yet forgotten. */
 	jobs: Map<string, readonly string[]>;
+	/** How many tasks of each unfinished job have not reached a final phase. */
+	unfinishedTasksByJob: Map<string, number>;
+	/** Finished jobs with their number of tasks, oldest first; the oldest are forgotten. */
+	finishedJobs: OrderedMap<string, number>;
+	/** Sum of the values of `finishedJobs`. */
+	finishedTaskCount: number;
 	/** What the live claims of each team commit. */
 	committedByTeam: Map<string, Resources>;
 	keys: OrderedMap<string, KeyClaim>;
--- /dev/null
+++ b/src/cluster/key-handlers.ts
@@ -0,0 +1,31 @@
+import {type RecordHandlers} from './record-handler.js';
+
+/** Records about keys of non-idempotent requests. */
+export const keyHandlers: RecordHandlers<'key-claimed' | 'keys-expired'> = {
+	'key-claimed'(state, record, {offset}) {
+		const {kind, ...claim} = record;
+		const vm = state.vms.get(record.vmId);
+		// A claim for an incarnation that has ended binds nothing: no request was sent for it, so the key is still free.
+		return state.keys.has(record.keyHash) || vm?.phase !== 'live' || vm.agentIncarnation !== record.agentIncarnation
+			? state
+			: {...state, keys: state.keys.set(record.keyHash, {...claim, claimOffset: offset})};
+	},
+	'keys-expired'(state, record, {offset}) {
+		const throughOffset = Math.min(record.throughOffset, offset - 1);
+		if (throughOffset <= state.keysForgottenThroughOffset) {
+			return state;
+		}
+
+		// Keys stand in the order of their claims, so the expired ones come first.
+		const expired: string[] = [];
+		for (const claim of state.keys.values()) {
+			if (claim.claimOffset > throughOffset) {
+				break;
+			}
+
+			expired.push(claim.keyHash);
+		}
+
+		return {...state, keys: state.keys.deleteAll(expired), keysForgottenThroughOffset: throughOffset};
+	},
+};
--- /dev/null
+++ b/src/cluster/reduce-cluster.ts
@@ -0,0 +1,117 @@
+import {
+	type OrderedMap, Map as immutableMap, OrderedMap as orderedMap, OrderedSet as orderedSet, Set as immutableSet,
+} from 'immutable';
+import {type LoggedRecord} from '../log/log-envelope.js';
+import {backendServerHandlers} from './backend-server-handlers.js';
+import {type ClusterRecord} from './cluster-record.js';
+import {type ClusterState} from './cluster-state.js';
+import {entryHandlers} from './entry-handlers.js';
+import {type PriorityClass} from './intent.js';
+import {keyHandlers} from './key-handlers.js';
+import {planHandlers} from './plan-handlers.js';
+import {type RecordByKind, type RecordContext, type RecordHandlers} from './record-handler.js';
+import {taskHandlers} from './task-handlers.js';
+import {vmHandlers} from './vm-handlers.js';
+
+/** The state before the first record. */
+export const emptyClusterState: ClusterState = {
+	offset: -1,
+	entries: immutableMap(),
+	endedIncarnations: orderedSet(),
+	sequences: immutableMap(),
+	vms: immutableMap(),
+	expiredVmIds: orderedSet(),
+	backendServers: immutableMap(),
+	goneBackendServerIds: orderedSet(),
+	tasks: immutableMap(),
+	queued: immutableMap<PriorityClass, OrderedMap<string, true>>([
+		['urgent', orderedMap<string, true>()],
+		['normal', orderedMap<string, true>()],
+		['background', orderedMap<string, true>()],
+	]),
+	jobs: immutableMap(),
+	unfinishedTasksByJob: immutableMap(),
+	finishedJobs: orderedMap(),
+	finishedTaskCount: 0,
+	committedByTeam: immutableMap(),
+	keys: orderedMap(),
+	keysForgottenThroughOffset: -1,
+	configuration: {
+		offset: -1,
+		services: immutableMap(),
+		quotas: immutableMap(),
+		requestLimits: {
+			queuedRequestsPerService: 256,
+			queueTimeoutMs: 2000,
+			retryBudgetMilli: 100,
+			shareByClass: {urgent: 8, normal: 4, background: 1},
+			floorMilliByClass: {urgent: 100, normal: 100, background: 50},
+		},
+		weights: {
+			tailLatencyMilli: 1000, batchThroughputMilli: 1000, evictionsMilli: 1000, floodMilli: 1000,
+		},
+		drainingVmIds: immutableSet(),
+		drainingFailureDomains: immutableSet(),
+		drainingBackendServerIds: immutableSet(),
+	},
+	planDecisions: orderedMap(),
+	entityOffsets: immutableMap(),
+};
+
+const handlers: RecordHandlers = {
+	...entryHandlers,
+	...vmHandlers,
+	...backendServerHandlers,
+	...taskHandlers,
+	...keyHandlers,
+	...planHandlers,
+};
+
+function dispatch<Kind extends ClusterRecord['kind']>(
+	kind: Kind,
+	state: ClusterState,
+	record: RecordByKind[Kind],
+	context: RecordContext,
+): ClusterState {
+	return handlers[kind](state, record, context);
+}
+
+/**
+Applies one logged record. The function is pure and total: a record that is not acceptable changes nothing but `offset`.
+
+Records at or below `state.offset` are ignored, so pages may overlap. Of each writer incarnation, a record counts only when
+its sequence is higher than the last one that counted: a writer has one batch in flight and resends it unchanged, so a lower
+sequence is a late duplicate, and a gap stands for records that the writer dropped before it sent them. An incarnation counts
+from its `entry-registered` record until it is ended.
+
+@example
+const next = applyRecord(emptyClusterState, {
+	offset: 0,
+	envelope: {
+		writer: 'entry-1',
+		incarnation: 'e5f0',
+		sequence: 1,
+		record: {kind: 'entry-registered', entryId: 'entry-1', failureDomain: 'a', operatorAddress: '127.0.0.1:7001'},
+	},
+});
+next.entries.get('e5f0').entryId; // => 'entry-1'
+*/
+export function applyRecord(state: ClusterState, logged: LoggedRecord): ClusterState {
+	const {offset, envelope: {incarnation, sequence, record}} = logged;
+	if (offset <= state.offset) {
+		return state;
+	}
+
+	const isRegistered = state.entries.has(incarnation) || (record.kind === 'entry-registered' && !state.endedIncarnations.has(incarnation));
+	if (!isRegistered || sequence <= (state.sequences.get(incarnation) ?? 0)) {
+		return {...state, offset};
+	}
+
+	const member = state.entries.get(incarnation);
+	return dispatch(record.kind, {
+		...state,
+		offset,
+		sequences: state.sequences.set(incarnation, sequence),
+		entries: member ? state.entries.set(incarnation, {...member, lastOffset: offset}) : state.entries,
+	}, record, {offset, writerIncarnation: incarnation});
+}
--- /dev/null
+++ b/src/cluster/task-handlers.ts
@@ -0,0 +1,159 @@
+import {type ClusterRecordOf} from './cluster-record.js';
+import {type ClusterState, type Task} from './cluster-state.js';
+import {type PriorityClass} from './intent.js';
+import {type RecordHandlers} from './record-handler.js';
+import {addResources, fitsInto, noResources} from './resources.js';
+import {MAX_TASK_FAILURES} from './state-limits.js';
+import {
+	addJob, cancelTask, dequeue, endTask, evictTask, isLive, isNewJob, requeueTask,
+} from './task-transitions.js';
+import {bindClaim, fitOnVm} from './vm-commitment.js';
+
+const rankByPriority: Readonly<Record<PriorityClass, number>> = {urgent: 2, normal: 1, background: 0};
+
+/** The task that an event is about, when the event is about its live attempt. */
+function liveAttempt(state: ClusterState, record: Readonly<{taskId: string; attempt: number; agentIncarnation?: string}>): Task | undefined {
+	const task = state.tasks.get(record.taskId);
+	return task?.claim && task.attempt === record.attempt
+		&& (record.agentIncarnation === undefined || task.claim.agentIncarnation === record.agentIncarnation)
+		? task
+		: undefined;
+}
+
+/** Only batch tasks make room, and only for replicas and for more urgent tasks. */
+function mayEvict(claimant: Task, victim: Task): boolean {
+	return victim.workClass === 'batch'
+		&& (claimant.workClass === 'latency-critical' || rankByPriority[victim.priority] < rankByPriority[claimant.priority]);
+}
+
+function fitsQuota(state: ClusterState, task: Task, demand: ClusterRecordOf<'task-claimed'>['committed']): boolean {
+	const quota = state.configuration.quotas.get(task.teamId);
+	return quota === undefined || fitsInto(addResources(state.committedByTeam.get(task.teamId) ?? noResources, demand), quota);
+}
+
+function claimTask(state: ClusterState, record: ClusterRecordOf<'task-claimed'>, offset: number, writerIncarnation: string): ClusterState {
+	const {taskId, attempt, vmId, agentIncarnation, committed, decision} = record;
+	const task = state.tasks.get(taskId);
+	const vm = state.vms.get(vmId);
+	if (task?.phase !== 'queued' || attempt !== task.attempt + 1) {
+		return state;
+	}
+
+	if (vm?.phase !== 'live' || vm.agentIncarnation !== agentIncarnation || vm.draining || !fitsQuota(state, task, committed)) {
+		return state;
+	}
+
+	// A named task that has left the VM meanwhile frees nothing more, and its room is already counted as free.
+	const victims: Task[] = [];
+	for (const victimId of new Set(record.evictTaskIds)) {
+		const victim = state.tasks.get(victimId);
+		if (victim?.claim?.vmId === vmId) {
+			if (!mayEvict(task, victim)) {
+				return state;
+			}
+
+			victims.push(victim);
+		}
+	}
+
+	const evictTaskIds = victims.map(victim => victim.spec.taskId);
+	const fit = fitOnVm(state, vm, committed, evictTaskIds);
+	if (fit === 'never') {
+		return state;
+	}
+
+	let next = dequeue(state, task);
+	if (fit === 'later') {
+		for (const victim of victims) {
+			next = evictTask(next, victim, {offset, reason: `makes room for ${taskId}`});
+		}
+	}
+
+	return bindClaim(next, task, {
+		vmId,
+		agentIncarnation,
+		claimOffset: offset,
+		writerIncarnation,
+		committed,
+		counted: fit === 'now',
+		evictTaskIds: fit === 'later' ? evictTaskIds : [],
+		decision,
+	});
+}
+
+type Ended = Readonly<{state: ClusterState; task: Task; vmId: string; reason: string; offset: number}>;
+
+const failedOn = ({task, vmId}: Ended): readonly string[] =>
+	[...task.failedOnVmIds.filter(id => id !== vmId), vmId].slice(-MAX_TASK_FAILURES);
+
+const endHandlers: Readonly<Record<ClusterRecordOf<'task-ended'>['outcome'], (ended: Ended) => ClusterState>> = {
+	finished: ({state, task, reason, offset}) => endTask(state, task, 'finished', {offset, reason}),
+	failed(ended) {
+		const {state, task, vmId, reason, offset} = ended;
+		// A failure on a quarantined VM is blamed on its worker, not on the task.
+		const failures = task.failures + (state.vms.get(vmId)?.quarantined ? 0 : 1);
+		const change = {
+			offset, reason, failures, failedOnVmIds: failedOn(ended),
+		};
+		return failures < MAX_TASK_FAILURES ? requeueTask(state, task, change) : endTask(state, task, 'failed', change);
+	},
+	'refused-not-run': ended => requeueTask(ended.state, ended.task, {offset: ended.offset, reason: ended.reason, failedOnVmIds: failedOn(ended)}),
+	// Nobody asked to cancel the task, so its work must not be lost.
+	cancelled: ({state, task, reason, offset}) => requeueTask(state, task, {offset, reason}),
+};
+
+/** Records about jobs and tasks. */
+export const taskHandlers: RecordHandlers<
+	'job-submitted' | 'tasks-cancelled' | 'task-unplaceable' | 'task-claimed' | 'task-started' | 'task-ended' | 'task-checkpointed' | 'evict-requested'
+> = {
+	'job-submitted': (state, {job}, {offset}) => isNewJob(state, job) ? addJob(state, job, offset) : state,
+	'tasks-cancelled'(state, {taskIds}, {offset}) {
+		let next = state;
+		for (const taskId of taskIds) {
+			next = cancelTask(next, taskId, offset);
+		}
+
+		return next;
+	},
+	'task-unplaceable'(state, {taskId, lacks}, {offset}) {
+		const task = state.tasks.get(taskId);
+		return task?.phase === 'queued' ? endTask(state, task, 'unplaceable', {offset, reason: lacks}) : state;
+	},
+	'task-claimed': (state, record, {offset, writerIncarnation}) => claimTask(state, record, offset, writerIncarnation),
+	'task-started'(state, record, {offset}) {
+		const task = liveAttempt(state, record);
+		return task?.phase === 'claimed'
+			? {...state, tasks: state.tasks.set(record.taskId, {...task, phase: 'running', changedOffset: offset})}
+			: state;
+	},
+	'task-ended'(state, record, {offset}) {
+		const {outcome, reason} = record;
+		const task = liveAttempt(state, record);
+		if (!task?.claim) {
+			return state;
+		}
+
+		return task.phase === 'cancelling' && outcome !== 'finished'
+			? endTask(state, task, 'cancelled', {offset, reason})
+			: endHandlers[outcome]({
+				state, task, vmId: task.claim.vmId, reason, offset,
+			});
+	},
+	'task-checkpointed'(state, record, {offset}) {
+		const {checkpoint, reason} = record;
+		const task = liveAttempt(state, record);
+		if (!task) {
+			return state;
+		}
+
+		return task.phase === 'cancelling'
+			? endTask(state, task, 'cancelled', {offset, reason})
+			: requeueTask(state, task, {
+				offset, reason, checkpoint, evictions: task.evictions + 1,
+			});
+	},
+	'evict-requested'(state, record, {offset}) {
+		const task = liveAttempt(state, record);
+		return task && isLive(task) ? evictTask(state, task, {offset, reason: record.reason}) : state;
+	},
+};
--- /dev/null
+++ b/src/cluster/task-transitions.ts
@@ -0,0 +1,269 @@
+import {type OrderedMap} from 'immutable';
+import {type ClusterState, type Task, type TaskPhase} from './cluster-state.js';
+import {entityName, forgetEntity, markChanged} from './entity-offsets.js';
+import {type Job, type PriorityClass} from './intent.js';
+import {MAX_FINISHED_JOBS, MAX_FINISHED_TASKS} from './state-limits.js';
+import {releaseClaim} from './vm-commitment.js';
+
+/** Phases in which a task has a live attempt. */
+const livePhases: ReadonlySet<TaskPhase> = new Set<TaskPhase>(['claimed', 'running', 'evicting', 'cancelling']);
+
+/**
+Tells whether a task has a live attempt.
+
+@example
+isLive({...task, phase: 'queued'}); // => false
+*/
+export function isLive(task: Task): boolean {
+	return livePhases.has(task.phase);
+}
+
+function updateQueue(
+	state: ClusterState,
+	priority: PriorityClass,
+	update: (queue: OrderedMap<string, true>) => OrderedMap<string, true>,
+): ClusterState {
+	const queue = state.queued.get(priority);
+	return queue ? {...state, queued: state.queued.set(priority, update(queue))} : state;
+}
+
+/**
+Takes a task out of the queue of its priority class.
+
+@example
+dequeue(state, task).queued.get('urgent').has(task.spec.taskId); // => false
+*/
+export function dequeue(state: ClusterState, task: Task): ClusterState {
+	return updateQueue(state, task.priority, queue => queue.delete(task.spec.taskId));
+}
+
+/** Stores a task as queued, last in the queue of its priority class. */
+function enqueue(state: ClusterState, task: Task): ClusterState {
+	const {taskId} = task.spec;
+	return updateQueue(
+		{...state, tasks: state.tasks.set(taskId, {...task, phase: 'queued', claim: undefined})},
+		task.priority,
+		queue => queue.set(taskId, true),
+	);
+}
+
+/**
+Ends a task's live attempt and queues the task for its next attempt.
+
+@example
+requeueTask(state, task, {offset: 17, reason: 'the worker refused it'}).tasks.get('task-1').phase; // => 'queued'
+*/
+export function requeueTask(
+	state: ClusterState,
+	task: Task,
+	change: Readonly<{offset: number; reason: string; checkpoint?: string; failures?: number; evictions?: number; failedOnVmIds?: readonly string[]}>,
+): ClusterState {
+	const {offset, ...fields} = change;
+	return enqueue(releaseClaim(state, task), {...task, ...fields, changedOffset: offset});
+}
+
+/** Forgets the oldest finished jobs with their tasks until the limits hold. */
+function forgetFinishedJobs(state: ClusterState): ClusterState {
+	let next = state;
+	while (next.finishedJobs.size > MAX_FINISHED_JOBS || (next.finishedTaskCount > MAX_FINISHED_TASKS && next.finishedJobs.size > 1)) {
+		const oldest: readonly [string, number] | undefined = next.finishedJobs.entrySeq().first();
+		if (!oldest) {
+			return next;
+		}
+
+		const [jobId, taskCount] = oldest;
+		const taskIds = next.jobs.get(jobId) ?? [];
+		next = forgetEntity({
+			...next,
+			finishedJobs: next.finishedJobs.delete(jobId),
+			finishedTaskCount: next.finishedTaskCount - taskCount,
+			jobs: next.jobs.delete(jobId),
+			tasks: next.tasks.withMutations(tasks => {
+				for (const taskId of taskIds) {
+					tasks.delete(taskId);
+				}
+			}),
+		}, entityName('job', jobId));
+	}
+
+	return next;
+}
+
+/**
+Moves a task to a final phase and ends its live attempt. The payload of an ended task is dropped to keep the state small.
+
+@example
+endTask(state, task, 'finished', {offset: 17, reason: ''}).tasks.get('task-1').phase; // => 'finished'
+*/
+export function endTask(
+	state: ClusterState,
+	task: Task,
+	phase: 'finished' | 'failed' | 'cancelled' | 'unplaceable',
+	change: Readonly<{offset: number; reason: string; failures?: number; failedOnVmIds?: readonly string[]}>,
+): ClusterState {
+	const {offset, ...fields} = change;
+	const {taskId} = task.spec;
+	const released = task.phase === 'queued' ? dequeue(state, task) : releaseClaim(state, task);
+	const ended: ClusterState = {
+		...released,
+		tasks: released.tasks.set(taskId, {
+			...task, ...fields, spec: {...task.spec, payload: ''}, checkpoint: '', phase, claim: undefined, changedOffset: offset,
+		}),
+	};
+	const unfinished = (ended.unfinishedTasksByJob.get(task.jobId) ?? 1) - 1;
+	if (unfinished > 0) {
+		return {...ended, unfinishedTasksByJob: ended.unfinishedTasksByJob.set(task.jobId, unfinished)};
+	}
+
+	const taskCount = ended.jobs.get(task.jobId)?.length ?? 0;
+	return forgetFinishedJobs(markChanged({
+		...ended,
+		unfinishedTasksByJob: ended.unfinishedTasksByJob.delete(task.jobId),
+		finishedJobs: ended.finishedJobs.set(task.jobId, taskCount),
+		finishedTaskCount: ended.finishedTaskCount + taskCount,
+	}, offset, [entityName('job', task.jobId)]));
+}
+
+const replacementSuffix = /\.r\d+(?:-\d+)?$/v;
+const maxNameLength = 128;
+
+/** A new identity such as `replica-1.r17`, derived from the offset of the record that lost the replica. */
+function replacementId(state: ClusterState, taskId: string, offset: number): string {
+	const base = taskId.replace(replacementSuffix, '');
+	for (let index = 0; ; index++) {
+		const suffix = index === 0 ? `.r${offset}` : `.r${offset}-${index}`;
+		const id = base.slice(0, maxNameLength - suffix.length) + suffix;
+		if (!state.tasks.has(id)) {
+			return id;
+		}
+	}
+}
+
+/**
+Replaces a lost latency-critical task by a queued one with its own identity; the lost one is forgotten, since it may still run.
+
+@example
+replaceTask(state, task, {offset: 17, reason: 'VM vm-1 was lost'}).tasks.has('replica-1.r17'); // => true
+*/
+export function replaceTask(state: ClusterState, task: Task, change: Readonly<{offset: number; reason: string}>): ClusterState {
+	const {taskId} = task.spec;
+	const newId = replacementId(state, taskId, change.offset);
+	const released = releaseClaim(state, task);
+	return enqueue({
+		...released,
+		tasks: released.tasks.delete(taskId),
+		jobs: released.jobs.update(task.jobId, [], taskIds => taskIds.map(id => id === taskId ? newId : id)),
+	}, {
+		...task,
+		spec: {...task.spec, taskId: newId},
+		attempt: 0,
+		checkpoint: '',
+		failures: 0,
+		submittedOffset: change.offset,
+		changedOffset: change.offset,
+		reason: `replaces ${taskId}: ${change.reason}`,
+	});
+}
+
+/**
+Deals with a live task whose attempt certainly runs no longer, or, for a latency-critical one, may run out of reach.
+
+@example
+loseTask(state, task, {offset: 17, reason: 'VM vm-1 was lost'});
+*/
+export function loseTask(state: ClusterState, task: Task, change: Readonly<{offset: number; reason: string}>): ClusterState {
+	if (task.phase === 'cancelling') {
+		return endTask(state, task, 'cancelled', change);
+	}
+
+	return task.workClass === 'latency-critical' ? replaceTask(state, task, change) : requeueTask(state, task, change);
+}
+
+/**
+Marks a live task for a checkpoint and a stop.
+
+@example
+evictTask(state, task, {offset: 17, reason: 'VM vm-1 is drained'}).tasks.get('task-1').phase; // => 'evicting'
+*/
+export function evictTask(state: ClusterState, task: Task, change: Readonly<{offset: number; reason: string}>): ClusterState {
+	return task.phase === 'claimed' || task.phase === 'running'
+		? {
+			...state,
+			tasks: state.tasks.set(task.spec.taskId, {
+				...task, phase: 'evicting', changedOffset: change.offset, reason: change.reason,
+			}),
+		}
+		: state;
+}
+
+/**
+Cancels a task: a queued one ends, a live one must stop first. The cost does not depend on the number of tasks.
+
+@example
+cancelTask(state, 'task-1', 17).tasks.get('task-1').phase; // => 'cancelled'
+*/
+export function cancelTask(state: ClusterState, taskId: string, offset: number): ClusterState {
+	const task = state.tasks.get(taskId);
+	if (!task) {
+		return state;
+	}
+
+	if (task.phase === 'queued') {
+		return endTask(state, task, 'cancelled', {offset, reason: 'cancelled while queued'});
+	}
+
+	return isLive(task) && task.phase !== 'cancelling'
+		? {
+			...state,
+			tasks: state.tasks.set(taskId, {
+				...task, phase: 'cancelling', changedOffset: offset, reason: 'cancelled while running',
+			}),
+		}
+		: state;
+}
+
+/**
+Adds a job with its tasks in phase `queued`. The caller has checked that its identifiers are new.
+
+@example
+addJob(state, job, 17).tasks.get('task-1').phase; // => 'queued'
+*/
+export function addJob(state: ClusterState, job: Job, offset: number): ClusterState {
+	let next = markChanged({
+		...state,
+		jobs: state.jobs.set(job.jobId, job.tasks.map(spec => spec.taskId)),
+		unfinishedTasksByJob: state.unfinishedTasksByJob.set(job.jobId, job.tasks.length),
+	}, offset, [entityName('job', job.jobId)]);
+	for (const spec of job.tasks) {
+		next = enqueue(next, {
+			spec,
+			jobId: job.jobId,
+			teamId: job.teamId,
+			workClass: job.workClass,
+			priority: job.priority,
+			phase: 'queued',
+			attempt: 0,
+			claim: undefined,
+			checkpoint: '',
+			failures: 0,
+			evictions: 0,
+			failedOnVmIds: [],
+			submittedOffset: offset,
+			changedOffset: offset,
+			reason: 'waits for a placement',
+		});
+	}
+
+	return next;
+}
+
+/**
+Tells whether a job's identifiers are new; a repeated submission is ignored.
+
+@example
+isNewJob(state, job); // => true
+*/
+export function isNewJob(state: ClusterState, job: Job): boolean {
+	const taskIds = new Set(job.tasks.map(spec => spec.taskId));
+	return !state.jobs.has(job.jobId) && taskIds.size === job.tasks.length && job.tasks.every(spec => !state.tasks.has(spec.taskId));
+}
