--- a/src/settings/agent-settings.ts
+++ b/src/settings/agent-settings.ts
@@ -1,6 +1,6 @@
 import {z} from 'zod';
 
-const nameSchema = z.string().regex(/^[\w.:-]{1,128}$/v, 'use 1 to 128 letters, digits, dots, colons, hyphens or underscores');
+const nameSchema = z.string().regex(/^[\w.:\-]{1,128}$/v, 'use 1 to 128 letters, digits, dots, colons, hyphens or underscores');
 const addressSchema = z.string().regex(/^\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}$/v, 'use an IP number and a port, such as 127.0.0.1:8080');
 
 /** Settings of `arbutushinge agent`; kept apart from the entry's so that an agent loads no more than it needs. */
--- /dev/null
+++ b/src/settings/schema-fields.ts
@@ -0,0 +1,73 @@
+import {z} from 'zod';
+
+/** One field of a settings schema, as the documentation and the error messages show it. */
+export type SchemaField = Readonly<{
+	name: string;
+	description: string;
+	type: string;
+	required: boolean;
+	default: unknown;
+	minimum: number | undefined;
+	maximum: number | undefined;
+	fields: readonly SchemaField[];
+	/** Fields of the items, when the field is a list of objects. */
+	itemFields: readonly SchemaField[];
+}>;
+
+type JsonSchema = z.core.JSONSchema.BaseSchema;
+
+/**
+Lists the fields of a settings schema with descriptions, bounds and defaults.
+
+@example
+schemaFields(z.strictObject({port: z.int().describe('Port')}))[0]?.description;
+// => 'Port'
+*/
+export function schemaFields(schema: z.ZodType): readonly SchemaField[] {
+	return fieldsOf(z.toJSONSchema(schema, {io: 'input', unrepresentable: 'any', reused: 'inline'}));
+}
+
+function fieldsOf(schema: JsonSchema | undefined): readonly SchemaField[] {
+	return Object.entries(schema?.properties ?? {}).flatMap(([name, property]) => typeof property === 'boolean'
+		? []
+		: [{
+			name,
+			description: property.description ?? '',
+			type: typeName(property),
+			required: schema?.required?.includes(name) ?? false,
+			default: property.default,
+			minimum: property.minimum,
+			maximum: safeBound(property.maximum),
+			fields: fieldsOf(property),
+			itemFields: fieldsOf(itemsOf(property)),
+		}]);
+}
+
+function itemsOf(schema: JsonSchema): JsonSchema | undefined {
+	return typeof schema.items === 'object' && !Array.isArray(schema.items) ? schema.items : undefined;
+}
+
+/** Integers without an upper bound carry the largest safe integer, which says nothing to a reader. */
+function safeBound(bound: number | undefined): number | undefined {
+	return bound === Number.MAX_SAFE_INTEGER ? undefined : bound;
+}
+
+const typeNames: Readonly<Record<string, string>> = {
+	string: 'text', integer: 'whole number', number: 'number', boolean: 'true or false', object: 'group',
+};
+
+function typeName(schema: JsonSchema): string {
+	if (schema.const !== undefined) {
+		return JSON.stringify(schema.const);
+	}
+
+	if (schema.enum !== undefined) {
+		return schema.enum.map(value => JSON.stringify(value)).join(' or ');
+	}
+
+	if (schema.type === 'array') {
+		return `list of ${itemsOf(schema)?.properties === undefined ? 'values' : 'groups'}`;
+	}
+
+	return schema.format === 'uri' ? 'URL' : typeNames[String(schema.type)] ?? 'value';
+}
