--- a/src/cluster/cluster-record.ts
+++ b/src/cluster/cluster-record.ts
@@ -26,7 +26,8 @@
 	z.strictObject({
 		kind: z.literal('entry-registered'), entryId: nameSchema, failureDomain: nameSchema, operatorAddress: z.string(),
 	}),
-	z.strictObject({kind: z.literal('entry-alive')}),
+	/** A heartbeat; the writer had applied all records through `appliedOffset`. */
+	z.strictObject({kind: z.literal('entry-alive'), appliedOffset: z.int().min(-1)}),
 	z.strictObject({
 		kind: z.literal('entry-ended'), entryId: nameSchema, incarnation: nameSchema, reason: z.string(),
 	}),
--- a/src/cluster/cluster-state.ts
+++ b/src/cluster/cluster-state.ts
@@ -15,6 +15,8 @@
 	operatorAddress: string;
 	/** Offset of the newest record of this incarnation. */
 	lastOffset: number;
+	/** Offset through which this entry reported to have applied the log. */
+	appliedOffset: number;
 }>;
 
 /** `live` takes work, `revoked` renews no lease, `expired` certainly runs no leased task any more. */
--- a/src/cluster/entry-handlers.ts
+++ b/src/cluster/entry-handlers.ts
@@ -43,10 +43,16 @@
 				failureDomain: record.failureDomain,
 				operatorAddress: record.operatorAddress,
 				lastOffset: offset,
+				appliedOffset: offset - 1,
 			}),
 		};
 	},
-	'entry-alive': state => state,
+	'entry-alive'(state, {appliedOffset}, {writerIncarnation}) {
+		const member = state.entries.get(writerIncarnation);
+		return member
+			? {...state, entries: state.entries.set(writerIncarnation, {...member, appliedOffset})}
+			: state;
+	},
 	'entry-ended'(state, record) {
 		return state.endedIncarnations.has(record.incarnation) ? state : endIncarnation(state, record.incarnation);
 	},
--- a/src/entry/entry-process.ts
+++ b/src/entry/entry-process.ts
@@ -71,7 +71,7 @@
 	const {dispatch} = loop;
 
 	const logConnection = createLogConnection({
-		settings, token, logService, snapshots, eventLog, dispatch, state: loop.state, nowMs: () => performance.now(),
+		settings, token, logService, snapshots, eventLog, dispatch, state: loop.state,
 	});
 	const agents = createAgentStreamServer({address: settings.agentAddress, dispatch, eventLog});
 	const forwarder = createRequestForwarder({
--- a/src/entry/log-connection.ts
+++ b/src/entry/log-connection.ts
@@ -30,10 +30,10 @@
 Creates the connection; `start` must be called before anything else.
 
 @example
-const connection = createLogConnection({settings, token, logService, snapshots, eventLog, dispatch, state, nowMs});
+const connection = createLogConnection({settings, token, logService, snapshots, eventLog, dispatch, state});
 await connection.start(incarnation);
 */
-export function createLogConnection({settings, token, logService, snapshots, eventLog, dispatch, state, nowMs}: Readonly<{
+export function createLogConnection({settings, token, logService, snapshots, eventLog, dispatch, state}: Readonly<{
 	settings: EntrySettings;
 	token: string;
 	logService: LogService;
@@ -41,7 +41,6 @@
 	eventLog: EventLog;
 	dispatch: (event: EntryEvent) => void;
 	state: () => EntryState;
-	nowMs: () => number;
 }>): LogConnection {
 	let writer: LogWriter | undefined;
 	let reader: LogReader | undefined;
@@ -56,7 +55,9 @@
 			appendIntervalMs: settings.timings.appendIntervalMs,
 			maxBatchRecords,
 			onStatus(status) {
-				eventLog.debug('log-append', {status: String(status)});
+				if (status.kind === 'failed') {
+					eventLog.debug('log-append-failed', {reason: status.error.message, failures: status.failures, pending: status.pendingCount});
+				}
 			},
 		});
 	}
@@ -66,7 +67,6 @@
 			service: logService,
 			stream: settings.logStream,
 			fromOffset: state().cluster.offset + 1,
-			nowMs,
 			onPage({records, readSentAtMs, reachedTail}) {
 				dispatch({
 					kind: 'log-page', records, readSentAtMs, reachedTail,
@@ -75,19 +75,14 @@
 			onError(error) {
 				dispatch({kind: 'log-failed', message: error.message});
 			},
-			onRetentionPassed() {
-				void reloadState();
+			async onRetentionPassed(firstRetainedOffset) {
+				eventLog.warn('log-retention-passed', {offset: state().cluster.offset, firstRetainedOffset});
+				await loadState();
+				return state().cluster.offset + 1;
 			},
 		});
 	}
 
-	async function reloadState(): Promise<void> {
-		eventLog.warn('log-retention-passed', {offset: state().cluster.offset});
-		await reader?.close();
-		await loadState();
-		openReader();
-	}
-
 	async function loadState(): Promise<void> {
 		const loaded = await snapshots.loadNewest();
 		const encoded = loaded.isOk ? loaded.value : undefined;
@@ -130,7 +125,9 @@
 		},
 		restartWriter(incarnation) {
 			if (!isLeaving) {
-				void writer?.abandon();
+				// What the ended incarnation still holds would be ignored by every reader.
+				writer?.drop(() => true);
+				void writer?.close();
 				openWriter(incarnation);
 			}
 		},
--- a/src/entry/operator-backend.ts
+++ b/src/entry/operator-backend.ts
@@ -5,7 +5,7 @@
 import {encodeClusterState} from '../cluster/cluster-state-codec.js';
 import {type Intent, type Plan} from '../cluster/intent.js';
 import {type TypedError} from '../errors/typed-error.js';
-import {parseLogEnvelope} from '../log/log-envelope.js';
+import {logEnvelopeSchema} from '../log/log-envelope.js';
 import {type LogService} from '../log/log-service.js';
 import {type EntrySettings} from '../settings/entry-settings.js';
 import {type Timeline, type TimelineEvent, timelineEventSchema} from '../telemetry/timeline-event.js';
@@ -64,8 +64,8 @@
 			return page.andThen(({values, ...bounds}) => ok({
 				...bounds,
 				records: values.flatMap(({offset, value}) => {
-					const envelope = parseLogEnvelope(value);
-					return envelope.isOk ? [{offset, envelope: envelope.value}] : [];
+					const envelope = logEnvelopeSchema.safeParse(JSON.parse(value));
+					return envelope.success ? [{offset, envelope: envelope.data}] : [];
 				}),
 			}));
 		},
--- a/src/membership/entry-liveness.ts
+++ b/src/membership/entry-liveness.ts
@@ -74,7 +74,7 @@
 
 	return {
 		state: {...state, lastAliveAppendedMs: context.nowMs},
-		effects: [{kind: 'append-record', record: {kind: 'entry-alive'}}],
+		effects: [{kind: 'append-record', record: {kind: 'entry-alive', appliedOffset: context.cluster.offset}}],
 	};
 }
 
--- a/src/operator/state-fixture.ts
+++ b/src/operator/state-fixture.ts
@@ -1,56 +1,21 @@
 /* eslint-disable new-cap -- The collections of immutable are made by calls without `new`. */
-import {Map as ImmutableMap, OrderedMap, Set as ImmutableSet} from 'immutable';
+import {Set as ImmutableSet} from 'immutable';
 import {type PlacementDecision} from '../cluster/cluster-record.js';
 import {
 	type BackendServer, type ClusterState, type Task, type Vm,
 } from '../cluster/cluster-state.js';
-import {type Plan, type RequestLimits, type Weights} from '../cluster/intent.js';
+import {type Plan} from '../cluster/intent.js';
+import {emptyClusterState} from '../cluster/reduce-cluster.js';
 import {noResources} from '../cluster/resources.js';
 
-const limits: RequestLimits = {
-	queuedRequestsPerService: 100,
-	queueTimeoutMs: 1000,
-	retryBudgetMilli: 100,
-	shareByClass: {urgent: 4, normal: 2, background: 1},
-	floorMilliByClass: {urgent: 100, normal: 100, background: 100},
-};
-
-const weights: Weights = {
-	tailLatencyMilli: 1000, batchThroughputMilli: 1000, evictionsMilli: 1000, floodMilli: 1000,
-};
-
 /** A cluster state without members, for tests of what reads it. */
-export const emptyStateFixture: ClusterState = {
-	offset: -1,
-	entries: ImmutableMap(),
-	endedIncarnations: ImmutableSet(),
-	sequences: ImmutableMap(),
-	vms: ImmutableMap(),
-	backendServers: ImmutableMap(),
-	tasks: ImmutableMap(),
-	queued: ImmutableMap(),
-	jobs: ImmutableMap(),
-	committedByTeam: ImmutableMap(),
-	keys: OrderedMap(),
-	keysForgottenThroughOffset: -1,
-	configuration: {
-		offset: -1,
-		services: ImmutableMap(),
-		quotas: ImmutableMap(),
-		requestLimits: limits,
-		weights,
-		drainingVmIds: ImmutableSet(),
-		drainingFailureDomains: ImmutableSet(),
-		drainingBackendServerIds: ImmutableSet(),
-	},
-	planDecisions: OrderedMap(),
-	entityOffsets: ImmutableMap(),
-};
+export const emptyStateFixture: ClusterState = emptyClusterState;
 
 /** A live VM of 16 cores, for tests. */
 export const vmFixture: Vm = {
 	vmId: 'vm-1',
 	agentIncarnation: 'agent-1',
+	formerAgentIncarnations: [],
 	failureDomain: 'Kambalda',
 	rack: 'rack-1',
 	requestAddress: '127.0.0.1:9000',
@@ -62,6 +27,8 @@
 	unreachableFrom: ImmutableSet(),
 	taskIds: ImmutableSet(['task-1']),
 	backendServerIds: ImmutableSet(),
+	waitingTaskIds: [],
+	waitingBackendServerIds: [],
 };
 
 /** A serving backend server, for tests. */
@@ -111,6 +78,7 @@
 		claimOffset: 12,
 		writerIncarnation: 'entry-1',
 		committed: {processorsMilli: 2000, memoryMb: 1024, accelerators: 0},
+		counted: true,
 		evictTaskIds: [],
 		decision: decisionFixture,
 	},
--- a/src/placement/failure-blame.ts
+++ b/src/placement/failure-blame.ts
@@ -2,7 +2,9 @@
 import {type ClusterRecord} from '../cluster/cluster-record.js';
 import {type ClusterState} from '../cluster/cluster-state.js';
 import {ownerByRendezvous} from '../cluster/rendezvous.js';
-import {type AppendGuard, emptyAppendGuard, mayAppend, pruneAppendGuard} from '../entry/append-guard.js';
+import {
+	type AppendGuard, emptyAppendGuard, mayAppend, pruneAppendGuard,
+} from '../entry/append-guard.js';
 import {type ControlEffect, type Step} from '../entry/control-effect.js';
 import {type EntryContext, isLogFresh} from '../entry/entry-context.js';
 import {type LoggedRecord} from '../log/log-envelope.js';
