--- a/src/cluster/apply-intent.ts
+++ b/src/cluster/apply-intent.ts
@@ -98,6 +98,5 @@
 applyIntent(state, {kind: 'drain-vm', vmId: 'vm-1'}, 17).vms.get('vm-1').draining; // => true
 */
 export function applyIntent(state: ClusterState, intent: Intent, offset: number): ClusterState {
-	const handler = handlers[intent.kind] as IntentHandler<Intent['kind']>;
-	return handler(state, intent, offset);
+	return dispatch(intent.kind, state, intent, offset);
 }
--- a/src/cluster/touched-entities.ts
+++ b/src/cluster/touched-entities.ts
@@ -64,6 +64,5 @@
 // => ['backend-server/b3', 'service/loaf-ordering']
 */
 export function touchedEntities(state: ClusterState, intent: Intent): readonly string[] {
-	const touch = touches[intent.kind] as Touch<Intent['kind']>;
-	return touch(state, intent);
+	return dispatch(intent.kind, state, intent);
 }
--- /dev/null
+++ b/src/log/log-reader.ts
@@ -0,0 +1,198 @@
+import {err, ok, type Result} from 'true-myth/result';
+import {type TypedError} from '../errors/typed-error.js';
+import {backoffMs} from './backoff.js';
+import {systemClock, type Clock} from './clock.js';
+import {logEnvelopeSchema, type LoggedRecord} from './log-envelope.js';
+import {
+	type LogError, type LogService, type StreamPage, type StreamValue,
+} from './log-service.js';
+
+export type LogReaderError = LogError | TypedError<'log-record-unreadable' | 'log-reader-closed' | 'log-retention-passed'>;
+
+/** Records in log order; a page may hold none and then only tells that the tail was read. */
+export type LogPage = Readonly<{
+	records: readonly LoggedRecord[];
+	/** When the read was sent, on the clock's monotonic time in milliseconds. */
+	readSentAtMs: number;
+	/** Whether the reader's position is the tail as of this read's answer. */
+	reachedTail: boolean;
+	/** Where the reader stands after this page. */
+	nextOffset: number;
+}>;
+
+/** A read of the tail that was sent after it was asked for, with all its records delivered. */
+export type TailConfirmation = Readonly<{tailOffset: number; readSentAtMs: number}>;
+
+export type LogReaderOptions = Readonly<{
+	service: LogService;
+	stream: string;
+	fromOffset: number;
+	onPage: (page: LogPage) => void;
+	onError?: (error: LogReaderError) => void;
+	/** Called when records before `firstRetainedOffset` were lost; returns where to read on, such as after the newest snapshot. */
+	onRetentionPassed: (firstRetainedOffset: number) => number | Promise<number>;
+	/** Most values of one read. */
+	pageLimit?: number;
+	/** How long one read waits for a first value, in milliseconds; it bounds the age of the newest read of the tail. */
+	waitMs?: number;
+	clock?: Clock;
+	random?: () => number;
+}>;
+
+export type LogReader = Readonly<{
+	/** Reads the tail now; all who ask before the read is sent share it. Fails when the log cannot be read; it is not retried. */
+	confirmTail: () => Promise<Result<TailConfirmation, LogReaderError>>;
+	/** The offset that the next page starts at. */
+	nextOffset: () => number;
+	/** How many values were skipped because they could not be parsed. */
+	unreadableCount: () => number;
+	/** Delivers nothing from now on; resolves when no read is open. */
+	close: () => Promise<void>;
+}>;
+
+type Waiter = (result: Result<TailConfirmation, LogReaderError>) => void;
+
+function parse({offset, value}: StreamValue): Result<LoggedRecord, LogReaderError> {
+	try {
+		return ok({offset, envelope: logEnvelopeSchema.parse(JSON.parse(value))});
+	} catch (error) {
+		return err({
+			kind: 'log-record-unreadable',
+			message: `the value at offset ${offset} is no record that this version knows: ${String(error).slice(0, 300)}`,
+			remedy: 'check which program and version wrote it; it is skipped',
+		});
+	}
+}
+
+/**
+Creates a reader that follows a stream by long poll and delivers each record once and in order. It retries failed reads with
+backoff and keeps its position. `confirmTail` reads beside the open long poll; what both return is delivered once.
+
+@example
+const reader = createLogReader({service, stream: 'arbutushinge', fromOffset: 0, onPage, onRetentionPassed: offset => offset});
+const confirmation = await reader.confirmTail(); // => Ok({tailOffset: 12, readSentAtMs: 1503})
+*/
+export function createLogReader(options: LogReaderOptions): LogReader {
+	const {
+		service, stream, onPage, onError = () => undefined, onRetentionPassed,
+		pageLimit = 1000, waitMs = 500, clock = systemClock, random = Math.random,
+	} = options;
+	const closed = new AbortController();
+	let position = options.fromOffset;
+	let unreadable = 0;
+	let waiters: Waiter[] = [];
+	let confirming: Promise<void> | undefined;
+
+	function deliver(page: StreamPage, readSentAtMs: number): void {
+		const records: LoggedRecord[] = [];
+		for (const value of page.values) {
+			if (value.offset >= position) {
+				const parsed = parse(value);
+				if (parsed.isOk) {
+					records.push(parsed.value);
+				} else {
+					unreadable++;
+					onError(parsed.error);
+				}
+			}
+		}
+
+		position = Math.max(position, page.nextOffset);
+		onPage({
+			records, readSentAtMs, reachedTail: position >= page.tailOffset, nextOffset: position,
+		});
+	}
+
+	async function follow(): Promise<void> {
+		let failures = 0;
+		while (!closed.signal.aborted) {
+			const readSentAtMs = clock.nowMs();
+			const fromOffset = position;
+			const result = await service.read(stream, fromOffset, {limit: pageLimit, waitMs});
+			if (closed.signal.aborted) {
+				return;
+			}
+
+			if (result.isErr) {
+				failures++;
+				onError(result.error);
+				await clock.sleep(backoffMs(failures, random()), closed.signal);
+			} else if (result.value.firstRetainedOffset > fromOffset && result.value.firstRetainedOffset > position) {
+				position = Math.max(position, await onRetentionPassed(result.value.firstRetainedOffset));
+				failures = position < result.value.firstRetainedOffset ? failures + 1 : 0;
+				if (failures > 0) {
+					await clock.sleep(backoffMs(failures, random()), closed.signal);
+				}
+			} else {
+				failures = 0;
+				deliver(result.value, readSentAtMs);
+			}
+		}
+	}
+
+	/** Reads until the position reaches the tail as of the first answer. */
+	async function readTail(): Promise<Result<TailConfirmation, LogReaderError>> {
+		const readSentAtMs = clock.nowMs();
+		let tailOffset: number | undefined;
+		while (!closed.signal.aborted) {
+			const fromOffset = position;
+			const sentAtMs = clock.nowMs();
+			const result = await service.read(stream, fromOffset, {limit: pageLimit, waitMs: 0});
+			if (closed.signal.aborted) {
+				break;
+			}
+
+			if (result.isErr) {
+				return err(result.error);
+			}
+
+			const page = result.value;
+			if (page.firstRetainedOffset > position) {
+				return err({
+					kind: 'log-retention-passed',
+					message: `the reader stands at ${position}, and the log retains records from ${page.firstRetainedOffset}`,
+					remedy: 'wait until the newest snapshot is loaded and ask again',
+				});
+			}
+
+			deliver(page, sentAtMs);
+			tailOffset ??= page.tailOffset;
+			if (position >= tailOffset) {
+				return ok({tailOffset, readSentAtMs});
+			}
+		}
+
+		return err({kind: 'log-reader-closed', message: 'the log reader was closed', remedy: 'ask another entry'});
+	}
+
+	async function confirm(): Promise<void> {
+		// Whoever asks in the same turn of the event loop shares the read.
+		await Promise.resolve();
+		while (waiters.length > 0) {
+			const asked = waiters;
+			waiters = [];
+			const result = await readTail();
+			for (const waiter of asked) {
+				waiter(result);
+			}
+		}
+
+		confirming = undefined;
+	}
+
+	const following = follow();
+	return {
+		async confirmTail() {
+			return new Promise(resolve => {
+				waiters.push(resolve);
+				confirming ??= confirm();
+			});
+		},
+		nextOffset: () => position,
+		unreadableCount: () => unreadable,
+		async close() {
+			closed.abort();
+			await Promise.all([following, confirming]);
+		},
+	};
+}
--- /dev/null
+++ b/src/log/log-writer.ts
@@ -0,0 +1,155 @@
+import PQueue from 'p-queue';
+import {err, ok, type Result} from 'true-myth/result';
+import {type ClusterRecord} from '../cluster/cluster-record.js';
+import {type TypedError} from '../errors/typed-error.js';
+import {backoffMs} from './backoff.js';
+import {systemClock, type Clock} from './clock.js';
+import {type LogEnvelope} from './log-envelope.js';
+import {type LogError, type LogService} from './log-service.js';
+
+export type LogWriterError = TypedError<'log-writer-full' | 'log-writer-closed'>;
+
+/** What became of one append: `failures` counts the tries in a row that failed for the batch. */
+export type LogWriterStatus
+	= | Readonly<{kind: 'appended'; firstOffset: number; records: number; failures: number; durationMs: number}>
+		| Readonly<{kind: 'failed'; error: LogError; failures: number; pendingCount: number}>;
+
+export type LogWriterOptions = Readonly<{
+	service: LogService;
+	stream: string;
+	writer: string;
+	incarnation: string;
+	/** Shortest time between the starts of two appends, in milliseconds. */
+	appendIntervalMs: number;
+	maxBatchRecords: number;
+	/** Most records that wait, including those in flight. */
+	maxPendingRecords?: number;
+	/** How long `close` goes on trying, in milliseconds. */
+	closeTimeoutMs?: number;
+	onStatus?: (status: LogWriterStatus) => void;
+	clock?: Clock;
+	/** Random numbers in [0, 1) for the backoff. */
+	random?: () => number;
+}>;
+
+export type LogWriter = Readonly<{
+	/** Queues a record and returns its sequence. */
+	append: (record: ClusterRecord) => Result<number, LogWriterError>;
+	/** Records that are not known to be in the log, including those in flight. */
+	pendingCount: () => number;
+	/** Takes back records that were never sent, and returns how many. */
+	drop: (predicate: (record: ClusterRecord) => boolean) => number;
+	/** Accepts no more records and resolves when the pending ones are in the log, or after `closeTimeoutMs`. */
+	close: () => Promise<void>;
+}>;
+
+/**
+Creates a writer that appends one process's records in order. Records that arrive while a batch is in flight form the next batch.
+After any error the same batch is sent again unchanged, since it may have taken effect; readers apply each sequence once.
+
+@example
+const writer = createLogWriter({service, stream: 'arbutushinge', writer: 'entry-1', incarnation, appendIntervalMs: 20, maxBatchRecords: 500});
+writer.append({kind: 'entry-alive'}); // => Ok(1)
+await writer.close();
+*/
+export function createLogWriter(options: LogWriterOptions): LogWriter {
+	const {
+		service, stream, writer, incarnation, appendIntervalMs, maxBatchRecords, maxPendingRecords = 50_000, closeTimeoutMs = 5000,
+		onStatus = () => undefined, clock = systemClock, random = Math.random,
+	} = options;
+	const queue = new PQueue({concurrency: 1});
+	const abandoned = new AbortController();
+	let waiting: LogEnvelope[] = [];
+	let inFlightCount = 0;
+	let nextSequence = 1;
+	let isFlushQueued = false;
+	let isClosed = false;
+	let nextAppendMs = Number.NEGATIVE_INFINITY;
+
+	const pendingCount = () => waiting.length + inFlightCount;
+
+	async function appendBatch(values: readonly string[]): Promise<void> {
+		for (let failures = 0; !abandoned.signal.aborted;) {
+			const startMs = clock.nowMs();
+			nextAppendMs = startMs + appendIntervalMs;
+			const result = await service.append(stream, values);
+			if (result.isOk) {
+				onStatus({
+					kind: 'appended', firstOffset: result.value, records: values.length, failures, durationMs: clock.nowMs() - startMs,
+				});
+				return;
+			}
+
+			failures++;
+			onStatus({
+				kind: 'failed', error: result.error, failures, pendingCount: pendingCount(),
+			});
+			await clock.sleep(Math.max(backoffMs(failures, random()), nextAppendMs - clock.nowMs()), abandoned.signal);
+		}
+	}
+
+	async function flush(): Promise<void> {
+		const waitMs = nextAppendMs - clock.nowMs();
+		if (waitMs > 0) {
+			await clock.sleep(waitMs, abandoned.signal);
+		}
+
+		isFlushQueued = false;
+		const batch = waiting.slice(0, maxBatchRecords);
+		waiting = waiting.slice(batch.length);
+		if (batch.length > 0 && !abandoned.signal.aborted) {
+			inFlightCount = batch.length;
+			await appendBatch(batch.map(envelope => JSON.stringify(envelope)));
+			inFlightCount = 0;
+			queueFlush();
+		}
+	}
+
+	function queueFlush(): void {
+		if (!isFlushQueued && waiting.length > 0 && !abandoned.signal.aborted) {
+			isFlushQueued = true;
+			void queue.add(flush);
+		}
+	}
+
+	return {
+		append(record) {
+			if (isClosed) {
+				return err({kind: 'log-writer-closed', message: 'the log writer is closed', remedy: 'start a process with a new incarnation'});
+			}
+
+			if (pendingCount() >= maxPendingRecords) {
+				return err({
+					kind: 'log-writer-full',
+					message: `${pendingCount()} records wait for the log service`,
+					remedy: 'refuse new work until the log service takes appends again',
+				});
+			}
+
+			const sequence = nextSequence++;
+			waiting.push({
+				writer, incarnation, sequence, record,
+			});
+			queueFlush();
+			return ok(sequence);
+		},
+		pendingCount,
+		drop(predicate) {
+			const kept = waiting.filter(({record}) => !predicate(record));
+			const dropped = waiting.length - kept.length;
+			waiting = kept;
+			return dropped;
+		},
+		async close() {
+			isClosed = true;
+			const deadline = new AbortController();
+			void (async () => {
+				await clock.sleep(closeTimeoutMs, deadline.signal);
+				abandoned.abort();
+			})();
+
+			await queue.onIdle();
+			deadline.abort();
+		},
+	};
+}
