--- a/src/platform/worker-api.ts
+++ b/src/platform/worker-api.ts
@@ -35,6 +35,8 @@
 	tasks: z.array(workerTaskSchema).readonly(),
 }).readonly();
 
+export type WorkerTasks = z.infer<typeof workerTasksSchema>;
+
 /** `PUT /lease`: moves the deadline of all run-once tasks; a deadline that has passed is answered 409. */
 export const leaseRequestSchema = z.strictObject({leaseDeadlineMonotonicMs: z.number()}).readonly();
 
--- /dev/null
+++ b/src/platform/worker-client.ts
@@ -0,0 +1,134 @@
+import {Result} from 'true-myth';
+import {Pool} from 'undici';
+import {type z} from 'zod';
+import {type TypedError} from '../errors/typed-error.js';
+import {
+	workerTaskSchema, workerTasksSchema, workerUsageSchema,
+	type StartTaskRequest, type WorkerTask, type WorkerTasks, type WorkerUsage,
+} from './worker-api.js';
+
+/**
+`worker-unavailable`: no answer or a 5xx; the call may have taken effect. `worker-refused`: the worker did nothing (4xx).
+`worker-unknown-task`: the worker has no such task. `worker-protocol`: the answer does not have the agreed form.
+*/
+export type WorkerErrorKind = 'worker-unavailable' | 'worker-refused' | 'worker-unknown-task' | 'worker-protocol';
+
+export type WorkerError = TypedError<WorkerErrorKind>;
+
+/** The platform's worker on this VM. Every call resolves; failures are values. */
+export type WorkerClient = Readonly<{
+	/** Starts an attempt; a repeated start of the same attempt returns the task as it is now. */
+	startTask: (taskId: string, request: StartTaskRequest) => Promise<Result<WorkerTask, WorkerError>>;
+	/** Lists the capacity and all tasks that were not deleted, ended ones included. */
+	tasks: () => Promise<Result<WorkerTasks, WorkerError>>;
+	/** Forgets an ended task; a running task is refused. */
+	deleteTask: (taskId: string) => Promise<Result<void, WorkerError>>;
+	/** Moves the deadline of all run-once tasks; a deadline that has passed is refused. */
+	renewLease: (leaseDeadlineMonotonicMs: number) => Promise<Result<void, WorkerError>>;
+	/** Stops a task with a checkpoint; a task that has already ended is returned unchanged. */
+	checkpointTask: (taskId: string) => Promise<Result<WorkerTask, WorkerError>>;
+	/** Limits the task's processors to a share in thousandths; 1,000 removes the limit. */
+	throttleTask: (taskId: string, processorsShareMilli: number) => Promise<Result<WorkerTask, WorkerError>>;
+	/** Stops a task without a checkpoint; a task that has already ended is returned unchanged. */
+	stopTask: (taskId: string) => Promise<Result<WorkerTask, WorkerError>>;
+	/** Returns the measurements of a window that ended some time ago. */
+	usage: () => Promise<Result<WorkerUsage, WorkerError>>;
+	/** Closes the connections; calls in flight end as `worker-unavailable`. */
+	close: () => Promise<void>;
+}>;
+
+type Method = 'GET' | 'PUT' | 'POST' | 'DELETE';
+
+const remedies: Readonly<Record<WorkerErrorKind, string>> = {
+	'worker-unavailable': 'check that the worker runs at the workerUrl of the settings; the call is repeated',
+	'worker-refused': 'read the worker\'s task list again before the next call',
+	'worker-unknown-task': 'read the worker\'s task list again before the next call',
+	'worker-protocol': 'check that the worker and the agent have matching versions',
+};
+
+/** Largest part of an error answer that is quoted in a message. */
+const quotedCharacters = 200;
+
+/**
+Creates a client of the worker; connections are opened on demand.
+
+@param options `timeoutMs` bounds each call and defaults to 5,000.
+
+@example
+const worker = createWorkerClient('http://127.0.0.1:7000');
+const tasks = await worker.tasks();
+*/
+export function createWorkerClient(workerUrl: string, options: Readonly<{timeoutMs?: number; connections?: number}> = {}): WorkerClient {
+	const timeoutMs = options.timeoutMs ?? 5000;
+	const pool = new Pool(new URL(workerUrl).origin, {connections: options.connections ?? 4});
+
+	function failure(kind: WorkerErrorKind, message: string): Result<never, WorkerError> {
+		return Result.err({kind, message, remedy: remedies[kind]});
+	}
+
+	async function call(method: Method, path: string, body?: unknown): Promise<Result<string, WorkerError>> {
+		try {
+			const answer = await pool.request({
+				method,
+				path,
+				body: body === undefined ? null : JSON.stringify(body),
+				headers: body === undefined ? {} : {'content-type': 'application/json'},
+				signal: AbortSignal.timeout(timeoutMs),
+			});
+			const text = await answer.body.text();
+			const {statusCode} = answer;
+			if (statusCode >= 200 && statusCode < 300) {
+				return Result.ok(text);
+			}
+
+			const message = `${method} ${path} was answered ${statusCode}: ${text.slice(0, quotedCharacters)}`;
+			if (statusCode === 404) {
+				return failure('worker-unknown-task', message);
+			}
+
+			return failure(statusCode >= 400 && statusCode < 500 ? 'worker-refused' : 'worker-unavailable', message);
+		} catch (error) {
+			return failure('worker-unavailable', `${method} ${path} has no answer: ${error instanceof Error ? error.message : String(error)}`);
+		}
+	}
+
+	async function callFor<Value>(schema: z.ZodType<Value>, method: Method, path: string, body?: unknown): Promise<Result<Value, WorkerError>> {
+		const answer = await call(method, path, body);
+		if (answer.isErr) {
+			return Result.err(answer.error);
+		}
+
+		let value: unknown;
+		try {
+			value = JSON.parse(answer.value);
+		} catch {
+			return failure('worker-protocol', `${method} ${path} was answered with text that is not JSON`);
+		}
+
+		const parsed = schema.safeParse(value);
+		return parsed.success
+			? Result.ok(parsed.data)
+			: failure('worker-protocol', `${method} ${path}: ${parsed.error.issues.map(issue => `${issue.path.join('.')}: ${issue.message}`).join(', ')}`);
+	}
+
+	async function callForNothing(method: Method, path: string, body?: unknown): Promise<Result<void, WorkerError>> {
+		const answer = await call(method, path, body);
+		return answer.map(() => undefined);
+	}
+
+	const pathOf = (taskId: string, action = ''): string => `/tasks/${encodeURIComponent(taskId)}${action}`;
+
+	return {
+		startTask: async (taskId, request) => callFor(workerTaskSchema, 'PUT', pathOf(taskId), request),
+		tasks: async () => callFor(workerTasksSchema, 'GET', '/tasks'),
+		deleteTask: async taskId => callForNothing('DELETE', pathOf(taskId)),
+		renewLease: async leaseDeadlineMonotonicMs => callForNothing('PUT', '/lease', {leaseDeadlineMonotonicMs}),
+		checkpointTask: async taskId => callFor(workerTaskSchema, 'POST', pathOf(taskId, '/checkpoint')),
+		throttleTask: async (taskId, processorsShareMilli) => callFor(workerTaskSchema, 'POST', pathOf(taskId, '/throttle'), {processorsShareMilli}),
+		stopTask: async taskId => callFor(workerTaskSchema, 'POST', pathOf(taskId, '/stop')),
+		usage: async () => callFor(workerUsageSchema, 'GET', '/usage'),
+		async close() {
+			await pool.destroy();
+		},
+	};
+}
