Add the request reducer, the callers' server and the request forwarder

The reducer admits requests in weighted fair order, limits each backend server, claims keys in the log before it sends and states an outcome for every request. The caller server checks requests and keeps their exchanges; the forwarder streams each answer to its own caller.

--- /dev/null
+++ b/src/entry/caller-server.ts
@@ -0,0 +1,359 @@
+import {Buffer} from 'node:buffer';
+import {randomUUID} from 'node:crypto';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import {type Socket} from 'node:net';
+import {type Duplex} from 'node:stream';
+import polka from 'polka';
+import {err, ok, type Result} from 'true-myth/result';
+import {type RequestAnswer} from '../requests/request-effect.js';
+import {type RequestEvent} from '../requests/request-event.js';
+import {type EntrySettings} from '../settings/entry-settings.js';
+import {type EventLog} from '../telemetry/event-log.js';
+import {type TypedError} from '../errors/typed-error.js';
+import {unknownAnswer} from '../requests/key-claims.js';
+import {badRequestAnswer, sendCallerAnswer} from './caller-answer.js';
+import {bufferedCallerBody, createCallerBody, type CallerBody} from './caller-body.js';
+import {isHopByHop, type CallerExchange, type CallerExchanges} from './caller-exchange.js';
+import {
+	hashKey, hashKeyedRequest, readCallerRequest, type CallerRequest,
+} from './caller-request.js';
+
+/** An error of a job function with the status that it is answered with. */
+export type CallerJobError = Readonly<{status: number; error: TypedError}>;
+
+/** Functions behind the job paths; the values are answered as JSON. */
+export type CallerJobs = Readonly<{
+	submit: (body: unknown) => Promise<Result<unknown, CallerJobError>>;
+	find: (jobId: string) => Promise<Result<unknown, CallerJobError>>;
+	cancel: (jobId: string) => Promise<Result<unknown, CallerJobError>>;
+}>;
+
+/** Whether the entry can take requests, and why not. */
+export type Readiness = Readonly<{isReady: boolean; reason: string}>;
+
+export type CallerServerOptions = Readonly<{
+	settings: Readonly<Pick<EntrySettings, 'callerAddress' | 'limits'>>;
+	/** Takes the events `request-arrived` and `request-abandoned`. */
+	dispatch: (event: RequestEvent) => void;
+	/** Shared with the request forwarder, which answers from it. */
+	exchanges: CallerExchanges;
+	jobs: CallerJobs;
+	readiness: () => Readiness;
+	/** The clock of the reducer's events, in milliseconds. */
+	nowMs: () => number;
+	log: EventLog;
+}>;
+
+export type CallerServer = Readonly<{
+	/** Listens on the caller address and returns the port. */
+	listen: () => Promise<number>;
+	/** Stops accepting and resolves when every request in flight has its answer. */
+	close: () => Promise<void>;
+}>;
+
+/** Bodies up to this size are kept, so that an idempotent request can be sent again. */
+const keptBodyBytes = 65_536;
+
+/** Memory for the bodies of keyed requests of all callers. */
+const keyedBodiesBytes = 134_217_728;
+
+const largestJobBytes = 1_048_576;
+
+function hasBody(request: IncomingMessage): boolean {
+	return request.headers['transfer-encoding'] !== undefined || Number(request.headers['content-length'] ?? 0) > 0;
+}
+
+function tooLarge(limitBytes: number): RequestAnswer {
+	return badRequestAnswer({
+		status: 413, kind: 'body-too-large', message: `the body exceeds ${limitBytes} bytes`, remedy: 'send a smaller body',
+	});
+}
+
+async function readBytes(request: IncomingMessage, limitBytes: number, timeoutMs: number): Promise<Result<Buffer, RequestAnswer>> {
+	if (Number(request.headers['content-length'] ?? 0) > limitBytes) {
+		return err(tooLarge(limitBytes));
+	}
+
+	return new Promise(resolve => {
+		const chunks: Buffer[] = [];
+		let size = 0;
+		const settle = (result: Result<Buffer, RequestAnswer>) => {
+			clearTimeout(timer);
+			request.off('data', onData);
+			request.pause();
+			resolve(result);
+		};
+
+		const onData = (chunk: Buffer) => {
+			size += chunk.length;
+			chunks.push(chunk);
+			if (size > limitBytes) {
+				settle(err(tooLarge(limitBytes)));
+			}
+		};
+
+		const timer = setTimeout(() => {
+			settle(err(badRequestAnswer({
+				status: 408, kind: 'body-too-slow', message: 'the body did not arrive before the deadline', remedy: 'send the body faster or name a later deadline',
+			})));
+		}, timeoutMs);
+		request.on('data', onData);
+		request.once('end', () => {
+			settle(ok(Buffer.concat(chunks, size)));
+		});
+		request.once('close', () => {
+			settle(err(badRequestAnswer({
+				status: 400, kind: 'body-cut', message: 'the connection closed before the body ended', remedy: 'send the whole body',
+			})));
+		});
+	});
+}
+
+function sendJson(response: ServerResponse, status: number, value: unknown): void {
+	if (!response.headersSent && !response.destroyed) {
+		const body = Buffer.from(JSON.stringify(value));
+		response.writeHead(status, {'content-type': 'application/json', 'content-length': body.length});
+		response.end(body);
+	}
+}
+
+function sendResult(response: ServerResponse, status: number, result: Result<unknown, CallerJobError>): void {
+	if (result.isOk) {
+		sendJson(response, status, result.value);
+	} else {
+		sendJson(response, result.error.status, {error: result.error.error});
+	}
+}
+
+function passedHeaders(request: IncomingMessage): readonly string[] {
+	const {rawHeaders, headers} = request;
+	const passed: string[] = [];
+	for (let index = 0; index < rawHeaders.length; index += 2) {
+		if (!isHopByHop(rawHeaders[index]!, headers.connection)) {
+			passed.push(rawHeaders[index]!, rawHeaders[index + 1]!);
+		}
+	}
+
+	return passed;
+}
+
+const malformedAnswers: Readonly<Record<string, Readonly<{status: number; kind: string; message: string; remedy: string}>>> = {
+	HPE_HEADER_OVERFLOW: {
+		status: 431, kind: 'header-too-large', message: 'the header is too large', remedy: 'send fewer or shorter headers',
+	},
+	ERR_HTTP_REQUEST_TIMEOUT: {
+		status: 408, kind: 'header-too-slow', message: 'the request did not arrive in time', remedy: 'send the request faster',
+	},
+};
+
+function answerMalformed(error: Error & {code?: string}, socket: Duplex): void {
+	if (!socket.writable || error.code === 'ECONNRESET') {
+		socket.destroy();
+		return;
+	}
+
+	const {status, ...body} = malformedAnswers[error.code ?? ''] ?? {
+		status: 400, kind: 'request-malformed', message: 'the request is not valid HTTP/1.1', remedy: 'use an HTTP client library',
+	};
+	const text = JSON.stringify({error: body});
+	socket.end([
+		`HTTP/1.1 ${status} Refused`,
+		'content-type: application/json',
+		`content-length: ${Buffer.byteLength(text)}`,
+		'x-arbutushinge-outcome: refused-not-run',
+		'connection: close',
+		'',
+		text,
+	].join('\r\n'));
+}
+
+/**
+Makes the server for callers. It checks each request, keeps its exchange and dispatches `request-arrived`; the request forwarder
+answers from the exchange. Neither bodies nor keys are logged.
+
+@example
+const server = createCallerServer({settings, dispatch, exchanges: new Map(), jobs, readiness, nowMs: () => performance.now(), log});
+await server.listen();
+*/
+export function createCallerServer(options: CallerServerOptions): CallerServer {
+	const {settings: {callerAddress, limits}, dispatch, exchanges, jobs, readiness, nowMs, log} = options;
+	/** Requests whose caller has sent everything and waits; silence on their connections is no fault of the caller. */
+	const waitingSockets = new WeakMap<Duplex, ServerResponse>();
+	let isClosing = false;
+	let keyedBytes = 0;
+
+	function admit(response: ServerResponse, checked: CallerRequest, body: CallerBody | undefined, hashes: Readonly<{keyHash?: string; bodyHash?: string}>): void {
+		const request = response.req;
+		const {requestId} = checked.description;
+		const exchange: CallerExchange = {
+			requestId,
+			service: checked.service,
+			method: request.method ?? 'GET',
+			target: checked.target,
+			headers: passedHeaders(request),
+			...hashes,
+			body,
+			response,
+		};
+		exchanges.set(requestId, exchange);
+		response.once('close', () => {
+			exchanges.delete(requestId);
+			// A request that ended is no longer pending, and the reducer passes over the event.
+			dispatch({kind: 'request-abandoned', requestId});
+		});
+		dispatch({kind: 'request-arrived', ...checked.description, ...hashes});
+	}
+
+	async function admitKeyed(request: IncomingMessage, response: ServerResponse, checked: CallerRequest): Promise<void> {
+		const reservedBytes = Math.min(limits.keyedBodyBytes, Number(request.headers['content-length'] ?? limits.keyedBodyBytes));
+		if (keyedBytes + reservedBytes > keyedBodiesBytes) {
+			sendCallerAnswer(response, checked.description.firstAttempt
+				? {
+					...badRequestAnswer({
+						status: 503, kind: 'keyed-bodies-full', message: 'too many keyed bodies are held in memory', remedy: 'retry after the time in Retry-After',
+					}), retryAfterMs: 1000,
+				}
+				: unknownAnswer('too many keyed bodies are held in memory, and an earlier attempt with this key may have run'));
+			return;
+		}
+
+		keyedBytes += reservedBytes;
+		response.once('close', () => {
+			keyedBytes -= reservedBytes;
+		});
+		const bytes = await readBytes(request, limits.keyedBodyBytes, checked.deadlineMs);
+		if (bytes.isErr) {
+			sendCallerAnswer(response, bytes.error);
+			return;
+		}
+
+		if (response.destroyed) {
+			return;
+		}
+
+		const hashes = {
+			keyHash: hashKey(checked.service, checked.key!),
+			bodyHash: hashKeyedRequest(request.method ?? 'POST', checked.target, bytes.value),
+		};
+		admit(response, checked, bytes.value.length === 0 ? undefined : bufferedCallerBody(bytes.value), hashes);
+	}
+
+	async function handleServiceRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		const requestId = randomUUID();
+		response.setHeader('x-arbutushinge-request-id', requestId);
+		if (isClosing) {
+			response.setHeader('connection', 'close');
+		}
+
+		const checked = readCallerRequest(request, {requestId, nowMs: nowMs(), defaultDeadlineMs: limits.defaultDeadlineMs});
+		if (checked.isErr) {
+			log.info('request-refused', {requestId, reason: checked.error.error.kind});
+			sendCallerAnswer(response, checked.error);
+			return;
+		}
+
+		waitingSockets.set(request.socket, response);
+		if (checked.value.description.idempotency === 'keyed') {
+			await admitKeyed(request, response, checked.value);
+			return;
+		}
+
+		if (Number(request.headers['content-length'] ?? 0) > limits.bodyBytes) {
+			sendCallerAnswer(response, tooLarge(limits.bodyBytes));
+			return;
+		}
+
+		const body = hasBody(request) ? createCallerBody(request, {keepBytes: keptBodyBytes, limitBytes: limits.bodyBytes}) : undefined;
+		admit(response, checked.value, body, {});
+	}
+
+	async function submitJob(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		const bytes = await readBytes(request, largestJobBytes, limits.idleTimeoutMs);
+		if (bytes.isErr) {
+			sendCallerAnswer(response, bytes.error);
+			return;
+		}
+
+		let body: unknown;
+		try {
+			body = JSON.parse(bytes.value.toString('utf8'));
+		} catch {
+			sendCallerAnswer(response, badRequestAnswer({
+				status: 400, kind: 'json-invalid', message: 'the body is not valid JSON', remedy: 'send a job as JSON',
+			}));
+			return;
+		}
+
+		sendResult(response, 202, await jobs.submit(body));
+	}
+
+	const server: Server = createServer({
+		maxHeaderSize: limits.headerBytes,
+		headersTimeout: limits.idleTimeoutMs,
+		keepAliveTimeout: limits.idleTimeoutMs,
+		connectionsCheckingInterval: Math.max(50, Math.min(1000, Math.floor(limits.idleTimeoutMs / 4))),
+	});
+	server.maxConnections = limits.connections;
+	server.on('clientError', answerMalformed);
+	server.setTimeout(limits.idleTimeoutMs, (socket: Socket) => {
+		const response = waitingSockets.get(socket);
+		const isWaiting = response !== undefined && !response.writableEnded && !response.headersSent && response.req.complete;
+		if (!isWaiting) {
+			socket.destroy();
+		}
+	});
+
+	const app = polka({
+		server,
+		onNoMatch(_request, response) {
+			sendCallerAnswer(response, badRequestAnswer({
+				status: 404, kind: 'path-unknown', message: 'there is nothing at this path', remedy: 'use /services/{service}/{path}, /jobs, /ready or /health',
+			}));
+		},
+		onError(error, _request, response) {
+			log.error('caller-server-failed', {message: error.message});
+			response.destroy();
+		},
+	});
+	app.get('/ready', (_request, response) => {
+		const {isReady, reason} = readiness();
+		sendJson(response, isReady && !isClosing ? 200 : 503, {ready: isReady && !isClosing, reason: isClosing ? 'the entry is closing' : reason});
+	});
+	app.get('/health', (_request, response) => {
+		sendJson(response, 200, {healthy: true});
+	});
+	app.all('/services/:service', handleServiceRequest);
+	app.all('/services/:service/*', handleServiceRequest);
+	app.post('/jobs', submitJob);
+	app.get('/jobs/:jobId', async (request, response) => {
+		sendResult(response, 200, await jobs.find(String(request.params.jobId)));
+	});
+	app.delete('/jobs/:jobId', async (request, response) => {
+		sendResult(response, 202, await jobs.cancel(String(request.params.jobId)));
+	});
+
+	return {
+		async listen() {
+			const [host, port] = callerAddress.split(':');
+			return new Promise((resolve, reject) => {
+				server.once('error', reject);
+				app.listen(Number(port), host, () => {
+					server.off('error', reject);
+					const address = server.address();
+					resolve(typeof address === 'object' && address ? address.port : Number(port));
+				});
+			});
+		},
+		async close() {
+			isClosing = true;
+			return new Promise(resolve => {
+				server.close(() => {
+					resolve();
+				});
+				server.closeIdleConnections();
+			});
+		},
+	};
+}
--- /dev/null
+++ b/src/requests/expiry-index.ts
@@ -0,0 +1,78 @@
+import {
+	Map as immutableMap, Set as immutableSet, type Map, type Set,
+} from 'immutable';
+
+/** Times at which requests expire, in buckets, so that a tick costs only what expired. */
+export type ExpiryIndex = Readonly<{
+	buckets: Map<number, Set<string>>;
+	/** All buckets up to this one were taken. */
+	takenThrough: number;
+}>;
+
+const bucketMs = 20;
+
+/** An index without requests. */
+export const emptyExpiryIndex: ExpiryIndex = {buckets: immutableMap(), takenThrough: -1};
+
+function bucketOf(index: ExpiryIndex, expiresAtMs: number): number {
+	return Math.max(index.takenThrough + 1, Math.ceil(expiresAtMs / bucketMs));
+}
+
+/** A request's place in the index. */
+export type ExpiryTicket = number;
+
+/**
+Adds a request that expires at a time in milliseconds.
+
+@example
+addExpiry(emptyExpiryIndex, 'r1', 1000).ticket; // => 50
+*/
+export function addExpiry(index: ExpiryIndex, requestId: string, expiresAtMs: number): Readonly<{index: ExpiryIndex; ticket: ExpiryTicket}> {
+	const ticket = bucketOf(index, expiresAtMs);
+	return {
+		index: {...index, buckets: index.buckets.update(ticket, immutableSet<string>(), requests => requests.add(requestId))},
+		ticket,
+	};
+}
+
+/**
+Removes a request by the ticket that it got.
+
+@example
+removeExpiry(index, 'r1', 50).buckets.size; // => 0
+*/
+export function removeExpiry(index: ExpiryIndex, requestId: string, ticket: ExpiryTicket): ExpiryIndex {
+	const requests = index.buckets.get(ticket)?.delete(requestId);
+	if (requests === undefined) {
+		return index;
+	}
+
+	return {...index, buckets: requests.size === 0 ? index.buckets.delete(ticket) : index.buckets.set(ticket, requests)};
+}
+
+/**
+Lists the requests that expired by `nowMs`, and marks their buckets as taken.
+
+@example
+takeExpired(index, 1000).requestIds; // => ['r1']
+*/
+export function takeExpired(index: ExpiryIndex, nowMs: number): Readonly<{index: ExpiryIndex; requestIds: readonly string[]}> {
+	const through = Math.floor(nowMs / bucketMs);
+	if (through <= index.takenThrough) {
+		return {index, requestIds: []};
+	}
+
+	const requestIds: string[] = [];
+	let {buckets} = index;
+	// After a long pause it is cheaper to look at the buckets in use than at each bucket passed.
+	const isLongPause = through - index.takenThrough > buckets.size;
+	const passed = isLongPause
+		? [...buckets.keys()].filter(bucket => bucket <= through).toSorted((left, right) => left - right)
+		: Array.from({length: through - index.takenThrough}, (_, step) => index.takenThrough + 1 + step);
+	for (const bucket of passed) {
+		requestIds.push(...buckets.get(bucket) ?? []);
+		buckets = buckets.delete(bucket);
+	}
+
+	return {index: {buckets, takenThrough: through}, requestIds};
+}
--- /dev/null
+++ b/src/requests/forward-request.ts
@@ -0,0 +1,100 @@
+import {
+	bodyDiffersAnswer, claimedRoute, incarnationGoneAnswer, unknownAnswer,
+} from './key-claims.js';
+import {refusalAnswer} from './refusals.js';
+import {type ForwardTarget, type PendingRequest} from './request-state.js';
+import {
+	answerRequest, enterPhase, releasePlace, serviceOf, updateService, type RequestStep,
+} from './request-step.js';
+import {creditRequest, takeRetry} from './retry-budget.js';
+
+/** Forwards of one request, the first included. */
+export const mostAttempts = 3;
+
+/**
+Takes the cost of one more forward from the service's retry budget, or tells that there is none.
+
+@example
+mayRetry(step, request); // => true
+*/
+export function mayRetry(step: RequestStep, request: PendingRequest): boolean {
+	const {service, deadlineAtMs} = request.description;
+	const retryBudget = takeRetry(serviceOf(step.state, service).retryBudget);
+	if (retryBudget === undefined || request.attempt >= mostAttempts || step.context.nowMs >= deadlineAtMs) {
+		return false;
+	}
+
+	updateService(step, service, own => ({...own, retryBudget}));
+	return true;
+}
+
+/**
+Sends a request to an agent. The first forward of a request adds to the service's retry budget.
+
+@example
+forwardRequest(step, request, target);
+*/
+export function forwardRequest(step: RequestStep, request: PendingRequest, target: ForwardTarget): void {
+	const {requestId, service, deadlineAtMs} = request.description;
+	const {context} = step;
+	if (request.attempt === 0) {
+		const {retryBudgetMilli} = context.cluster.configuration.requestLimits;
+		updateService(step, service, own => ({...own, retryBudget: creditRequest(own.retryBudget, retryBudgetMilli)}));
+	}
+
+	const attempt = request.attempt + 1;
+	enterPhase(step, {...request, attempt}, {kind: 'sent', target, sentAtMs: context.nowMs}, deadlineAtMs);
+	step.effects.push({
+		kind: 'forward-request',
+		requestId,
+		attempt,
+		backendServerId: target.backendServerId,
+		service,
+		vmId: target.vmId,
+		requestAddress: target.requestAddress,
+		agentIncarnation: target.agentIncarnation,
+		claimOffset: target.claimOffset,
+		remainingMs: deadlineAtMs - context.nowMs,
+	});
+}
+
+/**
+Sends a keyed request to the agent that its key is bound to, and to no other. Returns `false` when the key is not claimed.
+
+@example
+followClaim(step, request); // => false when the state holds no claim for the key
+*/
+export function followClaim(step: RequestStep, request: PendingRequest): boolean {
+	const {cluster, nowMs} = step.context;
+	const route = claimedRoute(cluster, request.description);
+	if (route === undefined) {
+		return false;
+	}
+
+	if (route.kind === 'body-differs') {
+		answerRequest(step, request, bodyDiffersAnswer);
+		return true;
+	}
+
+	if (route.kind === 'incarnation-gone') {
+		const isNotRun = request.description.firstAttempt && !request.mayHaveRun;
+		answerRequest(step, request, isNotRun ? refusalAnswer('claim-not-sent') : incarnationGoneAnswer);
+		return true;
+	}
+
+	const {claim, requestAddress} = route;
+	if (nowMs >= request.description.deadlineAtMs) {
+		answerRequest(step, request, unknownAnswer('the deadline passed before the agent that holds the key was asked'));
+		return true;
+	}
+
+	forwardRequest(step, request.placeAt === claim.backendServerId ? request : releasePlace(step, request), {
+		backendServerId: claim.backendServerId,
+		vmId: claim.vmId,
+		requestAddress,
+		agentIncarnation: claim.agentIncarnation,
+		failureDomain: cluster.vms.get(claim.vmId)!.failureDomain,
+		claimOffset: claim.claimOffset,
+	});
+	return true;
+}
--- /dev/null
+++ b/src/requests/request-fixture.ts
@@ -0,0 +1,121 @@
+import {Map as immutableMap, OrderedMap as immutableOrderedMap, Set as immutableSet} from 'immutable';
+import {type BackendServer, type ClusterState, type Vm} from '../cluster/cluster-state.js';
+import {type RequestLimits} from '../cluster/intent.js';
+import {noResources} from '../cluster/resources.js';
+import {type RequestContext} from './request-context.js';
+import {type RequestEventOf} from './request-event.js';
+
+/** Limits of the fixtures; floors of 10 % for each class. */
+export const fixtureLimits: RequestLimits = {
+	queuedRequestsPerService: 100,
+	queueTimeoutMs: 2000,
+	retryBudgetMilli: 100,
+	shareByClass: {urgent: 10, normal: 5, background: 1},
+	floorMilliByClass: {urgent: 100, normal: 100, background: 100},
+};
+
+function fixtureVm(index: number, requestAddress: string): Vm {
+	return {
+		vmId: `vm${index}`,
+		agentIncarnation: `agent${index}`,
+		failureDomain: `domain${index % 4}`,
+		rack: 'rack',
+		requestAddress,
+		capacity: noResources,
+		committed: noResources,
+		phase: 'live',
+		draining: false,
+		quarantined: false,
+		unreachableFrom: immutableSet(),
+		taskIds: immutableSet(),
+		backendServerIds: immutableSet(),
+	};
+}
+
+function fixtureBackendServer(index: number): BackendServer {
+	return {
+		backendServerId: `b${index}`,
+		service: 'loaf-ordering',
+		vmId: `vm${index}`,
+		agentIncarnation: `agent${index}`,
+		slots: 4,
+		connections: 64,
+		phase: 'serving',
+		draining: false,
+		committed: noResources,
+	};
+}
+
+/**
+Makes a cluster with the service `loaf-ordering` on backend servers `b0`, `b1` and so on, each with 4 slots and a VM of its own.
+
+@example
+fixtureCluster(['127.0.0.1:9000']).backendServers.size; // => 1
+*/
+export function fixtureCluster(requestAddresses: readonly string[], limits: RequestLimits = fixtureLimits): ClusterState {
+	return {
+		offset: 0,
+		entries: immutableMap(),
+		endedIncarnations: immutableSet(),
+		sequences: immutableMap(),
+		vms: immutableMap(requestAddresses.map((address, index) => [`vm${index}`, fixtureVm(index, address)])),
+		backendServers: immutableMap(requestAddresses.map((_, index) => [`b${index}`, fixtureBackendServer(index)])),
+		tasks: immutableMap(),
+		queued: immutableMap(),
+		jobs: immutableMap(),
+		committedByTeam: immutableMap(),
+		keys: immutableOrderedMap(),
+		keysForgottenThroughOffset: -1,
+		configuration: {
+			offset: 0,
+			services: immutableMap({
+				'loaf-ordering': {
+					service: 'loaf-ordering', teamId: 'bakehouse', latencyTargetMs: 100, demandPerBackendServer: noResources,
+				},
+			}),
+			quotas: immutableMap(),
+			requestLimits: limits,
+			weights: {
+				tailLatencyMilli: 1000, batchThroughputMilli: 1000, evictionsMilli: 1000, floodMilli: 1000,
+			},
+			drainingVmIds: immutableSet(),
+			drainingFailureDomains: immutableSet(),
+			drainingBackendServerIds: immutableSet(),
+		},
+		planDecisions: immutableOrderedMap(),
+		entityOffsets: immutableMap(),
+	};
+}
+
+/**
+Makes a context at a time, with a log that can be read.
+
+@example
+fixtureContext(cluster, 1000).logReachable; // => true
+*/
+export function fixtureContext(cluster: ClusterState, nowMs: number, more: Partial<RequestContext> = {}): RequestContext {
+	return {
+		cluster, nowMs, tailConfirmedSentAtMs: -1, logReachable: true, seed: 20_261_204, ...more,
+	};
+}
+
+/**
+Makes the arrival of an idempotent request with a deadline of 10 s.
+
+@example
+fixtureArrival('r1', 0, {priority: 'urgent'}).deadlineAtMs; // => 10_000
+*/
+export function fixtureArrival(requestId: string, nowMs: number, more: Partial<RequestEventOf<'request-arrived'>> = {}): RequestEventOf<'request-arrived'> {
+	return {
+		kind: 'request-arrived',
+		requestId,
+		service: 'loaf-ordering',
+		idempotency: 'idempotent',
+		priority: 'normal',
+		caller: 'shop',
+		deadlineAtMs: nowMs + 10_000,
+		firstAttempt: false,
+		arrivedAtMs: nowMs,
+		...more,
+	};
+}
--- /dev/null
+++ b/src/requests/select-backend-server.ts
@@ -0,0 +1,100 @@
+import {type Map} from 'immutable';
+import {congruential32} from 'pure-rand/generator/congruential32';
+import {uniformInt} from 'pure-rand/distribution/uniformInt';
+import {type BackendServer, type ClusterState, type Vm} from '../cluster/cluster-state.js';
+import {type ConcurrencyLimit} from './concurrency-limit.js';
+
+/** What this entry knows of a backend server's load. */
+export type BackendServerUse = Readonly<{
+	concurrency: ConcurrencyLimit;
+	/** Places in use by requests of this entry. */
+	inFlight: number;
+	/** Requests of other entries, by the agent's newest report. */
+	othersInFlight: number;
+	/** The agent refuses new work or cannot be reached; it is tried again after this time. */
+	avoidUntilMs: number;
+	/** Broken connections in a row. */
+	brokenInRow: number;
+}>;
+
+/** A backend server with the VM that it runs on. */
+export type RequestTarget = Readonly<{backendServer: BackendServer; vm: Vm}>;
+
+/** Where an earlier attempt of the same request failed. */
+export type FailedPlace = Readonly<{backendServerId: string; failureDomain: string}>;
+
+/**
+Finds a backend server that may get new work: it serves, nothing drains it, and its VM is live with the agent that announced it.
+
+@example
+eligibleTarget(cluster, 'b3')?.vm.requestAddress; // => '127.0.0.1:9000'
+*/
+export function eligibleTarget(cluster: ClusterState, backendServerId: string): RequestTarget | undefined {
+	const backendServer = cluster.backendServers.get(backendServerId);
+	const vm = backendServer && cluster.vms.get(backendServer.vmId);
+	if (!vm || backendServer.phase !== 'serving' || backendServer.draining || vm.draining || vm.phase !== 'live') {
+		return undefined;
+	}
+
+	const {drainingBackendServerIds, drainingVmIds, drainingFailureDomains} = cluster.configuration;
+	const isDraining = drainingBackendServerIds.has(backendServerId) || drainingVmIds.has(vm.vmId) || drainingFailureDomains.has(vm.failureDomain);
+	return isDraining || vm.agentIncarnation !== backendServer.agentIncarnation ? undefined : {backendServer, vm};
+}
+
+/**
+Counts the places that this entry may use at a backend server.
+
+@example
+placesOf(use, backendServer); // => 8
+*/
+export function placesOf(use: BackendServerUse | undefined, backendServer: BackendServer): number {
+	return Math.max(1, Math.floor(use?.concurrency.limit ?? backendServer.slots));
+}
+
+function loadOf(use: BackendServerUse | undefined, backendServer: BackendServer): number {
+	return ((use?.inFlight ?? 0) + (use?.othersInFlight ?? 0)) / backendServer.slots;
+}
+
+/**
+Selects the less loaded of two random candidates with a free place. A retry avoids the places where the request failed,
+first their failure domains, then the backend servers themselves, while others have room.
+
+@example
+selectBackendServer({cluster, candidates: ['b1', 'b2'], uses, failedAt: [], seed: 7, nowMs: 0})?.backendServer.backendServerId; // => 'b2'
+*/
+export function selectBackendServer(choice: Readonly<{
+	cluster: ClusterState;
+	/** Backend servers of the service. */
+	candidates: readonly string[];
+	uses: Map<string, BackendServerUse>;
+	failedAt: readonly FailedPlace[];
+	seed: number;
+	nowMs: number;
+}>): RequestTarget | undefined {
+	let free: RequestTarget[] = [];
+	for (const backendServerId of choice.candidates) {
+		const use = choice.uses.get(backendServerId);
+		const target = eligibleTarget(choice.cluster, backendServerId);
+		const hasPlace = target !== undefined && (use?.inFlight ?? 0) < placesOf(use, target.backendServer);
+		if (hasPlace && (use?.avoidUntilMs ?? 0) <= choice.nowMs) {
+			free.push(target);
+		}
+	}
+
+	const failedIds = new Set(choice.failedAt.map(place => place.backendServerId));
+	const failedDomains = new Set(choice.failedAt.map(place => place.failureDomain));
+	const elsewhere = free.filter(({backendServer}) => !failedIds.has(backendServer.backendServerId));
+	const otherDomains = elsewhere.filter(({vm}) => !failedDomains.has(vm.failureDomain));
+	free = [otherDomains, elsewhere, free].find(targets => targets.length > 0) ?? [];
+	if (free.length < 2) {
+		return free[0];
+	}
+
+	const generator = congruential32(choice.seed);
+	const first = uniformInt(generator, 0, free.length - 1);
+	const offset = uniformInt(generator, 1, free.length - 1);
+	const [left, right] = [free[first]!, free[(first + offset) % free.length]!];
+	const leftLoad = loadOf(choice.uses.get(left.backendServer.backendServerId), left.backendServer);
+	const rightLoad = loadOf(choice.uses.get(right.backendServer.backendServerId), right.backendServer);
+	return leftLoad <= rightLoad ? left : right;
+}
