--- a/src/entry/entry-effect-executor.ts
+++ b/src/entry/entry-effect-executor.ts
@@ -67,6 +67,6 @@
 		'cancel-forward': forwarder.cancel,
 	};
 	return <Kind extends EntryEffect['kind']>(effect: Extract<EntryEffect, {kind: Kind}>) => {
-		table[effect.kind as Kind](effect);
+		table[effect.kind](effect);
 	};
 }
--- a/src/entry/entry-process.ts
+++ b/src/entry/entry-process.ts
@@ -10,7 +10,7 @@
 import {type Timeline} from '../telemetry/timeline-event.js';
 import {createAgentStreamServer} from './agent-stream-server.js';
 import {createCallerServer, type Readiness} from './caller-server.js';
-import {createCallerExchanges} from './caller-exchange.js';
+import {type CallerExchanges} from './caller-exchange.js';
 import {createDeferredReplies} from './deferred-replies.js';
 import {type EntryEffect} from './entry-effect.js';
 import {createEntryEffectExecutor} from './entry-effect-executor.js';
@@ -53,7 +53,7 @@
 	const incarnation = newIncarnation();
 	const logService = createHttpLogService({baseUrl: settings.logServiceUrl, timeoutMs: logTimeoutMs});
 	const snapshots = createSnapshotStore({service: logService, stream: `${settings.logStream}-snapshots`});
-	const exchanges = createCallerExchanges();
+	const exchanges: CallerExchanges = new Map();
 	const deferredReplies = createDeferredReplies();
 
 	const loop = createEventLoop<EntryState, EntryEvent, EntryEffect>({
--- a/src/entry/record-timeline.ts
+++ b/src/entry/record-timeline.ts
@@ -23,9 +23,7 @@
 		.filter(({envelope}) => envelope.incarnation === incarnation && !quietKinds.has(envelope.record.kind))
 		.flatMap(({offset, envelope: {record}}) => {
 			const taskId = 'taskId' in record ? record.taskId : undefined;
-			const vmId = 'vmId' in record
-				? record.vmId
-				: (taskId && (after.tasks.get(taskId)?.claim ?? before.tasks.get(taskId)?.claim)?.vmId) || undefined;
+			const vmId = 'vmId' in record ? record.vmId : vmOfTask(taskId, before, after);
 			const detail = 'reason' in record ? record.reason : undefined;
 			return [
 				{
@@ -42,3 +40,13 @@
 			] satisfies ControlEffect[];
 		});
 }
+
+/** The record may have ended the claim, so the state before it counts too. */
+function vmOfTask(taskId: string | undefined, before: ClusterState, after: ClusterState): string | undefined {
+	if (taskId === undefined) {
+		return undefined;
+	}
+
+	const claim = after.tasks.get(taskId)?.claim ?? before.tasks.get(taskId)?.claim;
+	return claim?.vmId;
+}
--- a/src/entry/reduce-agent-event.ts
+++ b/src/entry/reduce-agent-event.ts
@@ -168,7 +168,7 @@
 	const subject = `vm-registered/${hello.agentIncarnation}`;
 	const vm = context.cluster.vms.get(link.vmId);
 	const isKnown = vm?.agentIncarnation === hello.agentIncarnation
-		|| vm?.formerAgentIncarnations.includes(hello.agentIncarnation);
+		|| (vm?.formerAgentIncarnations.includes(hello.agentIncarnation) ?? false);
 	if (isKnown || !mayAppend(state.guard, subject, context.nowMs)) {
 		return {state, effects: []};
 	}
--- a/src/entry/reduce-entry.ts
+++ b/src/entry/reduce-entry.ts
@@ -21,9 +21,11 @@
 /** A new state of the entry with the effects of the step. */
 export type EntryStep = Readonly<{state: EntryState; effects: readonly EntryEffect[]}>;
 
+type EventByKind = {readonly [Kind in EntryEvent['kind']]: Extract<EntryEvent, {kind: Kind}>};
+
 type Handler<Kind extends EntryEvent['kind']> = (
 	state: EntryState,
-	event: Extract<EntryEvent, {kind: Kind}>,
+	event: EventByKind[Kind],
 	inputs: EventInputs,
 	settings: EntrySettings,
 ) => EntryStep;
@@ -82,8 +84,17 @@
 const {state, effects} = reduceEntry(initialEntryState('a81f…'), {kind: 'tick'}, inputs, settings);
 */
 export function reduceEntry(state: EntryState, event: EntryEvent, inputs: EventInputs, settings: EntrySettings): EntryStep {
-	const handler = handlers[event.kind] as Handler<EntryEvent['kind']>;
-	return handler(state, event, inputs, settings);
+	return handle(event.kind, state, event, inputs, settings);
+}
+
+function handle<Kind extends EntryEvent['kind']>(
+	kind: Kind,
+	state: EntryState,
+	event: EventByKind[Kind],
+	inputs: EventInputs,
+	settings: EntrySettings,
+): EntryStep {
+	return handlers[kind](state, event, inputs, settings);
 }
 
 /**
@@ -109,7 +120,11 @@
 	settings: EntrySettings,
 ): EntryStep {
 	const before = state.cluster;
-	const cluster = event.records.reduce((current: ClusterState, record) => applyRecord(current, record), before);
+	let cluster: ClusterState = before;
+	for (const record of event.records) {
+		cluster = applyRecord(cluster, record);
+	}
+
 	const log = {
 		tailConfirmedSentAtMs: event.reachedTail
 			? Math.max(state.log.tailConfirmedSentAtMs, event.readSentAtMs)
--- a/src/placement/interference-estimates.ts
+++ b/src/placement/interference-estimates.ts
@@ -60,10 +60,14 @@
 		return estimates;
 	}
 
-	const total = harming.reduce((sum, {count}) => sum + count, 0);
-	const predicted = harming.reduce((sum, kind) =>
-		sum + (kind.count * (estimates.byPair.get(pairKey(sample.loadBand, kind.name, sample.harmedKind))?.meanMilli ?? 0)), 0);
-	const unexplainedMilli = (sample.harmMilli - predicted) / total;
+	let total = 0;
+	let predictedMilli = 0;
+	for (const {name, count} of harming) {
+		total += count;
+		predictedMilli += count * (estimates.byPair.get(pairKey(sample.loadBand, name, sample.harmedKind))?.meanMilli ?? 0);
+	}
+
+	const unexplainedMilli = (sample.harmMilli - predictedMilli) / total;
 	const byPair = estimates.byPair.withMutations(pairs => {
 		for (const {name} of harming) {
 			pairs.update(pairKey(sample.loadBand, name, sample.harmedKind), {meanMilli: 0, samples: 0}, known => move(known, unexplainedMilli));
--- a/src/placement/observe-usage.ts
+++ b/src/placement/observe-usage.ts
@@ -59,8 +59,11 @@
 
 	const loadBand = loadBandOf(usage.processorsUsedMilli, vm.capacity.processorsMilli);
 	const samples = [...samplesOfTasks(usage, cluster), ...samplesOfServices(observation, cluster)];
-	const estimates = samples.reduce<InterferenceEstimates>((current, sample) =>
-		learnInterference(current, {...sample, kinds, loadBand}), known.estimates);
+	let {estimates} = known;
+	for (const sample of samples) {
+		estimates = learnInterference(estimates, {...sample, kinds, loadBand});
+	}
+
 	return {estimates, history};
 }
 
--- a/src/placement/pending-claims.ts
+++ b/src/placement/pending-claims.ts
@@ -41,7 +41,7 @@
 	let {byTask, committedByVm} = pending;
 	for (const [taskId, claim] of pending.byTask) {
 		const task = cluster.tasks.get(taskId);
-		const isDecided = !task || task.phase !== 'queued' || task.attempt >= claim.attempt;
+		const isDecided = task?.phase !== 'queued' || task.attempt >= claim.attempt;
 		if (isDecided || nowMs - claim.appendedAtMs > pendingTimeoutMs) {
 			byTask = byTask.delete(taskId);
 			const left = subtractResources(committedByVm.get(claim.vmId, noResources), claim.committed);
--- a/src/requests/request-fixture.ts
+++ b/src/requests/request-fixture.ts
@@ -1,5 +1,6 @@
-import {Map as immutableMap, OrderedMap as immutableOrderedMap, Set as immutableSet} from 'immutable';
+import {Map as immutableMap, Set as immutableSet} from 'immutable';
 import {type BackendServer, type ClusterState, type Vm} from '../cluster/cluster-state.js';
+import {emptyClusterState} from '../cluster/reduce-cluster.js';
 import {type RequestLimits} from '../cluster/intent.js';
 import {noResources} from '../cluster/resources.js';
 import {type RequestContext} from './request-context.js';
@@ -18,6 +19,7 @@
 	return {
 		vmId: `vm${index}`,
 		agentIncarnation: `agent${index}`,
+		formerAgentIncarnations: [],
 		failureDomain: `domain${index % 4}`,
 		rack: 'rack',
 		requestAddress,
@@ -29,6 +31,8 @@
 		unreachableFrom: immutableSet(),
 		taskIds: immutableSet(),
 		backendServerIds: immutableSet(),
+		waitingTaskIds: [],
+		waitingBackendServerIds: [],
 	};
 }
 
@@ -54,36 +58,20 @@
 */
 export function fixtureCluster(requestAddresses: readonly string[], limits: RequestLimits = fixtureLimits): ClusterState {
 	return {
+		...emptyClusterState,
 		offset: 0,
-		entries: immutableMap(),
-		endedIncarnations: immutableSet(),
-		sequences: immutableMap(),
 		vms: immutableMap(requestAddresses.map((address, index) => [`vm${index}`, fixtureVm(index, address)])),
 		backendServers: immutableMap(requestAddresses.map((_, index) => [`b${index}`, fixtureBackendServer(index)])),
-		tasks: immutableMap(),
-		queued: immutableMap(),
-		jobs: immutableMap(),
-		committedByTeam: immutableMap(),
-		keys: immutableOrderedMap(),
-		keysForgottenThroughOffset: -1,
 		configuration: {
+			...emptyClusterState.configuration,
 			offset: 0,
 			services: immutableMap({
 				'loaf-ordering': {
 					service: 'loaf-ordering', teamId: 'bakehouse', latencyTargetMs: 100, demandPerBackendServer: noResources,
 				},
 			}),
-			quotas: immutableMap(),
 			requestLimits: limits,
-			weights: {
-				tailLatencyMilli: 1000, batchThroughputMilli: 1000, evictionsMilli: 1000, floodMilli: 1000,
-			},
-			drainingVmIds: immutableSet(),
-			drainingFailureDomains: immutableSet(),
-			drainingBackendServerIds: immutableSet(),
 		},
-		planDecisions: immutableOrderedMap(),
-		entityOffsets: immutableMap(),
 	};
 }
 
