--- /dev/null
+++ b/src/cluster/cluster-state-codec.ts
@@ -0,0 +1,356 @@
+import {
+	Map as immutableMap, OrderedMap as orderedMap, OrderedSet as orderedSet, Set as immutableSet,
+} from 'immutable';
+import {err, ok, type Result} from 'true-myth/result';
+import {z} from 'zod';
+import {type TypedError} from '../errors/typed-error.js';
+import {
+	type BackendServer, type ClusterState, type Task, type TaskClaim, type Vm,
+} from './cluster-state.js';
+import {
+	priorityClassSchema, requestLimitsSchema, serviceSchema, weightsSchema,
+} from './intent.js';
+import {type Resources} from './resources.js';
+
+/** Raised whenever the form below changes; a snapshot of another version is not loaded. */
+const VERSION = 1;
+
+const resources = z.tuple([z.number(), z.number(), z.number()]);
+const strings = z.array(z.string());
+
+const decision = z.tuple([
+	z.string(), z.number(), z.number(), z.array(z.tuple([z.string(), z.number(), z.number(), resources])), z.number(), z.string(),
+]);
+
+const claim = z.tuple([z.string(), z.string(), z.number(), z.string(), resources, z.boolean(), strings, decision]);
+
+const task = z.tuple([
+	z.string(),
+	resources,
+	z.number(),
+	z.string(),
+	z.string(),
+	z.string(),
+	z.enum(['latency-critical', 'batch']),
+	priorityClassSchema,
+	z.enum(['queued', 'claimed', 'running', 'evicting', 'cancelling', 'finished', 'failed', 'cancelled', 'unplaceable']),
+	z.number(),
+	claim.nullable(),
+	z.string(),
+	z.number(),
+	z.number(),
+	strings,
+	z.number(),
+	z.number(),
+	z.string(),
+]);
+
+const vm = z.object({
+	vmId: z.string(),
+	agentIncarnation: z.string(),
+	formerAgentIncarnations: strings,
+	failureDomain: z.string(),
+	rack: z.string(),
+	requestAddress: z.string(),
+	capacity: resources,
+	committed: resources,
+	phase: z.enum(['live', 'revoked', 'expired']),
+	draining: z.boolean(),
+	quarantined: z.boolean(),
+	unreachableFrom: strings,
+	taskIds: strings,
+	backendServerIds: strings,
+	waitingTaskIds: strings,
+	waitingBackendServerIds: strings,
+});
+
+const backendServer = z.object({
+	backendServerId: z.string(),
+	service: z.string(),
+	vmId: z.string(),
+	agentIncarnation: z.string(),
+	slots: z.number(),
+	connections: z.number(),
+	phase: z.enum(['serving', 'leaving', 'gone']),
+	draining: z.boolean(),
+	committed: resources,
+});
+
+/** The cluster state as JSON holds it: tuples in place of the most frequent objects, every unordered collection sorted. */
+export const encodedClusterStateSchema = z.object({
+	version: z.literal(VERSION),
+	offset: z.number(),
+	entries: z.array(z.object({
+		entryId: z.string(), incarnation: z.string(), failureDomain: z.string(), operatorAddress: z.string(), lastOffset: z.number(),
+	})),
+	endedIncarnations: strings,
+	sequences: z.array(z.tuple([z.string(), z.number()])),
+	vms: z.array(vm),
+	expiredVmIds: strings,
+	backendServers: z.array(backendServer),
+	goneBackendServerIds: strings,
+	tasks: z.array(task),
+	queued: z.array(z.tuple([priorityClassSchema, strings])),
+	jobs: z.array(z.tuple([z.string(), strings])),
+	unfinishedTasksByJob: z.array(z.tuple([z.string(), z.number()])),
+	finishedJobs: z.array(z.tuple([z.string(), z.number()])),
+	finishedTaskCount: z.number(),
+	committedByTeam: z.array(z.tuple([z.string(), resources])),
+	keys: z.array(z.tuple([z.string(), z.string(), z.string(), z.string(), z.string(), z.string(), z.number()])),
+	keysForgottenThroughOffset: z.number(),
+	configuration: z.object({
+		offset: z.number(),
+		services: z.array(serviceSchema),
+		quotas: z.array(z.tuple([z.string(), resources])),
+		requestLimits: requestLimitsSchema,
+		weights: weightsSchema,
+		drainingVmIds: strings,
+		drainingFailureDomains: strings,
+		drainingBackendServerIds: strings,
+	}),
+	planDecisions: z.array(z.object({
+		planId: z.string(), offset: z.number(), accepted: z.boolean(), reason: z.string(),
+	})),
+	entityOffsets: z.array(z.tuple([z.string(), z.number()])),
+});
+
+export type EncodedClusterState = z.infer<typeof encodedClusterStateSchema>;
+
+type EncodedTask = EncodedClusterState['tasks'][number];
+type EncodedClaim = NonNullable<EncodedTask[10]>;
+type EncodedResources = z.infer<typeof resources>;
+
+const packResources = (amount: Resources): EncodedResources => [amount.processorsMilli, amount.memoryMb, amount.accelerators];
+const unpackResources = ([processorsMilli, memoryMb, accelerators]: EncodedResources): Resources => ({processorsMilli, memoryMb, accelerators});
+
+function sortedEntries<Value>(entries: Iterable<[string, Value]>): Array<[string, Value]> {
+	return [...entries].toSorted(([a], [b]) => a < b ? -1 : 1);
+}
+
+function sortedValues<Value>(entries: Iterable<[string, Value]>): Value[] {
+	return sortedEntries(entries).map(([, value]) => value);
+}
+
+const sorted = (ids: Iterable<string>): string[] => [...ids].toSorted();
+
+const packClaim = (value: TaskClaim): EncodedClaim => [
+	value.vmId,
+	value.agentIncarnation,
+	value.claimOffset,
+	value.writerIncarnation,
+	packResources(value.committed),
+	value.counted,
+	[...value.evictTaskIds],
+	[
+		value.decision.policy,
+		value.decision.seed,
+		value.decision.stateOffset,
+		value.decision.candidates.map(({vmId, scoreMilli, harmMilli, room}) => [vmId, scoreMilli, harmMilli, packResources(room)]),
+		value.decision.consideredVms,
+		value.decision.reason,
+	],
+];
+
+function unpackClaim(packed: EncodedClaim): TaskClaim {
+	const [vmId, agentIncarnation, claimOffset, writerIncarnation, committed, counted, evictTaskIds, packedDecision] = packed;
+	const [policy, seed, stateOffset, candidates, consideredVms, reason] = packedDecision;
+	return {
+		vmId,
+		agentIncarnation,
+		claimOffset,
+		writerIncarnation,
+		committed: unpackResources(committed),
+		counted,
+		evictTaskIds,
+		decision: {
+			policy,
+			seed,
+			stateOffset,
+			candidates: candidates.map(([candidateVmId, scoreMilli, harmMilli, room]) => ({
+				vmId: candidateVmId, scoreMilli, harmMilli, room: unpackResources(room),
+			})),
+			consideredVms,
+			reason,
+		},
+	};
+}
+
+const packTask = (value: Task): EncodedTask => [
+	value.spec.taskId,
+	packResources(value.spec.demand),
+	value.spec.declaredRunTimeMs,
+	value.spec.payload,
+	value.jobId,
+	value.teamId,
+	value.workClass,
+	value.priority,
+	value.phase,
+	value.attempt,
+	value.claim ? packClaim(value.claim) : null,
+	value.checkpoint,
+	value.failures,
+	value.evictions,
+	[...value.failedOnVmIds],
+	value.submittedOffset,
+	value.changedOffset,
+	value.reason,
+];
+
+function unpackTask(packed: EncodedTask): [string, Task] {
+	const [
+		taskId,
+		demand,
+		declaredRunTimeMs,
+		payload,
+		jobId,
+		teamId,
+		workClass,
+		priority,
+		phase,
+		attempt,
+		packedClaim,
+		checkpoint,
+		failures,
+		evictions,
+		failedOnVmIds,
+		submittedOffset,
+		changedOffset,
+		reason,
+	] = packed;
+	return [taskId, {
+		spec: {
+			taskId, demand: unpackResources(demand), declaredRunTimeMs, payload,
+		},
+		jobId,
+		teamId,
+		workClass,
+		priority,
+		phase,
+		attempt,
+		claim: packedClaim ? unpackClaim(packedClaim) : undefined,
+		checkpoint,
+		failures,
+		evictions,
+		failedOnVmIds,
+		submittedOffset,
+		changedOffset,
+		reason,
+	}];
+}
+
+const packVm = (value: Vm): EncodedClusterState['vms'][number] => ({
+	...value,
+	formerAgentIncarnations: [...value.formerAgentIncarnations],
+	capacity: packResources(value.capacity),
+	committed: packResources(value.committed),
+	unreachableFrom: sorted(value.unreachableFrom),
+	taskIds: sorted(value.taskIds),
+	backendServerIds: sorted(value.backendServerIds),
+	waitingTaskIds: [...value.waitingTaskIds],
+	waitingBackendServerIds: [...value.waitingBackendServerIds],
+});
+
+const unpackVm = (packed: EncodedClusterState['vms'][number]): [string, Vm] => [packed.vmId, {
+	...packed,
+	capacity: unpackResources(packed.capacity),
+	committed: unpackResources(packed.committed),
+	unreachableFrom: immutableSet(packed.unreachableFrom),
+	taskIds: immutableSet(packed.taskIds),
+	backendServerIds: immutableSet(packed.backendServerIds),
+}];
+
+const unpackBackendServer = (packed: EncodedClusterState['backendServers'][number]): [string, BackendServer] =>
+	[packed.backendServerId, {...packed, committed: unpackResources(packed.committed)}];
+
+/**
+Encodes a cluster state as a JSON-able value. Equal states have equal encodings, however they were reached.
+
+@example
+JSON.stringify(encodeClusterState(state));
+*/
+export function encodeClusterState(state: ClusterState): EncodedClusterState {
+	const {configuration} = state;
+	return {
+		version: VERSION,
+		offset: state.offset,
+		entries: sortedValues(state.entries),
+		endedIncarnations: [...state.endedIncarnations],
+		sequences: sortedEntries(state.sequences),
+		vms: sortedValues(state.vms).map(value => packVm(value)),
+		expiredVmIds: [...state.expiredVmIds],
+		backendServers: sortedValues(state.backendServers).map(value => ({...value, committed: packResources(value.committed)})),
+		goneBackendServerIds: [...state.goneBackendServerIds],
+		tasks: sortedValues(state.tasks).map(value => packTask(value)),
+		queued: priorityClassSchema.options.map(priority => [priority, [...(state.queued.get(priority)?.keys() ?? [])]]),
+		jobs: sortedEntries(state.jobs).map(([jobId, taskIds]) => [jobId, [...taskIds]]),
+		unfinishedTasksByJob: sortedEntries(state.unfinishedTasksByJob),
+		finishedJobs: [...state.finishedJobs],
+		finishedTaskCount: state.finishedTaskCount,
+		committedByTeam: sortedEntries(state.committedByTeam).map(([teamId, amount]) => [teamId, packResources(amount)]),
+		keys: [...state.keys.values()].map(value => [
+			value.keyHash, value.bodyHash, value.service, value.vmId, value.agentIncarnation, value.backendServerId, value.claimOffset,
+		]),
+		keysForgottenThroughOffset: state.keysForgottenThroughOffset,
+		configuration: {
+			...configuration,
+			services: sortedValues(configuration.services),
+			quotas: sortedEntries(configuration.quotas).map(([teamId, amount]) => [teamId, packResources(amount)]),
+			drainingVmIds: sorted(configuration.drainingVmIds),
+			drainingFailureDomains: sorted(configuration.drainingFailureDomains),
+			drainingBackendServerIds: sorted(configuration.drainingBackendServerIds),
+		},
+		planDecisions: [...state.planDecisions.values()],
+		entityOffsets: sortedEntries(state.entityOffsets),
+	};
+}
+
+/**
+Decodes what {@link encodeClusterState} made, for example from a snapshot. Fails with `cluster-state-invalid` on any other value.
+
+@example
+decodeClusterState(JSON.parse(text)); // => Ok(state)
+*/
+export function decodeClusterState(value: unknown): Result<ClusterState, TypedError<'cluster-state-invalid'>> {
+	const parsed = encodedClusterStateSchema.safeParse(value);
+	if (!parsed.success) {
+		return err({
+			kind: 'cluster-state-invalid',
+			message: `the snapshot is not of version ${VERSION}: ${parsed.error.message.slice(0, 300)}`,
+			remedy: 'let an entry of this version read the log from an older snapshot or from its start',
+		});
+	}
+
+	const {data} = parsed;
+	const {configuration} = data;
+	return ok({
+		offset: data.offset,
+		entries: immutableMap(data.entries.map(member => [member.incarnation, member])),
+		endedIncarnations: orderedSet(data.endedIncarnations),
+		sequences: immutableMap(data.sequences),
+		vms: immutableMap(data.vms.map(packed => unpackVm(packed))),
+		expiredVmIds: orderedSet(data.expiredVmIds),
+		backendServers: immutableMap(data.backendServers.map(packed => unpackBackendServer(packed))),
+		goneBackendServerIds: orderedSet(data.goneBackendServerIds),
+		tasks: immutableMap(data.tasks.map(packed => unpackTask(packed))),
+		queued: immutableMap(data.queued.map(([priority, taskIds]) => [priority, orderedMap(taskIds.map(taskId => [taskId, true as const]))])),
+		jobs: immutableMap(data.jobs),
+		unfinishedTasksByJob: immutableMap(data.unfinishedTasksByJob),
+		finishedJobs: orderedMap(data.finishedJobs),
+		finishedTaskCount: data.finishedTaskCount,
+		committedByTeam: immutableMap(data.committedByTeam.map(([teamId, amount]) => [teamId, unpackResources(amount)])),
+		keys: orderedMap(data.keys.map(([keyHash, bodyHash, service, vmId, agentIncarnation, backendServerId, claimOffset]) => [keyHash, {
+			keyHash, bodyHash, service, vmId, agentIncarnation, backendServerId, claimOffset,
+		}])),
+		keysForgottenThroughOffset: data.keysForgottenThroughOffset,
+		configuration: {
+			...configuration,
+			services: immutableMap(configuration.services.map(service => [service.service, service])),
+			quotas: immutableMap(configuration.quotas.map(([teamId, amount]) => [teamId, unpackResources(amount)])),
+			drainingVmIds: immutableSet(configuration.drainingVmIds),
+			drainingFailureDomains: immutableSet(configuration.drainingFailureDomains),
+			drainingBackendServerIds: immutableSet(configuration.drainingBackendServerIds),
+		},
+		planDecisions: orderedMap(data.planDecisions.map(planDecision => [planDecision.planId, planDecision])),
+		entityOffsets: immutableMap(data.entityOffsets),
+	});
+}
--- /dev/null
+++ b/src/cluster/lacking-resources.ts
@@ -0,0 +1,45 @@
+import {type Vm} from './cluster-state.js';
+import {fitsInto, type Resources} from './resources.js';
+
+const unitByDimension: ReadonlyArray<readonly [keyof Resources, string]> = [
+	['processorsMilli', 'processorsMilli'],
+	['memoryMb', 'memoryMb'],
+	['accelerators', 'accelerators'],
+];
+
+/**
+Says what a demand lacks when no VM could ever hold it, even an empty one; `undefined` when some VM could.
+
+@example
+lackingResources(state.vms.values(), {processorsMilli: 1000, memoryMb: 64, accelerators: 9});
+// => 'needs 9 accelerators; the largest VM has 8'
+*/
+export function lackingResources(vms: Iterable<Vm>, demand: Resources): string | undefined {
+	const largest = {processorsMilli: 0, memoryMb: 0, accelerators: 0};
+	let isEmpty = true;
+	for (const vm of vms) {
+		if (vm.phase === 'expired') {
+			continue;
+		}
+
+		if (fitsInto(demand, vm.capacity)) {
+			return undefined;
+		}
+
+		isEmpty = false;
+		for (const [dimension] of unitByDimension) {
+			largest[dimension] = Math.max(largest[dimension], vm.capacity[dimension]);
+		}
+	}
+
+	if (isEmpty) {
+		return 'no VM is registered';
+	}
+
+	const lacks = unitByDimension
+		.filter(([dimension]) => demand[dimension] > largest[dimension])
+		.map(([dimension, unit]) => `needs ${demand[dimension]} ${unit}; the largest VM has ${largest[dimension]}`);
+	return lacks.length > 0
+		? lacks.join('; ')
+		: `needs ${demand.processorsMilli} processorsMilli, ${demand.memoryMb} memoryMb and ${demand.accelerators} accelerators together; no single VM has them`;
+}
