--- a/src/cluster/cluster-state-codec.ts
+++ b/src/cluster/cluster-state-codec.ts
@@ -29,6 +29,7 @@
 	resources,
 	z.number(),
 	z.string(),
+	z.string().nullable(),
 	z.string(),
 	z.string(),
 	z.enum(['latency-critical', 'batch']),
@@ -81,7 +82,7 @@
 	version: z.literal(VERSION),
 	offset: z.number(),
 	entries: z.array(z.object({
-		entryId: z.string(), incarnation: z.string(), failureDomain: z.string(), operatorAddress: z.string(), lastOffset: z.number(),
+		entryId: z.string(), incarnation: z.string(), failureDomain: z.string(), operatorAddress: z.string(), lastOffset: z.number(), appliedOffset: z.number(),
 	})),
 	endedIncarnations: strings,
 	sequences: z.array(z.tuple([z.string(), z.number()])),
@@ -117,7 +118,7 @@
 export type EncodedClusterState = z.infer<typeof encodedClusterStateSchema>;
 
 type EncodedTask = EncodedClusterState['tasks'][number];
-type EncodedClaim = NonNullable<EncodedTask[10]>;
+type EncodedClaim = NonNullable<EncodedTask[11]>;
 type EncodedResources = z.infer<typeof resources>;
 
 const packResources = (amount: Resources): EncodedResources => [amount.processorsMilli, amount.memoryMb, amount.accelerators];
@@ -180,6 +181,7 @@
 	packResources(value.spec.demand),
 	value.spec.declaredRunTimeMs,
 	value.spec.payload,
+	value.spec.taskKind ?? null,
 	value.jobId,
 	value.teamId,
 	value.workClass,
@@ -202,6 +204,7 @@
 		demand,
 		declaredRunTimeMs,
 		payload,
+		taskKind,
 		jobId,
 		teamId,
 		workClass,
@@ -219,7 +222,11 @@
 	] = packed;
 	return [taskId, {
 		spec: {
-			taskId, demand: unpackResources(demand), declaredRunTimeMs, payload,
+			taskId,
+			demand: unpackResources(demand),
+			declaredRunTimeMs,
+			payload,
+			...(taskKind === null ? {} : {taskKind}),
 		},
 		jobId,
 		teamId,
--- a/src/entry/fetch-peer-state.ts
+++ b/src/entry/fetch-peer-state.ts
@@ -37,5 +37,5 @@
 }
 
 function decodePeerState(bytes: Uint8Array): ClusterState | undefined {
-	return decodeClusterState(JSON.parse(new TextDecoder().decode(bytes)) as Parameters<typeof decodeClusterState>[0]);
+	return decodeClusterState(JSON.parse(new TextDecoder().decode(bytes))).unwrapOr(undefined);
 }
--- a/src/entry/log-connection.ts
+++ b/src/entry/log-connection.ts
@@ -1,9 +1,11 @@
+import {randomUUID} from 'node:crypto';
 import {type ClusterRecord} from '../cluster/cluster-record.js';
+import {type ClusterState} from '../cluster/cluster-state.js';
 import {decodeClusterState, encodeClusterState} from '../cluster/cluster-state-codec.js';
 import {createLogReader, type LogReader} from '../log/log-reader.js';
 import {type LogService} from '../log/log-service.js';
 import {createLogWriter, type LogWriter} from '../log/log-writer.js';
-import {type SnapshotStore} from '../log/snapshot-store.js';
+import {type Snapshot, type SnapshotStore} from '../log/snapshot-store.js';
 import {type EntrySettings} from '../settings/entry-settings.js';
 import {type EventLog} from '../telemetry/event-log.js';
 import {type EntryEvent} from './entry-event.js';
@@ -85,19 +87,29 @@
 
 	async function loadState(): Promise<void> {
 		const loaded = await snapshots.loadNewest();
-		const encoded = loaded.isOk ? loaded.value : undefined;
-		const cluster = encoded
-			? decodeClusterState(encoded.value)
+		// Without the log a peer's state is the newest that can be had.
+		const cluster = loaded.isOk
+			? decodeSnapshot(loaded.value)
 			: await fetchPeerState({addresses: settings.peerOperatorAddresses, token});
 		if (cluster) {
-			eventLog.info('state-loaded', {offset: cluster.offset, from: encoded ? 'snapshot' : 'peer'});
+			eventLog.info('state-loaded', {offset: cluster.offset, from: loaded.isOk ? 'snapshot' : 'peer'});
 			dispatch({kind: 'snapshot-loaded', cluster});
 		}
 	}
 
+	function decodeSnapshot(snapshot: Snapshot | undefined): ClusterState | undefined {
+		return snapshot && decodeClusterState(snapshot.value).match({
+			Ok: cluster => cluster,
+			Err(error) {
+				eventLog.error('snapshot-invalid', {reason: error.message, remedy: error.remedy});
+				return undefined;
+			},
+		});
+	}
+
 	async function writeSnapshot(): Promise<void> {
 		const {cluster} = state();
-		const written = await snapshots.write({coversOffset: cluster.offset, value: encodeClusterState(cluster)});
+		const written = await snapshots.write({snapshotId: randomUUID(), coversOffset: cluster.offset, value: encodeClusterState(cluster)});
 		if (written.isErr) {
 			eventLog.warn('snapshot-failed', {reason: written.error.message});
 		}
