--- /dev/null
+++ b/src/operator/command-output.ts
@@ -0,0 +1,32 @@
+import {formatError, type TypedError} from '../errors/typed-error.js';
+
+/** Exit status of a command: 0 for success, 1 for a refusal or failure; wrong usage throws a `UsageError`. */
+export type ExitStatus = 0 | 1;
+
+/** Where a command writes its lines. */
+export type CommandOutput = Readonly<{
+	print: (text: string) => void;
+	printError: (text: string) => void;
+}>;
+
+/**
+Reports an error and returns the exit status of a failure.
+
+@example
+return failCommand(output, result.error);
+*/
+export function failCommand(output: CommandOutput, error: TypedError): ExitStatus {
+	output.printError(formatError(error));
+	return 1;
+}
+
+/**
+Removes what could steer a terminal from text that came over the network.
+
+@example
+printable('a\u001B[2Jb');
+// => 'a\uFFFD[2Jb'
+*/
+export function printable(text: string): string {
+	return text.replaceAll(/[\p{Cc}\u2028\u2029]/gv, '\uFFFD');
+}
--- a/src/settings/load-settings.ts
+++ b/src/settings/load-settings.ts
@@ -45,8 +45,9 @@
 export async function loadSettings<Schema extends z.ZodType>(
 	file: string,
 	schema: Schema,
+	maximumBytes = MAXIMUM_FILE_BYTES,
 ): Promise<Result<z.infer<Schema>, SettingsError>> {
-	const text = await readSettingsFile(file);
+	const text = await readSettingsFile(file, maximumBytes);
 	return text.andThen(content => parseSettings(content, file, schema));
 }
 
@@ -56,11 +57,11 @@
 @example
 const text = await readSettingsFile('entry.yaml');
 */
-export async function readSettingsFile(file: string): Promise<Result<string, SettingsError>> {
+export async function readSettingsFile(file: string, maximumBytes = MAXIMUM_FILE_BYTES): Promise<Result<string, SettingsError>> {
 	try {
 		const content = await readFile(file);
-		if (content.byteLength > MAXIMUM_FILE_BYTES) {
-			return err(unreadable(file, `it is larger than ${MAXIMUM_FILE_BYTES} bytes`));
+		if (content.byteLength > maximumBytes) {
+			return err(unreadable(file, `it is larger than ${maximumBytes} bytes`));
 		}
 
 		return ok(new TextDecoder('utf-8', {fatal: true}).decode(content));
