--- a/src/entry/entry-state.ts
+++ b/src/entry/entry-state.ts
@@ -48,7 +48,7 @@
 	return {
 		incarnation,
 		cluster: emptyClusterState,
-		log: {tailConfirmedSentAtMs: Number.NEGATIVE_INFINITY, reachable: false},
+		log: {tailConfirmedSentAtMs: Number.NEGATIVE_INFINITY, reachable: true},
 		links: Map(),
 		claimReadAtMs: Map(),
 		entryLiveness: initialEntryLiveness,
