--- /dev/null
+++ b/demo/process-runner.ts
@@ -0,0 +1,186 @@
+import {spawn, type ChildProcess} from 'node:child_process';
+import {once} from 'node:events';
+import process from 'node:process';
+import {createInterface} from 'node:readline';
+
+/** How a process ended; a graceful end has the code 0. */
+export type ProcessExit = Readonly<{code: number | undefined; signal: string | undefined}>;
+
+/** A process that a runner started, in a process group of its own. */
+export type RunnerProcess = Readonly<{
+	name: string;
+	pid: number;
+	/** Lines of standard output so far. */
+	lines: () => readonly string[];
+	/** Lines of standard error so far. */
+	errorLines: () => readonly string[];
+	/** Undefined while the process runs. */
+	exit: () => ProcessExit | undefined;
+	/** Returns the first line of standard output that matches; throws when the process ends or the time is over before. */
+	waitForLine: (pattern: RegExp, timeoutMs: number) => Promise<RegExpExecArray>;
+	/** Throws when the process still runs after the time. */
+	waitForExit: (timeoutMs: number) => Promise<ProcessExit>;
+	/** Sends SIGTERM to the process. */
+	terminate: () => void;
+	/** Sends SIGKILL to the process group. */
+	kill: () => void;
+	/** Sends SIGSTOP to the process group. */
+	pause: () => void;
+	/** Sends SIGCONT to the process group. */
+	resume: () => void;
+}>;
+
+export type ProcessRunner = Readonly<{
+	/** Starts Node.js with these arguments, the TypeScript loader included. */
+	start: (name: string, nodeArguments: readonly string[]) => RunnerProcess;
+	processes: () => readonly RunnerProcess[];
+	/** Kills the process groups that are left and waits until they are gone. */
+	killAll: () => Promise<void>;
+}>;
+
+/** Longest interval between two checks of `waitUntil`. */
+const checkEveryMs = 100;
+
+/**
+Calls `check` until it returns a value other than undefined; throws after `timeoutMs`.
+
+@example
+await waitUntil('the entry is ready', 10_000, async () => await isReady() ? true : undefined);
+*/
+export async function waitUntil<Value>(description: string, timeoutMs: number, check: () => Promise<Value | undefined> | Value | undefined): Promise<Value> {
+	const deadlineMs = performance.now() + timeoutMs;
+	for (;;) {
+		const value = await check();
+		if (value !== undefined) {
+			return value;
+		}
+
+		if (performance.now() > deadlineMs) {
+			throw new Error(`time is over after ${timeoutMs} ms: ${description}`);
+		}
+
+		await new Promise<void>(resolve => {
+			setTimeout(resolve, checkEveryMs);
+		});
+	}
+}
+
+function collectLines(stream: NodeJS.ReadableStream): string[] {
+	const lines: string[] = [];
+	createInterface({input: stream}).on('line', line => {
+		lines.push(line);
+	});
+	return lines;
+}
+
+function signalGroup(pid: number, signal: NodeJS.Signals): void {
+	try {
+		process.kill(-pid, signal);
+	} catch {
+		// The group is gone.
+	}
+}
+
+function wrap(name: string, child: ChildProcess): RunnerProcess {
+	const {pid, stdout, stderr} = child;
+	if (pid === undefined || !stdout || !stderr) {
+		throw new Error(`${name} did not start`);
+	}
+
+	const lines = collectLines(stdout);
+	const errorLines = collectLines(stderr);
+	let exit: ProcessExit | undefined;
+	// `close` comes after the last output, `exit` may come before it.
+	const closed = once(child, 'close');
+	child.once('close', (code: number | null, signal: string | null) => {
+		exit = {code: code ?? undefined, signal: signal ?? undefined};
+	});
+
+	return {
+		name,
+		pid,
+		lines: () => lines,
+		errorLines: () => errorLines,
+		exit: () => exit,
+		async waitForLine(pattern, timeoutMs) {
+			return waitUntil(`${name} prints ${String(pattern)}`, timeoutMs, () => {
+				for (const line of lines) {
+					const match = pattern.exec(line);
+					if (match) {
+						return match;
+					}
+				}
+
+				if (exit) {
+					throw new Error(`${name} ended with ${exit.signal ?? `code ${exit.code}`} before it printed ${String(pattern)}`);
+				}
+
+				return undefined;
+			});
+		},
+		async waitForExit(timeoutMs) {
+			const timeOver = new AbortController();
+			const timer = setTimeout(() => {
+				timeOver.abort();
+			}, timeoutMs);
+			const over = once(timeOver.signal, 'abort');
+			await Promise.race([closed, over]);
+			clearTimeout(timer);
+			if (!exit) {
+				throw new Error(`${name} still runs after ${timeoutMs} ms`);
+			}
+
+			return exit;
+		},
+		terminate() {
+			child.kill('SIGTERM');
+		},
+		kill() {
+			signalGroup(pid, 'SIGKILL');
+		},
+		pause() {
+			signalGroup(pid, 'SIGSTOP');
+		},
+		resume() {
+			signalGroup(pid, 'SIGCONT');
+		},
+	};
+}
+
+/**
+Creates a runner of Node.js processes. When this process exits, the process groups that are left are killed.
+
+@example
+const runner = createProcessRunner();
+const log = runner.start('log', ['stand-ins/main.ts', 'log-service']);
+const [, url] = await log.waitForLine(/^ready url=(\S+)/v, 10_000);
+await runner.killAll();
+*/
+export function createProcessRunner(): ProcessRunner {
+	const processes: RunnerProcess[] = [];
+
+	function killLeft(): void {
+		for (const running of processes) {
+			if (!running.exit()) {
+				running.kill();
+			}
+		}
+	}
+
+	process.on('exit', killLeft);
+
+	return {
+		start(name, nodeArguments) {
+			const child = spawn(process.execPath, ['--import', 'tsx', ...nodeArguments], {detached: true, stdio: ['ignore', 'pipe', 'pipe']});
+			const started = wrap(name, child);
+			processes.push(started);
+			return started;
+		},
+		processes: () => processes,
+		async killAll() {
+			killLeft();
+			await Promise.all(processes.map(async running => running.waitForExit(10_000)));
+			process.off('exit', killLeft);
+		},
+	};
+}
