--- a/src/operator/command-output.ts
+++ b/src/operator/command-output.ts
@@ -1,3 +1,4 @@
+import {formatProblem, type SettingsError} from '../settings/load-settings.js';
 import {formatError, type TypedError} from '../errors/typed-error.js';
 
 /** Exit status of a command: 0 for success, 1 for a refusal or failure; wrong usage throws a `UsageError`. */
@@ -16,7 +17,25 @@
 return failCommand(output, result.error);
 */
 export function failCommand(output: CommandOutput, error: TypedError): ExitStatus {
-	output.printError(formatError(error));
+	output.printError(formatError(error).split('\n').map(line => printable(line)).join('\n'));
+	return 1;
+}
+
+/**
+Reports every problem of a settings file on a line of its own and returns the exit status of a failure.
+
+@example
+return failSettings(output, settings.error);
+*/
+export function failSettings(output: CommandOutput, error: SettingsError): ExitStatus {
+	if (error.problems.length === 0) {
+		return failCommand(output, error);
+	}
+
+	for (const problem of error.problems) {
+		output.printError(printable(formatProblem(problem)));
+	}
+
 	return 1;
 }
 
--- a/src/run-role.ts
+++ b/src/run-role.ts
@@ -1,5 +1,5 @@
 import {messageOf} from './errors/message-of.js';
-import {type CommandOutput, type ExitStatus, failCommand} from './operator/command-output.js';
+import {type CommandOutput, type ExitStatus, failSettings} from './operator/command-output.js';
 import {
 	type RoleContext, type RoleProcess, startAgentRole, startEntryRole,
 } from './roles.js';
@@ -20,7 +20,7 @@
 export async function runEntry(settingsFile: string, output: CommandOutput, stopSignal: Promise<string>): Promise<ExitStatus> {
 	const settings = await loadSettings(settingsFile, await settingsSchemas.entry());
 	return settings.isErr
-		? failCommand(output, settings.error)
+		? failSettings(output, settings.error)
 		: runProcess<EntrySettings>(`entry/${settings.value.entryId}`, settings.value, startEntryRole, stopSignal);
 }
 
@@ -33,7 +33,7 @@
 export async function runAgent(settingsFile: string, output: CommandOutput, stopSignal: Promise<string>): Promise<ExitStatus> {
 	const settings = await loadSettings(settingsFile, await settingsSchemas.agent());
 	return settings.isErr
-		? failCommand(output, settings.error)
+		? failSettings(output, settings.error)
 		: runProcess<AgentSettings>(`agent/${settings.value.vmId}`, settings.value, startAgentRole, stopSignal);
 }
 
--- a/src/settings/schema-fields.ts
+++ b/src/settings/schema-fields.ts
@@ -36,7 +36,7 @@
 			type: typeName(property),
 			required: schema?.required?.includes(name) ?? false,
 			default: property.default,
-			minimum: property.minimum,
+			minimum: lowestValue(property),
 			maximum: safeBound(property.maximum),
 			fields: fieldsOf(property),
 			itemFields: fieldsOf(itemsOf(property)),
@@ -47,6 +47,11 @@
 	return typeof schema.items === 'object' && !Array.isArray(schema.items) ? schema.items : undefined;
 }
 
+/** The bound of a positive whole number is written as the least value that it may have. */
+function lowestValue(schema: JsonSchema): number | undefined {
+	return schema.type === 'integer' && typeof schema.exclusiveMinimum === 'number' ? schema.exclusiveMinimum + 1 : schema.minimum;
+}
+
 /** Integers without an upper bound carry the largest safe integer, which says nothing to a reader. */
 function safeBound(bound: number | undefined): number | undefined {
 	return bound === Number.MAX_SAFE_INTEGER ? undefined : bound;
