--- a/src/entry/caller-server.ts
+++ b/src/entry/caller-server.ts
@@ -202,6 +202,11 @@
 			exchanges.delete(requestId);
 			// A request that ended is no longer pending, and the reducer passes over the event.
 			dispatch({kind: 'request-abandoned', requestId});
+			if (isClosing) {
+				setImmediate(() => {
+					server.closeIdleConnections();
+				});
+			}
 		});
 		dispatch({kind: 'request-arrived', ...checked.description, ...hashes});
 	}
@@ -348,6 +353,12 @@
 		},
 		async close() {
 			isClosing = true;
+			for (const {response} of exchanges.values()) {
+				if (!response.headersSent) {
+					response.setHeader('connection', 'close');
+				}
+			}
+
 			return new Promise(resolve => {
 				server.close(() => {
 					resolve();
