--- a/src/operator/replay-records.test.ts
+++ b/src/operator/replay-records.test.ts
@@ -27,7 +27,7 @@
 	decide: (state, {vmId, decision}) => ({vmId, decision: {...decision, stateOffset: state.offset}}),
 };
 
-const records = [logged(0, {kind: 'entry-alive'}), logged(1, claim('t1', 0)), logged(2, claim('t2', -1)), logged(3, claim('t3', 99))];
+const records = [logged(0, {kind: 'entry-alive', appliedOffset: 0}), logged(1, claim('t1', 0)), logged(2, claim('t2', -1)), logged(3, claim('t3', 99))];
 
 test('decisions are made again on the state that they name, and one whose state is not kept is skipped', t => {
 	const states: number[] = [];
