--- /dev/null
+++ b/src/agent/agent-event.ts
@@ -0,0 +1,45 @@
+import type {EntryMessage} from '../generated/arbutushinge/v1/agent_pb.js';
+import type {WorkerUsage} from '../platform/worker-api.js';
+import type {Announcement} from './backend-server-table.js';
+import type {KeyClaim} from './key-table.js';
+import type {KeptAnswer, Refusal} from './request-outcome.js';
+import type {WorkerTaskList} from './worker.js';
+
+/** A request that an entry sent. */
+export type ArrivedRequest = Readonly<{
+	requestId: string;
+	backendServerId: string;
+	key: KeyClaim | undefined;
+}>;
+
+/** How a request that ran ended; `passed` was streamed to the entry and not kept. */
+export type RequestSettlement
+	= | Readonly<{kind: 'passed'}>
+		| Readonly<{kind: 'kept'; answer: KeptAnswer}>
+		| Readonly<{kind: 'refused'; refusal: Refusal}>;
+
+/** Events of the agent by kind. Every event also carries `nowMs` of the VM's monotonic clock. */
+export type AgentEventPayloads = Readonly<{
+	tick: Readonly<{latencies: ReadonlyArray<Readonly<{backendServerId: string; p99Ms: number}>>}>;
+	'entry-connected': Readonly<{entryAddress: string}>;
+	'entry-disconnected': Readonly<{entryAddress: string}>;
+	'entry-message': Readonly<{entryAddress: string; message: EntryMessage['message']}>;
+	'worker-tasks': Readonly<{requestedAtMs: number; list: WorkerTaskList}>;
+	'worker-usage': Readonly<{usage: WorkerUsage}>;
+	'start-answered': Readonly<{taskId: string; attempt: number; result: 'started' | 'refused' | 'unknown'; reason: string}>;
+	'incarnation-created': Readonly<{incarnation: string}>;
+	'backend-server-announced': Readonly<{announcement: Announcement}>;
+	'backend-server-leaving': Readonly<{backendServerId: string}>;
+	'request-arrived': Readonly<{request: ArrivedRequest}>;
+	'request-settled': Readonly<{requestId: string; settlement: RequestSettlement}>;
+	'stop-requested': Readonly<Record<never, never>>;
+}>;
+
+export type AgentEventKind = keyof AgentEventPayloads;
+
+/** One event of the given kinds. */
+export type AgentEventOf<Kind extends AgentEventKind> = {
+	[Each in Kind]: Readonly<{kind: Each; nowMs: number}> & AgentEventPayloads[Each];
+}[Kind];
+
+export type AgentEvent = AgentEventOf<AgentEventKind>;
--- /dev/null
+++ b/src/agent/agent-process.ts
@@ -0,0 +1,186 @@
+import {randomUUID} from 'node:crypto';
+import process from 'node:process';
+import {Result} from 'true-myth';
+import type {TypedError} from '../errors/typed-error.js';
+import type {AgentSettings} from '../settings/agent-settings.js';
+import type {EventLog} from '../telemetry/event-log.js';
+import type {Metrics} from '../telemetry/metrics.js';
+import type {Timeline} from '../telemetry/timeline-event.js';
+import type {AgentEffectKind, AgentEffectOf} from './agent-effect.js';
+import type {AgentEvent} from './agent-event.js';
+import {initialAgentState} from './agent-state.js';
+import {createBackendServerClient} from './backend-server-client.js';
+import {openEntrySession, type EntrySession} from './entry-session.js';
+import {reduceAgent} from './reduce-agent.js';
+import {openRequestServer, type RequestServer} from './request-server.js';
+import {createWorkerDriver} from './worker-driver.js';
+import type {Worker} from './worker.js';
+
+/** What an agent needs from its process. */
+export type AgentParts = Readonly<{
+	settings: AgentSettings;
+	eventLog: EventLog;
+	metrics: Metrics;
+	timeline: Timeline;
+	worker: Worker;
+}>;
+
+/** An agent that runs. */
+export type RunningAgent = Readonly<{
+	/** Drains the VM's requests, stops its run-once tasks with a checkpoint, reports them and closes the streams. */
+	stop: () => Promise<void>;
+}>;
+
+const monotonicMs = (): number => Number(process.hrtime.bigint()) / 1e6;
+
+/**
+Starts the agent of this VM.
+
+@returns `address-unavailable` when the request address cannot be opened.
+@example
+const agent = await startAgent({settings, eventLog, metrics, timeline, worker});
+if (agent.isOk) {
+	await agent.value.stop();
+}
+*/
+export async function startAgent({settings, eventLog, metrics, timeline, worker}: AgentParts): Promise<Result<RunningAgent, TypedError<'address-unavailable'>>> {
+	let state = initialAgentState(settings, randomUUID());
+	const events: AgentEvent[] = [];
+	const sessions = new Map<string, EntrySession>();
+	let finishStop: (() => void) | undefined;
+	const stopped = new Promise<void>(resolve => {
+		finishStop = resolve;
+	});
+	let isReducing = false;
+	const ports: {requestServer?: RequestServer} = {};
+
+	const driver = createWorkerDriver({
+		worker, eventLog, nowMs: monotonicMs, dispatch,
+	});
+	const client = createBackendServerClient({
+		keyedAnswerBytes: settings.limits.keyedAnswerBytes,
+		nowMs: monotonicMs,
+		settle(requestId, settlement) {
+			dispatch({
+				kind: 'request-settled', nowMs: monotonicMs(), requestId, settlement,
+			});
+		},
+	});
+
+	const answer = (effect: AgentEffectOf<'run-request' | 'refuse-request' | 'answer-request' | 'answer-leaving'>): void => {
+		ports.requestServer?.execute(effect);
+	};
+
+	const executors: Readonly<{[Kind in AgentEffectKind]: (effect: AgentEffectOf<Kind>) => void}> = {
+		send({entryAddress, message}) {
+			sessions.get(entryAddress)?.send(message);
+		},
+		'start-task': driver.execute,
+		'checkpoint-task': driver.execute,
+		'stop-task': driver.execute,
+		'delete-task': driver.execute,
+		'throttle-task': driver.execute,
+		'set-lease': driver.execute,
+		'create-incarnation'() {
+			dispatch({kind: 'incarnation-created', nowMs: monotonicMs(), incarnation: randomUUID()});
+		},
+		'run-request': answer,
+		'refuse-request': answer,
+		'answer-request': answer,
+		'answer-leaving': answer,
+		'forget-backend-server'({backendServerId}) {
+			client.forget(backendServerId);
+		},
+		log({level, event, fields}) {
+			eventLog[level](event, fields);
+		},
+		count({metric}) {
+			metrics.increment(metric);
+		},
+		record({entry}) {
+			timeline.record(entry);
+		},
+		'finish-stop'() {
+			finishStop?.();
+		},
+	};
+
+	function execute<Kind extends AgentEffectKind>(effect: AgentEffectOf<Kind>): void {
+		executors[effect.kind](effect);
+	}
+
+	/** Reduces events one at a time, in order; effects may add further events. */
+	function dispatch(event: AgentEvent): void {
+		events.push(event);
+		if (isReducing) {
+			return;
+		}
+
+		isReducing = true;
+		for (let next = events.shift(); next !== undefined; next = events.shift()) {
+			const reduced = reduceAgent(state, next);
+			state = reduced.state;
+			for (const effect of reduced.effects) {
+				execute(effect);
+			}
+		}
+
+		isReducing = false;
+	}
+
+	const opened = await openRequestServer({
+		requestAddress: settings.requestAddress,
+		headerBytes: settings.limits.headerBytes,
+		client,
+		nowMs: monotonicMs,
+		dispatch,
+		health: () => ({
+			status: state.stop === undefined ? 'ok' : 'leaving', vmId: settings.vmId, incarnation: state.incarnation, phase: state.phase, configurationOffset: state.configuration.offset,
+		}),
+		timeline: fromSequence => timeline.read(fromSequence),
+	});
+	if (opened.isErr) {
+		return Result.err(opened.error);
+	}
+
+	ports.requestServer = opened.value;
+	for (const entryAddress of settings.entryAddresses) {
+		sessions.set(entryAddress, openEntrySession(entryAddress, {
+			connected() {
+				eventLog.info('entry-connected', {entryAddress});
+				dispatch({kind: 'entry-connected', nowMs: monotonicMs(), entryAddress});
+			},
+			disconnected(reason) {
+				eventLog.warn('entry-disconnected', {entryAddress, reason});
+				dispatch({kind: 'entry-disconnected', nowMs: monotonicMs(), entryAddress});
+			},
+			message(message) {
+				dispatch({
+					kind: 'entry-message', nowMs: monotonicMs(), entryAddress, message,
+				});
+			},
+		}, Math.random));
+	}
+
+	const heartbeatTimer = setInterval(() => {
+		dispatch({kind: 'tick', nowMs: monotonicMs(), latencies: client.latencies()});
+	}, settings.timings.heartbeatMs);
+	const pollTimer = setInterval(() => {
+		void driver.poll();
+	}, settings.timings.workerPollMs);
+	void driver.poll();
+	eventLog.info('agent-started', {vmId: settings.vmId, incarnation: state.incarnation, requestAddress: settings.requestAddress});
+
+	return Result.ok({
+		async stop() {
+			dispatch({kind: 'stop-requested', nowMs: monotonicMs()});
+			await stopped;
+			clearInterval(heartbeatTimer);
+			clearInterval(pollTimer);
+			await Promise.all([...sessions.values()].map(async session => session.close()));
+			await opened.value.close();
+			await client.close();
+			eventLog.info('agent-stopped', {vmId: settings.vmId});
+		},
+	});
+}
--- /dev/null
+++ b/src/agent/agent-state.ts
@@ -0,0 +1,125 @@
+import {Map as immutableMap, type Map as ImmutableMap} from 'immutable';
+import {noResources, type Resources} from '../cluster/resources.js';
+import type {StartTask} from '../generated/arbutushinge/v1/agent_pb.js';
+import type {WorkerUsage} from '../platform/worker-api.js';
+import type {AgentSettings} from '../settings/agent-settings.js';
+import {emptyAttemptTable, type AttemptTable} from './attempt-table.js';
+import type {BackendServerTable} from './backend-server-table.js';
+import {restingGuard, type Guard} from './guard.js';
+import {emptyKeyTable, type KeyTable} from './key-table.js';
+import {noLease, type Lease} from './lease.js';
+import {emptyLedger, type Ledger} from './ledger.js';
+import {noTaskEvents, type TaskEvents} from './task-events.js';
+
+/**
+`waiting` needs room that evictions will give, `starting` was sent to the worker, `running` is confirmed by the
+worker, `ended` waits until its event is acknowledged and the worker has deleted it.
+*/
+export type TaskPhase = 'waiting' | 'starting' | 'running' | 'ended';
+
+/** The newest attempt of a task on this VM. */
+export type AgentTask = Readonly<{
+	taskId: string;
+	attempt: number;
+	limit: Resources;
+	latencyCritical: boolean;
+	phase: TaskPhase;
+	/** Kept until the worker confirms the start. */
+	start: StartTask | undefined;
+	/** Whether a start call to the worker is under way. */
+	startInFlight: boolean;
+	/** A worker's list that was requested earlier says nothing about the current phase. */
+	changedAtMs: number;
+	/** Why the task is being stopped, if it is. */
+	stopping: 'evict' | 'cancel' | undefined;
+	stoppingReason: string;
+	/** Event that reports the end; missing before. */
+	endEventId: number | undefined;
+}>;
+
+/** What the agent knows of its stream to one entry. */
+export type EntryLink = Readonly<{
+	connected: boolean;
+	/** What was last sent of each backend server on this stream; only changes are sent again. */
+	reported: ImmutableMap<string, string>;
+	usageSentAtMs: number;
+	/** End of the window of the last usage report that was sent. */
+	usageMeasuredAtMs: number;
+}>;
+
+/** A link that is not connected. */
+export const closedLink: EntryLink = {
+	connected: false, reported: immutableMap(), usageSentAtMs: Number.NEGATIVE_INFINITY, usageMeasuredAtMs: Number.NEGATIVE_INFINITY,
+};
+
+/** The part of the configuration in force that concerns this VM. */
+export type AppliedConfiguration = Readonly<{
+	offset: number;
+	services: ImmutableMap<string, Readonly<{latencyTargetMs: number; demand: Resources}>>;
+	drainingBackendServers: readonly string[];
+	vmDraining: boolean;
+}>;
+
+/** A request that was admitted or waits for the result of its key. */
+export type ActiveRequest = Readonly<{requestId: string; backendServerId: string; keyHash: string | undefined; runs: boolean}>;
+
+/**
+`counting` waits for the worker's first list, `active` takes work, `ending` waits for the worker's run-once
+tasks to stop so that a new incarnation can register.
+*/
+export type AgentPhase = 'counting' | 'active' | 'ending';
+
+/** Everything an agent knows. */
+export type AgentState = Readonly<{
+	settings: AgentSettings;
+	incarnation: string;
+	phase: AgentPhase;
+	/** Set when the phase became `ending`; only a later worker list counts. */
+	endingSinceMs: number;
+	/** A graceful stop is under way. */
+	stop: Readonly<{sinceMs: number; tasksStopped: boolean; finished: boolean}> | undefined;
+	heartbeatSequence: number;
+	lease: Lease;
+	ledger: Ledger;
+	tasks: ImmutableMap<string, AgentTask>;
+	attempts: AttemptTable;
+	events: TaskEvents;
+	configuration: AppliedConfiguration;
+	entries: ImmutableMap<string, EntryLink>;
+	backendServers: BackendServerTable;
+	requests: ImmutableMap<string, ActiveRequest>;
+	keys: KeyTable;
+	usage: WorkerUsage | undefined;
+	guard: Guard;
+}>;
+
+/**
+Makes the state of an agent that has not counted anything yet.
+
+@example
+initialAgentState(settings, 'incarnation-1');
+*/
+export function initialAgentState(settings: AgentSettings, incarnation: string): AgentState {
+	return {
+		settings,
+		incarnation,
+		phase: 'counting',
+		endingSinceMs: 0,
+		stop: undefined,
+		heartbeatSequence: 0,
+		lease: noLease,
+		ledger: emptyLedger(noResources),
+		tasks: immutableMap(),
+		attempts: emptyAttemptTable,
+		events: noTaskEvents,
+		configuration: {
+			offset: 0, services: immutableMap(), drainingBackendServers: [], vmDraining: false,
+		},
+		entries: immutableMap(settings.entryAddresses.map(address => [address, closedLink])),
+		backendServers: immutableMap(),
+		requests: immutableMap(),
+		keys: emptyKeyTable,
+		usage: undefined,
+		guard: restingGuard,
+	};
+}
--- /dev/null
+++ b/src/agent/backend-server-client.ts
@@ -0,0 +1,194 @@
+import {Buffer} from 'node:buffer';
+import type {IncomingHttpHeaders} from 'node:http';
+import {pipeline} from 'node:stream/promises';
+import PQueue from 'p-queue';
+import {errors, Pool, type Dispatcher} from 'undici';
+import type {AgentEffectOf} from './agent-effect.js';
+import type {RequestSettlement} from './agent-event.js';
+import type {Exchange} from './exchange.js';
+import {LatencyWindow} from './latency-window.js';
+import {refusalOf, type RefusalKind} from './request-outcome.js';
+
+/** Longest wait for a connection to a backend server on the same VM. */
+const connectTimeoutMs = 1000;
+
+/** Headers that belong to one connection, or that only the agent and the entry exchange. */
+const droppedHeaders: ReadonlySet<string> = new Set([
+	'connection',
+	'expect',
+	'host',
+	'keep-alive',
+	'proxy-authenticate',
+	'proxy-authorization',
+	'proxy-connection',
+	'te',
+	'trailer',
+	'transfer-encoding',
+	'upgrade',
+	'x-arbutushinge-agent-incarnation',
+	'x-arbutushinge-backend-server',
+	'x-arbutushinge-body-hash',
+	'x-arbutushinge-claim-offset',
+	'x-arbutushinge-deadline-ms',
+	'x-arbutushinge-key',
+	'x-arbutushinge-method',
+	'x-arbutushinge-outcome',
+]);
+
+type Target = Readonly<{pool: Pool; queue: PQueue; address: string; connections: number; latencies: LatencyWindow}>;
+
+/** Sends requests to the backend servers of this VM. */
+export type BackendServerClient = Readonly<{
+	run: (exchange: Exchange, effect: AgentEffectOf<'run-request'>) => void;
+	/** 99th percentile of the latency of each backend server. */
+	latencies: () => ReadonlyArray<Readonly<{backendServerId: string; p99Ms: number}>>;
+	forget: (backendServerId: string) => void;
+	close: () => Promise<void>;
+}>;
+
+type Parts = Readonly<{
+	keyedAnswerBytes: number;
+	nowMs: () => number;
+	settle: (requestId: string, settlement: RequestSettlement) => void;
+}>;
+
+function passedHeaders(headers: IncomingHttpHeaders): string[] {
+	return Object.entries(headers)
+		.filter(([name]) => !droppedHeaders.has(name))
+		.flatMap(([name, value]) => [value ?? []].flat().flatMap(each => [name, each]));
+}
+
+/** Tells whether an error shows that no byte of the request reached the backend server. */
+function isNotRun(error: unknown): boolean {
+	return error instanceof errors.ConnectTimeoutError
+		|| (error instanceof Error && 'syscall' in error && error.syscall === 'connect');
+}
+
+function hasBody(headers: IncomingHttpHeaders): boolean {
+	return headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0;
+}
+
+/**
+Makes a client that runs at most `slots` requests at a time on each backend server and passes bodies through as streams.
+
+@example
+const client = createBackendServerClient({keyedAnswerBytes: 262_144, nowMs, settle});
+*/
+export function createBackendServerClient({keyedAnswerBytes, nowMs, settle}: Parts): BackendServerClient {
+	const targets = new Map<string, Target>();
+
+	function targetOf({backendServerId, address, slots, connections}: AgentEffectOf<'run-request'>): Target {
+		const known = targets.get(backendServerId);
+		if (known?.address === address && known.connections === connections) {
+			known.queue.concurrency = slots;
+			return known;
+		}
+
+		const target: Target = {
+			address,
+			connections,
+			pool: new Pool(`http://${address}`, {
+				connections, pipelining: 1, connect: {timeout: connectTimeoutMs}, headersTimeout: 0, bodyTimeout: 0,
+			}),
+			queue: known?.queue ?? new PQueue({concurrency: slots}),
+			latencies: known?.latencies ?? new LatencyWindow(),
+		};
+		void known?.pool.close();
+		targets.set(backendServerId, target);
+		return target;
+	}
+
+	function refuse(exchange: Exchange, kind: RefusalKind): void {
+		const refusal = refusalOf(kind);
+		settle(exchange.parts.requestId, {kind: 'refused', refusal});
+		exchange.refuse(refusal);
+	}
+
+	/** Streams an answer to the entry. A broken one resets the connection, so that it never looks whole. */
+	async function pass(exchange: Exchange, answer: Dispatcher.ResponseData, begun: readonly Uint8Array[]): Promise<void> {
+		const {response} = exchange.parts;
+		exchange.settle();
+		if (!exchange.isOpen) {
+			// The backend server works until its answer ends, so the slot stays taken until then.
+			await answer.body.dump({limit: Number.MAX_SAFE_INTEGER});
+			return;
+		}
+
+		response.writeHead(answer.statusCode, [...passedHeaders(answer.headers), 'x-arbutushinge-outcome', 'done']);
+		for (const chunk of begun) {
+			response.write(chunk);
+		}
+
+		await pipeline(answer.body, response);
+	}
+
+	async function keep(exchange: Exchange, answer: Dispatcher.ResponseData): Promise<void> {
+		const chunks: Uint8Array[] = [];
+		let bytes = 0;
+		const iterator = answer.body.iterator({destroyOnReturn: false}) as AsyncIterableIterator<Uint8Array>;
+		for await (const chunk of iterator) {
+			chunks.push(chunk);
+			bytes += chunk.byteLength;
+			if (bytes > keyedAnswerBytes) {
+				await pass(exchange, answer, chunks);
+				settle(exchange.parts.requestId, {kind: 'passed'});
+				return;
+			}
+		}
+
+		const kept = {status: answer.statusCode, headers: passedHeaders(answer.headers), body: Buffer.concat(chunks)};
+		settle(exchange.parts.requestId, {kind: 'kept', answer: kept});
+		exchange.answer(kept);
+	}
+
+	async function send(exchange: Exchange, keyed: boolean, target: Target): Promise<void> {
+		if (exchange.isWithdrawn) {
+			return;
+		}
+
+		if (nowMs() >= exchange.parts.deadlineMs) {
+			refuse(exchange, 'deadline-passed');
+			return;
+		}
+
+		exchange.isSent = true;
+		const {request, response} = exchange.parts;
+		try {
+			const answer = await target.pool.request({
+				method: exchange.parts.method,
+				path: exchange.parts.path,
+				headers: passedHeaders(request.headers),
+				body: hasBody(request.headers) ? request : null,
+			});
+			if (keyed) {
+				await keep(exchange, answer);
+			} else {
+				await pass(exchange, answer, []);
+				settle(exchange.parts.requestId, {kind: 'passed'});
+			}
+
+			target.latencies.record(nowMs() - exchange.parts.arrivedAtMs);
+		} catch (error) {
+			if (response.headersSent) {
+				response.destroy();
+			}
+
+			refuse(exchange, isNotRun(error) ? 'unreachable' : 'answer-lost');
+		}
+	}
+
+	return {
+		run(exchange, effect) {
+			const target = targetOf(effect);
+			void target.queue.add(async () => send(exchange, effect.keyed, target));
+		},
+		latencies: () => [...targets].map(([backendServerId, target]) => ({backendServerId, p99Ms: target.latencies.p99Ms(nowMs())})),
+		forget(backendServerId) {
+			void targets.get(backendServerId)?.pool.close();
+			targets.delete(backendServerId);
+		},
+		async close() {
+			await Promise.all([...targets.values()].map(async target => target.pool.destroy()));
+		},
+	};
+}
--- /dev/null
+++ b/src/agent/backend-server-handlers.ts
@@ -0,0 +1,136 @@
+import {noResources, type Resources} from '../cluster/resources.js';
+import type {AgentEffect} from './agent-effect.js';
+import type {AgentState} from './agent-state.js';
+import {
+	announce, markGone, type Announcement, type BackendServer,
+} from './backend-server-table.js';
+import {commit, release} from './ledger.js';
+import {makeRoom} from './task-handlers.js';
+import {chain, transition, type Transition} from './transition.js';
+
+/** How long a backend server that is gone is remembered, so that every entry hears of it. */
+const goneRetentionMs = 30_000;
+
+const holderOf = (backendServerId: string): string => `backend-server/${backendServerId}`;
+
+function demandOf(state: AgentState, backendServer: BackendServer): Resources {
+	return state.configuration.services.get(backendServer.service)?.demand ?? noResources;
+}
+
+/** Commits what one backend server needs, or evicts batch tasks until there is room for it. */
+function settleBackendServer(backendServerId: string): (state: AgentState) => Transition {
+	return state => {
+		const backendServer = state.backendServers.get(backendServerId);
+		if (backendServer === undefined) {
+			return transition(state);
+		}
+
+		const isDraining = state.stop !== undefined || state.configuration.vmDraining || state.configuration.drainingBackendServers.includes(backendServerId);
+		const current: AgentState = isDraining === backendServer.draining
+			? state
+			: {...state, backendServers: state.backendServers.set(backendServerId, {...backendServer, draining: isDraining})};
+		const holder = holderOf(backendServerId);
+		if (backendServer.gone) {
+			return transition({...current, ledger: release(current.ledger, holder)});
+		}
+
+		const demand = demandOf(current, backendServer);
+		const held = current.ledger.holders.get(holder);
+		if (held?.processorsMilli === demand.processorsMilli && held.memoryMb === demand.memoryMb && held.accelerators === demand.accelerators) {
+			return transition(current);
+		}
+
+		const ledger = commit(current.ledger, holder, demand);
+		return ledger === undefined
+			? makeRoom(current, demand, `backend server ${backendServerId} needs the room`)
+			: transition({
+				...current, ledger, backendServers: current.backendServers.set(backendServerId, {...backendServer, draining: isDraining, admitted: true}),
+			});
+	};
+}
+
+/**
+Brings the ledger and the draining of every backend server in line with the configuration.
+
+@example
+chain(state, settleBackendServers);
+*/
+export function settleBackendServers(state: AgentState): Transition {
+	return chain(state, ...[...state.backendServers.keys()].map(id => settleBackendServer(id)));
+}
+
+/**
+Answers the backend servers that wait for the end of their drain.
+
+@example
+chain(state, answerLeaving);
+*/
+export function answerLeaving(state: AgentState): Transition {
+	return transition(state, ...[...state.backendServers.values()]
+		.filter(backendServer => backendServer.leaving && backendServer.requests === 0)
+		.map((backendServer): AgentEffect => ({kind: 'answer-leaving', backendServerId: backendServer.backendServerId})));
+}
+
+/**
+Takes an announcement.
+
+@example
+backendServerAnnounced(state, announcement, nowMs);
+*/
+export function backendServerAnnounced(state: AgentState, announcement: Announcement, nowMs: number): Transition {
+	const known = state.backendServers.get(announcement.backendServerId);
+	return chain(
+		{...state, backendServers: announce(state.backendServers, announcement, nowMs)},
+		current => transition(current, ...known === undefined || known.gone ? [lifecycleLog('backend-server-announced', announcement)] : []),
+		settleBackendServer(announcement.backendServerId),
+	);
+}
+
+const lifecycleLog = (event: string, backendServer: Readonly<{backendServerId: string; service: string}>): AgentEffect => ({
+	kind: 'log', level: 'info', event, fields: {backendServerId: backendServer.backendServerId, service: backendServer.service},
+});
+
+/**
+Takes the notice that a backend server leaves; it takes no new request from here on. One that is not known is answered at once.
+
+@example
+backendServerLeaving(state, 'b3');
+*/
+export function backendServerLeaving(state: AgentState, backendServerId: string): Transition {
+	const backendServer = state.backendServers.get(backendServerId);
+	return backendServer === undefined
+		? transition(state, {kind: 'answer-leaving', backendServerId})
+		: transition(
+			{...state, backendServers: state.backendServers.set(backendServerId, {...backendServer, leaving: true})},
+			lifecycleLog('backend-server-leaving', backendServer),
+		);
+}
+
+/**
+Marks backend servers as gone that stopped announcing themselves, and forgets them some time later.
+
+@example
+chain(state, expireBackendServers(nowMs));
+*/
+export function expireBackendServers(nowMs: number): (state: AgentState) => Transition {
+	return state => {
+		const marked = markGone(state.backendServers, {nowMs, announceTimeoutMs: state.settings.timings.announceTimeoutMs});
+		const newlyGone = [...marked.values()].filter(each => each.gone && !state.backendServers.get(each.backendServerId)?.gone);
+		const forgotten = [...marked.values()].filter(each => each.gone && each.requests === 0 && each.lastAnnouncedMs + goneRetentionMs <= nowMs);
+		let {ledger} = state;
+		for (const each of newlyGone) {
+			ledger = release(ledger, holderOf(each.backendServerId));
+		}
+
+		return transition(
+			{
+				...state,
+				ledger,
+				backendServers: marked.deleteAll(forgotten.map(each => each.backendServerId)),
+			},
+			...newlyGone.map(each => lifecycleLog('backend-server-gone', each)),
+			...forgotten.map((each): AgentEffect => ({kind: 'forget-backend-server', backendServerId: each.backendServerId})),
+		);
+	};
+}
+
--- /dev/null
+++ b/src/agent/entry-messages.ts
@@ -0,0 +1,127 @@
+import {BackendServerPhase, type Resources as WireResources} from '../generated/arbutushinge/v1/agent_pb.js';
+import type {Resources} from '../cluster/resources.js';
+import type {AgentEffect, AgentMessageBody} from './agent-effect.js';
+import type {AgentState, EntryLink} from './agent-state.js';
+import {phaseOf, type BackendServer, type BackendServerPhase as Phase} from './backend-server-table.js';
+import {takeDueTaskEvents, type PendingTaskEvent} from './task-events.js';
+import {transition, type Transition} from './transition.js';
+
+/** Time between two usage reports to an entry; 27 tasks with a report each second would exceed 2 KB/s. */
+const usageIntervalMs = 5000;
+
+const wirePhases: Readonly<Record<Phase, BackendServerPhase>> = {
+	serving: BackendServerPhase.SERVING,
+	leaving: BackendServerPhase.LEAVING,
+	drained: BackendServerPhase.DRAINED,
+	gone: BackendServerPhase.GONE,
+};
+
+const wireResources = (resources: Resources): Omit<WireResources, '$typeName' | '$unknown'> => ({...resources});
+
+/**
+Makes the message that registers this incarnation.
+
+@example
+helloMessage(state);
+*/
+export function helloMessage(state: AgentState): AgentMessageBody {
+	const {settings} = state;
+	return {
+		case: 'hello', value: {
+			vmId: settings.vmId,
+			agentIncarnation: state.incarnation,
+			failureDomain: settings.failureDomain,
+			rack: settings.rack,
+			requestAddress: settings.requestAddress,
+			capacity: wireResources(state.ledger.capacity),
+			runningTasks: [...state.tasks.values()]
+				.filter(task => task.phase === 'running' || task.phase === 'starting')
+				.map(task => ({taskId: task.taskId, attempt: task.attempt, limit: wireResources(task.limit)})),
+		},
+	};
+}
+
+function backendServerReport(backendServer: BackendServer) {
+	return {
+		backendServerId: backendServer.backendServerId,
+		service: backendServer.service,
+		phase: wirePhases[phaseOf(backendServer)],
+		slots: backendServer.slots,
+		connections: backendServer.connections,
+		activeRequests: Math.min(backendServer.requests, backendServer.slots),
+		queuedRequests: Math.max(0, backendServer.requests - backendServer.slots),
+		latencyP99Ms: Math.round(backendServer.latencyP99Ms),
+	};
+}
+
+function usageReport(state: AgentState, nowMs: number) {
+	return state.usage && {
+		measuredAgeMs: Math.max(0, Math.round(nowMs - state.usage.measuredAtMonotonicMs)),
+		processorsUsedMilli: state.usage.processorsUsedMilli,
+		memoryUsedMb: state.usage.memoryUsedMb,
+		tasks: state.usage.tasks.map(task => ({...task})),
+	};
+}
+
+/**
+Makes the heartbeat for one entry with what changed since the last one on its stream.
+
+@example
+const {message, link: next} = heartbeatMessage(state, link, nowMs);
+*/
+export function heartbeatMessage(state: AgentState, link: EntryLink, nowMs: number): Readonly<{message: AgentMessageBody; link: EntryLink}> {
+	const reports = [...state.backendServers.values()].filter(each => each.admitted).map(each => backendServerReport(each));
+	const changed = reports.filter(report => link.reported.get(report.backendServerId) !== JSON.stringify(report));
+	const isUsageDue = state.usage !== undefined
+		&& state.usage.measuredAtMonotonicMs > link.usageMeasuredAtMs
+		&& nowMs - link.usageSentAtMs >= usageIntervalMs;
+	return {
+		message: {
+			case: 'heartbeat', value: {
+				sequence: BigInt(state.heartbeatSequence),
+				appliedConfigurationOffset: BigInt(state.configuration.offset),
+				backendServers: changed,
+				usage: isUsageDue ? usageReport(state, nowMs) : undefined,
+				leaving: state.stop !== undefined,
+			},
+		},
+		link: {
+			...link,
+			reported: link.reported.filter((_, id) => state.backendServers.has(id)).merge(changed.map(report => [report.backendServerId, JSON.stringify(report)])),
+			usageSentAtMs: isUsageDue ? nowMs : link.usageSentAtMs,
+			usageMeasuredAtMs: isUsageDue ? state.usage.measuredAtMonotonicMs : link.usageMeasuredAtMs,
+		},
+	};
+}
+
+function taskEventsEffect(entryAddress: string, events: readonly PendingTaskEvent[]): AgentEffect[] {
+	return events.length === 0
+		? []
+		: [{
+			kind: 'send', entryAddress, message: {
+				case: 'taskEvents', value: {
+					events: events.map(event => ({
+						eventId: BigInt(event.eventId), taskId: event.taskId, attempt: event.attempt, outcome: event.outcome,
+					})),
+				},
+			},
+		}];
+}
+
+/**
+Sends the task events that are due: new ones to the first connected entry, unacknowledged ones to all.
+
+@example
+chain(state, sendDueTaskEvents(nowMs));
+*/
+export function sendDueTaskEvents(nowMs: number): (state: AgentState) => Transition {
+	return state => {
+		const connected = [...state.entries.entries()].filter(([, link]) => link.connected).map(([address]) => address);
+		if (state.events.pending.size === 0 || connected.length === 0 || state.phase === 'counting') {
+			return transition(state);
+		}
+
+		const {events, toOne, toAll} = takeDueTaskEvents(state.events, nowMs);
+		return transition({...state, events}, ...connected.flatMap((address, index) => taskEventsEffect(address, index === 0 ? [...toAll, ...toOne] : toAll)));
+	};
+}
--- /dev/null
+++ b/src/agent/entry-session.ts
@@ -0,0 +1,149 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import {create} from '@bufbuild/protobuf';
+import {createClient} from '@connectrpc/connect';
+import {createGrpcTransport, Http2SessionManager} from '@connectrpc/connect-node';
+import {
+	AgentMessageSchema, AgentSession, type AgentMessage, type EntryMessage,
+} from '../generated/arbutushinge/v1/agent_pb.js';
+import type {AgentMessageBody} from './agent-effect.js';
+
+/** Messages that may wait for a slow entry; beyond it the stream is opened anew instead of growing. */
+const longestBacklog = 256;
+
+const firstBackoffMs = 100;
+
+const longestBackoffMs = 3000;
+
+/** Time without a frame after which the connection is checked; finds entries that are cut off without a reset. */
+const pingIntervalMs = 3000;
+
+const pingTimeoutMs = 2000;
+
+/** The agent's stream to one entry. */
+export type EntrySession = Readonly<{
+	send: (message: AgentMessageBody) => void;
+	/** Sends what is waiting, within a bound, and ends the stream. */
+	close: () => Promise<void>;
+}>;
+
+/** What happens on a stream. */
+export type EntrySessionHandlers = Readonly<{
+	connected: () => void;
+	disconnected: (reason: string) => void;
+	message: (message: EntryMessage['message']) => void;
+}>;
+
+/** Messages that one stream has still to send. */
+class Outbox {
+	readonly #waiting: AgentMessage[] = [];
+	#isClosed = false;
+	#wake: (() => void) | undefined;
+
+	/** Returns false when the backlog is full. */
+	push(message: AgentMessage): boolean {
+		this.#waiting.push(message);
+		this.#wake?.();
+		return this.#waiting.length <= longestBacklog;
+	}
+
+	close(): void {
+		this.#isClosed = true;
+		this.#wake?.();
+	}
+
+	async * [Symbol.asyncIterator](): AsyncGenerator<AgentMessage> {
+		for (;;) {
+			const next = this.#waiting.shift();
+			if (next !== undefined) {
+				yield next;
+			} else if (this.#isClosed) {
+				return;
+			} else {
+				await new Promise<void>(resolve => {
+					this.#wake = resolve;
+				});
+			}
+		}
+	}
+}
+
+/**
+Keeps one bidirectional stream to an entry open and opens it again after a failure, with a jittered backoff.
+
+@param entryAddress IP number and port.
+@param random Returns a number from 0 to 1 for the jitter.
+
+@example
+const session = openEntrySession('127.0.0.1:7100', handlers, Math.random);
+session.send(helloMessage(state));
+*/
+export function openEntrySession(entryAddress: string, handlers: EntrySessionHandlers, random: () => number): EntrySession {
+	const url = `http://${entryAddress}`;
+	const closing = new AbortController();
+	let outbox: Outbox | undefined;
+	let stream: AbortController | undefined;
+
+	async function runOnce(): Promise<string> {
+		const sessionManager = new Http2SessionManager(url, {pingIntervalMs, pingTimeoutMs});
+		try {
+			if (await sessionManager.connect() === 'error') {
+				return 'no connection';
+			}
+
+			const current = new Outbox();
+			stream = new AbortController();
+			const client = createClient(AgentSession, createGrpcTransport({baseUrl: url, sessionManager}));
+			const answers = client.connect(current, {signal: stream.signal});
+			outbox = current;
+			handlers.connected();
+			for await (const answer of answers) {
+				handlers.message(answer.message);
+			}
+
+			return 'the entry ended the stream';
+		} catch (error) {
+			return error instanceof Error ? error.message : String(error);
+		} finally {
+			const wasConnected = outbox !== undefined;
+			outbox?.close();
+			outbox = undefined;
+			sessionManager.abort();
+			if (wasConnected) {
+				handlers.disconnected('the stream ended');
+			}
+		}
+	}
+
+	async function run(): Promise<void> {
+		let backoffMs = firstBackoffMs;
+		while (!closing.signal.aborted) {
+			let wasConnected = false;
+			const reason = await runOnce();
+			wasConnected = reason !== 'no connection';
+			backoffMs = wasConnected ? firstBackoffMs : Math.min(longestBackoffMs, backoffMs * 2);
+			try {
+				await delay(backoffMs * (0.5 + (random() / 2)), undefined, {signal: closing.signal});
+			} catch {
+				return;
+			}
+		}
+	}
+
+	const ended = run();
+	return {
+		send(message) {
+			if (outbox?.push(create(AgentMessageSchema, {message})) === false) {
+				stream?.abort();
+			}
+		},
+		async close() {
+			closing.abort();
+			outbox?.close();
+			const timer = setTimeout(() => {
+				stream?.abort();
+			}, 500);
+			await ended;
+			clearTimeout(timer);
+		},
+	};
+}
--- /dev/null
+++ b/src/agent/reduce-agent.ts
@@ -0,0 +1,288 @@
+import {Map as immutableMap} from 'immutable';
+import {noResources} from '../cluster/resources.js';
+import type {AgentConfiguration, LeaseGrant} from '../generated/arbutushinge/v1/agent_pb.js';
+import type {AgentEffect} from './agent-effect.js';
+import type {AgentEvent, AgentEventKind, AgentEventOf} from './agent-event.js';
+import {closedLink, type AgentState, type AppliedConfiguration} from './agent-state.js';
+import {
+	answerLeaving, backendServerAnnounced, backendServerLeaving, expireBackendServers, settleBackendServers,
+} from './backend-server-handlers.js';
+import {heartbeatMessage, helloMessage, sendDueTaskEvents} from './entry-messages.js';
+import {stepGuard} from './guard.js';
+import {forgetOldKeys} from './key-table.js';
+import {
+	grantLease, heartbeatSent, isLeaseExpired, noLease,
+} from './lease.js';
+import {requestArrived, requestSettled} from './request-handlers.js';
+import {
+	acknowledge, applyWorkerTasks, cancelAttempt, checkpointAll, evictAttempt, evictTask, hasRunOnceTasks, repeatCalls, settleWaiting, startAnswered, startTask,
+} from './task-handlers.js';
+import {chain, transition, type Transition} from './transition.js';
+
+type Step = (state: AgentState) => Transition;
+
+/** Longest wait for entries to acknowledge the last task events at a graceful stop. */
+const acknowledgementTimeoutMs = 3000;
+
+/** Ends the incarnation: its run-once tasks stop, and a new one registers after that. */
+function endIncarnation(state: AgentState, nowMs: number, reason: string): Transition {
+	return chain(
+		{...state, phase: 'ending', endingSinceMs: nowMs},
+		current => transition(current, {
+			kind: 'log', level: 'warn', event: 'incarnation-ended', fields: {incarnation: state.incarnation, reason},
+		}, {kind: 'count', metric: 'agent.incarnations.ended'}),
+		settleWaiting(nowMs),
+		current => checkpointAll(current, reason),
+	);
+}
+
+/** Runs before every event, so that a paused agent finds out about its expired lease before it does anything else. */
+function expireLease(nowMs: number): Step {
+	return state => state.phase === 'active' && isLeaseExpired(state.lease, nowMs)
+		? endIncarnation(state, nowMs, 'the lease expired')
+		: transition(state);
+}
+
+function sendHello(state: AgentState): Transition {
+	const connected = [...state.entries.entries()].filter(([, link]) => link.connected).map(([address]) => address);
+	return transition(
+		{...state, entries: state.entries.map(link => ({...closedLink, connected: link.connected}))},
+		...connected.map((entryAddress): AgentEffect => ({kind: 'send', entryAddress, message: helloMessage(state)})),
+	);
+}
+
+function sendHeartbeats(nowMs: number): Step {
+	return state => {
+		if (state.phase === 'counting' || state.entries.every(link => !link.connected)) {
+			return transition(state);
+		}
+
+		const sequence = state.heartbeatSequence + 1;
+		const next: AgentState = {...state, heartbeatSequence: sequence, lease: heartbeatSent(state.lease, sequence, nowMs)};
+		const effects: AgentEffect[] = [];
+		const entries = next.entries.map((link, entryAddress) => {
+			if (!link.connected) {
+				return link;
+			}
+
+			const heartbeat = heartbeatMessage(next, link, nowMs);
+			effects.push({kind: 'send', entryAddress, message: heartbeat.message});
+			return heartbeat.link;
+		});
+		return transition({...next, entries}, ...effects);
+	};
+}
+
+function runGuard(nowMs: number): Step {
+	return state => {
+		const {guards, timings} = state.settings;
+		if (!guards.enabled) {
+			return transition(state);
+		}
+
+		const usedByTask = new Map(state.usage?.tasks.map(task => [task.taskId, task.processorsUsedMilli]));
+		const batchTaskIds = [...state.tasks.values()]
+			.filter(task => task.phase === 'running' && !task.latencyCritical && task.stopping === undefined)
+			.map(task => task.taskId)
+			.toSorted((left, right) => (usedByTask.get(right) ?? 0) - (usedByTask.get(left) ?? 0));
+		const beyondTarget = state.backendServers.some(each => {
+			const targetMs = state.configuration.services.get(each.service)?.latencyTargetMs ?? 0;
+			return !each.gone && targetMs > 0 && each.latencyP99Ms > targetMs;
+		});
+		const {guard, throttle, evictTaskId} = stepGuard(state.guard, {
+			nowMs, beyondTarget, batchTaskIds, usageLagMs: timings.usageLagMs, ...guards,
+		});
+		return chain(
+			{...state, guard},
+			current => transition(current, ...throttle ? batchTaskIds.map((taskId): AgentEffect => ({kind: 'throttle-task', taskId, shareMilli: guard.shareMilli})) : []),
+			current => transition(current, ...throttle
+				? [{
+					kind: 'log', level: 'info', event: 'batch-throttled', fields: {shareMilli: guard.shareMilli, tasks: batchTaskIds.length},
+				} satisfies AgentEffect]
+				: []),
+			current => evictTaskId === undefined
+				? transition(current)
+				: chain(
+					current,
+					next => evictTask(next, evictTaskId, 'a service is beyond its latency target'),
+					next => transition(next, {kind: 'count', metric: 'agent.guard.evictions'}),
+				),
+		);
+	};
+}
+
+/** Moves a graceful stop along: requests in flight, then run-once tasks, then acknowledgements. */
+function advanceStop(nowMs: number): Step {
+	return state => {
+		const {stop} = state;
+		if (stop === undefined || stop.finished) {
+			return transition(state);
+		}
+
+		const {drainTimeoutMs} = state.settings.timings;
+		if (!stop.tasksStopped) {
+			return state.requests.some(request => request.runs) && nowMs - stop.sinceMs < drainTimeoutMs
+				? transition(state)
+				: checkpointAll({...state, stop: {...stop, tasksStopped: true, sinceMs: nowMs}}, 'the agent stops');
+		}
+
+		const isReported = !hasRunOnceTasks(state) && state.events.pending.size === 0;
+		const limitMs = hasRunOnceTasks(state) ? drainTimeoutMs : acknowledgementTimeoutMs;
+		return isReported || nowMs - stop.sinceMs >= limitMs
+			? transition({...state, stop: {...stop, finished: true}}, {kind: 'finish-stop'})
+			: transition(state);
+	};
+}
+
+function applyConfiguration(state: AgentState, value: AgentConfiguration): Transition {
+	const offset = Number(value.offset);
+	if (offset <= state.configuration.offset) {
+		return transition(state);
+	}
+
+	const configuration: AppliedConfiguration = {
+		offset,
+		services: immutableMap(value.services.map(service => [service.service, {
+			latencyTargetMs: service.latencyTargetMs,
+			demand: service.demandPerBackendServer === undefined
+				? noResources
+				: {
+					processorsMilli: service.demandPerBackendServer.processorsMilli,
+					memoryMb: service.demandPerBackendServer.memoryMb,
+					accelerators: service.demandPerBackendServer.accelerators,
+				},
+		}])),
+		drainingBackendServers: value.drainingBackendServers,
+		vmDraining: value.vmDraining,
+	};
+	return chain({...state, configuration}, settleBackendServers, current => transition(current, {
+		kind: 'log', level: 'info', event: 'configuration-applied', fields: {offset},
+	}));
+}
+
+function applyGrant(state: AgentState, value: LeaseGrant, nowMs: number): Transition {
+	if (state.phase !== 'active') {
+		return transition(state);
+	}
+
+	const lease = grantLease(state.lease, {sequence: Number(value.heartbeatSequence), durationMs: value.durationMs}, nowMs);
+	return lease.deadlineMs === undefined || lease === state.lease
+		? transition(state)
+		: transition({...state, lease}, {kind: 'set-lease', deadlineMonotonicMs: lease.deadlineMs});
+}
+
+function applyMessage(state: AgentState, {message, nowMs}: AgentEventOf<'entry-message'>): Transition {
+	switch (message.case) {
+		case 'leaseGrant': {
+			return applyGrant(state, message.value, nowMs);
+		}
+
+		case 'configuration': {
+			return applyConfiguration(state, message.value);
+		}
+
+		case 'startTask': {
+			return startTask(state, message.value, nowMs);
+		}
+
+		case 'evictTask': {
+			return evictAttempt(state, message.value);
+		}
+
+		case 'cancelTask': {
+			return cancelAttempt(state, message.value);
+		}
+
+		case 'acknowledgeTaskEvents': {
+			return acknowledge(state, message.value.eventIds.map(Number));
+		}
+
+		case 'revoked': {
+			return state.phase === 'active' && message.value.agentIncarnation === state.incarnation
+				? endIncarnation(state, nowMs, 'the incarnation was revoked')
+				: transition(state);
+		}
+
+		case undefined: {
+			return transition(state);
+		}
+	}
+}
+
+function applyWorkerList(state: AgentState, event: AgentEventOf<'worker-tasks'>): Transition {
+	return chain(
+		state,
+		current => applyWorkerTasks(current, event),
+		settleBackendServers,
+		current => current.phase === 'counting'
+			? chain({...current, phase: 'active'}, sendDueTaskEvents(event.nowMs), sendHello)
+			: transition(current),
+		current => current.phase === 'ending' && event.requestedAtMs > current.endingSinceMs && !hasRunOnceTasks(current)
+			? transition(current, {kind: 'create-incarnation'})
+			: transition(current),
+	);
+}
+
+function connect(state: AgentState, entryAddress: string): Transition {
+	return transition(
+		{...state, entries: state.entries.set(entryAddress, {...closedLink, connected: true})},
+		...state.phase === 'active' ? [{kind: 'send', entryAddress, message: helloMessage(state)} satisfies AgentEffect] : [],
+	);
+}
+
+const handlers: Readonly<{[Kind in AgentEventKind]: (state: AgentState, event: AgentEventOf<Kind>) => Transition}> = {
+	tick: (state, event) => chain(
+		{
+			...state,
+			backendServers: state.backendServers.merge(event.latencies.flatMap(({backendServerId, p99Ms}) => {
+				const backendServer = state.backendServers.get(backendServerId);
+				return backendServer === undefined ? [] : [[backendServerId, {...backendServer, latencyP99Ms: p99Ms}]];
+			})),
+			keys: forgetOldKeys(state.keys, {nowMs: event.nowMs, retentionMs: state.settings.timings.keyRetentionMs}),
+		},
+		expireBackendServers(event.nowMs),
+		settleBackendServers,
+		repeatCalls(event.nowMs),
+		runGuard(event.nowMs),
+		sendHeartbeats(event.nowMs),
+	),
+	'entry-connected': (state, event) => connect(state, event.entryAddress),
+	'entry-disconnected': (state, event) => transition({...state, entries: state.entries.set(event.entryAddress, closedLink)}),
+	'entry-message': applyMessage,
+	'worker-tasks': applyWorkerList,
+	'worker-usage': (state, event) => transition({...state, usage: event.usage}),
+	'start-answered': startAnswered,
+	'incarnation-created': (state, event) => state.phase === 'ending'
+		? sendHello({
+			...state, phase: 'active', incarnation: event.incarnation, lease: noLease,
+		})
+		: transition(state),
+	'backend-server-announced': (state, event) => backendServerAnnounced(state, event.announcement, event.nowMs),
+	'backend-server-leaving': (state, event) => backendServerLeaving(state, event.backendServerId),
+	'request-arrived': requestArrived,
+	'request-settled': requestSettled,
+	'stop-requested': (state, event) => state.stop === undefined
+		? chain({...state, stop: {sinceMs: event.nowMs, tasksStopped: false, finished: false}}, settleWaiting(event.nowMs), settleBackendServers, sendHeartbeats(event.nowMs))
+		: transition(state),
+};
+
+function handle<Kind extends AgentEventKind>(state: AgentState, event: AgentEventOf<Kind>): Transition {
+	return handlers[event.kind](state, event);
+}
+
+/**
+Applies one event to the agent's state. The function is pure: time and identifiers arrive in events.
+
+@example
+const {state, effects} = reduceAgent(initialAgentState(settings, incarnation), {kind: 'tick', nowMs: 5000, latencies: []});
+*/
+export function reduceAgent(state: AgentState, event: AgentEvent): Transition {
+	return chain(
+		state,
+		expireLease(event.nowMs),
+		current => handle(current, event),
+		advanceStop(event.nowMs),
+		answerLeaving,
+		sendDueTaskEvents(event.nowMs),
+	);
+}
--- /dev/null
+++ b/src/agent/request-handlers.ts
@@ -0,0 +1,151 @@
+import type {AgentEffect} from './agent-effect.js';
+import type {AgentEventOf, ArrivedRequest, RequestSettlement} from './agent-event.js';
+import type {AgentState} from './agent-state.js';
+import {phaseOf, type BackendServer} from './backend-server-table.js';
+import {
+	awaitKey, decideKey, enterKey, settleKey, withdrawKey, type KeyDecision, type KeyEntry, type KeyResult,
+} from './key-table.js';
+import {refusalOf, type RefusalKind} from './request-outcome.js';
+import {transition, type Transition} from './transition.js';
+
+function refuse(state: AgentState, requestId: string, kind: RefusalKind): Transition {
+	return transition(state, {kind: 'refuse-request', requestId, refusal: refusalOf(kind)}, {kind: 'count', metric: `agent.requests.${kind}`});
+}
+
+function resultEffect(requestId: string, result: KeyResult): AgentEffect {
+	return 'answer' in result
+		? {kind: 'answer-request', requestId, answer: result.answer}
+		: {kind: 'refuse-request', requestId, refusal: result.refusal};
+}
+
+/** Says why a backend server cannot take one more request. */
+function reasonAgainst(state: AgentState, backendServer: BackendServer | undefined): RefusalKind | undefined {
+	if (backendServer === undefined || backendServer.gone || !backendServer.admitted) {
+		return 'unknown-backend-server';
+	}
+
+	if (state.stop !== undefined || phaseOf(backendServer) !== 'serving') {
+		return 'draining';
+	}
+
+	return backendServer.requests >= backendServer.slots + state.settings.limits.backendQueueLimit ? 'busy' : undefined;
+}
+
+function run(state: AgentState, request: ArrivedRequest): Transition {
+	const backendServer = state.backendServers.get(request.backendServerId);
+	const reason = reasonAgainst(state, backendServer);
+	if (reason !== undefined || backendServer === undefined) {
+		return refuse(state, request.requestId, reason ?? 'unknown-backend-server');
+	}
+
+	const {requestId, backendServerId, key} = request;
+	return transition(
+		{
+			...state,
+			backendServers: state.backendServers.set(backendServerId, {...backendServer, requests: backendServer.requests + 1}),
+			requests: state.requests.set(requestId, {
+				requestId, backendServerId, keyHash: key?.keyHash, runs: true,
+			}),
+			keys: key === undefined ? state.keys : enterKey(state.keys, key, requestId),
+		},
+		{
+			kind: 'run-request', requestId, keyed: key !== undefined, backendServerId, address: backendServer.address, slots: backendServer.slots, connections: backendServer.connections,
+		},
+	);
+}
+
+function wait(state: AgentState, request: ArrivedRequest, keyHash: string): Transition {
+	const {requestId, backendServerId} = request;
+	return transition({
+		...state,
+		keys: awaitKey(state.keys, keyHash, requestId),
+		requests: state.requests.set(requestId, {
+			requestId, backendServerId, keyHash, runs: false,
+		}),
+	});
+}
+
+type KeyedRequest = ArrivedRequest & Readonly<{key: NonNullable<ArrivedRequest['key']>}>;
+
+const keyHandlers: Readonly<Record<KeyDecision, (state: AgentState, request: KeyedRequest) => Transition>> = {
+	run,
+	wait: (state, request) => wait(state, request, request.key.keyHash),
+	settled(state, request) {
+		const result = state.keys.entries.get(request.key.keyHash)?.result;
+		return result === undefined
+			? refuse(state, request.requestId, 'key-forgotten')
+			: transition(state, resultEffect(request.requestId, result), {kind: 'count', metric: 'agent.requests.kept'});
+	},
+	'key-body-mismatch': (state, request) => refuse(state, request.requestId, 'key-body-mismatch'),
+	'stale-incarnation': (state, request) => refuse(state, request.requestId, 'stale-incarnation'),
+	'key-forgotten': (state, request) => refuse(state, request.requestId, 'key-forgotten'),
+	'kept-answers-full': (state, request) => refuse(state, request.requestId, 'kept-answers-full'),
+};
+
+/**
+Admits a request, refuses it as not run, or answers it from the result of its key.
+
+@example
+requestArrived(state, {kind: 'request-arrived', nowMs, request: {requestId: 'r1', backendServerId: 'b3', key: undefined}});
+*/
+export function requestArrived(state: AgentState, event: AgentEventOf<'request-arrived'>): Transition {
+	const {request} = event;
+	if (request.key === undefined) {
+		return run(state, request);
+	}
+
+	const decision = decideKey(state.keys, request.key, {agentIncarnation: state.incarnation, keptAnswersBytes: state.settings.limits.keptAnswersBytes});
+	return keyHandlers[decision](state, {...request, key: request.key});
+}
+
+/** What retries of a key get; `undefined` when the request certainly did not run. */
+function keyResultOf(settlement: RequestSettlement): KeyResult | undefined {
+	switch (settlement.kind) {
+		case 'passed': {
+			return {refusal: refusalOf('answer-not-kept')};
+		}
+
+		case 'kept': {
+			return {answer: settlement.answer};
+		}
+
+		case 'refused': {
+			return settlement.refusal.outcome === 'refused-not-run' ? undefined : {refusal: settlement.refusal};
+		}
+	}
+}
+
+function settledKey(state: AgentState, entry: KeyEntry, settlement: RequestSettlement, nowMs: number): Transition {
+	const result = keyResultOf(settlement);
+	const waitingIds = entry.waitingRequestIds;
+	const keys = result === undefined ? withdrawKey(state.keys, entry.keyHash) : settleKey(state.keys, entry.keyHash, result, nowMs);
+	const shared: KeyResult | undefined = result ?? (settlement.kind === 'refused' ? {refusal: settlement.refusal} : undefined);
+	return transition(
+		{...state, keys, requests: state.requests.deleteAll(waitingIds)},
+		...shared === undefined ? [] : waitingIds.map(requestId => resultEffect(requestId, shared)),
+	);
+}
+
+/**
+Takes the end of a request that ran: its slot is free, and retries that wait for its key get the result.
+
+@example
+requestSettled(state, {kind: 'request-settled', nowMs, requestId: 'r1', settlement: {kind: 'passed'}});
+*/
+export function requestSettled(state: AgentState, event: AgentEventOf<'request-settled'>): Transition {
+	const request = state.requests.get(event.requestId);
+	if (!request?.runs) {
+		return transition(state);
+	}
+
+	const backendServer = state.backendServers.get(request.backendServerId);
+	const settled: AgentState = {
+		...state,
+		requests: state.requests.delete(event.requestId),
+		backendServers: backendServer === undefined
+			? state.backendServers
+			: state.backendServers.set(request.backendServerId, {...backendServer, requests: backendServer.requests - 1}),
+	};
+	const entry = request.keyHash === undefined ? undefined : settled.keys.entries.get(request.keyHash);
+	return entry?.runningRequestId === event.requestId ? settledKey(settled, entry, event.settlement, event.nowMs) : transition(settled);
+}
--- /dev/null
+++ b/src/agent/request-server.ts
@@ -0,0 +1,244 @@
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
+import polka from 'polka';
+import {Result} from 'true-myth';
+import {z} from 'zod';
+import type {TypedError} from '../errors/typed-error.js';
+import type {AgentEvent, ArrivedRequest} from './agent-event.js';
+import type {BackendServerClient} from './backend-server-client.js';
+import type {AgentEffectOf} from './agent-effect.js';
+import {Exchange} from './exchange.js';
+import type {KeyClaim} from './key-table.js';
+import {refusalOf} from './request-outcome.js';
+
+/** Deadline of a request that carries none. */
+const defaultDeadlineMs = 10_000;
+
+/** Largest body of a notice from a backend server. */
+const noticeBytes = 4096;
+
+/** Longer than the idle time of an entry's pool, so that the entry closes idle connections first. */
+const keepAliveTimeoutMs = 65_000;
+
+const announcementSchema = z.object({
+	backendServerId: z.string().min(1),
+	service: z.string().min(1),
+	address: z.string().min(1),
+	slots: z.int().positive(),
+	connections: z.int().positive(),
+}).readonly();
+
+const leavingSchema = z.object({backendServerId: z.string().min(1)}).readonly();
+
+/** Effects that answer requests of entries and backend servers. */
+export type RequestEffectKind = 'run-request' | 'refuse-request' | 'answer-request' | 'answer-leaving';
+
+/** The port for entries and for the backend servers of this VM. */
+export type RequestServer = Readonly<{
+	execute: (effect: AgentEffectOf<RequestEffectKind>) => void;
+	close: () => Promise<void>;
+}>;
+
+type Parts = Readonly<{
+	requestAddress: string;
+	headerBytes: number;
+	client: BackendServerClient;
+	nowMs: () => number;
+	dispatch: (event: AgentEvent) => void;
+	health: () => Readonly<Record<string, unknown>>;
+	timeline: (fromSequence: number) => readonly unknown[];
+}>;
+
+function headerOf(request: IncomingMessage, name: string): string | undefined {
+	const value = request.headers[`x-arbutushinge-${name}`];
+	return Array.isArray(value) ? value[0] : value;
+}
+
+/** Reads the claim of a keyed request; `null` when a part of it is missing. */
+function keyOf(request: IncomingMessage): KeyClaim | undefined | null {
+	const keyHash = headerOf(request, 'key');
+	if (keyHash === undefined) {
+		return undefined;
+	}
+
+	const bodyHash = headerOf(request, 'body-hash');
+	const agentIncarnation = headerOf(request, 'agent-incarnation');
+	const claimOffset = Number(headerOf(request, 'claim-offset') ?? Number.NaN);
+	return bodyHash === undefined || agentIncarnation === undefined || !Number.isSafeInteger(claimOffset)
+		? null
+		: {
+			keyHash, bodyHash, claimOffset, agentIncarnation,
+		};
+}
+
+/** The part of the URL after `/requests/{service}`, unchanged. */
+function backendPathOf(url: string): string {
+	return /^\/requests\/[^\/?]+(?<path>.*)$/v.exec(url)?.groups?.path?.replace(/^(?=\?|$)/v, '/') ?? '/';
+}
+
+function sendJson(response: ServerResponse, status: number, value: unknown): void {
+	response.writeHead(status, {'content-type': 'application/json'});
+	response.end(JSON.stringify(value));
+}
+
+function sendBadNotice(response: ServerResponse, fields: string): void {
+	sendJson(response, 400, {error: {kind: 'bad-notice', message: 'the notice does not have the agreed fields', remedy: `send ${fields}`}});
+}
+
+async function readNotice<Value>(request: IncomingMessage, schema: z.ZodType<Value>): Promise<Value | undefined> {
+	const chunks: Uint8Array[] = [];
+	let bytes = 0;
+	for await (const chunk of request as AsyncIterable<Uint8Array>) {
+		bytes += chunk.byteLength;
+		if (bytes > noticeBytes) {
+			return undefined;
+		}
+
+		chunks.push(chunk);
+	}
+
+	try {
+		return schema.safeParse(JSON.parse(Buffer.concat(chunks).toString())).data;
+	} catch {
+		return undefined;
+	}
+}
+
+/**
+Opens the port.
+
+@returns `address-unavailable` when the port cannot be opened.
+@example
+const server = await openRequestServer({requestAddress: '127.0.0.1:7200', headerBytes: 16_384, client, nowMs, dispatch, health, timeline});
+*/
+export async function openRequestServer(parts: Parts): Promise<Result<RequestServer, TypedError<'address-unavailable'>>> {
+	const {client, nowMs, dispatch} = parts;
+	const exchanges = new Map<string, Exchange>();
+	const leaving = new Map<string, ServerResponse[]>();
+	let arrived = 0;
+
+	/** Gives a request up; one that was not sent to the backend server never will be. */
+	function giveUp(exchange: Exchange): void {
+		exchange.settle();
+		exchanges.delete(exchange.parts.requestId);
+		if (exchange.isRunner && !exchange.isSent && !exchange.isWithdrawn) {
+			exchange.isWithdrawn = true;
+			dispatch({
+				kind: 'request-settled', nowMs: nowMs(), requestId: exchange.parts.requestId, settlement: {kind: 'refused', refusal: refusalOf('deadline-passed')},
+			});
+		}
+	}
+
+	function takeRequest(request: IncomingMessage, response: ServerResponse, url: string): void {
+		const requestNowMs = nowMs();
+		const remainingMs = Number(headerOf(request, 'deadline-ms') ?? defaultDeadlineMs);
+		arrived += 1;
+		// Entries may send the same request id again, so exchanges have a name of their own.
+		const exchange = new Exchange({
+			requestId: `${arrived}`,
+			method: (headerOf(request, 'method') ?? request.method ?? 'GET').toUpperCase(),
+			path: backendPathOf(url),
+			request,
+			response,
+			arrivedAtMs: requestNowMs,
+			deadlineMs: requestNowMs + (Number.isFinite(remainingMs) ? remainingMs : defaultDeadlineMs),
+		});
+		const backendServerId = headerOf(request, 'backend-server');
+		const key = keyOf(request);
+		if (backendServerId === undefined || headerOf(request, 'request-id') === undefined || key === null) {
+			exchange.refuse(refusalOf('bad-request'));
+			return;
+		}
+
+		exchanges.set(exchange.parts.requestId, exchange);
+		response.once('close', () => {
+			giveUp(exchange);
+		});
+		exchange.watchDeadline(requestNowMs, () => {
+			giveUp(exchange);
+			exchange.refuse(refusalOf(exchange.isWithdrawn ? 'deadline-passed' : 'answer-overdue'));
+		});
+		const arrivedRequest: ArrivedRequest = {requestId: exchange.parts.requestId, backendServerId, key};
+		dispatch({kind: 'request-arrived', nowMs: requestNowMs, request: arrivedRequest});
+	}
+
+	const server = createServer({maxHeaderSize: parts.headerBytes, keepAliveTimeout: keepAliveTimeoutMs, requestTimeout: 0});
+	const app = polka({server});
+	app.all('/requests/:service/*', (request, response) => {
+		takeRequest(request, response, request.originalUrl);
+	});
+	app.all('/requests/:service', (request, response) => {
+		takeRequest(request, response, request.originalUrl);
+	});
+	app.post('/announce', async (request, response) => {
+		const announcement = await readNotice(request, announcementSchema);
+		if (announcement === undefined) {
+			sendBadNotice(response, 'backendServerId, service, address, slots and connections');
+			return;
+		}
+
+		dispatch({kind: 'backend-server-announced', nowMs: nowMs(), announcement});
+		sendJson(response, 200, {});
+	});
+	app.post('/leaving', async (request, response) => {
+		const notice = await readNotice(request, leavingSchema);
+		if (notice === undefined) {
+			sendBadNotice(response, 'backendServerId');
+			return;
+		}
+
+		leaving.set(notice.backendServerId, [...leaving.get(notice.backendServerId) ?? [], response]);
+		dispatch({kind: 'backend-server-leaving', nowMs: nowMs(), backendServerId: notice.backendServerId});
+	});
+	app.get('/timeline', (request, response) => {
+		sendJson(response, 200, {events: parts.timeline(Number(request.query.from ?? 0))});
+	});
+	app.get('/health', (_, response) => {
+		sendJson(response, 200, parts.health());
+	});
+
+	const [host, port] = parts.requestAddress.split(':');
+	app.listen(Number(port), host);
+	try {
+		await once(server, 'listening');
+	} catch (error) {
+		return Result.err({kind: 'address-unavailable', message: `cannot listen on ${parts.requestAddress}: ${String(error)}`, remedy: 'free the address or change requestAddress'});
+	}
+
+	const executors: Readonly<{[Kind in RequestEffectKind]: (effect: AgentEffectOf<Kind>) => void}> = {
+		'run-request'(effect) {
+			const exchange = exchanges.get(effect.requestId);
+			if (exchange !== undefined) {
+				exchange.isRunner = true;
+				client.run(exchange, effect);
+			}
+		},
+		'refuse-request'({requestId, refusal}) {
+			exchanges.get(requestId)?.refuse(refusal);
+		},
+		'answer-request'({requestId, answer}) {
+			exchanges.get(requestId)?.answer(answer);
+		},
+		'answer-leaving'({backendServerId}) {
+			for (const response of leaving.get(backendServerId) ?? []) {
+				sendJson(response, 200, {drained: true});
+			}
+
+			leaving.delete(backendServerId);
+		},
+	};
+	function execute<Kind extends RequestEffectKind>(effect: AgentEffectOf<Kind>): void {
+		executors[effect.kind](effect);
+	}
+
+	return Result.ok({
+		execute,
+		async close() {
+			const closed = once(server, 'close');
+			server.close();
+			server.closeAllConnections();
+			await closed;
+		},
+	});
+}
--- /dev/null
+++ b/src/agent/task-handlers.ts
@@ -0,0 +1,452 @@
+import {
+	addResources, fitsInto, noResources, type Resources,
+} from '../cluster/resources.js';
+import {
+	TaskOutcome, type CancelTask, type EvictTask, type StartTask,
+} from '../generated/arbutushinge/v1/agent_pb.js';
+import type {WorkerTask} from '../platform/worker-api.js';
+import type {AgentEffect} from './agent-effect.js';
+import type {AgentEventOf} from './agent-event.js';
+import type {AgentState, AgentTask} from './agent-state.js';
+import {rememberAttempt, wasSeen} from './attempt-table.js';
+import {isLeaseLive} from './lease.js';
+import {
+	commit, count, freeResources, release,
+} from './ledger.js';
+import {acknowledgeTaskEvents, addTaskEvent, type TaskEventOutcome} from './task-events.js';
+import {chain, transition, type Transition} from './transition.js';
+
+type Step = (state: AgentState) => Transition;
+
+const holderOf = (taskId: string): string => `task/${taskId}`;
+
+const plainResources = (resources: Readonly<Resources> | undefined): Resources => resources === undefined
+	? noResources
+	: {processorsMilli: resources.processorsMilli, memoryMb: resources.memoryMb, accelerators: resources.accelerators};
+
+const ended = (outcome: TaskOutcome, reason: string): TaskEventOutcome => ({case: 'ended', value: {outcome, reason}});
+
+function report(state: AgentState, task: Readonly<{taskId: string; attempt: number}>, outcome: TaskEventOutcome): Transition {
+	const {taskId, attempt} = task;
+	const reason = outcome.case === 'started' ? undefined : outcome.value.reason;
+	const fields = {
+		taskId, attempt, result: outcome.case === 'ended' ? TaskOutcome[outcome.value.outcome] : undefined, reason,
+	};
+	return transition(
+		{...state, events: addTaskEvent(state.events, {taskId, attempt, outcome})},
+		{
+			kind: 'log', level: 'info', event: `task-${outcome.case}`, fields,
+		},
+		{
+			kind: 'record', entry: {
+				event: `task-${outcome.case}`, offset: state.configuration.offset, taskId, vmId: state.settings.vmId, detail: reason,
+			},
+		},
+	);
+}
+
+/** Reports the end of an attempt and gives back its commitment. */
+function endTask(state: AgentState, task: AgentTask, outcome: TaskEventOutcome, nowMs: number): Transition {
+	const reported = report({...state, ledger: release(state.ledger, holderOf(task.taskId))}, task, outcome);
+	const tasks = state.tasks.set(task.taskId, {
+		...task, phase: 'ended', start: undefined, startInFlight: false, changedAtMs: nowMs, endEventId: state.events.nextEventId,
+	});
+	return {...reported, state: {...reported.state, tasks}};
+}
+
+/** Drops an attempt that never reached the worker. */
+function refuseTask(state: AgentState, task: Readonly<{taskId: string; attempt: number}>, reason: string): Transition {
+	const held = state.tasks.get(task.taskId);
+	const isHeld = held?.attempt === task.attempt;
+	return report({
+		...state,
+		ledger: isHeld ? release(state.ledger, holderOf(task.taskId)) : state.ledger,
+		tasks: isHeld ? state.tasks.delete(task.taskId) : state.tasks,
+	}, task, ended(TaskOutcome.REFUSED_NOT_RUN, reason));
+}
+
+const isLive = (task: AgentTask): boolean => task.phase === 'starting' || task.phase === 'running';
+
+const isRunningBatch = (task: AgentTask): boolean => task.phase === 'running' && !task.latencyCritical;
+
+function startEffect(state: AgentState, task: AgentTask): AgentEffect[] {
+	return task.start === undefined
+		? []
+		: [{
+			kind: 'start-task', taskId: task.taskId, request: {
+				attempt: task.attempt,
+				limit: task.limit,
+				payload: task.start.payload,
+				checkpoint: task.start.checkpoint,
+				latencyCritical: task.latencyCritical,
+				leaseDeadlineMonotonicMs: state.lease.deadlineMs ?? 0,
+			},
+		}];
+}
+
+/** Commits and starts a task when there is room for it. */
+function startIfRoom(state: AgentState, task: AgentTask, nowMs: number): Transition | undefined {
+	const ledger = commit(state.ledger, holderOf(task.taskId), task.limit);
+	if (ledger === undefined) {
+		return undefined;
+	}
+
+	const starting: AgentTask = {
+		...task, phase: 'starting', startInFlight: true, changedAtMs: nowMs,
+	};
+	return transition({...state, ledger, tasks: state.tasks.set(task.taskId, starting)}, ...startEffect(state, starting));
+}
+
+/**
+Checkpoints and stops a running task; a task that already stops is left alone.
+
+@example
+evictTask(state, 't1', 'urgent task t2 needs the room');
+*/
+export function evictTask(state: AgentState, taskId: string, reason: string): Transition {
+	const task = state.tasks.get(taskId);
+	if (task === undefined || !isLive(task) || task.stopping !== undefined) {
+		return transition(state);
+	}
+
+	return transition(
+		{...state, tasks: state.tasks.set(taskId, {...task, stopping: 'evict', stoppingReason: reason})},
+		{kind: 'checkpoint-task', taskId},
+		{kind: 'count', metric: 'agent.evictions'},
+		{
+			kind: 'log', level: 'info', event: 'task-evicting', fields: {taskId, attempt: task.attempt, reason},
+		},
+	);
+}
+
+/** Says why a start cannot be accepted at all. */
+function reasonAgainst(state: AgentState, start: StartTask, nowMs: number): string | undefined {
+	if (state.phase !== 'active' || !isLeaseLive(state.lease, nowMs)) {
+		return 'the agent has no live lease';
+	}
+
+	if (state.stop !== undefined || state.configuration.vmDraining) {
+		return 'the VM takes no new work';
+	}
+
+	const held = state.tasks.get(start.taskId);
+	return held !== undefined && held.phase !== 'ended' ? 'another attempt of the task is on this VM' : undefined;
+}
+
+/**
+Handles a start command. One for another incarnation or for an attempt that may have been decided before is ignored:
+to report it as not run could be false.
+
+@example
+startTask(state, start, nowMs);
+*/
+export function startTask(state: AgentState, start: StartTask, nowMs: number): Transition {
+	const seen = {taskId: start.taskId, attempt: start.attempt, claimOffset: Number(start.claimOffset)};
+	const held = state.tasks.get(start.taskId);
+	if (start.agentIncarnation !== state.incarnation || wasSeen(state.attempts, seen) || (held !== undefined && held.attempt >= start.attempt)) {
+		return transition(state);
+	}
+
+	const decided: AgentState = {...state, attempts: rememberAttempt(state.attempts, seen)};
+	const reason = reasonAgainst(state, start, nowMs);
+	if (reason !== undefined) {
+		return refuseTask(decided, start, reason);
+	}
+
+	const task: AgentTask = {
+		taskId: start.taskId,
+		attempt: start.attempt,
+		limit: plainResources(start.demand),
+		latencyCritical: start.latencyCritical,
+		phase: 'waiting',
+		start,
+		startInFlight: false,
+		changedAtMs: nowMs,
+		stopping: undefined,
+		stoppingReason: '',
+		endEventId: undefined,
+	};
+	const evictions = start.evictTaskIds.map(taskId => (current: AgentState) => evictTask(current, taskId, `${start.taskId} takes the room`));
+	return startIfRoom(decided, task, nowMs)
+		?? chain({...decided, tasks: decided.tasks.set(task.taskId, task)}, ...evictions, settleWaiting(nowMs));
+}
+
+/**
+Starts the tasks that wait for room, and refuses those for which no eviction is under way any more.
+
+@example
+chain(state, settleWaiting(nowMs));
+*/
+export function settleWaiting(nowMs: number): Step {
+	return state => {
+		const waiting = [...state.tasks.values()].filter(task => task.phase === 'waiting');
+		return waiting.length === 0
+			? transition(state)
+			: chain(state, ...waiting.map(task => (current: AgentState) => {
+				const reason = current.phase === 'active' && isLeaseLive(current.lease, nowMs) && current.stop === undefined
+					? undefined
+					: 'the agent has no live lease';
+				if (reason !== undefined) {
+					return refuseTask(current, task, reason);
+				}
+
+				const isRoomComing = (task.start?.evictTaskIds ?? []).some(taskId => {
+					const evicted = current.tasks.get(taskId);
+					return evicted !== undefined && isLive(evicted) && evicted.stopping !== undefined;
+				});
+				return startIfRoom(current, task, nowMs) ?? (isRoomComing ? transition(current) : refuseTask(current, task, 'the VM has no room'));
+			}));
+	};
+}
+
+/**
+Handles an evict command.
+
+@example
+evictAttempt(state, evict);
+*/
+export function evictAttempt(state: AgentState, evict: EvictTask): Transition {
+	const task = state.tasks.get(evict.taskId);
+	if (task?.attempt !== evict.attempt) {
+		return transition(state);
+	}
+
+	return task.phase === 'waiting' ? refuseTask(state, task, evict.reason) : evictTask(state, evict.taskId, evict.reason);
+}
+
+/**
+Handles a cancel command; a cancelled task stops without a checkpoint.
+
+@example
+cancelAttempt(state, cancel);
+*/
+export function cancelAttempt(state: AgentState, cancel: CancelTask): Transition {
+	const task = state.tasks.get(cancel.taskId);
+	if (task?.attempt !== cancel.attempt || task.stopping === 'cancel') {
+		return transition(state);
+	}
+
+	if (task.phase === 'waiting') {
+		return refuseTask(state, task, 'cancelled before it started');
+	}
+
+	return isLive(task)
+		? transition(
+			{...state, tasks: state.tasks.set(task.taskId, {...task, stopping: 'cancel', stoppingReason: 'cancelled'})},
+			{kind: 'stop-task', taskId: task.taskId},
+		)
+		: transition(state);
+}
+
+/**
+Handles the worker's answer to a start. An unknown result is settled by sending the start again, which is idempotent.
+
+@example
+startAnswered(state, {kind: 'start-answered', nowMs, taskId: 't1', attempt: 1, result: 'started', reason: ''});
+*/
+export function startAnswered(state: AgentState, event: AgentEventOf<'start-answered'>): Transition {
+	const task = state.tasks.get(event.taskId);
+	if (task?.attempt !== event.attempt || task.phase !== 'starting') {
+		return transition(state);
+	}
+
+	const answered: AgentTask = {...task, startInFlight: false, changedAtMs: event.nowMs};
+	const handlers: Readonly<Record<typeof event.result, Step>> = {
+		started: current => report({...current, tasks: current.tasks.set(task.taskId, {...answered, phase: 'running', start: undefined})}, task, {case: 'started', value: {}}),
+		refused: current => chain(current, next => refuseTask(next, task, event.reason), settleWaiting(event.nowMs)),
+		unknown: current => transition({...current, tasks: current.tasks.set(task.taskId, answered)}),
+	};
+	return handlers[event.result](state);
+}
+
+/**
+Sends starts without a known result again while the lease lives, and repeats stops that have no effect yet.
+
+@example
+chain(state, repeatCalls(nowMs));
+*/
+export function repeatCalls(nowMs: number): Step {
+	return state => {
+		const unsettled = [...state.tasks.values()].filter(task => task.phase === 'starting' && !task.startInFlight && isLeaseLive(state.lease, nowMs));
+		const stopping = [...state.tasks.values()].filter(task => task.phase === 'running' && task.stopping !== undefined);
+		return transition(
+			{
+				...state, tasks: state.tasks.withMutations(tasks => {
+					for (const task of unsettled) {
+						tasks.set(task.taskId, {...task, startInFlight: true});
+					}
+				}),
+			},
+			...unsettled.flatMap(task => startEffect(state, task)),
+			...stopping.map((task): AgentEffect => ({kind: task.stopping === 'cancel' ? 'stop-task' : 'checkpoint-task', taskId: task.taskId})),
+		);
+	};
+}
+
+/** How the end that the worker lists is reported. */
+const outcomesByPhase: Readonly<Record<Exclude<WorkerTask['phase'], 'running'>, (listed: WorkerTask, task: AgentTask) => TaskEventOutcome>> = {
+	finished: listed => ended(TaskOutcome.FINISHED, listed.reason),
+	failed: listed => ended(TaskOutcome.FAILED, listed.reason),
+	checkpointed: (listed, task) => ({case: 'checkpointed', value: {checkpoint: listed.checkpoint, reason: task.stoppingReason || listed.reason}}),
+	// A task that stops without a checkpoint and was not cancelled starts over in its next attempt.
+	stopped: (listed, task) => task.stopping === 'cancel'
+		? ended(TaskOutcome.CANCELLED, 'cancelled')
+		: {case: 'checkpointed', value: {checkpoint: '', reason: listed.reason}},
+};
+
+function adoptListed(listed: WorkerTask, nowMs: number): AgentTask {
+	return {
+		taskId: listed.taskId,
+		attempt: listed.attempt,
+		limit: listed.limit,
+		latencyCritical: listed.latencyCritical,
+		phase: 'running',
+		start: undefined,
+		startInFlight: false,
+		changedAtMs: nowMs,
+		stopping: undefined,
+		stoppingReason: '',
+		endEventId: undefined,
+	};
+}
+
+function applyListed(listed: WorkerTask, nowMs: number): Step {
+	return state => {
+		const known = state.tasks.get(listed.taskId);
+		if (known !== undefined && (known.attempt > listed.attempt || (known.attempt === listed.attempt && known.phase === 'ended'))) {
+			return transition(state);
+		}
+
+		const isAdopted = known?.attempt !== listed.attempt;
+		const task = isAdopted ? adoptListed(listed, nowMs) : known;
+		if (listed.phase !== 'running') {
+			return endTask(state, task, outcomesByPhase[listed.phase](listed, task), nowMs);
+		}
+
+		const running: AgentTask = {
+			...task, phase: 'running', start: undefined, startInFlight: false, limit: listed.limit,
+		};
+		const next: AgentState = {
+			...state,
+			ledger: count(state.ledger, holderOf(listed.taskId), listed.limit),
+			tasks: state.tasks.set(listed.taskId, running),
+		};
+		return task.phase === 'starting' ? report(next, task, {case: 'started', value: {}}) : transition(next);
+	};
+}
+
+/** Handles a task that the worker does not list. */
+function applyMissing(task: AgentTask, requestedAtMs: number, nowMs: number): Step {
+	return state => {
+		if (requestedAtMs <= task.changedAtMs) {
+			return transition(state);
+		}
+
+		if (task.phase === 'ended') {
+			const isAcknowledged = task.endEventId === undefined || !state.events.pending.has(task.endEventId);
+			return transition(isAcknowledged ? {...state, tasks: state.tasks.delete(task.taskId)} : state);
+		}
+
+		if (task.phase === 'running') {
+			return endTask(state, task, ended(TaskOutcome.FAILED, 'the worker no longer lists the task'), nowMs);
+		}
+
+		// The worker refuses starts whose deadline has passed, so a start that it does not list after that never runs.
+		return task.phase === 'starting' && !task.startInFlight && requestedAtMs >= (state.lease.deadlineMs ?? 0)
+			? refuseTask(state, task, 'the lease expired before the worker answered')
+			: transition(state);
+	};
+}
+
+/**
+Takes over what the worker runs. The list is the truth about ends; a new agent counts it before anything else.
+
+@example
+applyWorkerTasks(state, {kind: 'worker-tasks', nowMs, requestedAtMs, list});
+*/
+export function applyWorkerTasks(state: AgentState, event: AgentEventOf<'worker-tasks'>): Transition {
+	const listedIds = new Set(event.list.tasks.map(task => task.taskId));
+	return chain(
+		{...state, ledger: {...state.ledger, capacity: event.list.capacity}},
+		...event.list.tasks.map(listed => applyListed(listed, event.nowMs)),
+		current => chain(current, ...[...current.tasks.values()]
+			.filter(task => !listedIds.has(task.taskId))
+			.map(task => applyMissing(task, event.requestedAtMs, event.nowMs))),
+		current => transition(current, ...event.list.tasks.filter(listed => isDeletable(current, listed)).map((listed): AgentEffect => ({kind: 'delete-task', taskId: listed.taskId}))),
+		settleWaiting(event.nowMs),
+	);
+}
+
+/** Tells whether the worker may forget a task: its end was acknowledged and no later attempt took its place. */
+function isDeletable(state: AgentState, listed: WorkerTask): boolean {
+	const task = state.tasks.get(listed.taskId);
+	return listed.phase !== 'running'
+		&& task?.phase === 'ended'
+		&& task.attempt === listed.attempt
+		&& task.endEventId !== undefined
+		&& !state.events.pending.has(task.endEventId);
+}
+
+/**
+Takes an acknowledgement of task events.
+
+@example
+acknowledge(state, [3, 4]);
+*/
+export function acknowledge(state: AgentState, eventIds: readonly number[]): Transition {
+	const ids = new Set(eventIds);
+	const deletable = [...state.tasks.values()].filter(task => task.phase === 'ended' && task.endEventId !== undefined && ids.has(task.endEventId) && state.events.pending.has(task.endEventId));
+	return transition(
+		{...state, events: acknowledgeTaskEvents(state.events, eventIds)},
+		...deletable.map((task): AgentEffect => ({kind: 'delete-task', taskId: task.taskId})),
+	);
+}
+
+/**
+Evicts batch tasks, the largest first, until a demand will fit once they have stopped.
+
+@example
+makeRoom(state, demand, 'backend server b3 announced itself');
+*/
+export function makeRoom(state: AgentState, demand: Resources, reason: string): Transition {
+	const batch = [...state.tasks.values()].filter(task => isRunningBatch(task)).toSorted((left, right) => right.limit.processorsMilli - left.limit.processorsMilli);
+	let coming = noResources;
+	for (const task of batch.filter(each => each.stopping !== undefined)) {
+		coming = addResources(coming, task.limit);
+	}
+
+	const evicted: string[] = [];
+	for (const task of batch.filter(each => each.stopping === undefined)) {
+		if (fitsInto(demand, addResources(freeResources(state.ledger), coming))) {
+			break;
+		}
+
+		evicted.push(task.taskId);
+		coming = addResources(coming, task.limit);
+	}
+
+	return chain(state, ...evicted.map(taskId => (current: AgentState) => evictTask(current, taskId, reason)));
+}
+
+/**
+Checkpoints every run-once task.
+
+@example
+checkpointAll(state, 'the agent stops');
+*/
+export function checkpointAll(state: AgentState, reason: string): Transition {
+	return chain(state, ...[...state.tasks.values()]
+		.filter(task => isLive(task) && !task.latencyCritical)
+		.map(task => (current: AgentState) => evictTask(current, task.taskId, reason)));
+}
+
+/**
+Tells whether a run-once task may still run on this VM.
+
+@example
+hasRunOnceTasks(state);
+*/
+export function hasRunOnceTasks(state: AgentState): boolean {
+	return state.tasks.some(task => isLive(task) && !task.latencyCritical);
+}
+
