--- a/src/entry/entry-process.ts
+++ b/src/entry/entry-process.ts
@@ -1,6 +1,7 @@
 import {randomBytes, randomInt, randomUUID} from 'node:crypto';
 import {performance} from 'node:perf_hooks';
 import {setTimeout as delay} from 'node:timers/promises';
+import {err, ok, type Result} from 'true-myth/result';
 import {computePlan} from '../cluster/compute-plan.js';
 import {type EntrySettings} from '../settings/entry-settings.js';
 import {createHttpLogService} from '../log/http-log-service.js';
@@ -21,6 +22,8 @@
 import {createLogConnection} from './log-connection.js';
 import {createOperatorBackend} from './operator-backend.js';
 import {startOperatorServer} from './operator-server.js';
+import {readTokenFile} from '../operator/read-token-file.js';
+import {type TypedError} from '../errors/typed-error.js';
 import {reduceEntry} from './reduce-entry.js';
 import {createRequestForwarder} from './request-forwarder.js';
 
@@ -39,17 +42,21 @@
 Wires and starts an entry.
 
 @example
-const entry = await startEntry({settings, token, eventLog, metrics, timeline});
+const entry = await startEntry({settings, eventLog, metrics, timeline});
 await entry.stop();
 */
-export async function startEntry({settings, token, eventLog, metrics, timeline}: Readonly<{
+export async function startEntry({settings, eventLog, metrics, timeline}: Readonly<{
 	settings: EntrySettings;
-	token: string;
 	eventLog: EventLog;
 	metrics: Metrics;
 	timeline: Timeline;
-}>): Promise<EntryProcess> {
+}>): Promise<Result<EntryProcess, TypedError>> {
 	let isStopping = false;
+	const token = await readTokenFile(settings.operatorTokenFile);
+	if (token.isErr) {
+		return err(token.error);
+	}
+
 	const incarnation = newIncarnation();
 	const logService = createHttpLogService({baseUrl: settings.logServiceUrl, timeoutMs: logTimeoutMs});
 	const snapshots = createSnapshotStore({service: logService, stream: `${settings.logStream}-snapshots`});
@@ -71,7 +78,7 @@
 	const {dispatch} = loop;
 
 	const logConnection = createLogConnection({
-		settings, token, logService, snapshots, eventLog, dispatch, state: loop.state,
+		settings, token: token.value, logService, snapshots, eventLog, dispatch, state: loop.state,
 	});
 	const agents = createAgentStreamServer({address: settings.agentAddress, dispatch, eventLog});
 	const forwarder = createRequestForwarder({
@@ -116,7 +123,7 @@
 	await agents.listen();
 	const operators = await startOperatorServer({
 		address: settings.operatorAddress,
-		token,
+		token: token.value,
 		eventLog,
 		backend: createOperatorBackend({
 			settings,
@@ -136,7 +143,7 @@
 	}, tickMs);
 	eventLog.info('entry-started', {entryId: settings.entryId, incarnation});
 
-	return {
+	return ok({
 		async stop() {
 			isStopping = true;
 			eventLog.info('entry-stopping', {entryId: settings.entryId});
@@ -152,7 +159,7 @@
 			await metrics.close();
 			eventLog.info('entry-stopped', {entryId: settings.entryId});
 		},
-	};
+	});
 }
 
 function newIncarnation(): string {
--- a/src/run-role.ts
+++ b/src/run-role.ts
@@ -1,4 +1,6 @@
+import {type Result} from 'true-myth/result';
 import {messageOf} from './errors/message-of.js';
+import {formatError, type TypedError} from './errors/typed-error.js';
 import {type CommandOutput, type ExitStatus, failSettings} from './operator/command-output.js';
 import {
 	type RoleContext, type RoleProcess, startAgentRole, startEntryRole,
@@ -7,6 +9,7 @@
 import {type EntrySettings} from './settings/entry-settings.js';
 import {loadSettings} from './settings/load-settings.js';
 import {settingsSchemas} from './settings/settings-schemas.js';
+import {type EventLog} from './telemetry/event-log.js';
 import {createEventLog} from './telemetry/create-event-log.js';
 import {createMetrics} from './telemetry/create-metrics.js';
 import {createTimeline} from './telemetry/create-timeline.js';
@@ -42,7 +45,7 @@
 async function runProcess<Settings extends CommonSettings>(
 	name: string,
 	settings: Settings,
-	start: (context: RoleContext<Settings>) => Promise<RoleProcess>,
+	start: (context: RoleContext<Settings>) => Promise<Result<RoleProcess, TypedError>>,
 	stopSignal: Promise<string>,
 ): Promise<ExitStatus> {
 	const eventLog = await createEventLog({process: name, level: settings.logLevel});
@@ -59,11 +62,9 @@
 		const running = await start({
 			settings, eventLog, metrics, timeline,
 		});
-		eventLog.info('process-started');
-		const signal = await stopSignal;
-		eventLog.info('process-stopping', {signal});
-		await running.stop();
-		eventLog.info('process-stopped');
+		status = running.isOk
+			? await runUntilStopped(running.value, eventLog, stopSignal)
+			: reportStartFailure(running.error, eventLog);
 	} catch (error) {
 		eventLog.error('process-failed', {reason: messageOf(error)});
 		status = 1;
@@ -73,3 +74,17 @@
 	await eventLog.close();
 	return status;
 }
+
+async function runUntilStopped(running: RoleProcess, eventLog: EventLog, stopSignal: Promise<string>): Promise<ExitStatus> {
+	eventLog.info('process-started');
+	const signal = await stopSignal;
+	eventLog.info('process-stopping', {signal});
+	await running.stop();
+	eventLog.info('process-stopped');
+	return 0;
+}
+
+function reportStartFailure(error: TypedError, eventLog: EventLog): ExitStatus {
+	eventLog.error('process-failed', {reason: formatError(error)});
+	return 1;
+}
