--- a/demo/process-runner.test.ts
+++ b/demo/process-runner.test.ts
@@ -39,6 +39,7 @@
 	await log.waitForLine(/^ready/v, timeoutMs);
 	await runner.killAll();
 	t.throws(() => process.kill(log.pid, 0), {code: 'ESRCH'});
+	t.throws(() => runner.start('late', ['stand-ins/main.ts', 'log-service']), {message: /closed/v});
 });
 
 test('a wait that never succeeds names what it waited for', async t => {
--- a/demo/process-runner.ts
+++ b/demo/process-runner.ts
@@ -34,7 +34,7 @@
 	/** Starts Node.js with these arguments, the TypeScript loader included. */
 	start: (name: string, nodeArguments: readonly string[]) => RunnerProcess;
 	processes: () => readonly RunnerProcess[];
-	/** Kills the process groups that are left and waits until they are gone. */
+	/** Kills the process groups that are left and waits until they are gone; nothing can be started afterwards. */
 	killAll: () => Promise<void>;
 }>;
 
@@ -158,6 +158,7 @@
 */
 export function createProcessRunner(): ProcessRunner {
 	const processes: RunnerProcess[] = [];
+	let isClosed = false;
 
 	function killLeft(): void {
 		for (const running of processes) {
@@ -171,6 +172,10 @@
 
 	return {
 		start(name, nodeArguments) {
+			if (isClosed) {
+				throw new Error(`${name} cannot start: the runner is closed`);
+			}
+
 			const child = spawn(process.execPath, ['--import', 'tsx', ...nodeArguments], {detached: true, stdio: ['ignore', 'pipe', 'pipe']});
 			const started = wrap(name, child);
 			processes.push(started);
@@ -178,6 +183,7 @@
 		},
 		processes: () => processes,
 		async killAll() {
+			isClosed = true;
 			killLeft();
 			await Promise.all(processes.map(async running => running.waitForExit(10_000)));
 			process.off('exit', killLeft);
