--- a/src/entry/entry-process.ts
+++ b/src/entry/entry-process.ts
@@ -21,6 +21,8 @@
 import {createLogConnection} from './log-connection.js';
 import {createOperatorBackend} from './operator-backend.js';
 import {startOperatorServer} from './operator-server.js';
+import {readTokenFile} from '../operator/read-token-file.js';
+import {formatError} from '../errors/typed-error.js';
 import {reduceEntry} from './reduce-entry.js';
 import {createRequestForwarder} from './request-forwarder.js';
 
@@ -39,17 +41,21 @@
 Wires and starts an entry.
 
 @example
-const entry = await startEntry({settings, token, eventLog, metrics, timeline});
+const entry = await startEntry({settings, eventLog, metrics, timeline});
 await entry.stop();
 */
-export async function startEntry({settings, token, eventLog, metrics, timeline}: Readonly<{
+export async function startEntry({settings, eventLog, metrics, timeline}: Readonly<{
 	settings: EntrySettings;
-	token: string;
 	eventLog: EventLog;
 	metrics: Metrics;
 	timeline: Timeline;
 }>): Promise<EntryProcess> {
 	let isStopping = false;
+	const token = await readTokenFile(settings.operatorTokenFile);
+	if (token.isErr) {
+		throw new Error(formatError(token.error));
+	}
+
 	const incarnation = newIncarnation();
 	const logService = createHttpLogService({baseUrl: settings.logServiceUrl, timeoutMs: logTimeoutMs});
 	const snapshots = createSnapshotStore({service: logService, stream: `${settings.logStream}-snapshots`});
@@ -71,7 +77,7 @@
 	const {dispatch} = loop;
 
 	const logConnection = createLogConnection({
-		settings, token, logService, snapshots, eventLog, dispatch, state: loop.state,
+		settings, token: token.value, logService, snapshots, eventLog, dispatch, state: loop.state,
 	});
 	const agents = createAgentStreamServer({address: settings.agentAddress, dispatch, eventLog});
 	const forwarder = createRequestForwarder({
@@ -116,7 +122,7 @@
 	await agents.listen();
 	const operators = await startOperatorServer({
 		address: settings.operatorAddress,
-		token,
+		token: token.value,
 		eventLog,
 		backend: createOperatorBackend({
 			settings,
