--- a/demo/deployment.ts
+++ b/demo/deployment.ts
@@ -220,7 +220,7 @@
 		};
 	} catch (error) {
 		for (const started of runner.processes()) {
-			for (const line of [...started.lines(), ...started.errorLines()].slice(-5)) {
+			for (const line of [...started.lines(), ...started.errorLines()].slice(-12)) {
 				console.error(`${started.name}: ${line}`);
 			}
 		}
--- a/demo/main.ts
+++ b/demo/main.ts
@@ -204,7 +204,7 @@
 		return await Promise.race([runScenario(deployment), timeOver]);
 	} catch (error) {
 		for (const started of deployment.runner.processes()) {
-			for (const line of [...started.lines(), ...started.errorLines()].slice(-5)) {
+			for (const line of [...started.lines(), ...started.errorLines()].slice(-12)) {
 				report(`${started.name}: ${line.slice(0, 500)}`);
 			}
 		}
--- a/src/platform/worker-client.test.ts
+++ b/src/platform/worker-client.test.ts
@@ -20,7 +20,7 @@
 async function setUp(t: ExecutionContext, options: WorkerStandInOptions = {}): Promise<{worker: WorkerStandIn; client: WorkerClient; setNowMs: (nowMs: number) => void}> {
 	let nowMs = 0;
 	const worker = await createWorkerStandIn({...options, nowMs: () => nowMs});
-	const client = createWorkerClient(worker.url);
+	const client = createWorkerClient({baseUrl: worker.url});
 	t.teardown(async () => {
 		await client.close();
 		await worker.close();
@@ -35,7 +35,7 @@
 }
 
 async function taskOf(client: WorkerClient, taskId: string): Promise<WorkerTask | undefined> {
-	const answer = await client.tasks();
+	const answer = await client.listTasks();
 	return answer.unwrapOr(undefined)?.tasks.find(task => task.taskId === taskId);
 }
 
@@ -82,7 +82,7 @@
 	await client.startTask('run-once', startRequest({leaseDeadlineMonotonicMs: 30}));
 	await client.startTask('replica', startRequest({latencyCritical: true, leaseDeadlineMonotonicMs: 30}));
 	setNowMs(5000);
-	const renewed = await client.renewLease(9000);
+	const renewed = await client.setLease(9000);
 	t.true(renewed.isOk);
 	t.like(await taskOf(client, 'run-once'), {phase: 'checkpointed', reason: 'lease-expired'});
 	t.like(await taskOf(client, 'replica'), {phase: 'running'});
@@ -92,7 +92,7 @@
 test('a renewed lease lets a task run past its first deadline', async t => {
 	const {client, setNowMs} = await setUp(t);
 	await client.startTask('a', startRequest({leaseDeadlineMonotonicMs: 30}));
-	const renewed = await client.renewLease(9000);
+	const renewed = await client.setLease(9000);
 	t.true(renewed.isOk);
 	setNowMs(5000);
 	t.like(await taskOf(client, 'a'), {phase: 'running'});
@@ -101,7 +101,7 @@
 test('a deadline that has passed is refused', async t => {
 	const {client, setNowMs} = await setUp(t);
 	setNowMs(1000);
-	const lease = await client.renewLease(1000);
+	const lease = await client.setLease(1000);
 	t.is(lease.isErr && lease.error.kind, 'worker-refused');
 	const start = await client.startTask('a', startRequest({leaseDeadlineMonotonicMs: 1000}));
 	t.is(start.isErr && start.error.kind, 'worker-refused');
@@ -150,11 +150,11 @@
 	const {client, worker, setNowMs} = await setUp(t, {usageLagMs: 5000, sampleMs: 3_600_000});
 	await client.startTask('a', startRequest());
 	await client.throttleTask('a', 300);
-	const early = await client.usage();
+	const early = await client.readUsage();
 	t.deepEqual(early.unwrapOr(undefined)?.tasks, []);
 	worker.sampleNow();
 	setNowMs(5000);
-	const late = await client.usage();
+	const late = await client.readUsage();
 	t.deepEqual(late.unwrapOr(undefined), {
 		measuredAtMonotonicMs: 0,
 		processorsUsedMilli: 300,
@@ -168,6 +168,6 @@
 test('a worker that does not answer is unavailable and not an exception', async t => {
 	const {worker, client} = await setUp(t);
 	await worker.close();
-	const answer = await client.tasks();
+	const answer = await client.listTasks();
 	t.is(answer.isErr && answer.error.kind, 'worker-unavailable');
 });
--- a/src/platform/worker-client.ts
+++ b/src/platform/worker-client.ts
@@ -20,11 +20,11 @@
 	/** Starts an attempt; a repeated start of the same attempt returns the task as it is now. */
 	startTask: (taskId: string, request: StartTaskRequest) => Promise<Result<WorkerTask, WorkerError>>;
 	/** Lists the capacity and all tasks that were not deleted, ended ones included. */
-	tasks: () => Promise<Result<WorkerTasks, WorkerError>>;
+	listTasks: () => Promise<Result<WorkerTasks, WorkerError>>;
 	/** Forgets an ended task; a running task is refused. */
 	deleteTask: (taskId: string) => Promise<Result<void, WorkerError>>;
 	/** Moves the deadline of all run-once tasks; a deadline that has passed is refused. */
-	renewLease: (leaseDeadlineMonotonicMs: number) => Promise<Result<void, WorkerError>>;
+	setLease: (leaseDeadlineMonotonicMs: number) => Promise<Result<void, WorkerError>>;
 	/** Stops a task with a checkpoint; a task that has already ended is returned unchanged. */
 	checkpointTask: (taskId: string) => Promise<Result<WorkerTask, WorkerError>>;
 	/** Limits the task's processors to a share in thousandths; 1,000 removes the limit. */
@@ -32,11 +32,14 @@
 	/** Stops a task without a checkpoint; a task that has already ended is returned unchanged. */
 	stopTask: (taskId: string) => Promise<Result<WorkerTask, WorkerError>>;
 	/** Returns the measurements of a window that ended some time ago. */
-	usage: () => Promise<Result<WorkerUsage, WorkerError>>;
+	readUsage: () => Promise<Result<WorkerUsage, WorkerError>>;
 	/** Closes the connections; calls in flight end as `worker-unavailable`. */
 	close: () => Promise<void>;
 }>;
 
+/** Where the worker is; `timeoutMs` bounds each call and defaults to 5,000. */
+export type WorkerClientOptions = Readonly<{baseUrl: string; timeoutMs?: number; connections?: number}>;
+
 type Method = 'GET' | 'PUT' | 'POST' | 'DELETE';
 
 const remedies: Readonly<Record<WorkerErrorKind, string>> = {
@@ -52,15 +55,13 @@
 /**
 Creates a client of the worker; connections are opened on demand.
 
-@param options `timeoutMs` bounds each call and defaults to 5,000.
-
 @example
-const worker = createWorkerClient('http://127.0.0.1:7000');
-const tasks = await worker.tasks();
+const worker = createWorkerClient({baseUrl: 'http://127.0.0.1:7000'});
+const tasks = await worker.listTasks();
 */
-export function createWorkerClient(workerUrl: string, options: Readonly<{timeoutMs?: number; connections?: number}> = {}): WorkerClient {
+export function createWorkerClient(options: WorkerClientOptions): WorkerClient {
 	const timeoutMs = options.timeoutMs ?? 5000;
-	const pool = new Pool(new URL(workerUrl).origin, {connections: options.connections ?? 4});
+	const pool = new Pool(new URL(options.baseUrl).origin, {connections: options.connections ?? 4});
 
 	function failure(kind: WorkerErrorKind, message: string): Result<never, WorkerError> {
 		return Result.err({kind, message, remedy: remedies[kind]});
@@ -120,13 +121,13 @@
 
 	return {
 		startTask: async (taskId, request) => callFor(workerTaskSchema, 'PUT', pathOf(taskId), request),
-		tasks: async () => callFor(workerTasksSchema, 'GET', '/tasks'),
+		listTasks: async () => callFor(workerTasksSchema, 'GET', '/tasks'),
 		deleteTask: async taskId => callForNothing('DELETE', pathOf(taskId)),
-		renewLease: async leaseDeadlineMonotonicMs => callForNothing('PUT', '/lease', {leaseDeadlineMonotonicMs}),
+		setLease: async leaseDeadlineMonotonicMs => callForNothing('PUT', '/lease', {leaseDeadlineMonotonicMs}),
 		checkpointTask: async taskId => callFor(workerTaskSchema, 'POST', pathOf(taskId, '/checkpoint')),
 		throttleTask: async (taskId, processorsShareMilli) => callFor(workerTaskSchema, 'POST', pathOf(taskId, '/throttle'), {processorsShareMilli}),
 		stopTask: async taskId => callFor(workerTaskSchema, 'POST', pathOf(taskId, '/stop')),
-		usage: async () => callFor(workerUsageSchema, 'GET', '/usage'),
+		readUsage: async () => callFor(workerUsageSchema, 'GET', '/usage'),
 		async close() {
 			await pool.destroy();
 		},
