--- a/src/platform/worker-client.test.ts
+++ b/src/platform/worker-client.test.ts
@@ -20,7 +20,7 @@
 async function setUp(t: ExecutionContext, options: WorkerStandInOptions = {}): Promise<{worker: WorkerStandIn; client: WorkerClient; setNowMs: (nowMs: number) => void}> {
 	let nowMs = 0;
 	const worker = await createWorkerStandIn({...options, nowMs: () => nowMs});
-	const client = createWorkerClient(worker.url);
+	const client = createWorkerClient({baseUrl: worker.url});
 	t.teardown(async () => {
 		await client.close();
 		await worker.close();
--- a/src/platform/worker-client.ts
+++ b/src/platform/worker-client.ts
@@ -37,6 +37,9 @@
 	close: () => Promise<void>;
 }>;
 
+/** Where the worker is; `timeoutMs` bounds each call and defaults to 5,000. */
+export type WorkerClientOptions = Readonly<{baseUrl: string; timeoutMs?: number; connections?: number}>;
+
 type Method = 'GET' | 'PUT' | 'POST' | 'DELETE';
 
 const remedies: Readonly<Record<WorkerErrorKind, string>> = {
@@ -52,15 +55,13 @@
 /**
 Creates a client of the worker; connections are opened on demand.
 
-@param options `timeoutMs` bounds each call and defaults to 5,000.
-
 @example
-const worker = createWorkerClient('http://127.0.0.1:7000');
+const worker = createWorkerClient({baseUrl: 'http://127.0.0.1:7000'});
 const tasks = await worker.listTasks();
 */
-export function createWorkerClient(workerUrl: string, options: Readonly<{timeoutMs?: number; connections?: number}> = {}): WorkerClient {
+export function createWorkerClient(options: WorkerClientOptions): WorkerClient {
 	const timeoutMs = options.timeoutMs ?? 5000;
-	const pool = new Pool(new URL(workerUrl).origin, {connections: options.connections ?? 4});
+	const pool = new Pool(new URL(options.baseUrl).origin, {connections: options.connections ?? 4});
 
 	function failure(kind: WorkerErrorKind, message: string): Result<never, WorkerError> {
 		return Result.err({kind, message, remedy: remedies[kind]});
--- a/src/roles.ts
+++ b/src/roles.ts
@@ -35,7 +35,7 @@
 export async function startAgentRole(context: RoleContext<AgentSettings>): Promise<Result<RoleProcess, TypedError>> {
 	const {startAgent} = await import('./agent/agent-process.js');
 	const {createWorkerClient} = await import('./platform/worker-client.js');
-	return startAgent({...context, worker: createWorkerClient(context.settings.workerUrl)});
+	return startAgent({...context, worker: createWorkerClient({baseUrl: context.settings.workerUrl})});
 }
 
 /**
