--- a/src/operator/build-status.test.ts
+++ b/src/operator/build-status.test.ts
@@ -30,7 +30,7 @@
 		.set('b2', {...backendServerFixture, backendServerId: 'b2', draining: true})
 		.set('b3', {...backendServerFixture, backendServerId: 'b3', phase: 'gone'}),
 	tasks: emptyStateFixture.tasks.set('task-1', taskFixture).set('task-2', waitingTask),
-	queued: emptyStateFixture.queued.set('background', OrderedMap([['task-2', true]])), // eslint-disable-line new-cap
+	queued: emptyStateFixture.queued.set('background', OrderedMap([['task-2', true]])),
 	committedByTeam: emptyStateFixture.committedByTeam.set('team-7', taskFixture.spec.demand),
 	keys: emptyStateFixture.keys.set('key-1', {
 		keyHash: 'key-1', bodyHash: 'h', service: 'loaf-ordering', vmId: 'vm-1', agentIncarnation: 'agent-0', backendServerId: 'b1', claimOffset: 25,
--- a/src/operator/replay-records.test.ts
+++ b/src/operator/replay-records.test.ts
@@ -1,7 +1,10 @@
 import test from 'ava';
 import {type LoggedRecord} from '../log/log-envelope.js';
+import {replayFunctions} from './replay-functions.js';
 import {type ReplayFunctions, replayRecords, type TaskClaimed} from './replay-records.js';
-import {decisionFixture, emptyStateFixture} from './state-fixture.js';
+import {
+	decisionFixture, emptyStateFixture, taskFixture, vmFixture,
+} from './state-fixture.js';
 
 const claim = (taskId: string, stateOffset: number): TaskClaimed => ({
 	kind: 'task-claimed',
@@ -58,3 +61,31 @@
 		},
 	]);
 });
+
+const queued = {
+	...emptyStateFixture,
+	tasks: emptyStateFixture.tasks.set('t1', {...taskFixture, phase: 'queued', claim: undefined}),
+	vms: emptyStateFixture.vms
+		.set('vm-1', vmFixture)
+		.set('vm-2', {...vmFixture, vmId: 'vm-2'}),
+} as const;
+
+const best = {
+	vmId: 'vm-1', scoreMilli: 300, harmMilli: 0, room: {processorsMilli: 12_000, memoryMb: 50_000, accelerators: 0},
+};
+
+const decided: TaskClaimed = {
+	...claim('t1', 0), decision: {...decisionFixture, candidates: [best, {...best, vmId: 'vm-2', scoreMilli: 200}]},
+};
+
+test('a decision that its inputs and the state support comes out the same', t => {
+	t.deepEqual(replayFunctions.decide(queued, decided), {vmId: 'vm-1', decision: decided.decision});
+});
+
+test('a VM that took no tasks, had less room or did not have the best score is not chosen again', t => {
+	const without = (change: Partial<typeof vmFixture>) => ({...queued, vms: queued.vms.set('vm-1', {...vmFixture, ...change})});
+	t.is(replayFunctions.decide(without({draining: true}), decided)?.vmId, 'vm-2');
+	t.is(replayFunctions.decide(without({committed: vmFixture.capacity}), decided)?.vmId, 'vm-2');
+	t.is(replayFunctions.decide(queued, {...decided, decision: {...decided.decision, candidates: [best, {...best, vmId: 'vm-2', scoreMilli: 400}]}})?.vmId, 'vm-2');
+	t.is(replayFunctions.decide(emptyStateFixture, decided), undefined);
+});
--- a/src/operator/run-command-line.ts
+++ b/src/operator/run-command-line.ts
@@ -162,9 +162,9 @@
 		.option('--json', 'Print the report as JSON')
 		.action(async (options: Options) => {
 			const connection = connectionOf(options);
-			const {loadReplayFunctions} = await import('../roles.js');
+			const {replayFunctions} = await import('./replay-functions.js');
 			const {runReplayCommand} = await import('./replay-command.js');
-			return runReplayCommand({connection, functions: await loadReplayFunctions(), json: isSet(options, 'json')}, output);
+			return runReplayCommand({connection, functions: replayFunctions, json: isSet(options, 'json')}, output);
 		});
 
 	cli.command('check-settings <FILE>', 'Check a settings file of an entry, an agent or a deployment')
--- a/src/run-role.ts
+++ b/src/run-role.ts
@@ -1,8 +1,6 @@
 import {messageOf} from './errors/message-of.js';
 import {type CommandOutput, type ExitStatus, failSettings} from './operator/command-output.js';
-import {
-	type RoleContext, type RoleProcess, startAgentRole, startEntryRole,
-} from './roles.js';
+import {type RoleContext, type RoleProcess, startRole} from './roles.js';
 import {type AgentSettings} from './settings/agent-settings.js';
 import {type EntrySettings} from './settings/entry-settings.js';
 import {loadSettings} from './settings/load-settings.js';
@@ -21,7 +19,7 @@
 	const settings = await loadSettings(settingsFile, await settingsSchemas.entry());
 	return settings.isErr
 		? failSettings(output, settings.error)
-		: runProcess<EntrySettings>(`entry/${settings.value.entryId}`, settings.value, startEntryRole, stopSignal);
+		: runProcess<EntrySettings>(`entry/${settings.value.entryId}`, settings.value, startRole.entry, stopSignal);
 }
 
 /**
@@ -34,7 +32,7 @@
 	const settings = await loadSettings(settingsFile, await settingsSchemas.agent());
 	return settings.isErr
 		? failSettings(output, settings.error)
-		: runProcess<AgentSettings>(`agent/${settings.value.vmId}`, settings.value, startAgentRole, stopSignal);
+		: runProcess<AgentSettings>(`agent/${settings.value.vmId}`, settings.value, startRole.agent, stopSignal);
 }
 
 type CommonSettings = Pick<EntrySettings | AgentSettings, 'logLevel' | 'metrics'>;
