--- a/src/entry/reduce-entry.ts
+++ b/src/entry/reduce-entry.ts
@@ -84,17 +84,13 @@
 const {state, effects} = reduceEntry(initialEntryState('a81f…'), {kind: 'tick'}, inputs, settings);
 */
 export function reduceEntry(state: EntryState, event: EntryEvent, inputs: EventInputs, settings: EntrySettings): EntryStep {
-	return handle(event.kind, state, event, inputs, settings);
+	return handle(event.kind, event)(state, inputs, settings);
 }
 
-function handle<Kind extends EntryEvent['kind']>(
-	kind: Kind,
-	state: EntryState,
-	event: EventByKind[Kind],
-	inputs: EventInputs,
-	settings: EntrySettings,
-): EntryStep {
-	return handlers[kind](state, event, inputs, settings);
+type BoundHandler = (state: EntryState, inputs: EventInputs, settings: EntrySettings) => EntryStep;
+
+function handle<Kind extends EntryEvent['kind']>(kind: Kind, event: EventByKind[Kind]): BoundHandler {
+	return (state, inputs, settings) => handlers[kind](state, event, inputs, settings);
 }
 
 /**
