--- /dev/null
+++ b/src/cluster/compute-plan.test.ts
@@ -0,0 +1,85 @@
+import test from 'ava';
+import fc from 'fast-check';
+import {computePlan} from './compute-plan.js';
+import {type ClusterState} from './cluster-state.js';
+import {type Intent, type Plan} from './intent.js';
+import {amount, buildLog, commands} from './random-log.js';
+import {applyRecord, emptyClusterState} from './reduce-cluster.js';
+
+const options = {planId: 'p1', nowMs: 0, expiresInMs: 1000};
+
+const intents: readonly Intent[] = [
+	{kind: 'drain-vm', vmId: 'vm-0'},
+	{kind: 'return-vm', vmId: 'vm-0'},
+	{kind: 'drain-failure-domain', failureDomain: 'domain-0'},
+	{kind: 'drain-backend-server', backendServerId: 'b0'},
+	{kind: 'cancel-job', jobId: 'job-1'},
+	{kind: 'set-quota', teamId: 'team-0', quota: amount(4)},
+	{
+		kind: 'admit-service',
+		service: {
+			service: 'service-0', teamId: 'team-0', latencyTargetMs: 50, demandPerBackendServer: amount(2),
+		},
+	},
+	{
+		kind: 'set-weights',
+		weights: {
+			tailLatencyMilli: 1, batchThroughputMilli: 1, evictionsMilli: 1, floodMilli: 1,
+		},
+	},
+];
+
+function confirm(state: ClusterState, plan: Plan, writer: number): ClusterState {
+	const incarnation = `writer-${writer}`;
+	return applyRecord(state, {
+		offset: state.offset + 1,
+		envelope: {
+			writer: `entry-${writer}`, incarnation, sequence: (state.sequences.get(incarnation) ?? 0) + 1, record: {kind: 'plan-confirmed', plan},
+		},
+	});
+}
+
+test('of two racing plans exactly one wins, and confirming either again changes nothing', t => {
+	fc.assert(fc.property(commands, fc.constantFrom(...intents), (list, intent) => {
+		let base = emptyClusterState;
+		buildLog(list, (_, __, after) => {
+			base = after;
+		});
+		const first = computePlan(base, intent, options);
+		const second = computePlan(base, intent, {...options, planId: 'p2'});
+		fc.pre(first.isOk && second.isOk);
+
+		const won = confirm(base, first.value, 0);
+		const lost = confirm(won, second.value, 1);
+		const again = confirm(confirm(lost, second.value, 0), first.value, 1);
+		t.true(won.planDecisions.get('p1')?.accepted);
+		t.false(lost.planDecisions.get('p2')?.accepted);
+		t.true(lost.planDecisions.get('p2')!.reason.includes(first.value.touches[0]!));
+		t.is(again.planDecisions, lost.planDecisions);
+		t.is(again.configuration, won.configuration);
+	}));
+});
+
+test('a job that no VM could ever hold is refused with what it lacks', t => {
+	let state = emptyClusterState;
+	buildLog([], (_, __, after) => {
+		state = after;
+	});
+	const job = (cores: number, accelerators: number): Intent => ({
+		kind: 'submit-job',
+		job: {
+			jobId: 'big',
+			teamId: 'team-0',
+			workClass: 'batch',
+			priority: 'normal',
+			tasks: [{
+				taskId: 'big-1', demand: {...amount(cores), accelerators}, declaredRunTimeMs: 1, payload: '',
+			}],
+		},
+	});
+	t.is(computePlan(state, job(1, 0), options).map(({touches}) => touches[0]).unwrapOr('refused'), 'job/big');
+	const refused = computePlan(state, job(1, 2), options);
+	t.true(refused.isErr && refused.error.kind === 'task-unplaceable' && refused.error.message.includes('needs 2 accelerators; the largest VM has 0'));
+	const unknown = computePlan(state, {kind: 'drain-vm', vmId: 'vm-9'}, options);
+	t.true(unknown.isErr && unknown.error.kind === 'unknown-vm' && unknown.error.remedy.includes('arbutushinge status'));
+});
--- /dev/null
+++ b/src/cluster/random-log.ts
@@ -0,0 +1,230 @@
+import fc from 'fast-check';
+import {type LoggedRecord} from '../log/log-envelope.js';
+import {type ClusterRecord} from './cluster-record.js';
+import {type ClusterState} from './cluster-state.js';
+import {applyRecord, emptyClusterState} from './reduce-cluster.js';
+import {type Resources} from './resources.js';
+
+/** For tests: a log of random records over a small set of entities, so that records often meet. */
+
+const commandKinds = [
+	'register-vm',
+	'unreachable',
+	'reachable',
+	'revoke',
+	'lease-expired',
+	'announce',
+	'leaving',
+	'gone',
+	'submit',
+	'cancel',
+	'claim',
+	'claim',
+	'claim',
+	'evicting-claim',
+	'evicting-claim',
+	'started',
+	'started',
+	'ended',
+	'checkpointed',
+	'checkpointed',
+	'evict',
+	'key',
+	'key',
+	'expire-keys',
+	'quota',
+	'service',
+	'drain',
+	'return',
+	'end-entry',
+	'duplicate',
+	'quarantine',
+] as const;
+
+export type Command = Readonly<{kind: typeof commandKinds[number]; writer: number; a: number; b: number; c: number; odd: boolean}>;
+
+export const commands: fc.Arbitrary<readonly Command[]> = fc.array(fc.record({
+	kind: fc.constantFrom(...commandKinds),
+	writer: fc.nat(2),
+	a: fc.nat(999),
+	b: fc.nat(999),
+	c: fc.nat(999),
+	// One command in eight is wrong in some way: an old attempt, an old incarnation.
+	odd: fc.nat(7).map(value => value === 0),
+}), {minLength: 40, maxLength: 160});
+
+export const amount = (cores: number): Resources => ({processorsMilli: cores * 1000, memoryMb: cores * 100, accelerators: 0});
+
+const decision = {
+	policy: 'test', seed: 1, stateOffset: 0, candidates: [], consideredVms: 1, reason: 'test',
+};
+
+function planRecord(state: ClusterState, intent: Extract<ClusterRecord, {kind: 'plan-confirmed'}>['plan']['intent']): ClusterRecord {
+	return {
+		kind: 'plan-confirmed',
+		plan: {
+			planId: `plan-${state.offset}`, intent, baseOffset: state.offset, touches: [], summary: [], createdAtMs: 0, expiresAtMs: 1,
+		},
+	};
+}
+
+function claimRecord(state: ClusterState, {a, b, c, odd}: Command, evicts: boolean): ClusterRecord {
+	const queued = [...state.queued.values()].flatMap(queue => [...queue.keys()]);
+	const all = [...state.tasks.keys()].toSorted();
+	const candidates = odd || queued.length === 0 ? all : queued;
+	const taskId = candidates[a % Math.max(1, candidates.length)] ?? 'none';
+	const vmId = `vm-${b % 3}`;
+	const vm = state.vms.get(vmId);
+	return {
+		kind: 'task-claimed',
+		taskId,
+		attempt: (state.tasks.get(taskId)?.attempt ?? 0) + (odd && c % 2 === 0 ? 0 : 1) || 1,
+		vmId,
+		agentIncarnation: odd && c % 3 === 0 ? `${vmId}-i0` : vm?.agentIncarnation ?? 'none',
+		committed: amount(1 + (c % 4)),
+		evictTaskIds: evicts ? [...vm?.taskIds ?? []].toSorted().slice(0, 1 + (c % 3)) : [],
+		decision,
+	};
+}
+
+/** The record that a command stands for in a state. */
+function recordOf(state: ClusterState, command: Command): ClusterRecord {
+	const {a, b, c, odd} = command;
+	const vmId = `vm-${a % 3}`;
+	const agentIncarnation = odd ? `${vmId}-i0` : state.vms.get(vmId)?.agentIncarnation ?? 'none';
+	const agent = {vmId, agentIncarnation};
+	const live = [...state.tasks.values()].filter(task => task.claim).toSorted((x, y) => x.spec.taskId < y.spec.taskId ? -1 : 1);
+	const task = live[b % Math.max(1, live.length)];
+	const attempt = {
+		taskId: task?.spec.taskId ?? 'none',
+		attempt: Math.max(1, (task?.attempt ?? 1) - (odd ? 1 : 0)),
+		agentIncarnation: odd && c % 2 === 0 ? 'vm-0-i0' : task?.claim?.agentIncarnation ?? 'none',
+	};
+	const backendServerId = `b${b % 4}`;
+	const server = {...agent, backendServerId};
+	const makers: Readonly<Record<Command['kind'], () => ClusterRecord>> = {
+		'register-vm': () => ({
+			kind: 'vm-registered',
+			vmId,
+			agentIncarnation: odd ? `${vmId}-i0` : `${vmId}-i${state.offset}`,
+			failureDomain: `domain-${a % 2}`,
+			rack: 'rack-1',
+			requestAddress: '127.0.0.1:7300',
+			capacity: amount(4 + (c % 4)),
+			runningTasks: [...state.vms.get(vmId)?.taskIds ?? []].toSorted().filter((_, index) => (b + index) % 3 > 0)
+				.map(taskId => ({taskId, attempt: state.tasks.get(taskId)?.attempt ?? 1})),
+		}),
+		unreachable: () => ({kind: 'vm-unreachable', ...agent}),
+		reachable: () => ({kind: 'vm-reachable', ...agent}),
+		revoke: () => ({kind: 'vm-revoked', ...agent, reason: 'test'}),
+		'lease-expired': () => ({kind: 'vm-lease-expired', ...agent}),
+		announce: () => ({
+			kind: 'backend-server-announced', ...server, service: `service-${c % 2}`, slots: 8, connections: 64,
+		}),
+		leaving: () => ({kind: 'backend-server-leaving', ...server}),
+		gone: () => ({kind: 'backend-server-gone', ...server}),
+		submit: () => ({
+			kind: 'job-submitted',
+			job: {
+				jobId: `job-${b % 20}`,
+				teamId: `team-${b % 2}`,
+				workClass: b % 4 === 0 ? 'latency-critical' : 'batch',
+				priority: (['urgent', 'normal', 'background'] as const)[c % 3]!,
+				tasks: [0, 1].map(index => ({
+					taskId: `task-${b % 20}-${index}`, demand: amount(1), declaredRunTimeMs: 1, payload: 'p',
+				})),
+			},
+		}),
+		cancel: () => ({kind: 'tasks-cancelled', taskIds: [`task-${b % 20}-${c % 2}`]}),
+		claim: () => claimRecord(state, command, false),
+		'evicting-claim': () => claimRecord(state, command, true),
+		started: () => ({kind: 'task-started', ...attempt}),
+		ended: () => ({
+			kind: 'task-ended', ...attempt, outcome: (['finished', 'failed', 'refused-not-run', 'cancelled'] as const)[c % 4]!, reason: 'test',
+		}),
+		checkpointed: () => ({
+			kind: 'task-checkpointed', ...attempt, checkpoint: `checkpoint-${state.offset}`, reason: 'test',
+		}),
+		evict: () => ({
+			kind: 'evict-requested', taskId: attempt.taskId, attempt: attempt.attempt, reason: 'test',
+		}),
+		key: () => ({
+			kind: 'key-claimed', ...server, keyHash: `key-${c % 5}`, bodyHash: 'body', service: 'service-0',
+		}),
+		'expire-keys': () => ({kind: 'keys-expired', throughOffset: state.offset - (c % 40)}),
+		quota: () => planRecord(state, {kind: 'set-quota', teamId: `team-${b % 2}`, quota: amount(2 + (c % 8))}),
+		service: () => planRecord(state, {
+			kind: 'admit-service',
+			service: {
+				service: `service-${b % 2}`, teamId: 'team-0', latencyTargetMs: 50, demandPerBackendServer: amount(c % 4),
+			},
+		}),
+		drain: () => planRecord(state, c % 2 === 0 ? {kind: 'drain-vm', vmId} : {kind: 'drain-backend-server', backendServerId}),
+		return: () => planRecord(state, c % 2 === 0 ? {kind: 'return-vm', vmId} : {kind: 'return-backend-server', backendServerId}),
+		'end-entry': () => odd
+			? {
+				kind: 'entry-ended', entryId: 'entry-2', incarnation: 'writer-2', reason: 'test',
+			}
+			: {kind: 'entry-alive'},
+		duplicate: () => ({kind: 'entry-alive'}),
+		quarantine: () => ({kind: c % 2 === 0 ? 'vm-quarantined' : 'vm-unquarantined', ...agent, reason: 'test'}),
+	};
+	return makers[command.kind]();
+}
+
+/**
+Turns commands into a log of three writers, calling `onApplied` after each record. It starts with the entries and three VMs.
+*/
+export function buildLog(
+	list: readonly Command[],
+	onApplied: (before: ClusterState, logged: LoggedRecord, after: ClusterState) => void = () => undefined,
+): readonly LoggedRecord[] {
+	const log: LoggedRecord[] = [];
+	const sequences = [0, 0, 0];
+	let state = emptyClusterState;
+	const apply = (envelope: LoggedRecord['envelope']) => {
+		// Offsets need not be dense: a value that cannot be read is skipped.
+		const logged = {offset: log.length + (log.length > 20 ? 1 : 0), envelope};
+		const before = state;
+		state = applyRecord(state, logged);
+		log.push(logged);
+		onApplied(before, logged, state);
+	};
+
+	const write = (writer: number, record: ClusterRecord) => {
+		sequences[writer]! += 1;
+		apply({
+			writer: `entry-${writer}`, incarnation: `writer-${writer}`, sequence: sequences[writer]!, record,
+		});
+	};
+
+	for (const writer of [0, 1, 2]) {
+		write(writer, {
+			kind: 'entry-registered', entryId: `entry-${writer}`, failureDomain: 'domain-0', operatorAddress: '127.0.0.1:7001',
+		});
+	}
+
+	const start = ['register-vm', 'submit', 'submit'] as const;
+	for (const [index, kind] of [...start, ...start, ...start].entries()) {
+		write(0, recordOf(state, {
+			kind, writer: 0, a: Math.floor(index / 3), b: index, c: index, odd: false,
+		}));
+	}
+
+	for (const command of list) {
+		if (command.kind === 'duplicate') {
+			apply(log[command.a % log.length]!.envelope);
+		} else if (command.kind === 'revoke') {
+			// All entries report the VM first, or no random log would ever reach a revocation.
+			for (const writer of command.odd ? [0] : [0, 1, 2]) {
+				write(writer, recordOf(state, {...command, kind: 'unreachable', odd: false}));
+			}
+
+			write(command.writer, recordOf(state, {...command, odd: false}));
+		} else {
+			write(command.writer, recordOf(state, command));
+		}
+	}
+
+	return log;
+}
--- /dev/null
+++ b/src/cluster/reduce-cluster.test.ts
@@ -0,0 +1,260 @@
+import test, {type ExecutionContext} from 'ava';
+import fc from 'fast-check';
+import {type LoggedRecord} from '../log/log-envelope.js';
+import {decodeClusterState, encodeClusterState} from './cluster-state-codec.js';
+import {type ClusterState} from './cluster-state.js';
+import {amount, buildLog, commands} from './random-log.js';
+import {applyRecord, emptyClusterState} from './reduce-cluster.js';
+import {addResources, fitsInto, noResources} from './resources.js';
+import {isLive} from './task-transitions.js';
+
+type Step = (before: ClusterState, logged: LoggedRecord, after: ClusterState) => void;
+
+const encoded = (state: ClusterState) => JSON.stringify(encodeClusterState(state));
+
+/** Runs a check after each record of random logs. */
+function always(t: ExecutionContext, makeStep: () => Step): void {
+	t.notThrows(() => {
+		fc.assert(fc.property(commands, list => {
+			buildLog(list, makeStep());
+		}), {endOnFailure: true});
+	});
+}
+
+function ensure(condition: boolean, message: string): void {
+	if (!condition) {
+		throw new Error(message);
+	}
+}
+
+test('no VM is ever committed beyond its capacity, and its sum is that of its counted claims and backend servers', t => {
+	always(t, () => (_, {offset}, after) => {
+		for (const vm of after.vms.values()) {
+			let sum = noResources;
+			for (const task of after.tasks.values()) {
+				ensure(!task.claim || after.vms.get(task.claim.vmId)!.taskIds.has(task.spec.taskId), `${task.spec.taskId} is claimed for a VM that does not know it`);
+				sum = task.claim?.vmId === vm.vmId && task.claim.counted ? addResources(sum, task.claim.committed) : sum;
+			}
+
+			for (const server of after.backendServers.values()) {
+				sum = server.vmId === vm.vmId ? addResources(sum, server.committed) : sum;
+			}
+
+			ensure(fitsInto(vm.committed, vm.capacity), `${vm.vmId} is overcommitted at ${offset}`);
+			ensure(JSON.stringify(sum) === JSON.stringify(vm.committed), `${vm.vmId} miscounts at ${offset}`);
+		}
+	});
+});
+
+test('no team is placed beyond its quota, and its sum is that of its live claims', t => {
+	always(t, () => (before, {offset}, after) => {
+		for (const teamId of ['team-0', 'team-1']) {
+			let sum = noResources;
+			for (const task of after.tasks.values()) {
+				sum = task.claim && task.teamId === teamId ? addResources(sum, task.claim.committed) : sum;
+			}
+
+			const counted = after.committedByTeam.get(teamId) ?? noResources;
+			const quota = after.configuration.quotas.get(teamId);
+			const grew = !fitsInto(counted, before.committedByTeam.get(teamId) ?? noResources);
+			ensure(JSON.stringify(sum) === JSON.stringify(counted), `${teamId} miscounts at ${offset}`);
+			ensure(!grew || !quota || fitsInto(counted, quota), `${teamId} exceeds its quota at ${offset}`);
+		}
+	});
+});
+
+test('a task never has two live attempts, and a new one starts only after a record that ended the last one', t => {
+	always(t, () => {
+		const running = new Map<string, {attempt: number; vmId: string; agentIncarnation: string}>();
+		return (before, {offset, envelope: {record}}, after) => {
+			if (record.kind === 'task-ended' || record.kind === 'task-checkpointed') {
+				const last = running.get(record.taskId);
+				if (last?.attempt === record.attempt && last.agentIncarnation === record.agentIncarnation) {
+					running.delete(record.taskId);
+				}
+			} else if (record.kind === 'vm-lease-expired' && before.vms.get(record.vmId)?.phase === 'revoked') {
+				for (const [taskId, {agentIncarnation}] of running) {
+					if (agentIncarnation === record.agentIncarnation) {
+						running.delete(taskId);
+					}
+				}
+			} else if (record.kind === 'vm-registered' && after.vms.get(record.vmId) !== before.vms.get(record.vmId)) {
+				for (const [taskId, last] of running) {
+					if (last.vmId === record.vmId) {
+						const continues = record.runningTasks.some(({taskId: id, attempt}) => id === taskId && attempt === last.attempt);
+						running.delete(taskId);
+						if (continues) {
+							running.set(taskId, {...last, agentIncarnation: record.agentIncarnation});
+						}
+					}
+				}
+			}
+
+			for (const task of after.tasks.values()) {
+				const {spec: {taskId}, claim, attempt} = task;
+				ensure(isLive(task) === (claim !== undefined), `${taskId} is ${task.phase} at ${offset}`);
+				ensure((task.phase === 'queued') === after.queued.get(task.priority)!.has(taskId), `${taskId} is in the wrong queue at ${offset}`);
+				if (claim?.claimOffset === offset) {
+					ensure(!running.has(taskId), `${taskId} runs twice from ${offset}`);
+					ensure(attempt === (before.tasks.get(taskId)?.attempt ?? 0) + 1, `${taskId} skips an attempt at ${offset}`);
+					running.set(taskId, {attempt, vmId: claim.vmId, agentIncarnation: claim.agentIncarnation});
+				}
+			}
+		};
+	});
+});
+
+test('a checkpointed task resumes once, and with its newest checkpoint', t => {
+	always(t, () => {
+		const checkpoints = new Map<string, string>();
+		const resumed = new Set<string>();
+		return (before, {offset, envelope: {record}}, after) => {
+			if (record.kind === 'task-checkpointed' && before.tasks.get(record.taskId)?.claim && after.tasks.get(record.taskId)?.phase === 'queued') {
+				checkpoints.set(record.taskId, record.checkpoint);
+			}
+
+			const task = record.kind === 'task-claimed' ? after.tasks.get(record.taskId) : undefined;
+			if (task?.claim?.claimOffset === offset) {
+				const resumption = `${task.spec.taskId}/${task.attempt}`;
+				ensure(!resumed.has(resumption), `${resumption} resumes twice`);
+				ensure(task.checkpoint === (checkpoints.get(task.spec.taskId) ?? ''), `${resumption} resumes without its checkpoint`);
+				resumed.add(resumption);
+			}
+		};
+	});
+});
+
+test('a key stays with the incarnation that it was first claimed for, until it expires', t => {
+	always(t, () => (before, {offset}, after) => {
+		for (const claim of before.keys.values()) {
+			const isForgotten = claim.claimOffset <= after.keysForgottenThroughOffset;
+			ensure(isForgotten || after.keys.get(claim.keyHash) === claim, `${claim.keyHash} moved at ${offset}`);
+		}
+	});
+});
+
+test('the configuration offset never falls', t => {
+	always(t, () => (before, _, after) => {
+		ensure(after.configuration.offset >= before.configuration.offset, 'the configuration went back');
+	});
+});
+
+test('a late duplicate and a record of an ended writer change nothing but the offset', t => {
+	always(t, () => (before, {envelope: {incarnation, sequence}}, after) => {
+		if (before.endedIncarnations.has(incarnation) || sequence <= (before.sequences.get(incarnation) ?? 0)) {
+			ensure(encoded({...after, offset: before.offset}) === encoded(before), 'a record that must not count changed the state');
+		}
+	});
+});
+
+test('readers reach the same state whatever their pages are, and from a snapshot in the middle', t => {
+	const property = fc.property(commands, fc.nat(200), fc.nat(20), (list, middle, overlap) => {
+		const log = buildLog(list);
+		let whole = emptyClusterState;
+		let resumed = emptyClusterState;
+		for (const [index, logged] of log.entries()) {
+			whole = applyRecord(whole, logged);
+			resumed = applyRecord(resumed, logged);
+			if (index === middle % log.length) {
+				resumed = decodeClusterState(JSON.parse(encoded(resumed))).unwrapOr(emptyClusterState);
+				ensure(encoded(resumed) === encoded(whole), 'a state changes when it is encoded and decoded');
+				for (const earlier of log.slice(Math.max(0, index - overlap), index + 1)) {
+					resumed = applyRecord(resumed, earlier);
+				}
+			}
+		}
+
+		ensure(encoded(resumed) === encoded(whole), 'a reader that started from a snapshot differs');
+	});
+	t.notThrows(() => {
+		fc.assert(property, {endOnFailure: true});
+	});
+});
+
+test('a value that is no encoded state is an error and not a crash', t => {
+	t.true(decodeClusterState({version: 0}).isErr);
+	t.true(decodeClusterState(null).isErr);
+});
+
+/** A reader with a writer of its own that is already registered. */
+function startCluster() {
+	let state = emptyClusterState;
+	let sequence = 0;
+	const write = (record: LoggedRecord['envelope']['record']) => {
+		sequence++;
+		state = applyRecord(state, {
+			offset: state.offset + 1, envelope: {
+				writer: 'entry-1', incarnation: 'w1', sequence, record,
+			},
+		});
+		return state;
+	};
+
+	write({
+		kind: 'entry-registered', entryId: 'entry-1', failureDomain: 'a', operatorAddress: '127.0.0.1:7001',
+	});
+	write({
+		kind: 'vm-registered', vmId: 'vm-1', agentIncarnation: 'i1', failureDomain: 'a', rack: 'r', requestAddress: '127.0.0.1:7300', capacity: amount(4), runningTasks: [],
+	});
+	const submit = (jobId: string, priority: 'urgent' | 'background', workClass: 'batch' | 'latency-critical' = 'batch') => write({
+		kind: 'job-submitted',
+		job: {
+			jobId, teamId: 'team-1', workClass, priority, tasks: [{
+				taskId: jobId, demand: amount(1), declaredRunTimeMs: 1, payload: '',
+			}],
+		},
+	});
+	const claim = (taskId: string, cores: number, evictTaskIds: readonly string[] = []) => write({
+		kind: 'task-claimed', taskId, attempt: 1, vmId: 'vm-1', agentIncarnation: 'i1', committed: amount(cores), evictTaskIds, decision: {
+			policy: 'test', seed: 1, stateOffset: 0, candidates: [], consideredVms: 1, reason: '',
+		},
+	});
+	return {write, submit, claim};
+}
+
+test('a claim that evicts waits until the evicted task has gone, and no second claim can rely on the same room', t => {
+	const {write, submit, claim} = startCluster();
+	submit('batch', 'background');
+	submit('urgent', 'urgent');
+	submit('late', 'urgent');
+	claim('batch', 4);
+	const waiting = claim('urgent', 3, ['batch']);
+	t.is(waiting.tasks.get('batch')?.phase, 'evicting');
+	t.is(waiting.tasks.get('urgent')?.phase, 'claimed');
+	t.deepEqual(waiting.vms.get('vm-1')?.committed, amount(4));
+	t.is(claim('late', 3, ['batch']).tasks.get('late')?.phase, 'queued');
+	const stopped = write({
+		kind: 'task-checkpointed', taskId: 'batch', attempt: 1, agentIncarnation: 'i1', checkpoint: 'c', reason: '',
+	});
+	t.deepEqual(stopped.vms.get('vm-1')?.committed, amount(3));
+	t.true(stopped.tasks.get('urgent')?.claim?.counted);
+});
+
+test('a revoked VM keeps its run-once tasks until the leases expire, while its replicas are replaced at once', t => {
+	const {write, submit, claim} = startCluster();
+	submit('batch', 'background');
+	submit('replica', 'urgent', 'latency-critical');
+	claim('batch', 1);
+	claim('replica', 1);
+	const agent = {vmId: 'vm-1', agentIncarnation: 'i1'};
+	t.is(write({kind: 'vm-revoked', ...agent, reason: ''}).vms.get('vm-1')?.phase, 'live');
+	write({kind: 'vm-unreachable', ...agent});
+	const revoked = write({kind: 'vm-revoked', ...agent, reason: ''});
+	t.is(revoked.tasks.get('batch')?.phase, 'claimed');
+	t.false(revoked.tasks.has('replica'));
+	t.is(revoked.tasks.get(`replica.r${revoked.offset}`)?.phase, 'queued');
+	t.is(write({kind: 'vm-lease-expired', ...agent}).tasks.get('batch')?.phase, 'queued');
+});
+
+test('finished jobs do not fill the state', t => {
+	const {write, submit} = startCluster();
+	for (let index = 0; index < 2100; index++) {
+		submit(`job-${index}`, 'background');
+		write({kind: 'tasks-cancelled', taskIds: [`job-${index}`]});
+	}
+
+	const state = submit('last', 'background');
+	t.is(state.finishedJobs.size, 2000);
+	t.is(state.tasks.size, 2001);
+	t.false(state.entityOffsets.has('job/job-0'));
+});
--- /dev/null
+++ b/src/log/fake-clock.ts
@@ -0,0 +1,59 @@
+import {type Clock} from './clock.js';
+
+/** For tests: a clock that stands still until it is advanced. */
+export type FakeClock = Clock & Readonly<{advance: (durationMs: number) => Promise<void>}>;
+
+async function settle(): Promise<void> {
+	for (let round = 0; round < 3; round++) {
+		await new Promise(resolve => {
+			setImmediate(resolve);
+		});
+	}
+}
+
+/**
+Creates a clock whose `advance` wakes sleepers in the order of their times and lets all that follows run in between.
+
+@example
+const clock = createFakeClock();
+await clock.advance(1000);
+*/
+export function createFakeClock(): FakeClock {
+	let nowMs = 0;
+	const sleepers = new Set<{wakeMs: number; wake: () => void}>();
+	return {
+		nowMs: () => nowMs,
+		async sleep(durationMs, signal) {
+			return new Promise(resolve => {
+				const sleeper = {
+					wakeMs: nowMs + Math.max(0, durationMs),
+					wake() {
+						sleepers.delete(sleeper);
+						signal?.removeEventListener('abort', sleeper.wake);
+						resolve();
+					},
+				};
+				sleepers.add(sleeper);
+				signal?.addEventListener('abort', sleeper.wake);
+				if (signal?.aborted) {
+					sleeper.wake();
+				}
+			});
+		},
+		async advance(durationMs) {
+			const endMs = nowMs + durationMs;
+			for (;;) {
+				await settle();
+				const [next] = [...sleepers].toSorted((a, b) => a.wakeMs - b.wakeMs);
+				if (!next || next.wakeMs > endMs) {
+					break;
+				}
+
+				nowMs = next.wakeMs;
+				next.wake();
+			}
+
+			nowMs = endMs;
+		},
+	};
+}
--- /dev/null
+++ b/src/log/snapshot-store.test.ts
@@ -0,0 +1,38 @@
+import {randomBytes} from 'node:crypto';
+import test from 'ava';
+import {createFakeClock} from './fake-clock.js';
+import {createFakeLogService} from './fake-log-service.js';
+import {createSnapshotStore} from './snapshot-store.js';
+
+// Fixed text that hardly compresses, so that it takes several chunks.
+const text = Array.from({length: 40_000}, (_, index) => Math.imul(index, 2_654_435_761).toString(36)).join('');
+
+test('the whole snapshot that covers the most is loaded, past damaged and partly forgotten ones', async t => {
+	const log = createFakeLogService(createFakeClock());
+	const store = createSnapshotStore({service: log.service, stream: 's'});
+	const none = await store.loadNewest();
+	t.true(none.isOk && none.value === undefined);
+	for (const [snapshotId, coversOffset] of [['s1', 10], ['s2', 30], ['s3', 20]] as const) {
+		const written = await store.write({snapshotId, coversOffset, value: {text, coversOffset}});
+		t.true(written.isOk);
+	}
+
+	t.true(log.values('s').length > 3);
+	const chunk = {
+		snapshotId: 's4', coversOffset: 99, index: 0, count: 2, data: '',
+	};
+	await log.service.append('s', [JSON.stringify(chunk), 'not a chunk', JSON.stringify({...chunk, snapshotId: 's5', count: 1})]);
+	const newest = await store.loadNewest();
+	t.deepEqual(newest.unwrapOr(undefined), {coversOffset: 30, value: {text, coversOffset: 30}});
+	log.retainFrom(log.values('s').length / 2);
+	const retained = await store.loadNewest();
+	t.is(retained.map(snapshot => snapshot?.coversOffset).unwrapOr(undefined), 20);
+});
+
+test('a snapshot beyond the limit is refused and not written in part', async t => {
+	const log = createFakeLogService(createFakeClock());
+	const store = createSnapshotStore({service: log.service, stream: 's'});
+	const refused = await store.write({snapshotId: 's1', coversOffset: 1, value: randomBytes(7_000_000).toString('base64')});
+	t.true(refused.isErr && refused.error.kind === 'snapshot-too-large');
+	t.is(log.values('s').length, 0);
+});
