--- a/src/cluster/reduce-cluster.test.ts
+++ b/src/cluster/reduce-cluster.test.ts
@@ -2,6 +2,7 @@
 import fc from 'fast-check';
 import {type LoggedRecord} from '../log/log-envelope.js';
 import {decodeClusterState, encodeClusterState} from './cluster-state-codec.js';
+import {type ClusterRecordOf} from './cluster-record.js';
 import {type ClusterState} from './cluster-state.js';
 import {amount, buildLog, commands} from './random-log.js';
 import {applyRecord, emptyClusterState} from './reduce-cluster.js';
@@ -63,9 +64,25 @@
 	});
 });
 
+type RunningAttempts = Map<string, {attempt: number; vmId: string; agentIncarnation: string}>;
+
+/** What a new agent incarnation means for the attempts on its VM: those that it lists continue, the others have ended. */
+function reregister(running: RunningAttempts, record: ClusterRecordOf<'vm-registered'>): RunningAttempts {
+	const next: RunningAttempts = new Map();
+	for (const [taskId, last] of running) {
+		if (last.vmId !== record.vmId) {
+			next.set(taskId, last);
+		} else if (record.runningTasks.some(({taskId: id, attempt}) => id === taskId && attempt === last.attempt)) {
+			next.set(taskId, {...last, agentIncarnation: record.agentIncarnation});
+		}
+	}
+
+	return next;
+}
+
 test('a task never has two live attempts, and a new one starts only after a record that ended the last one', t => {
 	always(t, () => {
-		const running = new Map<string, {attempt: number; vmId: string; agentIncarnation: string}>();
+		let running: RunningAttempts = new Map();
 		return (before, {offset, envelope: {record}}, after) => {
 			if (record.kind === 'task-ended' || record.kind === 'task-checkpointed') {
 				const last = running.get(record.taskId);
@@ -79,15 +96,7 @@
 					}
 				}
 			} else if (record.kind === 'vm-registered' && after.vms.get(record.vmId) !== before.vms.get(record.vmId)) {
-				for (const [taskId, last] of running) {
-					if (last.vmId === record.vmId) {
-						const continues = record.runningTasks.some(({taskId: id, attempt}) => id === taskId && attempt === last.attempt);
-						running.delete(taskId);
-						if (continues) {
-							running.set(taskId, {...last, agentIncarnation: record.agentIncarnation});
-						}
-					}
-				}
+				running = reregister(running, record);
 			}
 
 			for (const task of after.tasks.values()) {
