Let random logs claim live tasks often enough

With rare claims of live tasks, the property on live attempts passed even when the reducer accepted them.

Each of these properties was seen to fail with the code broken on purpose: capacity ignored, quota ignored, claims of live tasks accepted, checkpoint dropped on requeue, key claims overwritten, configuration offset falling, changed entities ignored in plans, duplicate sequences accepted, and a field lost in decoding. Dropping the sort of lost tasks, or the waiting tasks of a VM from the encoding, was not noticed by the properties. The log client's properties were not tried with broken code.

--- a/src/cluster/random-log.ts
+++ b/src/cluster/random-log.ts
@@ -71,7 +71,7 @@
 function claimRecord(state: ClusterState, {a, b, c, odd}: Command, evicts: boolean): ClusterRecord {
 	const queued = [...state.queued.values()].flatMap(queue => [...queue.keys()]);
 	const all = [...state.tasks.keys()].toSorted();
-	const candidates = odd || queued.length === 0 ? all : queued;
+	const candidates = odd || c % 5 === 0 || queued.length === 0 ? all : queued;
 	const taskId = candidates[a % Math.max(1, candidates.length)] ?? 'none';
 	const vmId = `vm-${b % 3}`;
 	const vm = state.vms.get(vmId);
