--- a/src/entry/caller-body.ts
+++ b/src/entry/caller-body.ts
@@ -37,13 +37,14 @@
 		}
 
 		receivedBytes += result.value.length;
-		chunks.push(result.value);
 		if (receivedBytes > limits.limitBytes) {
 			throw new BodyTooLargeError(`the body exceeds ${limits.limitBytes} bytes`);
 		}
+
+		chunks.push(result.value);
 	}
 
-	const canResend = () => receivedBytes <= limits.keepBytes;
+	const canResend = () => receivedBytes <= Math.min(limits.keepBytes, limits.limitBytes);
 
 	async function * read(): AsyncGenerator<Buffer, void, undefined> {
 		for (let index = 0; ; index++) {
--- a/src/entry/caller-server.ts
+++ b/src/entry/caller-server.ts
@@ -53,6 +53,9 @@
 	close: () => Promise<void>;
 }>;
 
+/** A request with the named parts of its path. */
+type RoutedRequest = IncomingMessage & Readonly<{params: Readonly<Record<string, string | string[]>>}>;
+
 /** Bodies up to this size are kept, so that an idempotent request can be sent again. */
 const keptBodyBytes = 65_536;
 
@@ -294,6 +297,16 @@
 		sendResult(response, 202, await jobs.submit(body));
 	}
 
+	/** A handler that fails ends its own connection only. */
+	function guard(handler: (request: RoutedRequest, response: ServerResponse) => Promise<void>): (request: RoutedRequest, response: ServerResponse) => void {
+		return (request, response) => {
+			handler(request, response).catch((error: unknown) => {
+				log.error('caller-server-failed', {message: error instanceof Error ? error.message : 'unknown'});
+				response.destroy();
+			});
+		};
+	}
+
 	const server: Server = createServer({
 		maxHeaderSize: limits.headerBytes,
 		headersTimeout: limits.idleTimeoutMs,
@@ -329,15 +342,15 @@
 	app.get('/health', (_request, response) => {
 		sendJson(response, 200, {healthy: true});
 	});
-	app.all('/services/:service', handleServiceRequest);
-	app.all('/services/:service/*', handleServiceRequest);
-	app.post('/jobs', submitJob);
-	app.get('/jobs/:jobId', async (request, response) => {
+	app.all('/services/:service', guard(handleServiceRequest));
+	app.all('/services/:service/*', guard(handleServiceRequest));
+	app.post('/jobs', guard(submitJob));
+	app.get('/jobs/:jobId', guard(async (request, response) => {
 		sendResult(response, 200, await jobs.find(String(request.params.jobId)));
-	});
-	app.delete('/jobs/:jobId', async (request, response) => {
+	}));
+	app.delete('/jobs/:jobId', guard(async (request, response) => {
 		sendResult(response, 202, await jobs.cancel(String(request.params.jobId)));
-	});
+	}));
 
 	return {
 		async listen() {
--- a/src/entry/request-forwarder.ts
+++ b/src/entry/request-forwarder.ts
@@ -2,7 +2,7 @@
 import {type IncomingHttpHeaders} from 'node:http';
 import {type Readable} from 'node:stream';
 import PQueue from 'p-queue';
-import {Pool, type Dispatcher} from 'undici';
+import {errors, Pool, type Dispatcher} from 'undici';
 import {z} from 'zod';
 import {type ForwardRequestEffect, type RequestEffect} from '../requests/request-effect.js';
 import {type ForwardResult, type RequestEvent} from '../requests/request-event.js';
@@ -230,12 +230,18 @@
 					response.end();
 					resolve({kind: 'answered'});
 				},
-				onResponseError(_controller, {message}) {
+				onResponseError(_controller, error) {
+					const {message} = error;
 					if (forward.hasAnswerBegun) {
 						response.destroy();
 						resolve({kind: 'broken-in-answer', message});
 					} else if (mayBeSent) {
 						resolve({kind: 'broken-before-answer', message, canResend: canResend()});
+					} else if (error instanceof errors.InvalidArgumentError || error instanceof errors.NotSupportedError) {
+						// The request itself cannot be sent on; it says nothing about the agent.
+						resolve({
+							kind: 'refused-not-run', errorKind: 'request-malformed', status: 400, message, remedy: 'use an HTTP client library', canResend: false,
+						});
 					} else {
 						resolve({kind: 'not-sent', message, canResend: canResend()});
 					}
--- a/src/entry/request-path.test.ts
+++ b/src/entry/request-path.test.ts
@@ -146,6 +146,7 @@
 	}));
 	t.deepEqual(answers, bodies.map(body => body.repeat(1000)));
 	t.is(entry.pending(), 0);
+	await until(() => entry.exchanges.size === 0);
 	t.is(entry.exchanges.size, 0);
 });
 
--- /dev/null
+++ b/src/requests/key-claims.test.ts
@@ -0,0 +1,37 @@
+import test from 'ava';
+import {claimedRoute, proveNotRun, type NotRunProof} from './key-claims.js';
+import {fixtureArrival, fixtureCluster, fixtureContext} from './request-fixture.js';
+
+const free = fixtureCluster(['127.0.0.1:1', '127.0.0.1:2']);
+const claimed = {
+	...free,
+	keys: free.keys.set('key', {
+		keyHash: 'key', bodyHash: 'body', service: 'loaf-ordering', vmId: 'vm1', agentIncarnation: 'agent1', backendServerId: 'b1', claimOffset: 7,
+	}),
+};
+const keyed = fixtureArrival('r1', 1000, {idempotency: 'keyed', keyHash: 'key', bodyHash: 'body'});
+
+// Guards against "not run" without proof: a read of the tail that may be older than the arrival, or a claim that is known.
+test('"not run" is proven only by a later read of the tail, a later own record or the caller\'s word', t => {
+	const cases: ReadonlyArray<readonly [expected: NotRunProof, proof: NotRunProof]> = [
+		['proven', proveNotRun(fixtureArrival('r1', 1000), fixtureContext(claimed, 1000))],
+		['proven', proveNotRun({...keyed, firstAttempt: true}, fixtureContext(free, 1000))],
+		['proven', proveNotRun(keyed, fixtureContext(free, 1000, {tailConfirmedSentAtMs: 1001}))],
+		['proven', proveNotRun(keyed, fixtureContext(free, 1000), true)],
+		['tail-read-needed', proveNotRun(keyed, fixtureContext(free, 1000, {tailConfirmedSentAtMs: 1000}))],
+		['tail-unreadable', proveNotRun(keyed, fixtureContext(free, 1000, {logReachable: false}))],
+		['claimed', proveNotRun(keyed, fixtureContext(claimed, 1000, {tailConfirmedSentAtMs: 1001}))],
+	];
+	for (const [expected, proof] of cases) {
+		t.is(proof, expected);
+	}
+});
+
+// Guards against a retry that goes to an agent which does not hold the key's outcome.
+test('a claimed key leads to its agent incarnation only', t => {
+	t.is(claimedRoute(free, keyed), undefined);
+	t.like(claimedRoute(claimed, keyed), {kind: 'claimed', requestAddress: '127.0.0.1:2'});
+	t.is(claimedRoute(claimed, {...keyed, bodyHash: 'other'})?.kind, 'body-differs');
+	const restarted = {...claimed, vms: claimed.vms.update('vm1', vm => ({...vm!, agentIncarnation: 'agent1b'}))};
+	t.is(claimedRoute(restarted, keyed)?.kind, 'incarnation-gone');
+});
--- a/src/requests/weighted-fair-queue.test.ts
+++ b/src/requests/weighted-fair-queue.test.ts
@@ -62,6 +62,20 @@
 	t.is(dequeueRequest(first.queue, 'normal', limits)?.requestId, 'one');
 });
 
+// Guards against a class that waits for its turn while it uses less than its floor of the places.
+test('a class below its floor of the places is served before its turn', t => {
+	let queue = emptyFairQueue;
+	for (const priority of priorityClasses) {
+		for (let index = 0; index < 9; index++) {
+			({queue} = enqueueRequest(queue, {requestId: `${priority}${index}`, priority, caller: 'a'}));
+		}
+	}
+
+	({queue} = dequeueRequest(queue, 'background', limits)!);
+	t.not(chooseClass(queue, {limits, inFlightByClass: {urgent: 5, normal: 4, background: 1}, places: 10}), 'background');
+	t.is(chooseClass(queue, {limits, inFlightByClass: {urgent: 5, normal: 5, background: 0}, places: 10}), 'background');
+});
+
 // Guards against shares that differ from the configured ones while all classes wait.
 test('classes that all wait are served by their shares', t => {
 	let queue = emptyFairQueue;
