--- a/src/entry/entry-process.ts
+++ b/src/entry/entry-process.ts
@@ -1,6 +1,7 @@
 import {randomBytes, randomInt, randomUUID} from 'node:crypto';
 import {performance} from 'node:perf_hooks';
 import {setTimeout as delay} from 'node:timers/promises';
+import {err, ok, type Result} from 'true-myth/result';
 import {computePlan} from '../cluster/compute-plan.js';
 import {type EntrySettings} from '../settings/entry-settings.js';
 import {createHttpLogService} from '../log/http-log-service.js';
@@ -22,7 +23,7 @@
 import {createOperatorBackend} from './operator-backend.js';
 import {startOperatorServer} from './operator-server.js';
 import {readTokenFile} from '../operator/read-token-file.js';
-import {formatError} from '../errors/typed-error.js';
+import {type TypedError} from '../errors/typed-error.js';
 import {reduceEntry} from './reduce-entry.js';
 import {createRequestForwarder} from './request-forwarder.js';
 
@@ -49,11 +50,11 @@
 	eventLog: EventLog;
 	metrics: Metrics;
 	timeline: Timeline;
-}>): Promise<EntryProcess> {
+}>): Promise<Result<EntryProcess, TypedError>> {
 	let isStopping = false;
 	const token = await readTokenFile(settings.operatorTokenFile);
 	if (token.isErr) {
-		throw new Error(formatError(token.error));
+		return err(token.error);
 	}
 
 	const incarnation = newIncarnation();
@@ -142,7 +143,7 @@
 	}, tickMs);
 	eventLog.info('entry-started', {entryId: settings.entryId, incarnation});
 
-	return {
+	return ok({
 		async stop() {
 			isStopping = true;
 			eventLog.info('entry-stopping', {entryId: settings.entryId});
@@ -158,7 +159,7 @@
 			await metrics.close();
 			eventLog.info('entry-stopped', {entryId: settings.entryId});
 		},
-	};
+	});
 }
 
 function newIncarnation(): string {
