--- a/src/cluster/random-log.ts
+++ b/src/cluster/random-log.ts
@@ -165,8 +165,8 @@
 			? {
 				kind: 'entry-ended', entryId: 'entry-2', incarnation: 'writer-2', reason: 'test',
 			}
-			: {kind: 'entry-alive'},
-		duplicate: () => ({kind: 'entry-alive'}),
+			: {kind: 'entry-alive', appliedOffset: 0},
+		duplicate: () => ({kind: 'entry-alive', appliedOffset: 0}),
 		quarantine: () => ({kind: c % 2 === 0 ? 'vm-quarantined' : 'vm-unquarantined', ...agent, reason: 'test'}),
 	};
 	return makers[command.kind]();
--- a/src/log/log-reader.test.ts
+++ b/src/log/log-reader.test.ts
@@ -5,7 +5,7 @@
 import {createLogReader, type LogPage, type LogReaderError} from './log-reader.js';
 
 const value = (sequence: number) => JSON.stringify({
-	writer: 'entry-1', incarnation: 'w1', sequence, record: {kind: 'entry-alive'},
+	writer: 'entry-1', incarnation: 'w1', sequence, record: {kind: 'entry-alive', appliedOffset: 0},
 });
 
 function start() {
--- a/src/log/log-writer.test.ts
+++ b/src/log/log-writer.test.ts
@@ -52,9 +52,9 @@
 test('a batch that failed is sent again unchanged, though more records wait', async t => {
 	const {clock, log, writer} = start();
 	log.appendFaults.push('lost-answer', 'unavailable');
-	writer.append({kind: 'entry-alive'});
+	writer.append({kind: 'entry-alive', appliedOffset: 0});
 	await clock.advance(1);
-	writer.append({kind: 'entry-alive'});
+	writer.append({kind: 'entry-alive', appliedOffset: 0});
 	await clock.advance(1000);
 	const [first, second, third, fourth] = log.appends;
 	t.deepEqual(second?.values, first?.values);
@@ -65,9 +65,9 @@
 test('only records that were never sent can be dropped', async t => {
 	const {clock, log, writer} = start();
 	log.appendFaults.push('unavailable');
-	writer.append({kind: 'entry-alive'});
+	writer.append({kind: 'entry-alive', appliedOffset: 0});
 	await clock.advance(1);
-	writer.append({kind: 'entry-alive'});
+	writer.append({kind: 'entry-alive', appliedOffset: 0});
 	t.is(writer.drop(() => true), 1);
 	await clock.advance(1000);
 	t.is(log.values('s').length, 1);
@@ -76,12 +76,12 @@
 test('a full writer refuses records instead of growing without bound, and a closed one gives up after its time-out', async t => {
 	const {clock, log, writer} = start(2);
 	log.appendFaults.push(...Array.from({length: 100}, () => 'unavailable' as const));
-	t.true(writer.append({kind: 'entry-alive'}).isOk);
-	t.true(writer.append({kind: 'entry-alive'}).isOk);
-	const refused = writer.append({kind: 'entry-alive'});
+	t.true(writer.append({kind: 'entry-alive', appliedOffset: 0}).isOk);
+	t.true(writer.append({kind: 'entry-alive', appliedOffset: 0}).isOk);
+	const refused = writer.append({kind: 'entry-alive', appliedOffset: 0});
 	t.true(refused.isErr && refused.error.kind === 'log-writer-full');
 	const closed = writer.close();
 	await clock.advance(5000);
 	await closed;
-	t.true(writer.append({kind: 'entry-alive'}).isErr);
+	t.true(writer.append({kind: 'entry-alive', appliedOffset: 0}).isErr);
 });
--- a/src/log/log-writer.ts
+++ b/src/log/log-writer.ts
@@ -49,7 +49,7 @@
 
 @example
 const writer = createLogWriter({service, stream: 'arbutushinge', writer: 'entry-1', incarnation, appendIntervalMs: 20, maxBatchRecords: 500});
-writer.append({kind: 'entry-alive'}); // => Ok(1)
+writer.append({kind: 'entry-alive', appliedOffset: 0}); // => Ok(1)
 await writer.close();
 */
 export function createLogWriter(options: LogWriterOptions): LogWriter {
