Prove "not run" by a read of the tail alone

A key claim that was read back and rejected may be the claim of an earlier request with the same key, appended before the present one arrived. It was taken as proof, so a retry could be told "not run" after another entry had run it. The new unit test covers the case without a search.

--- a/src/requests/key-claims.test.ts
+++ b/src/requests/key-claims.test.ts
@@ -12,12 +12,11 @@
 const keyed = fixtureArrival('r1', 1000, {idempotency: 'keyed', keyHash: 'key', bodyHash: 'body'});
 
 // Guards against "not run" without proof: a read of the tail that may be older than the arrival, or a claim that is known.
-test('"not run" is proven only by a later read of the tail, a later own record or the caller\'s word', t => {
+test('"not run" is proven only by a later read of the tail or the caller\'s word', t => {
 	const cases: ReadonlyArray<readonly [expected: NotRunProof, proof: NotRunProof]> = [
 		['proven', proveNotRun(fixtureArrival('r1', 1000), fixtureContext(claimed, 1000))],
 		['proven', proveNotRun({...keyed, firstAttempt: true}, fixtureContext(free, 1000))],
 		['proven', proveNotRun(keyed, fixtureContext(free, 1000, {tailConfirmedSentAtMs: 1001}))],
-		['proven', proveNotRun(keyed, fixtureContext(free, 1000), true)],
 		['tail-read-needed', proveNotRun(keyed, fixtureContext(free, 1000, {tailConfirmedSentAtMs: 1000}))],
 		['tail-unreadable', proveNotRun(keyed, fixtureContext(free, 1000, {logReachable: false}))],
 		['claimed', proveNotRun(keyed, fixtureContext(claimed, 1000, {tailConfirmedSentAtMs: 1001}))],
--- a/src/requests/key-claims.ts
+++ b/src/requests/key-claims.ts
@@ -42,12 +42,7 @@
 @example
 proveNotRun(request, context); // => 'proven'
 */
-export function proveNotRun(
-	request: RequestDescription,
-	context: RequestContext,
-	/** A record of this entry, appended after the arrival, was read back. */
-	hasReadBack = false,
-): NotRunProof {
+export function proveNotRun(request: RequestDescription, context: RequestContext): NotRunProof {
 	if (request.idempotency !== 'keyed' || request.firstAttempt) {
 		return 'proven';
 	}
@@ -56,7 +51,7 @@
 		return 'claimed';
 	}
 
-	if (hasReadBack || context.tailConfirmedSentAtMs > request.arrivedAtMs) {
+	if (context.tailConfirmedSentAtMs > request.arrivedAtMs) {
 		return 'proven';
 	}
 
--- a/src/requests/reduce-requests.test.ts
+++ b/src/requests/reduce-requests.test.ts
@@ -31,3 +31,13 @@
 	const sent = reduceRequests(claiming.state, {kind: 'cluster-advanced'}, fixtureContext(claimed, 20));
 	t.like(sent.effects[0], {kind: 'forward-request', backendServerId: 'b1', claimOffset: 7});
 });
+
+// Guards against a false "not run" from the rejected claim of an earlier request with the same key, appended before the arrival.
+test('a rejected claim that is read back is no proof; the tail is read first', t => {
+	const arrival = fixtureArrival('r2', 1000, {idempotency: 'keyed', keyHash: 'key', bodyHash: 'body'});
+	const claiming = reduceRequests(initialRequestState, arrival, fixtureContext(cluster, 1000));
+	const readBack = reduceRequests(claiming.state, {kind: 'cluster-advanced', readBackKeyHashes: ['key']}, fixtureContext(cluster, 1010));
+	t.deepEqual(readBack.effects.map(effect => effect.kind), ['confirm-log-tail']);
+	const confirmed = reduceRequests(readBack.state, {kind: 'tail-confirmed'}, fixtureContext(cluster, 1020, {tailConfirmedSentAtMs: 1015}));
+	t.like(confirmed.effects[0], {kind: 'answer-request', outcome: 'refused-not-run'});
+});
--- a/src/requests/reduce-requests.ts
+++ b/src/requests/reduce-requests.ts
@@ -126,9 +126,10 @@
 		const readBack = new Set(readBackKeyHashes);
 		for (const requestId of step.state.claiming) {
 			const request = step.state.pending.get(requestId)!;
-			// A claim that was read back and is not in the state was rejected: its agent was replaced meanwhile.
+			// A claim that was read back and is not in the state was rejected: its agent was replaced meanwhile. It may be the claim
+			// of an earlier request with this key, appended before this one arrived, so it proves nothing: the tail is read.
 			if (!followClaim(step, request) && readBack.has(request.description.keyHash!)) {
-				refuseRequest(step, request, refusalAnswer('no-backend-server'), true);
+				refuseRequest(step, request, refusalAnswer('no-backend-server'));
 			}
 		}
 
--- a/src/requests/refuse-request.ts
+++ b/src/requests/refuse-request.ts
@@ -47,14 +47,14 @@
 @example
 refuseRequest(step, request, refusalAnswer('queue-full'));
 */
-export function refuseRequest(step: RequestStep, request: PendingRequest, refusal: RequestAnswer, hasReadBack = false): void {
+export function refuseRequest(step: RequestStep, request: PendingRequest, refusal: RequestAnswer): void {
 	if (request.mayHaveRun) {
 		answerRequest(step, request, uncertainAnswer(request, refusal.error.message));
 		return;
 	}
 
 	const placeless = releasePlace(step, request);
-	refusalSteps[proveNotRun(request.description, step.context, hasReadBack)](step, placeless, refusal);
+	refusalSteps[proveNotRun(request.description, step.context)](step, placeless, refusal);
 }
 
 /**
