--- a/src/agent/agent-event.ts
+++ b/src/agent/agent-event.ts
@@ -1,9 +1,8 @@
 import type {EntryMessage} from '../generated/arbutushinge/v1/agent_pb.js';
-import type {WorkerUsage} from '../platform/worker-api.js';
+import type {WorkerTasks, WorkerUsage} from '../platform/worker-api.js';
 import type {Announcement} from './backend-server-table.js';
 import type {KeyClaim} from './key-table.js';
 import type {KeptAnswer, Refusal} from './request-outcome.js';
-import type {WorkerTaskList} from './worker.js';
 
 /** A request that an entry sent. */
 export type ArrivedRequest = Readonly<{
@@ -24,7 +23,7 @@
 	'entry-connected': Readonly<{entryAddress: string}>;
 	'entry-disconnected': Readonly<{entryAddress: string}>;
 	'entry-message': Readonly<{entryAddress: string; message: EntryMessage['message']}>;
-	'worker-tasks': Readonly<{requestedAtMs: number; list: WorkerTaskList}>;
+	'worker-tasks': Readonly<{requestedAtMs: number; list: WorkerTasks}>;
 	'worker-usage': Readonly<{usage: WorkerUsage}>;
 	'start-answered': Readonly<{taskId: string; attempt: number; result: 'started' | 'refused' | 'unknown'; reason: string}>;
 	'incarnation-created': Readonly<{incarnation: string}>;
--- a/src/agent/agent-process.test.ts
+++ b/src/agent/agent-process.test.ts
@@ -107,17 +107,17 @@
 			});
 			return Result.ok(undefined);
 		},
-		listTasks: async () => Result.ok({capacity: {processorsMilli: 4000, memoryMb: 4096, accelerators: 0}, tasks: [...tasks.values()]}),
+		tasks: async () => Result.ok({capacity: {processorsMilli: 4000, memoryMb: 4096, accelerators: 0}, tasks: [...tasks.values()]}),
 		async deleteTask(taskId) {
 			calls.push(`delete ${taskId}`);
 			tasks.delete(taskId);
 			return Result.ok(undefined);
 		},
-		setLease: async () => Result.ok(undefined),
+		renewLease: async () => Result.ok(undefined),
 		checkpointTask: async taskId => end(taskId, 'checkpointed'),
 		throttleTask: async () => Result.ok(undefined),
 		stopTask: async taskId => end(taskId, 'stopped'),
-		readUsage: async () => Result.ok({
+		usage: async () => Result.ok({
 			measuredAtMonotonicMs: 0, processorsUsedMilli: 0, memoryUsedMb: 0, tasks: [],
 		}),
 	};
@@ -147,7 +147,7 @@
 	await once(reserved, 'close');
 
 	const {worker, calls} = memoryWorker();
-	const started = await startAgent({
+	const agent = await startAgent({
 		settings: agentSettingsSchema.parse({
 			role: 'agent', vmId: 'vm-1', failureDomain: 'a', rack: 'r1', requestAddress, entryAddresses: [`127.0.0.1:${entry.port}`], workerUrl: 'http://127.0.0.1:1', timings: {heartbeatMs: 50, workerPollMs: 50},
 		}),
@@ -160,9 +160,6 @@
 		timeline: {record: nothing, read: () => []},
 		worker,
 	});
-	const agent = started.unwrapOrElse(error => {
-		throw new Error(error.message);
-	});
 	await until(() => received.some(({message}) => message.case === 'taskEvents' && message.value.events.some(event => event.outcome.case === 'started')));
 	t.is(received[0]?.message.case, 'hello');
 
--- a/src/agent/agent-process.ts
+++ b/src/agent/agent-process.ts
@@ -1,7 +1,6 @@
 import {randomUUID} from 'node:crypto';
-import process from 'node:process';
-import {Result} from 'true-myth';
-import type {TypedError} from '../errors/typed-error.js';
+import {formatError} from '../errors/typed-error.js';
+import {monotonicMs} from '../platform/monotonic-clock.js';
 import type {AgentSettings} from '../settings/agent-settings.js';
 import type {EventLog} from '../telemetry/event-log.js';
 import type {Metrics} from '../telemetry/metrics.js';
@@ -31,19 +30,15 @@
 	stop: () => Promise<void>;
 }>;
 
-const monotonicMs = (): number => Number(process.hrtime.bigint()) / 1e6;
-
 /**
 Starts the agent of this VM.
 
-@returns `address-unavailable` when the request address cannot be opened.
+@throws {Error} When the request address cannot be opened.
 @example
 const agent = await startAgent({settings, eventLog, metrics, timeline, worker});
-if (agent.isOk) {
-	await agent.value.stop();
-}
+await agent.stop();
 */
-export async function startAgent({settings, eventLog, metrics, timeline, worker}: AgentParts): Promise<Result<RunningAgent, TypedError<'address-unavailable'>>> {
+export async function startAgent({settings, eventLog, metrics, timeline, worker}: AgentParts): Promise<RunningAgent> {
 	let state = initialAgentState(settings, randomUUID());
 	const events: AgentEvent[] = [];
 	const sessions = new Map<string, EntrySession>();
@@ -140,7 +135,7 @@
 		timeline: fromSequence => timeline.read(fromSequence),
 	});
 	if (opened.isErr) {
-		return Result.err(opened.error);
+		throw new Error(formatError(opened.error));
 	}
 
 	ports.requestServer = opened.value;
@@ -171,7 +166,7 @@
 	void driver.poll();
 	eventLog.info('agent-started', {vmId: settings.vmId, incarnation: state.incarnation, requestAddress: settings.requestAddress});
 
-	return Result.ok({
+	return {
 		async stop() {
 			dispatch({kind: 'stop-requested', nowMs: monotonicMs()});
 			await stopped;
@@ -182,5 +177,5 @@
 			await client.close();
 			eventLog.info('agent-stopped', {vmId: settings.vmId});
 		},
-	});
+	};
 }
--- a/src/agent/backend-server-client.ts
+++ b/src/agent/backend-server-client.ts
@@ -125,17 +125,21 @@
 	async function keep(exchange: Exchange, answer: Dispatcher.ResponseData): Promise<void> {
 		const chunks: Uint8Array[] = [];
 		let bytes = 0;
-		const iterator = answer.body.iterator({destroyOnReturn: false}) as AsyncIterableIterator<Uint8Array>;
+		const iterator: AsyncIterable<Uint8Array> = answer.body.iterator({destroyOnReturn: false});
 		for await (const chunk of iterator) {
 			chunks.push(chunk);
 			bytes += chunk.byteLength;
 			if (bytes > keyedAnswerBytes) {
-				await pass(exchange, answer, chunks);
-				settle(exchange.parts.requestId, {kind: 'passed'});
-				return;
+				break;
 			}
 		}
 
+		if (bytes > keyedAnswerBytes) {
+			await pass(exchange, answer, chunks);
+			settle(exchange.parts.requestId, {kind: 'passed'});
+			return;
+		}
+
 		const kept = {status: answer.statusCode, headers: passedHeaders(answer.headers), body: Buffer.concat(chunks)};
 		settle(exchange.parts.requestId, {kind: 'kept', answer: kept});
 		exchange.answer(kept);
--- a/src/agent/entry-session.ts
+++ b/src/agent/entry-session.ts
@@ -2,6 +2,7 @@
 import {create} from '@bufbuild/protobuf';
 import {createClient} from '@connectrpc/connect';
 import {createGrpcTransport, Http2SessionManager} from '@connectrpc/connect-node';
+import {messageOf} from '../errors/message-of.js';
 import {
 	AgentMessageSchema, AgentSession, type AgentMessage, type EntryMessage,
 } from '../generated/arbutushinge/v1/agent_pb.js';
@@ -83,11 +84,14 @@
 	let outbox: Outbox | undefined;
 	let stream: AbortController | undefined;
 
-	async function runOnce(): Promise<string> {
+	/** Returns whether a message of the entry arrived, which resets the backoff. */
+	async function runOnce(): Promise<boolean> {
+		let isAnswered = false;
+		let reason = 'the entry ended the stream';
 		const sessionManager = new Http2SessionManager(url, {pingIntervalMs, pingTimeoutMs});
 		try {
 			if (await sessionManager.connect() === 'error') {
-				return 'no connection';
+				return false;
 			}
 
 			const current = new Outbox();
@@ -97,29 +101,28 @@
 			outbox = current;
 			handlers.connected();
 			for await (const answer of answers) {
+				isAnswered = true;
 				handlers.message(answer.message);
 			}
-
-			return 'the entry ended the stream';
 		} catch (error) {
-			return error instanceof Error ? error.message : String(error);
+			reason = messageOf(error);
 		} finally {
 			const wasConnected = outbox !== undefined;
 			outbox?.close();
 			outbox = undefined;
 			sessionManager.abort();
 			if (wasConnected) {
-				handlers.disconnected('the stream ended');
+				handlers.disconnected(reason);
 			}
 		}
+
+		return isAnswered;
 	}
 
 	async function run(): Promise<void> {
 		let backoffMs = firstBackoffMs;
 		while (!closing.signal.aborted) {
-			let wasConnected = false;
-			const reason = await runOnce();
-			wasConnected = reason !== 'no connection';
+			const wasConnected = await runOnce();
 			backoffMs = wasConnected ? firstBackoffMs : Math.min(longestBackoffMs, backoffMs * 2);
 			try {
 				await delay(backoffMs * (0.5 + (random() / 2)), undefined, {signal: closing.signal});
--- /dev/null
+++ b/src/agent/reduce-agent.test.ts
@@ -0,0 +1,373 @@
+import {create} from '@bufbuild/protobuf';
+import test from 'ava';
+import fc from 'fast-check';
+import {fitsInto, type Resources} from '../cluster/resources.js';
+import {EntryMessageSchema, TaskOutcome, type EntryMessage} from '../generated/arbutushinge/v1/agent_pb.js';
+import type {WorkerTask} from '../platform/worker-api.js';
+import {agentSettingsSchema} from '../settings/agent-settings.js';
+import type {AgentEffect, AgentEffectOf} from './agent-effect.js';
+import type {
+	AgentEvent, AgentEventKind, AgentEventPayloads, RequestSettlement,
+} from './agent-event.js';
+import {initialAgentState} from './agent-state.js';
+import {phaseOf} from './backend-server-table.js';
+import {reduceAgent} from './reduce-agent.js';
+import {refusalOf} from './request-outcome.js';
+
+const capacity: Resources = {processorsMilli: 4000, memoryMb: 4096, accelerators: 0};
+
+const leaseMs = 3000;
+
+const settings = agentSettingsSchema.parse({
+	role: 'agent', vmId: 'vm-1', failureDomain: 'a', rack: 'r1', requestAddress: '127.0.0.1:1', entryAddresses: ['127.0.0.1:2', '127.0.0.1:3'], workerUrl: 'http://127.0.0.1:4', limits: {backendQueueLimit: 1},
+});
+
+/** An agent in a world whose clock, worker and messages the test moves. */
+class Fixture {
+	state = initialAgentState(settings, 'i0');
+	nowMs = 1000;
+	/** Whether the worker's answers to starts are lost after they took effect. */
+	losesAnswers = false;
+	/** Attempts that the worker started, with how often. */
+	readonly started = new Map<string, number>();
+	readonly effects: AgentEffect[] = [];
+	readonly #tasks = new Map<string, WorkerTask>();
+	#incarnations = 0;
+
+	send<Kind extends AgentEventKind>(kind: Kind, payload: AgentEventPayloads[Kind]): readonly AgentEffect[] {
+		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- The parameters keep kind and payload together.
+		const reduced = reduceAgent(this.state, {kind, nowMs: this.nowMs, ...payload} as AgentEvent);
+		this.state = reduced.state;
+		this.effects.push(...reduced.effects);
+		for (const effect of reduced.effects) {
+			this.#carryOut(effect);
+		}
+
+		return reduced.effects;
+	}
+
+	message(value: NonNullable<Parameters<typeof create<typeof EntryMessageSchema>>[1]>): readonly AgentEffect[] {
+		const {message}: EntryMessage = create(EntryMessageSchema, value);
+		return this.send('entry-message', {entryAddress: '127.0.0.1:2', message});
+	}
+
+	list(): void {
+		this.send('worker-tasks', {requestedAtMs: this.nowMs, list: {capacity, tasks: [...this.#tasks.values()]}});
+	}
+
+	/** Connects, counts and gets a lease. */
+	activate(): this {
+		this.send('entry-connected', {entryAddress: '127.0.0.1:2'});
+		this.list();
+		this.tick();
+		this.grant();
+		return this;
+	}
+
+	tick(): void {
+		this.send('tick', {latencies: []});
+	}
+
+	grant(sequence = this.state.heartbeatSequence): void {
+		this.message({message: {case: 'leaseGrant', value: {heartbeatSequence: BigInt(sequence), durationMs: leaseMs}}});
+	}
+
+	start(taskId: string, attempt: number, processorsMilli = 1000, agentIncarnation = this.state.incarnation): readonly AgentEffect[] {
+		return this.message({
+			message: {
+				case: 'startTask', value: {
+					taskId, attempt, agentIncarnation, claimOffset: BigInt(attempt), demand: {processorsMilli, memoryMb: 64},
+				},
+			},
+		});
+	}
+
+	announce(demandMilli = 0): void {
+		if (demandMilli > 0) {
+			const services = [{service: 's', demandPerBackendServer: {processorsMilli: demandMilli}}];
+			this.message({message: {case: 'configuration', value: {offset: BigInt(this.state.configuration.offset + 1), services}}});
+		}
+
+		this.send('backend-server-announced', {
+			announcement: {
+				backendServerId: 'b1', service: 's', address: '127.0.0.1:5', slots: 2, connections: 4,
+			},
+		});
+	}
+
+	request(requestId: string, key?: Readonly<{keyHash: string; claimOffset: number; bodyHash?: string}>): readonly AgentEffect[] {
+		return this.send('request-arrived', {request: {requestId, backendServerId: 'b1', key: key && {agentIncarnation: this.state.incarnation, bodyHash: 'h', ...key}}});
+	}
+
+	end(taskId: string, phase: WorkerTask['phase']): void {
+		const task = this.#tasks.get(taskId);
+		if (task?.phase === 'running') {
+			this.#tasks.set(taskId, {...task, phase});
+		}
+	}
+
+	/** A worker that starts an attempt at most once while it lists it, and none whose deadline has passed. */
+	#startTask({taskId, request: {attempt, limit, leaseDeadlineMonotonicMs}}: AgentEffectOf<'start-task'>): void {
+		const isKnown = this.#tasks.get(taskId)?.attempt === attempt;
+		const isStarted = isKnown || this.nowMs < leaseDeadlineMonotonicMs;
+		if (isStarted && !isKnown) {
+			const name = `${taskId}#${attempt}`;
+			this.started.set(name, (this.started.get(name) ?? 0) + 1);
+			this.#tasks.set(taskId, {
+				taskId, attempt, phase: 'running', limit, latencyCritical: false, checkpoint: '', reason: '',
+			});
+		}
+
+		const result = isStarted ? 'started' : 'refused';
+		this.nowMs += 1;
+		this.send('start-answered', {
+			taskId, attempt, result: this.losesAnswers ? 'unknown' : result, reason: '',
+		});
+	}
+
+	#carryOut(effect: AgentEffect): void {
+		if (effect.kind === 'create-incarnation') {
+			this.#incarnations += 1;
+			this.send('incarnation-created', {incarnation: `i${this.#incarnations}`});
+		}
+
+		if (effect.kind === 'start-task') {
+			this.#startTask(effect);
+		}
+
+		if (effect.kind === 'checkpoint-task' || effect.kind === 'stop-task') {
+			this.end(effect.taskId, effect.kind === 'stop-task' ? 'stopped' : 'checkpointed');
+		}
+
+		if (effect.kind === 'delete-task') {
+			this.#tasks.delete(effect.taskId);
+		}
+	}
+}
+
+/** Attempts that were reported as not run. */
+function refusedAttempts(effects: readonly AgentEffect[]): ReadonlySet<string> {
+	return new Set(effects
+		.flatMap(effect => effect.kind === 'send' && effect.message.case === 'taskEvents' ? effect.message.value.events ?? [] : [])
+		.filter(event => event.outcome?.case === 'ended' && event.outcome.value.outcome === TaskOutcome.REFUSED_NOT_RUN)
+		.map(event => `${event.taskId}#${event.attempt}`));
+}
+
+const taskIds = fc.constantFrom('t1', 't2', 't3', 't4');
+
+type Action = (fixture: Fixture) => void;
+
+const taskActions: fc.Arbitrary<Action> = fc.oneof(
+	fc.record({
+		taskId: taskIds, attempt: fc.integer({min: 1, max: 3}), demand: fc.integer({min: 500, max: 3000}), incarnation: fc.constantFrom('i0', 'i1', undefined),
+	})
+		.map(({taskId, attempt, demand, incarnation}) => (fixture: Fixture) => {
+			fixture.start(taskId, attempt, demand, incarnation);
+		}),
+	fc.tuple(taskIds, fc.constantFrom<WorkerTask['phase']>('finished', 'failed', 'stopped')).map(([taskId, phase]) => (fixture: Fixture) => {
+		fixture.end(taskId, phase);
+	}),
+	fc.integer({min: 500, max: 3000}).map(demand => (fixture: Fixture) => {
+		fixture.announce(demand);
+	}),
+	fc.integer({min: 1, max: 4000}).map(passedMs => (fixture: Fixture) => {
+		fixture.nowMs += passedMs;
+	}),
+	fc.integer({min: 0, max: 3}).map(age => (fixture: Fixture) => {
+		fixture.grant(fixture.state.heartbeatSequence - age);
+	}),
+	fc.tuple(taskIds, fc.integer({min: 1, max: 3})).map(([taskId, attempt]) => (fixture: Fixture) => {
+		fixture.message({message: {case: 'evictTask', value: {taskId, attempt, reason: 'drain'}}});
+	}),
+	fc.constant((fixture: Fixture) => {
+		fixture.message({message: {case: 'acknowledgeTaskEvents', value: {eventIds: [...fixture.state.events.pending.keys()].map(BigInt)}}});
+	}),
+	fc.boolean().map(losesAnswers => (fixture: Fixture) => {
+		fixture.losesAnswers = losesAnswers;
+	}),
+	fc.constant((fixture: Fixture) => {
+		fixture.list();
+	}),
+	fc.constant((fixture: Fixture) => {
+		fixture.tick();
+	}),
+);
+
+/** Guards against overcommitment, a second run of an attempt, and a false "not run" of a task. */
+test('commitments stay within the capacity, and an attempt runs once or is truly refused', t => {
+	fc.assert(fc.property(fc.array(taskActions, {maxLength: 60}), actions => {
+		const fixture = new Fixture().activate();
+		for (const act of actions) {
+			act(fixture);
+			t.true(fitsInto(fixture.state.ledger.committed, capacity));
+		}
+
+		t.true([...fixture.started.values()].every(count => count === 1));
+		t.true([...refusedAttempts(fixture.effects)].every(name => !fixture.started.has(name)));
+	}));
+});
+
+/** Guards against a late duplicate of a start whose attempt has ended and is forgotten by the worker. */
+test('a late duplicate of a start runs nothing after the worker has deleted the attempt', t => {
+	const fixture = new Fixture().activate();
+	fixture.start('t1', 1);
+	fixture.end('t1', 'finished');
+	fixture.list();
+	fixture.message({message: {case: 'acknowledgeTaskEvents', value: {eventIds: [...fixture.state.events.pending.keys()].map(BigInt)}}});
+	fixture.nowMs += 1;
+	fixture.list();
+	t.false(fixture.state.tasks.has('t1'));
+	fixture.start('t1', 1);
+	t.is(fixture.started.get('t1#1'), 1);
+	t.false(refusedAttempts(fixture.effects).has('t1#1'));
+});
+
+/** Guards against a paused agent that wakes up and goes on as if its lease were live. */
+test('after a pause beyond the lease, nothing starts until a new incarnation has a lease', t => {
+	fc.assert(fc.property(fc.nat(leaseMs * 2), pauseMs => {
+		const fixture = new Fixture().activate();
+		fixture.start('t1', 1);
+		fixture.nowMs = 1000 + pauseMs;
+		fixture.grant();
+		fixture.start('t2', 2, 1000, 'i0');
+		t.is(fixture.started.has('t2#2'), pauseMs < leaseMs);
+		fixture.nowMs += leaseMs;
+		fixture.list();
+		t.is(fixture.state.incarnation, pauseMs < leaseMs ? 'i0' : 'i1');
+	}));
+});
+
+/** Guards against a lease that is counted from the arrival of the grant. */
+test('a lease counts from the sending of the heartbeat that its grant echoes', t => {
+	const fixture = new Fixture().activate();
+	fixture.nowMs += 1500;
+	fixture.grant(1);
+	t.is(fixture.state.lease.deadlineMs, 1000 + leaseMs);
+});
+
+/** Guards against a start before the agent knows what the worker runs. */
+test('a new agent counts the worker\'s tasks before it registers', t => {
+	const fixture = new Fixture();
+	fixture.send('entry-connected', {entryAddress: '127.0.0.1:2'});
+	fixture.tick();
+	fixture.start('t1', 1);
+	t.deepEqual(fixture.effects.filter(effect => effect.kind === 'send' && effect.message.case !== 'taskEvents'), []);
+	t.is(fixture.started.size, 0);
+});
+
+/** Guards against an event that is lost with the one entry it was sent to. */
+test('a task event goes to every entry when the first one does not acknowledge it', t => {
+	const fixture = new Fixture().activate();
+	fixture.send('entry-connected', {entryAddress: '127.0.0.1:3'});
+	fixture.start('t1', 1);
+	const receivers = (): string[] => fixture.effects.flatMap(effect => effect.kind === 'send' && effect.message.case === 'taskEvents' ? [effect.entryAddress] : []);
+	t.deepEqual(receivers(), ['127.0.0.1:2']);
+	fixture.nowMs += 2000;
+	fixture.tick();
+	t.deepEqual(receivers(), ['127.0.0.1:2', '127.0.0.1:2', '127.0.0.1:3']);
+});
+
+/** Callers that retry keyed requests, and what the agent said about each key. */
+class KeyedCallers {
+	readonly fixture = new Fixture().activate();
+	/** Keys that ran or run; false claims about them are counted. */
+	readonly running: Array<Readonly<{requestId: string; key: number}>> = [];
+	readonly mayHaveRun = new Set<number>();
+	falseClaims = 0;
+	#requests = 0;
+
+	constructor() {
+		this.fixture.announce();
+	}
+
+	arrive(key: number): void {
+		this.#requests += 1;
+		const requestId = `r${this.#requests}`;
+		const effects = this.fixture.request(requestId, {keyHash: `k${key}`, claimOffset: key});
+		const runs = effects.some(effect => effect.kind === 'run-request');
+		const isNotRun = effects.some(effect => effect.kind === 'refuse-request' && effect.refusal.outcome === 'refused-not-run');
+		if ((runs || isNotRun) && (this.mayHaveRun.has(key) || this.running.some(each => each.key === key))) {
+			this.falseClaims += 1;
+		}
+
+		if (runs) {
+			this.running.push({requestId, key});
+		}
+	}
+
+	settle(pick: number, settlement: RequestSettlement): void {
+		for (const {requestId, key} of this.running.splice(pick, 1)) {
+			if (settlement.kind !== 'refused' || settlement.refusal.outcome !== 'refused-not-run') {
+				this.mayHaveRun.add(key);
+			}
+
+			this.fixture.send('request-settled', {requestId, settlement});
+		}
+	}
+}
+
+const settlements = fc.constantFrom<RequestSettlement>(
+	{kind: 'kept', answer: {status: 200, headers: [], body: new Uint8Array(3)}},
+	{kind: 'passed'},
+	{kind: 'refused', refusal: refusalOf('answer-lost')},
+	{kind: 'refused', refusal: refusalOf('unreachable')},
+);
+
+const arrivals = fc.integer({min: 1, max: 3}).map(key => (callers: KeyedCallers) => {
+	callers.arrive(key);
+});
+
+const ends = fc.tuple(fc.nat(1), settlements).map(([pick, settlement]) => (callers: KeyedCallers) => {
+	callers.settle(pick, settlement);
+});
+
+// Drains and long waits end the interesting part of a run, so they are rare.
+const keyedActions: fc.Arbitrary<(callers: KeyedCallers) => void> = fc.oneof(
+	{arbitrary: arrivals, weight: 8},
+	{arbitrary: ends, weight: 8},
+	fc.constantFrom(10, 400_000, 700_000).map(passedMs => ({fixture}: KeyedCallers) => {
+		fixture.nowMs += passedMs;
+		fixture.announce();
+		fixture.tick();
+		fixture.list();
+	}),
+	fc.constant(({fixture}: KeyedCallers) => {
+		fixture.send('backend-server-leaving', {backendServerId: 'b1'});
+	}),
+);
+
+/** Guards against a second run of a keyed request, and against a false "not run" while or after it ran. */
+test('a keyed request runs at most once under retries, lost answers and drains', t => {
+	fc.assert(fc.property(fc.array(keyedActions, {maxLength: 40}), actions => {
+		const callers = new KeyedCallers();
+		for (const act of actions) {
+			act(callers);
+		}
+
+		t.is(callers.falseClaims, 0);
+	}));
+});
+
+/** Guards against a key that answers for another body and against a table that grows without bound. */
+test('a key with another body is an error, and new keys are refused when kept answers use up their memory', t => {
+	const fixture = new Fixture().activate();
+	fixture.announce();
+	fixture.request('r1', {keyHash: 'k1', claimOffset: 1});
+	fixture.send('request-settled', {requestId: 'r1', settlement: {kind: 'kept', answer: {status: 200, headers: [], body: new Uint8Array(settings.limits.keptAnswersBytes)}}});
+	const kinds = (effects: readonly AgentEffect[]): string[] => effects.flatMap(effect => effect.kind === 'refuse-request' ? [effect.refusal.kind] : []);
+	t.deepEqual(kinds(fixture.request('r2', {keyHash: 'k1', claimOffset: 1, bodyHash: 'other'})), ['key-body-mismatch']);
+	t.deepEqual(kinds(fixture.request('r3', {keyHash: 'k2', claimOffset: 2})), ['kept-answers-full']);
+	t.true(fixture.request('r4', {keyHash: 'k1', claimOffset: 1}).some(effect => effect.kind === 'answer-request'));
+});
+
+/** Guards against new work for a leaving backend server and against an answer to `leaving` while requests are in flight. */
+test('a drain refuses at once and ends when the requests in flight have ended', t => {
+	const fixture = new Fixture().activate();
+	fixture.announce();
+	fixture.request('r1');
+	const isAnswered = (effects: readonly AgentEffect[]): boolean => effects.some(effect => effect.kind === 'answer-leaving');
+	t.false(isAnswered(fixture.send('backend-server-leaving', {backendServerId: 'b1'})));
+	t.deepEqual(fixture.state.backendServers.valueSeq().map(backendServer => phaseOf(backendServer)).toArray(), ['leaving']);
+	t.true(fixture.request('r2').some(effect => effect.kind === 'refuse-request' && effect.refusal.kind === 'draining'));
+	t.true(isAnswered(fixture.send('request-settled', {requestId: 'r1', settlement: {kind: 'passed'}})));
+});
--- a/src/agent/reduce-agent.ts
+++ b/src/agent/reduce-agent.ts
@@ -215,7 +215,7 @@
 		current => applyWorkerTasks(current, event),
 		settleBackendServers,
 		current => current.phase === 'counting'
-			? chain({...current, phase: 'active'}, sendDueTaskEvents(event.nowMs), sendHello)
+			? sendHello({...current, phase: 'active'})
 			: transition(current),
 		current => current.phase === 'ending' && event.requestedAtMs > current.endingSinceMs && !hasRunOnceTasks(current)
 			? transition(current, {kind: 'create-incarnation'})
@@ -226,7 +226,7 @@
 function connect(state: AgentState, entryAddress: string): Transition {
 	return transition(
 		{...state, entries: state.entries.set(entryAddress, {...closedLink, connected: true})},
-		...state.phase === 'active' ? [{kind: 'send', entryAddress, message: helloMessage(state)} satisfies AgentEffect] : [],
+		...state.phase === 'counting' ? [] : [{kind: 'send', entryAddress, message: helloMessage(state)} satisfies AgentEffect],
 	);
 }
 
--- a/src/agent/request-server.ts
+++ b/src/agent/request-server.ts
@@ -36,6 +36,8 @@
 
 /** The port for entries and for the backend servers of this VM. */
 export type RequestServer = Readonly<{
+	/** The port that was opened; differs from the settings when those say 0. */
+	port: number;
 	execute: (effect: AgentEffectOf<RequestEffectKind>) => void;
 	close: () => Promise<void>;
 }>;
@@ -232,7 +234,9 @@
 		executors[effect.kind](effect);
 	}
 
+	const opened = server.address();
 	return Result.ok({
+		port: typeof opened === 'object' && opened !== null ? opened.port : 0,
 		execute,
 		async close() {
 			const closed = once(server, 'close');
--- a/src/agent/worker-driver.ts
+++ b/src/agent/worker-driver.ts
@@ -1,9 +1,10 @@
 import type {Result} from 'true-myth';
 import {formatError} from '../errors/typed-error.js';
+import type {WorkerError} from '../platform/worker-client.js';
 import type {EventLog} from '../telemetry/event-log.js';
 import type {AgentEffectOf} from './agent-effect.js';
 import type {AgentEvent} from './agent-event.js';
-import type {Worker, WorkerError} from './worker.js';
+import type {Worker} from './worker.js';
 
 /** Effects that are calls to the worker. */
 export type WorkerEffectKind = 'start-task' | 'checkpoint-task' | 'stop-task' | 'delete-task' | 'throttle-task' | 'set-lease';
@@ -111,7 +112,7 @@
 		},
 		'set-lease'({deadlineMonotonicMs}) {
 			inOrder('', async () => {
-				const result = await worker.setLease(deadlineMonotonicMs);
+				const result = await worker.renewLease(deadlineMonotonicMs);
 				if (result.isErr) {
 					warn('set-lease', undefined, result.error);
 				}
@@ -121,7 +122,7 @@
 
 	async function readOnce(): Promise<void> {
 		const requestedAtMs = nowMs();
-		const tasks = await worker.listTasks();
+		const tasks = await worker.tasks();
 		if (tasks.isOk) {
 			dispatch({
 				kind: 'worker-tasks', nowMs: nowMs(), requestedAtMs, list: tasks.value,
@@ -131,7 +132,7 @@
 			return;
 		}
 
-		const usage = await worker.readUsage();
+		const usage = await worker.usage();
 		if (usage.isOk) {
 			dispatch({kind: 'worker-usage', nowMs: nowMs(), usage: usage.value});
 		} else {
