--- a/src/agent/agent-process.test.ts
+++ b/src/agent/agent-process.test.ts
@@ -107,17 +107,17 @@
 			});
 			return Result.ok(undefined);
 		},
-		tasks: async () => Result.ok({capacity: {processorsMilli: 4000, memoryMb: 4096, accelerators: 0}, tasks: [...tasks.values()]}),
+		listTasks: async () => Result.ok({capacity: {processorsMilli: 4000, memoryMb: 4096, accelerators: 0}, tasks: [...tasks.values()]}),
 		async deleteTask(taskId) {
 			calls.push(`delete ${taskId}`);
 			tasks.delete(taskId);
 			return Result.ok(undefined);
 		},
-		renewLease: async () => Result.ok(undefined),
+		setLease: async () => Result.ok(undefined),
 		checkpointTask: async taskId => end(taskId, 'checkpointed'),
 		throttleTask: async () => Result.ok(undefined),
 		stopTask: async taskId => end(taskId, 'stopped'),
-		usage: async () => Result.ok({
+		readUsage: async () => Result.ok({
 			measuredAtMonotonicMs: 0, processorsUsedMilli: 0, memoryUsedMb: 0, tasks: [],
 		}),
 	};
@@ -175,7 +175,11 @@
 	t.deepEqual(await answer.body.json(), {loaves: 3});
 	await until(() => received.some(({message}) => message.case === 'heartbeat' && message.value.backendServers.some(report => report.backendServerId === 'b1')));
 
-	await agent.stop();
+	t.true(agent.isOk);
+	if (agent.isOk) {
+		await agent.value.stop();
+	}
+
 	t.true(received.some(({message}) => message.case === 'heartbeat' && message.value.leaving));
 	t.true(received.some(({message}) => message.case === 'taskEvents' && message.value.events.some(event => event.outcome.case === 'checkpointed' && event.outcome.value.checkpoint === 'c1')));
 	t.deepEqual(calls.filter(call => call.startsWith('start')), ['start t1']);
--- a/src/agent/agent-process.ts
+++ b/src/agent/agent-process.ts
@@ -1,13 +1,15 @@
 import {randomUUID} from 'node:crypto';
-import {formatError} from '../errors/typed-error.js';
+import {err, ok, type Result} from 'true-myth/result';
+import {type TypedError} from '../errors/typed-error.js';
+import {createEventLoop} from '../event-loop/create-event-loop.js';
 import {monotonicMs} from '../platform/monotonic-clock.js';
 import type {AgentSettings} from '../settings/agent-settings.js';
 import type {EventLog} from '../telemetry/event-log.js';
 import type {Metrics} from '../telemetry/metrics.js';
 import type {Timeline} from '../telemetry/timeline-event.js';
-import type {AgentEffectKind, AgentEffectOf} from './agent-effect.js';
+import type {AgentEffect, AgentEffectKind, AgentEffectOf} from './agent-effect.js';
 import type {AgentEvent} from './agent-event.js';
-import {initialAgentState} from './agent-state.js';
+import {initialAgentState, type AgentState} from './agent-state.js';
 import {createBackendServerClient} from './backend-server-client.js';
 import {openEntrySession, type EntrySession} from './entry-session.js';
 import {reduceAgent} from './reduce-agent.js';
@@ -33,20 +35,18 @@
 /**
 Starts the agent of this VM.
 
-@throws {Error} When the request address cannot be opened.
 @example
 const agent = await startAgent({settings, eventLog, metrics, timeline, worker});
-await agent.stop();
+if (agent.isOk) {
+	await agent.value.stop();
+}
 */
-export async function startAgent({settings, eventLog, metrics, timeline, worker}: AgentParts): Promise<RunningAgent> {
-	let state = initialAgentState(settings, randomUUID());
-	const events: AgentEvent[] = [];
+export async function startAgent({settings, eventLog, metrics, timeline, worker}: AgentParts): Promise<Result<RunningAgent, TypedError>> {
 	const sessions = new Map<string, EntrySession>();
 	let finishStop: (() => void) | undefined;
 	const stopped = new Promise<void>(resolve => {
 		finishStop = resolve;
 	});
-	let isReducing = false;
 	const ports: {requestServer?: RequestServer} = {};
 
 	const driver = createWorkerDriver({
@@ -104,23 +104,12 @@
 		executors[effect.kind](effect);
 	}
 
-	/** Reduces events one at a time, in order; effects may add further events. */
-	function dispatch(event: AgentEvent): void {
-		events.push(event);
-		if (isReducing) {
-			return;
-		}
-
-		isReducing = true;
-		for (let next = events.shift(); next !== undefined; next = events.shift()) {
-			const reduced = reduceAgent(state, next);
-			state = reduced.state;
-			for (const effect of reduced.effects) {
-				execute(effect);
-			}
-		}
+	const loop = createEventLoop<AgentState, AgentEvent, AgentEffect>({
+		initialState: initialAgentState(settings, randomUUID()), reduce: reduceAgent, execute,
+	});
 
-		isReducing = false;
+	function dispatch(event: AgentEvent): void {
+		loop.dispatch(event);
 	}
 
 	const opened = await openRequestServer({
@@ -129,13 +118,16 @@
 		client,
 		nowMs: monotonicMs,
 		dispatch,
-		health: () => ({
-			status: state.stop === undefined ? 'ok' : 'leaving', vmId: settings.vmId, incarnation: state.incarnation, phase: state.phase, configurationOffset: state.configuration.offset,
-		}),
+		health() {
+			const {stop, incarnation, phase, configuration} = loop.state();
+			return {
+				status: stop === undefined ? 'ok' : 'leaving', vmId: settings.vmId, incarnation, phase, configurationOffset: configuration.offset,
+			};
+		},
 		timeline: fromSequence => timeline.read(fromSequence),
 	});
 	if (opened.isErr) {
-		throw new Error(formatError(opened.error));
+		return err(opened.error);
 	}
 
 	ports.requestServer = opened.value;
@@ -164,9 +156,9 @@
 		void driver.poll();
 	}, settings.timings.workerPollMs);
 	void driver.poll();
-	eventLog.info('agent-started', {vmId: settings.vmId, incarnation: state.incarnation, requestAddress: settings.requestAddress});
+	eventLog.info('agent-started', {vmId: settings.vmId, incarnation: loop.state().incarnation, requestAddress: settings.requestAddress});
 
-	return {
+	return ok({
 		async stop() {
 			dispatch({kind: 'stop-requested', nowMs: monotonicMs()});
 			await stopped;
@@ -177,5 +169,5 @@
 			await client.close();
 			eventLog.info('agent-stopped', {vmId: settings.vmId});
 		},
-	};
+	});
 }
--- a/src/agent/worker-driver.ts
+++ b/src/agent/worker-driver.ts
@@ -112,7 +112,7 @@
 		},
 		'set-lease'({deadlineMonotonicMs}) {
 			inOrder('', async () => {
-				const result = await worker.renewLease(deadlineMonotonicMs);
+				const result = await worker.setLease(deadlineMonotonicMs);
 				if (result.isErr) {
 					warn('set-lease', undefined, result.error);
 				}
@@ -122,7 +122,7 @@
 
 	async function readOnce(): Promise<void> {
 		const requestedAtMs = nowMs();
-		const tasks = await worker.tasks();
+		const tasks = await worker.listTasks();
 		if (tasks.isOk) {
 			dispatch({
 				kind: 'worker-tasks', nowMs: nowMs(), requestedAtMs, list: tasks.value,
@@ -132,7 +132,7 @@
 			return;
 		}
 
-		const usage = await worker.usage();
+		const usage = await worker.readUsage();
 		if (usage.isOk) {
 			dispatch({kind: 'worker-usage', nowMs: nowMs(), usage: usage.value});
 		} else {
--- a/src/agent/worker.ts
+++ b/src/agent/worker.ts
@@ -1,12 +1,12 @@
 import type {Result} from 'true-myth';
 import type {WorkerClient, WorkerError} from '../platform/worker-client.js';
 
-type Command = 'startTask' | 'deleteTask' | 'renewLease' | 'checkpointTask' | 'throttleTask' | 'stopTask';
+type Command = 'startTask' | 'deleteTask' | 'setLease' | 'checkpointTask' | 'throttleTask' | 'stopTask';
 
 /**
 The calls to the platform's worker that the agent makes; a worker client fits. Whoever starts the agent owns the
 connections. Only the task list says what became of a task, so the values of commands are not read.
 */
-export type Worker = Readonly<Pick<WorkerClient, 'tasks' | 'usage'> & {
+export type Worker = Readonly<Pick<WorkerClient, 'listTasks' | 'readUsage'> & {
 	[Call in Command]: (...parameters: Parameters<WorkerClient[Call]>) => Promise<Result<unknown, WorkerError>>;
 }>;
--- a/src/entry/event-loop.test.ts
+++ b/src/event-loop/create-event-loop.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import {createEventLoop} from './event-loop.js';
+import {createEventLoop} from './create-event-loop.js';
 
 test('an event raised by an effect waits until the effects before it are done', t => {
 	const executed: string[] = [];
