Give keys back that a draining backend server never ran

Change: the agent marks the claim as released, answers key-released and never runs that claim; the entry writes key-released to the log and, once it has read it back, claims the key for another backend server. Ruled out: refusing for a busy queue releases nothing, since the claimed backend server will take the retry soon.

--- a/src/agent/key-table.ts
+++ b/src/agent/key-table.ts
@@ -1,5 +1,5 @@
 import {Map as immutableMap, type Map as ImmutableMap} from 'immutable';
-import type {KeptAnswer, Refusal} from './request-outcome.js';
+import {refusalOf, type KeptAnswer, type Refusal} from './request-outcome.js';
 
 /** Memory that an entry of the table is taken to need beside the body of its answer. */
 const entryBytes = 512;
@@ -36,6 +36,9 @@
 const bytesOf = (entry: KeyEntry): number => entryBytes
 	+ (entry.result !== undefined && 'answer' in entry.result ? entry.result.answer.body.byteLength : 0);
 
+/** A released claim never runs; only a later claim of the same key may. */
+const isReleased = ({result}: KeyEntry): boolean => result !== undefined && 'refusal' in result && result.refusal.kind === 'key-released';
+
 /** What the table says about a keyed request. */
 export type KeyDecision = 'run' | 'wait' | 'settled' | 'key-body-mismatch' | 'stale-incarnation' | 'key-forgotten' | 'kept-answers-full';
 
@@ -48,7 +51,7 @@
 */
 export function decideKey(table: KeyTable, claim: KeyClaim, limits: Readonly<{agentIncarnation: string; keptAnswersBytes: number}>): KeyDecision {
 	const entry = table.entries.get(claim.keyHash);
-	if (entry !== undefined) {
+	if (entry !== undefined && !(isReleased(entry) && claim.claimOffset > entry.claimOffset)) {
 		if (entry.bodyHash !== claim.bodyHash) {
 			return 'key-body-mismatch';
 		}
@@ -74,10 +77,11 @@
 enterKey(emptyKeyTable, claim, 'request-1');
 */
 export function enterKey(table: KeyTable, claim: KeyClaim, requestId: string): KeyTable {
+	const others = withdrawKey(table, claim.keyHash);
 	return {
-		...table,
-		keptBytes: table.keptBytes + entryBytes,
-		entries: table.entries.set(claim.keyHash, {
+		...others,
+		keptBytes: others.keptBytes + entryBytes,
+		entries: others.entries.set(claim.keyHash, {
 			keyHash: claim.keyHash,
 			bodyHash: claim.bodyHash,
 			claimOffset: claim.claimOffset,
@@ -139,6 +143,16 @@
 	return entry === undefined ? table : {...table, keptBytes: table.keptBytes - bytesOf(entry), entries: table.entries.delete(keyHash)};
 }
 
+/**
+Gives a claim back without running its request: from now on the claim is refused, so that the key may be claimed elsewhere.
+
+@example
+releaseKey(table, claim, 7000);
+*/
+export function releaseKey(table: KeyTable, claim: KeyClaim, nowMs: number): KeyTable {
+	return settleKey(enterKey(table, claim, ''), claim.keyHash, {refusal: refusalOf('key-released')}, nowMs);
+}
+
 /**
 Forgets results older than `retentionMs` and remembers the highest claim offset forgotten.
 
--- a/src/agent/reduce-agent.test.ts
+++ b/src/agent/reduce-agent.test.ts
@@ -356,10 +356,22 @@
 	fixture.send('request-settled', {requestId: 'r1', settlement: {kind: 'kept', answer: {status: 200, headers: [], body: new Uint8Array(settings.limits.keptAnswersBytes)}}});
 	const kinds = (effects: readonly AgentEffect[]): string[] => effects.flatMap(effect => effect.kind === 'refuse-request' ? [effect.refusal.kind] : []);
 	t.deepEqual(kinds(fixture.request('r2', {keyHash: 'k1', claimOffset: 1, bodyHash: 'other'})), ['key-body-mismatch']);
-	t.deepEqual(kinds(fixture.request('r3', {keyHash: 'k2', claimOffset: 2})), ['kept-answers-full']);
+	t.deepEqual(kinds(fixture.request('r3', {keyHash: 'k2', claimOffset: 2})), ['key-released']);
 	t.true(fixture.request('r4', {keyHash: 'k1', claimOffset: 1}).some(effect => effect.kind === 'answer-request'));
 });
 
+/** Guards against a second run of a key that was given back and claimed anew, here or at another agent. */
+test('a claim that was given back never runs, and only a later claim of the key may', t => {
+	const fixture = new Fixture().activate();
+	fixture.announce();
+	fixture.message({message: {case: 'configuration', value: {offset: BigInt(fixture.state.configuration.offset + 1), drainingBackendServers: ['b1']}}});
+	const kinds = (effects: readonly AgentEffect[]): string[] => effects.map(effect => effect.kind === 'refuse-request' ? effect.refusal.kind : effect.kind).filter(kind => kind !== 'count');
+	t.deepEqual(kinds(fixture.request('r1', {keyHash: 'k1', claimOffset: 5})), ['key-released']);
+	fixture.message({message: {case: 'configuration', value: {offset: BigInt(fixture.state.configuration.offset + 1), drainingBackendServers: []}}});
+	t.deepEqual(kinds(fixture.request('r2', {keyHash: 'k1', claimOffset: 5})), ['key-released']);
+	t.deepEqual(kinds(fixture.request('r3', {keyHash: 'k1', claimOffset: 9})), ['run-request']);
+});
+
 /** Guards against new work for a leaving backend server and against an answer to `leaving` while requests are in flight. */
 test('a drain refuses at once and ends when the requests in flight have ended', t => {
 	const fixture = new Fixture().activate();
--- a/src/agent/request-handlers.ts
+++ b/src/agent/request-handlers.ts
@@ -3,7 +3,7 @@
 import type {AgentState} from './agent-state.js';
 import {phaseOf, type BackendServer} from './backend-server-table.js';
 import {
-	awaitKey, decideKey, enterKey, settleKey, withdrawKey, type KeyDecision, type KeyEntry, type KeyResult,
+	awaitKey, decideKey, enterKey, releaseKey, settleKey, withdrawKey, type KeyDecision, type KeyEntry, type KeyResult,
 } from './key-table.js';
 import {refusalOf, type RefusalKind} from './request-outcome.js';
 import {transition, type Transition} from './transition.js';
@@ -31,11 +31,20 @@
 	return backendServer.requests >= backendServer.slots + state.settings.limits.backendQueueLimit ? 'busy' : undefined;
 }
 
-function run(state: AgentState, request: ArrivedRequest): Transition {
+/** Reasons that will not pass soon, so that a keyed request is better claimed for another backend server. */
+const releasingReasons: ReadonlySet<RefusalKind> = new Set<RefusalKind>(['draining', 'unknown-backend-server', 'kept-answers-full']);
+
+function refuseRun(state: AgentState, request: ArrivedRequest, reason: RefusalKind, nowMs: number): Transition {
+	return request.key !== undefined && releasingReasons.has(reason)
+		? refuse({...state, keys: releaseKey(state.keys, request.key, nowMs)}, request.requestId, 'key-released')
+		: refuse(state, request.requestId, reason);
+}
+
+function run(state: AgentState, request: ArrivedRequest, nowMs: number): Transition {
 	const backendServer = state.backendServers.get(request.backendServerId);
 	const reason = reasonAgainst(state, backendServer);
 	if (reason !== undefined || backendServer === undefined) {
-		return refuse(state, request.requestId, reason ?? 'unknown-backend-server');
+		return refuseRun(state, request, reason ?? 'unknown-backend-server', nowMs);
 	}
 
 	const {requestId, backendServerId, key} = request;
@@ -67,7 +76,7 @@
 
 type KeyedRequest = ArrivedRequest & Readonly<{key: NonNullable<ArrivedRequest['key']>}>;
 
-const keyHandlers: Readonly<Record<KeyDecision, (state: AgentState, request: KeyedRequest) => Transition>> = {
+const keyHandlers: Readonly<Record<KeyDecision, (state: AgentState, request: KeyedRequest, nowMs: number) => Transition>> = {
 	run,
 	wait: (state, request) => wait(state, request, request.key.keyHash),
 	settled(state, request) {
@@ -79,7 +88,7 @@
 	'key-body-mismatch': (state, request) => refuse(state, request.requestId, 'key-body-mismatch'),
 	'stale-incarnation': (state, request) => refuse(state, request.requestId, 'stale-incarnation'),
 	'key-forgotten': (state, request) => refuse(state, request.requestId, 'key-forgotten'),
-	'kept-answers-full': (state, request) => refuse(state, request.requestId, 'kept-answers-full'),
+	'kept-answers-full': (state, request, nowMs) => refuseRun(state, request, 'kept-answers-full', nowMs),
 };
 
 /**
@@ -89,13 +98,13 @@
 requestArrived(state, {kind: 'request-arrived', nowMs, request: {requestId: 'r1', backendServerId: 'b3', key: undefined}});
 */
 export function requestArrived(state: AgentState, event: AgentEventOf<'request-arrived'>): Transition {
-	const {request} = event;
+	const {request, nowMs} = event;
 	if (request.key === undefined) {
-		return run(state, request);
+		return run(state, request, nowMs);
 	}
 
 	const decision = decideKey(state.keys, request.key, {agentIncarnation: state.incarnation, keptAnswersBytes: state.settings.limits.keptAnswersBytes});
-	return keyHandlers[decision](state, {...request, key: request.key});
+	return keyHandlers[decision](state, {...request, key: request.key}, nowMs);
 }
 
 /** What retries of a key get; `undefined` when the request certainly did not run. */
--- a/src/agent/request-outcome.ts
+++ b/src/agent/request-outcome.ts
@@ -26,6 +26,7 @@
 	'deadline-passed': ['refused-not-run', 503, 'the deadline passed before the request was sent', 'retry with a later deadline'],
 	'kept-answers-full': ['refused-not-run', 503, 'the memory for kept answers is used up', 'retry after the given time'],
 	'bad-request': ['refused-not-run', 400, 'the request lacks a header that the agent needs', 'send request id and backend server, and a claim with a key'],
+	'key-released': ['refused-not-run', 503, 'this agent gave the key back without running the request', 'claim the key anew for another backend server'],
 	'key-body-mismatch': ['refused-not-run', 422, 'the key was used with another body', 'use a new key for another body'],
 	'stale-incarnation': ['outcome-unknown', 504, 'the key is claimed for another agent incarnation', 'find out what became of the work before using a new key'],
 	'key-forgotten': ['outcome-unknown', 504, 'the key is older than what this agent remembers', 'find out what became of the work before using a new key'],
--- a/src/cluster/cluster-record.ts
+++ b/src/cluster/cluster-record.ts
@@ -90,6 +90,8 @@
 		service: nameSchema,
 		backendServerId: nameSchema,
 	}),
+	/** The claimed agent never ran the claim's request and never will, so that the key may be claimed anew. */
+	agentSchema.extend({kind: z.literal('key-released'), keyHash: z.string(), claimOffset: z.int()}),
 	/** Claims at or below `throughOffset` are forgotten; their agents refuse them too. */
 	z.strictObject({kind: z.literal('keys-expired'), throughOffset: z.int()}),
 ]).readonly();
--- a/src/cluster/key-handlers.ts
+++ b/src/cluster/key-handlers.ts
@@ -1,7 +1,7 @@
 import {type RecordHandlers} from './record-handler.js';
 
 /** Records about keys of non-idempotent requests. */
-export const keyHandlers: RecordHandlers<'key-claimed' | 'keys-expired'> = {
+export const keyHandlers: RecordHandlers<'key-claimed' | 'key-released' | 'keys-expired'> = {
 	'key-claimed'(state, record, {offset}) {
 		const {kind, ...claim} = record;
 		const vm = state.vms.get(record.vmId);
@@ -10,6 +10,13 @@
 			? state
 			: {...state, keys: state.keys.set(record.keyHash, {...claim, claimOffset: offset})};
 	},
+	'key-released'(state, {keyHash, claimOffset, agentIncarnation}) {
+		const claim = state.keys.get(keyHash);
+		// A late duplicate names an older claim, and the key may be bound to another agent by now.
+		return claim?.claimOffset === claimOffset && claim.agentIncarnation === agentIncarnation
+			? {...state, keys: state.keys.delete(keyHash)}
+			: state;
+	},
 	'keys-expired'(state, record, {offset}) {
 		const throughOffset = Math.min(record.throughOffset, offset - 1);
 		if (throughOffset <= state.keysForgottenThroughOffset) {
--- a/src/entry/record-timeline.ts
+++ b/src/entry/record-timeline.ts
@@ -4,7 +4,7 @@
 import {type ControlEffect} from './control-effect.js';
 
 /** Records that would fill the timeline without telling an operator anything. */
-const quietKinds: ReadonlySet<ClusterRecord['kind']> = new Set(['entry-alive', 'key-claimed', 'keys-expired']);
+const quietKinds: ReadonlySet<ClusterRecord['kind']> = new Set(['entry-alive', 'key-claimed', 'key-released', 'keys-expired']);
 
 /**
 Turns this entry's own records, once read back, into timeline events and log lines, so that over all entries each
--- a/src/entry/request-effects.ts
+++ b/src/entry/request-effects.ts
@@ -4,7 +4,7 @@
 
 export type RequestEffectTargets = Readonly<{
 	forwarder: RequestForwarder;
-	appendRecord: (record: ClusterRecordOf<'key-claimed'>) => void;
+	appendRecord: (record: ClusterRecordOf<'key-claimed' | 'key-released'>) => void;
 	/** Starts one read of the log's tail; its end must be dispatched as `tail-confirmed` or `tail-unavailable`. */
 	confirmLogTail: () => void;
 }>;
--- a/src/entry/request-path.test.ts
+++ b/src/entry/request-path.test.ts
@@ -66,7 +66,12 @@
 	});
 	const execute = createRequestEffectExecutor({
 		forwarder,
-		appendRecord({kind: _, ...claim}) {
+		appendRecord(record) {
+			if (record.kind !== 'key-claimed') {
+				return;
+			}
+
+			const {kind: _, ...claim} = record;
 			cluster = {...cluster, offset: cluster.offset + 1, keys: cluster.keys.set(claim.keyHash, {...claim, claimOffset: cluster.offset + 1})};
 			queueMicrotask(() => {
 				dispatch({kind: 'cluster-advanced'});
--- a/src/requests/finish-forward.ts
+++ b/src/requests/finish-forward.ts
@@ -7,7 +7,7 @@
 import {type ForwardResult} from './request-event.js';
 import {type PendingRequest} from './request-state.js';
 import {
-	answerRequest, dropRequest, releasePlace, updateUse, type RequestStep,
+	answerRequest, dropRequest, enterPhase, releasePlace, updateUse, type RequestStep,
 } from './request-step.js';
 import {type BackendServerUse} from './select-backend-server.js';
 
@@ -54,6 +54,28 @@
 	queueRequest(step, releasePlace(step, retried));
 }
 
+/**
+Writes that the claimed agent gave the key back, and lets the request wait for a new claim. Without a retry the answer is
+uncertain: another entry may have claimed the key anew.
+*/
+function releaseClaim(step: RequestStep, request: PendingRequest, message: string): void {
+	const {description, phase} = request;
+	if (phase.kind !== 'sent' || phase.target.claimOffset === undefined || !step.context.logReachable || !mayRetry(step, request)) {
+		answerRequest(step, request, uncertainAnswer(request, message));
+		return;
+	}
+
+	const {backendServerId, failureDomain, vmId, agentIncarnation, claimOffset} = phase.target;
+	const placeless = releasePlace(step, {...request, failedAt: [...request.failedAt, {backendServerId, failureDomain}]});
+	enterPhase(step, placeless, {kind: 'releasing', claimOffset}, description.deadlineAtMs);
+	step.effects.push({
+		kind: 'append-record',
+		record: {
+			kind: 'key-released', keyHash: description.keyHash!, claimOffset, vmId, agentIncarnation,
+		},
+	});
+}
+
 function answerUncertain(step: RequestStep, message: string): (request: PendingRequest) => void {
 	return request => {
 		answerRequest(step, request, uncertainAnswer(request, message));
@@ -89,6 +111,11 @@
 			avoidUntilMs: nowMs + pauseMs,
 			concurrency: result.errorKind === 'busy' ? decreaseLimit(use.concurrency, nowMs) : use.concurrency,
 		}));
+		if (result.errorKind === 'key-released') {
+			releaseClaim(step, request, result.message);
+			return;
+		}
+
 		if (request.description.idempotency === 'keyed') {
 			// The claimed agent alone decides for the key, so its word holds for every attempt.
 			answerRequest(step, request, answer);
--- a/src/requests/reduce-requests.ts
+++ b/src/requests/reduce-requests.ts
@@ -65,6 +65,9 @@
 const expirySteps: ExpirySteps = {
 	queued: refuseExpired,
 	claiming: refuseExpired,
+	releasing(step, request) {
+		answerRequest(step, request, unknownAnswer('the deadline passed before the key could be claimed for another backend server'));
+	},
 	confirming(step, request) {
 		// A read that takes this long may never end; the next refusal asks for a new one.
 		step.state = {...step.state, isTailReadPending: false};
@@ -116,6 +119,17 @@
 	}
 }
 
+/** Places the requests anew whose released claim is no longer in the state. */
+function continueReleased(step: RequestStep): void {
+	for (const requestId of step.state.releasing) {
+		const request = step.state.pending.get(requestId)!;
+		const claim = step.context.cluster.keys.get(request.description.keyHash!);
+		if (request.phase.kind === 'releasing' && claim?.claimOffset !== request.phase.claimOffset) {
+			placeRequest(step, request);
+		}
+	}
+}
+
 const eventSteps: {[Kind in RequestEvent['kind']]: (step: RequestStep, event: RequestEventOf<Kind>) => void} = {
 	'request-arrived'(step, {kind: _, ...description}) {
 		if (!step.state.pending.has(description.requestId)) {
@@ -133,6 +147,7 @@
 			}
 		}
 
+		continueReleased(step);
 		touchWaitingServices(step);
 	},
 	'tail-confirmed'(step) {
--- a/src/requests/request-effect.ts
+++ b/src/requests/request-effect.ts
@@ -30,7 +30,7 @@
 /** What the shell does for the request reducer. */
 export type RequestEffect
 	= | ForwardRequestEffect
-		| Readonly<{kind: 'append-record'; record: ClusterRecordOf<'key-claimed'>}>
+		| Readonly<{kind: 'append-record'; record: ClusterRecordOf<'key-claimed' | 'key-released'>}>
 	/** Asks for one read of the log's tail, sent after this effect; its end is `tail-confirmed` or `tail-unavailable`. */
 		| Readonly<{kind: 'confirm-log-tail'}>
 		| Readonly<{kind: 'answer-request'; requestId: string}> & RequestAnswer
--- a/src/requests/request-state.ts
+++ b/src/requests/request-state.ts
@@ -21,12 +21,13 @@
 }>;
 
 /**
-`queued` waits for a place; `claiming` holds a place and waits until its key claim is read back; `confirming` waits for a read
+`queued` waits for a place; `claiming` holds a place and waits until its key claim is read back; `releasing` waits until its key is free again; `confirming` waits for a read
 of the log's tail that proves its refusal; `sent` was forwarded.
 */
 export type RequestPhase
 	= | Readonly<{kind: 'queued'; ticket: QueueTicket}>
 		| Readonly<{kind: 'claiming'}>
+		| Readonly<{kind: 'releasing'; claimOffset: number}>
 		| Readonly<{kind: 'confirming'; refusal: RequestAnswer}>
 		| Readonly<{kind: 'sent'; target: ForwardTarget; sentAtMs: number}>;
 
@@ -63,6 +64,8 @@
 	backendServers: Map<string, BackendServerUse>;
 	/** Requests in phase `claiming`. */
 	claiming: Set<string>;
+	/** Requests in phase `releasing`. */
+	releasing: Set<string>;
 	/** Requests in phase `confirming`. */
 	confirming: Set<string>;
 	/** A read of the log's tail was asked for and has not ended. */
@@ -88,6 +91,7 @@
 	services: immutableMap(),
 	backendServers: immutableMap(),
 	claiming: immutableSet(),
+	releasing: immutableSet(),
 	confirming: immutableSet(),
 	isTailReadPending: false,
 	expiries: emptyExpiryIndex,
--- a/src/requests/request-step.ts
+++ b/src/requests/request-step.ts
@@ -71,6 +71,7 @@
 	step.state = {
 		...step.state,
 		claiming: step.state.claiming.delete(requestId),
+		releasing: step.state.releasing.delete(requestId),
 		confirming: step.state.confirming.delete(requestId),
 		expiries: removeExpiry(step.state.expiries, requestId, request.expiry),
 	};
@@ -92,6 +93,7 @@
 		expiries: index,
 		pending: step.state.pending.set(requestId, changed),
 		claiming: phase.kind === 'claiming' ? step.state.claiming.add(requestId) : step.state.claiming,
+		releasing: phase.kind === 'releasing' ? step.state.releasing.add(requestId) : step.state.releasing,
 		confirming: phase.kind === 'confirming' ? step.state.confirming.add(requestId) : step.state.confirming,
 	};
 	return changed;
--- a/src/requests/two-entries.test.ts
+++ b/src/requests/two-entries.test.ts
@@ -12,6 +12,7 @@
 
 type LogItem
 	= | Readonly<{kind: 'claim'; entry: number; claim: Omit<KeyClaim, 'claimOffset'>}>
+		| Readonly<{kind: 'release'; keyHash: string; claimOffset: number; agentIncarnation: string}>
 		| Readonly<{kind: 'agent-restarted'; vm: number; incarnation: string}>
 		| Readonly<{kind: 'leaving'; backendServerId: string}>;
 
@@ -27,7 +28,7 @@
 	retries: number;
 };
 
-type Agent = {incarnation: string; isLeaving: boolean; keys: Map<string, string>};
+type Agent = {incarnation: string; isLeaving: boolean; keys: Map<string, string>; released: Map<string, number>};
 
 type Run = Readonly<{requestId: string; keyHash: string | undefined; step: number}>;
 
@@ -37,7 +38,7 @@
 /** Two entries over one log and three agents, in the order that the property chooses. Collects what breaks an invariant. */
 class World {
 	readonly violations: string[] = [];
-	readonly agents: Agent[] = Array.from({length: vmCount}, (_, index) => ({incarnation: `agent${index}`, isLeaving: false, keys: new Map<string, string>()}));
+	readonly agents: Agent[] = Array.from({length: vmCount}, (_, index) => ({incarnation: `agent${index}`, isLeaving: false, keys: new Map<string, string>(), released: new Map<string, number>()}));
 	readonly entries: Entry[];
 	readonly #log: LogItem[] = [];
 	readonly #arrivals = new Map<string, Readonly<{step: number; event: RequestEventOf<'request-arrived'>}>>();
@@ -144,9 +145,13 @@
 	#execute(entry: Entry, effect: RequestEffect): void {
 		switch (effect.kind) {
 			case 'append-record': {
-				const {kind: _, ...claim} = effect.record;
-				this.#checkEligible(entry, claim.backendServerId);
-				entry.appends.push({kind: 'claim', entry: this.entries.indexOf(entry), claim});
+				const {kind: _, ...record} = effect.record;
+				if ('claimOffset' in record) {
+					entry.appends.push({kind: 'release', ...record});
+				} else {
+					this.#checkEligible(entry, record.backendServerId);
+					entry.appends.push({kind: 'claim', entry: this.entries.indexOf(entry), claim: record});
+				}
 
 				break;
 			}
@@ -284,6 +289,13 @@
 			return known === bodyHash ? {kind: 'answered'} : refusal('key-body-mismatch', 422);
 		}
 
+		const {claimOffset} = effect;
+		const isReleased = keyHash !== undefined && claimOffset! <= (agent.released.get(keyHash) ?? -1);
+		if (isReleased || (keyHash !== undefined && agent.isLeaving)) {
+			agent.released.set(keyHash, Math.max(claimOffset!, agent.released.get(keyHash) ?? -1));
+			return refusal('key-released', 503);
+		}
+
 		if (agent.isLeaving || isBusy) {
 			return refusal(isBusy ? 'busy' : 'leaving', 503);
 		}
@@ -327,6 +339,7 @@
 		if (pick % 2 === 0) {
 			agent.incarnation = `agent${vm}-${this.#step}`;
 			agent.keys.clear();
+			agent.released.clear();
 			this.#log.push({kind: 'agent-restarted', vm, incarnation: agent.incarnation});
 		} else {
 			agent.isLeaving = true;
@@ -347,6 +360,13 @@
 		return isValid ? {...cluster, keys: cluster.keys.set(item.claim.keyHash, {...item.claim, claimOffset})} : cluster;
 	}
 
+	if (item.kind === 'release') {
+		const claim = cluster.keys.get(item.keyHash);
+		return claim?.claimOffset === item.claimOffset && claim.agentIncarnation === item.agentIncarnation
+			? {...cluster, keys: cluster.keys.delete(item.keyHash)}
+			: cluster;
+	}
+
 	if (item.kind === 'leaving') {
 		return {...cluster, backendServers: cluster.backendServers.update(item.backendServerId, server => ({...server!, phase: 'leaving' as const}))};
 	}
