Wait for the leases of a replaced worker, and register ended tasks

Cause: a VM that was replaced under its name registered with the empty list of its new worker, and the tasks of the old VM, perhaps still running out of reach, were claimed anew at once. An agent that restarted left out tasks that had ended but were not acknowledged, so that finished work ran again. Change: the worker names its process; a registration with another worker revokes the VM and counts once its leases have expired, unless no run-once task is bound to it. The hello lists a task until its end is acknowledged. The agent's hello is tested with an unacknowledged end.

--- a/src/agent/agent-state.ts
+++ b/src/agent/agent-state.ts
@@ -80,6 +80,8 @@
 	stop: Readonly<{sinceMs: number; tasksStopped: boolean; finished: boolean}> | undefined;
 	heartbeatSequence: number;
 	lease: Lease;
+	/** Worker process that the ledger was counted from. */
+	workerIncarnation: string;
 	ledger: Ledger;
 	tasks: ImmutableMap<string, AgentTask>;
 	attempts: AttemptTable;
@@ -108,6 +110,7 @@
 		stop: undefined,
 		heartbeatSequence: 0,
 		lease: noLease,
+		workerIncarnation: '',
 		ledger: emptyLedger(noResources),
 		tasks: immutableMap(),
 		attempts: emptyAttemptTable,
--- a/src/agent/entry-messages.ts
+++ b/src/agent/entry-messages.ts
@@ -1,7 +1,7 @@
 import {BackendServerPhase, type Resources as WireResources} from '../generated/arbutushinge/v1/agent_pb.js';
 import type {Resources} from '../cluster/resources.js';
 import type {AgentEffect, AgentMessageBody} from './agent-effect.js';
-import type {AgentState, EntryLink} from './agent-state.js';
+import type {AgentState, AgentTask, EntryLink} from './agent-state.js';
 import {phaseOf, type BackendServer, type BackendServerPhase as Phase} from './backend-server-table.js';
 import {takeDueTaskEvents, type PendingTaskEvent} from './task-events.js';
 import {transition, type Transition} from './transition.js';
@@ -18,6 +18,13 @@
 
 const wireResources = (resources: Resources): Omit<WireResources, '$typeName' | '$unknown'> => ({...resources});
 
+/** A task whose end is not acknowledged keeps its claim, or a new attempt would do its work again. */
+function holdsClaim(state: AgentState, task: AgentTask): boolean {
+	return task.phase === 'running'
+		|| task.phase === 'starting'
+		|| (task.endEventId !== undefined && state.events.pending.has(task.endEventId));
+}
+
 /**
 Makes the message that registers this incarnation.
 
@@ -33,9 +40,10 @@
 			failureDomain: settings.failureDomain,
 			rack: settings.rack,
 			requestAddress: settings.requestAddress,
+			workerIncarnation: state.workerIncarnation,
 			capacity: wireResources(state.ledger.capacity),
 			runningTasks: [...state.tasks.values()]
-				.filter(task => task.phase === 'running' || task.phase === 'starting')
+				.filter(task => holdsClaim(state, task))
 				.map(task => ({taskId: task.taskId, attempt: task.attempt, limit: wireResources(task.limit)})),
 		},
 	};
--- a/src/agent/reduce-agent.test.ts
+++ b/src/agent/reduce-agent.test.ts
@@ -11,6 +11,7 @@
 } from './agent-event.js';
 import {initialAgentState} from './agent-state.js';
 import {phaseOf} from './backend-server-table.js';
+import {helloMessage} from './entry-messages.js';
 import {reduceAgent} from './reduce-agent.js';
 import {refusalOf} from './request-outcome.js';
 
@@ -52,7 +53,7 @@
 	}
 
 	list(): void {
-		this.send('worker-tasks', {requestedAtMs: this.nowMs, list: {capacity, tasks: [...this.#tasks.values()]}});
+		this.send('worker-tasks', {requestedAtMs: this.nowMs, list: {workerIncarnation: 'w0', capacity, tasks: [...this.#tasks.values()]}});
 	}
 
 	/** Connects, counts and gets a lease. */
@@ -360,6 +361,22 @@
 	t.true(fixture.request('r4', {keyHash: 'k1', claimOffset: 1}).some(effect => effect.kind === 'answer-request'));
 });
 
+/** Guards against a second run of work that ended while no entry heard of it: the VM registers again with the task. */
+test('a task whose end is not acknowledged is listed when the agent registers', t => {
+	const fixture = new Fixture().activate();
+	fixture.start('t1', 1);
+	fixture.end('t1', 'finished');
+	fixture.list();
+	const listed = (): readonly string[] => {
+		const hello = helloMessage(fixture.state);
+		return hello.case === 'hello' ? (hello.value.runningTasks ?? []).map(({taskId}) => taskId ?? '') : [];
+	};
+
+	t.deepEqual(listed(), ['t1']);
+	fixture.message({message: {case: 'acknowledgeTaskEvents', value: {eventIds: [...fixture.state.events.pending.keys()].map(BigInt)}}});
+	t.deepEqual(listed(), []);
+});
+
 /** Guards against a second run of a key that was given back and claimed anew, here or at another agent. */
 test('a claim that was given back never runs, and only a later claim of the key may', t => {
 	const fixture = new Fixture().activate();
--- a/src/agent/task-handlers.ts
+++ b/src/agent/task-handlers.ts
@@ -367,7 +367,7 @@
 export function applyWorkerTasks(state: AgentState, event: AgentEventOf<'worker-tasks'>): Transition {
 	const listedIds = new Set(event.list.tasks.map(task => task.taskId));
 	return chain(
-		{...state, ledger: {...state.ledger, capacity: event.list.capacity}},
+		{...state, workerIncarnation: event.list.workerIncarnation, ledger: {...state.ledger, capacity: event.list.capacity}},
 		...event.list.tasks.map(listed => applyListed(listed, event.nowMs)),
 		current => chain(current, ...[...current.tasks.values()]
 			.filter(task => !listedIds.has(task.taskId))
--- a/src/cluster/cluster-record.ts
+++ b/src/cluster/cluster-record.ts
@@ -33,6 +33,8 @@
 	}),
 	agentSchema.extend({
 		kind: z.literal('vm-registered'),
+		/** Identity of the worker process that `runningTasks` comes from. */
+		workerIncarnation: nameSchema,
 		failureDomain: nameSchema,
 		rack: nameSchema,
 		requestAddress: z.string(),
--- a/src/cluster/cluster-state-codec.ts
+++ b/src/cluster/cluster-state-codec.ts
@@ -50,6 +50,7 @@
 	vmId: z.string(),
 	agentIncarnation: z.string(),
 	formerAgentIncarnations: strings,
+	workerIncarnation: z.string(),
 	failureDomain: z.string(),
 	rack: z.string(),
 	requestAddress: z.string(),
--- a/src/cluster/cluster-state.ts
+++ b/src/cluster/cluster-state.ts
@@ -28,6 +28,8 @@
 	agentIncarnation: string;
 	/** Earlier incarnations, newest last; a late registration of one of them is ignored. */
 	formerAgentIncarnations: readonly string[];
+	/** Worker process that runs the VM's tasks. */
+	workerIncarnation: string;
 	failureDomain: string;
 	rack: string;
 	requestAddress: string;
--- a/src/cluster/random-log.ts
+++ b/src/cluster/random-log.ts
@@ -107,6 +107,7 @@
 			kind: 'vm-registered',
 			vmId,
 			agentIncarnation: odd ? `${vmId}-i0` : `${vmId}-i${state.offset}`,
+			workerIncarnation: `${vmId}-w${c % 2}`,
 			failureDomain: `domain-${a % 2}`,
 			rack: 'rack-1',
 			requestAddress: '127.0.0.1:7300',
--- a/src/cluster/reduce-cluster.test.ts
+++ b/src/cluster/reduce-cluster.test.ts
@@ -64,6 +64,18 @@
 	});
 });
 
+function isRegistered(before: ClusterState, after: ClusterState, {vmId, agentIncarnation}: ClusterRecordOf<'vm-registered'>): boolean {
+	return after.vms.get(vmId)?.agentIncarnation === agentIncarnation && before.vms.get(vmId)?.agentIncarnation !== agentIncarnation;
+}
+
+function isWorkerReplacedTooEarly(before: ClusterState, {vmId, workerIncarnation}: ClusterRecordOf<'vm-registered'>): boolean {
+	const former = before.vms.get(vmId);
+	return former !== undefined
+		&& former.phase !== 'expired'
+		&& former.workerIncarnation !== workerIncarnation
+		&& former.taskIds.some(taskId => before.tasks.get(taskId)?.workClass === 'batch');
+}
+
 type RunningAttempts = Map<string, {attempt: number; vmId: string; agentIncarnation: string}>;
 
 /** What a new agent incarnation means for the attempts on its VM: those that it lists continue, the others have ended. */
@@ -95,7 +107,8 @@
 						running.delete(taskId);
 					}
 				}
-			} else if (record.kind === 'vm-registered' && after.vms.get(record.vmId) !== before.vms.get(record.vmId)) {
+			} else if (record.kind === 'vm-registered' && isRegistered(before, after, record)) {
+				ensure(!isWorkerReplacedTooEarly(before, record), `${record.vmId} changed its worker at ${offset} while tasks of the earlier one may run`);
 				running = reregister(running, record);
 			}
 
@@ -203,7 +216,7 @@
 		kind: 'entry-registered', entryId: 'entry-1', failureDomain: 'a', operatorAddress: '127.0.0.1:7001',
 	});
 	write({
-		kind: 'vm-registered', vmId: 'vm-1', agentIncarnation: 'i1', failureDomain: 'a', rack: 'r', requestAddress: '127.0.0.1:7300', capacity: amount(4), runningTasks: [],
+		kind: 'vm-registered', vmId: 'vm-1', agentIncarnation: 'i1', workerIncarnation: 'w1', failureDomain: 'a', rack: 'r', requestAddress: '127.0.0.1:7300', capacity: amount(4), runningTasks: [],
 	});
 	const submit = (jobId: string, priority: 'urgent' | 'background', workClass: 'batch' | 'latency-critical' = 'batch') => write({
 		kind: 'job-submitted',
--- a/src/cluster/vm-handlers.ts
+++ b/src/cluster/vm-handlers.ts
@@ -101,6 +101,7 @@
 		vmId: record.vmId,
 		agentIncarnation: record.agentIncarnation,
 		formerAgentIncarnations: former ? [...former.formerAgentIncarnations, former.agentIncarnation].slice(-MAX_FORMER_INCARNATIONS) : [],
+		workerIncarnation: record.workerIncarnation,
 		failureDomain: record.failureDomain,
 		rack: record.rack,
 		requestAddress: record.requestAddress,
@@ -136,6 +137,32 @@
 		: state;
 }
 
+/**
+Tells whether run-once tasks may still run on the VM although another worker process registers under its name. Such a
+worker's list says nothing of the earlier one, which may be a VM that was replaced while it is out of reach.
+*/
+function mayStillRunTasks(state: ClusterState, former: Vm, workerIncarnation: string): boolean {
+	return former.phase !== 'expired'
+		&& former.workerIncarnation !== workerIncarnation
+		&& former.taskIds.some(taskId => state.tasks.get(taskId)?.workClass === 'batch');
+}
+
+/** Ends the renewal of a VM's leases; its run-once tasks wait until the leases have certainly expired. */
+function revokeVm(state: ClusterState, vm: Vm, reason: string, offset: number): ClusterState {
+	if (vm.phase !== 'live') {
+		return state;
+	}
+
+	const revoked = loseBackendServers({...state, vms: state.vms.set(vm.vmId, {...vm, phase: 'revoked'})}, vm, offset);
+	// Replicas need no lease and may run on out of reach, so they are replaced at once.
+	return loseTasks(
+		markChanged(revoked, offset, [entityName('vm', vm.vmId)]),
+		vm,
+		task => task.workClass === 'latency-critical',
+		{offset, reason: `VM ${vm.vmId} was revoked: ${reason}`},
+	);
+}
+
 /** Records about VMs and their agents. */
 export const vmHandlers: RecordHandlers<
 	'vm-registered' | 'vm-unreachable' | 'vm-reachable' | 'vm-revoked' | 'vm-lease-expired' | 'vm-quarantined' | 'vm-unquarantined'
@@ -143,8 +170,12 @@
 	'vm-registered'(state, record, {offset}) {
 		const former = state.vms.get(record.vmId);
 		// Several entries register the same incarnation, and a slow one may name an incarnation that was replaced or revoked.
-		return former && (former.agentIncarnation === record.agentIncarnation || former.formerAgentIncarnations.includes(record.agentIncarnation))
-			? state
+		if (former && (former.agentIncarnation === record.agentIncarnation || former.formerAgentIncarnations.includes(record.agentIncarnation))) {
+			return state;
+		}
+
+		return former && mayStillRunTasks(state, former, record.workerIncarnation)
+			? revokeVm(state, former, 'another worker registered under the name of the VM', offset)
 			: registerIncarnation(state, record, former, offset);
 	},
 	'vm-unreachable'(state, record, {writerIncarnation}) {
@@ -171,14 +202,7 @@
 			}
 		}
 
-		const revoked = loseBackendServers({...state, vms: state.vms.set(vm.vmId, {...vm, phase: 'revoked'})}, vm, offset);
-		// Replicas need no lease and may run on out of reach, so they are replaced at once; run-once tasks wait for their leases.
-		return loseTasks(
-			markChanged(revoked, offset, [entityName('vm', vm.vmId)]),
-			vm,
-			task => task.workClass === 'latency-critical',
-			{offset, reason: `VM ${vm.vmId} was revoked: ${record.reason}`},
-		);
+		return revokeVm(state, vm, record.reason, offset);
 	},
 	'vm-lease-expired'(state, record, {offset}) {
 		const vm = current(state, record);
--- a/src/entry/reduce-agent-event.ts
+++ b/src/entry/reduce-agent-event.ts
@@ -185,6 +185,7 @@
 				failureDomain: hello.failureDomain,
 				rack: hello.rack,
 				requestAddress: hello.requestAddress,
+				workerIncarnation: hello.workerIncarnation,
 				capacity: {processorsMilli, memoryMb, accelerators},
 				runningTasks: hello.runningTasks.map(({taskId, attempt}) => ({taskId, attempt})),
 			},
--- a/src/operator/state-fixture.ts
+++ b/src/operator/state-fixture.ts
@@ -16,6 +16,7 @@
 	vmId: 'vm-1',
 	agentIncarnation: 'agent-1',
 	formerAgentIncarnations: [],
+	workerIncarnation: 'worker-1',
 	failureDomain: 'Kambalda',
 	rack: 'rack-1',
 	requestAddress: '127.0.0.1:9000',
--- a/src/platform/worker-api.ts
+++ b/src/platform/worker-api.ts
@@ -31,6 +31,8 @@
 
 /** `GET /tasks` */
 export const workerTasksSchema = z.strictObject({
+	/** Random identifier of the worker's process: a list of another process says nothing of what an earlier one runs. */
+	workerIncarnation: z.string(),
 	capacity: resourcesSchema,
 	tasks: z.array(workerTaskSchema).readonly(),
 }).readonly();
--- a/src/requests/request-fixture.ts
+++ b/src/requests/request-fixture.ts
@@ -20,6 +20,7 @@
 		vmId: `vm${index}`,
 		agentIncarnation: `agent${index}`,
 		formerAgentIncarnations: [],
+		workerIncarnation: `worker${index}`,
 		failureDomain: `domain${index % 4}`,
 		rack: 'rack',
 		requestAddress,
--- a/src/requests/two-entries.test.ts
+++ b/src/requests/two-entries.test.ts
@@ -38,7 +38,10 @@
 /** Two entries over one log and three agents, in the order that the property chooses. Collects what breaks an invariant. */
 class World {
 	readonly violations: string[] = [];
-	readonly agents: Agent[] = Array.from({length: vmCount}, (_, index) => ({incarnation: `agent${index}`, isLeaving: false, keys: new Map<string, string>(), released: new Map<string, number>()}));
+	readonly agents: Agent[] = Array.from({length: vmCount}, (_, index) => ({
+		incarnation: `agent${index}`, isLeaving: false, keys: new Map<string, string>(), released: new Map<string, number>(),
+	}));
+
 	readonly entries: Entry[];
 	readonly #log: LogItem[] = [];
 	readonly #arrivals = new Map<string, Readonly<{step: number; event: RequestEventOf<'request-arrived'>}>>();
--- a/stand-ins/worker-stand-in.ts
+++ b/stand-ins/worker-stand-in.ts
@@ -1,3 +1,4 @@
+import {randomUUID} from 'node:crypto';
 import {setTimeout as delay} from 'node:timers/promises';
 import {z} from 'zod';
 import {addResources, fitsInto, type Resources} from '../src/cluster/resources.js';
@@ -71,6 +72,7 @@
 export async function createWorkerStandIn(options: WorkerStandInOptions = {}): Promise<WorkerStandIn> {
 	const nowMs = options.nowMs ?? monotonicMs;
 	const workerId = options.workerId ?? 'worker';
+	const workerIncarnation = randomUUID();
 	const capacity = options.capacity ?? {processorsMilli: 16_000, memoryMb: 60_000, accelerators: 0};
 	const sampleMs = options.sampleMs ?? 500;
 	const faults: WorkerFaults = {
@@ -206,7 +208,7 @@
 		},
 		{method: 'GET', path: '/journal', handle: () => ({status: 200, body: journal()})},
 		{method: 'GET', path: '/usage', handle: worker(() => ({status: 200, body: usage()}))},
-		{method: 'GET', path: '/tasks', handle: worker(() => ({status: 200, body: {capacity, tasks: [...runner.tasks.values()].map(task => reported(task))}}))},
+		{method: 'GET', path: '/tasks', handle: worker(() => ({status: 200, body: {workerIncarnation, capacity, tasks: [...runner.tasks.values()].map(task => reported(task))}}))},
 		{method: 'PUT', path: '/tasks/:taskId', handle: worker((request, body) => startTask(request.params.taskId ?? '', body))},
 		{
 			method: 'DELETE', path: '/tasks/:taskId', handle: worker(request => {
