--- a/src/cluster/cluster-record.ts
+++ b/src/cluster/cluster-record.ts
@@ -6,15 +6,32 @@
 const agentSchema = z.strictObject({vmId: nameSchema, agentIncarnation: nameSchema});
 const backendServerSchema = agentSchema.extend({backendServerId: nameSchema});
 
+/**
+What a candidate's score was computed from beside its room and its harm; what is zero or false is left out, because a claim
+is written for every task start. The harm to batch tasks is the rest of the candidate's harm.
+*/
+export const scoreInputsSchema = z.strictObject({
+	serviceHarmMilli: z.int().optional(),
+	siblingsInRack: z.int().positive().optional(),
+	siblingsInFailureDomain: z.int().positive().optional(),
+	failedBefore: z.literal(true).optional(),
+	wastesAccelerators: z.literal(true).optional(),
+	evictions: z.int().positive().optional(),
+}).readonly();
+
+export type ScoreInputs = z.infer<typeof scoreInputsSchema>;
+
 /** What a placement decision was computed from, so that replay can run it again. */
 export const placementDecisionSchema = z.strictObject({
 	policy: z.string(),
 	seed: z.int(),
 	stateOffset: z.int(),
-	/** The best candidates with their scores in thousandths, best first; at most five. */
+	/** The best candidates with their scores in thousandths, best first; at most three. */
 	candidates: z.array(z.strictObject({
 		vmId: nameSchema, scoreMilli: z.int(), harmMilli: z.int(), room: resourcesSchema,
-	}).readonly()).max(5).readonly(),
+		/** Left out by versions that did not record it. */
+		inputs: scoreInputsSchema.optional(),
+	}).readonly()).max(3).readonly(),
 	consideredVms: z.int().min(0),
 	reason: z.string(),
 }).readonly();
--- a/src/cluster/cluster-state-codec.ts
+++ b/src/cluster/cluster-state-codec.ts
@@ -4,6 +4,7 @@
 import {err, ok, type Result} from 'true-myth/result';
 import {z} from 'zod';
 import {type TypedError} from '../errors/typed-error.js';
+import {scoreInputsSchema} from './cluster-record.js';
 import {
 	type BackendServer, type ClusterState, type Task, type TaskClaim, type Vm,
 } from './cluster-state.js';
@@ -19,7 +20,7 @@
 const strings = z.array(z.string());
 
 const decision = z.tuple([
-	z.string(), z.number(), z.number(), z.array(z.tuple([z.string(), z.number(), z.number(), resources])), z.number(), z.string(),
+	z.string(), z.number(), z.number(), z.array(z.tuple([z.string(), z.number(), z.number(), resources, scoreInputsSchema.optional()])), z.number(), z.string(),
 ]);
 
 const claim = z.tuple([z.string(), z.string(), z.number(), z.string(), resources, z.boolean(), strings, decision]);
@@ -146,7 +147,8 @@
 		value.decision.policy,
 		value.decision.seed,
 		value.decision.stateOffset,
-		value.decision.candidates.map(({vmId, scoreMilli, harmMilli, room}) => [vmId, scoreMilli, harmMilli, packResources(room)]),
+		value.decision.candidates.map(({vmId, scoreMilli, harmMilli, room, inputs}) =>
+			inputs === undefined ? [vmId, scoreMilli, harmMilli, packResources(room)] : [vmId, scoreMilli, harmMilli, packResources(room), inputs]),
 		value.decision.consideredVms,
 		value.decision.reason,
 	],
@@ -167,8 +169,8 @@
 			policy,
 			seed,
 			stateOffset,
-			candidates: candidates.map(([candidateVmId, scoreMilli, harmMilli, room]) => ({
-				vmId: candidateVmId, scoreMilli, harmMilli, room: unpackResources(room),
+			candidates: candidates.map(([candidateVmId, scoreMilli, harmMilli, room, inputs]) => ({
+				vmId: candidateVmId, scoreMilli, harmMilli, room: unpackResources(room), ...(inputs !== undefined && {inputs}),
 			})),
 			consideredVms,
 			reason,
--- a/src/entry/caller-server.ts
+++ b/src/entry/caller-server.ts
@@ -11,6 +11,7 @@
 import {type RequestEvent} from '../requests/request-event.js';
 import {type EntrySettings} from '../settings/entry-settings.js';
 import {type EventLog} from '../telemetry/event-log.js';
+import {type Metrics} from '../telemetry/metrics.js';
 import {type TypedError} from '../errors/typed-error.js';
 import {unknownAnswer} from '../requests/key-claims.js';
 import {badRequestAnswer, sendCallerAnswer} from './caller-answer.js';
@@ -40,10 +41,14 @@
 	/** Shared with the request forwarder, which answers from it. */
 	exchanges: CallerExchanges;
 	jobs: CallerJobs;
+	/** Told of requests that are refused before they are dispatched. */
+	onRefusal: (requestId: string, answer: RequestAnswer) => void;
 	readiness: () => Readiness;
 	/** The clock of the reducer's events, in milliseconds. */
 	nowMs: () => number;
 	log: EventLog;
+	/** Counts what is dropped without a request. */
+	metrics: Metrics;
 }>;
 
 export type CallerServer = Readonly<{
@@ -177,11 +182,11 @@
 answers from the exchange. Neither bodies nor keys are logged.
 
 @example
-const server = createCallerServer({settings, dispatch, exchanges: new Map(), jobs, readiness, nowMs: () => performance.now(), log});
+const server = createCallerServer({settings, dispatch, exchanges: new Map(), jobs, onRefusal, readiness, nowMs: () => performance.now(), log, metrics});
 await server.listen();
 */
 export function createCallerServer(options: CallerServerOptions): CallerServer {
-	const {settings: {callerAddress, limits}, dispatch, exchanges, jobs, readiness, nowMs, log} = options;
+	const {settings: {callerAddress, limits}, dispatch, exchanges, jobs, onRefusal, readiness, nowMs, log, metrics} = options;
 	/** Requests whose caller has sent everything and waits; silence on their connections is no fault of the caller. */
 	const waitingSockets = new WeakMap<Duplex, ServerResponse>();
 	let isClosing = false;
@@ -214,10 +219,16 @@
 		dispatch({kind: 'request-arrived', ...checked.description, ...hashes});
 	}
 
+	function refuse(response: ServerResponse, requestId: string, answer: RequestAnswer): void {
+		log.info('request-refused', {requestId, reason: answer.error.kind});
+		onRefusal(requestId, answer);
+		sendCallerAnswer(response, answer);
+	}
+
 	async function admitKeyed(request: IncomingMessage, response: ServerResponse, checked: CallerRequest): Promise<void> {
 		const reservedBytes = Math.min(limits.keyedBodyBytes, Number(request.headers['content-length'] ?? limits.keyedBodyBytes));
 		if (keyedBytes + reservedBytes > keyedBodiesBytes) {
-			sendCallerAnswer(response, checked.description.firstAttempt
+			refuse(response, checked.description.requestId, checked.description.firstAttempt
 				? {
 					...badRequestAnswer({
 						status: 503, kind: 'keyed-bodies-full', message: 'too many keyed bodies are held in memory', remedy: 'retry after the time in Retry-After',
@@ -233,7 +244,7 @@
 		});
 		const bytes = await readBytes(request, limits.keyedBodyBytes, checked.deadlineMs);
 		if (bytes.isErr) {
-			sendCallerAnswer(response, bytes.error);
+			refuse(response, checked.description.requestId, bytes.error);
 			return;
 		}
 
@@ -257,8 +268,7 @@
 
 		const checked = readCallerRequest(request, {requestId, nowMs: nowMs(), defaultDeadlineMs: limits.defaultDeadlineMs});
 		if (checked.isErr) {
-			log.info('request-refused', {requestId, reason: checked.error.error.kind});
-			sendCallerAnswer(response, checked.error);
+			refuse(response, requestId, checked.error);
 			return;
 		}
 
@@ -269,7 +279,7 @@
 		}
 
 		if (Number(request.headers['content-length'] ?? 0) > limits.bodyBytes) {
-			sendCallerAnswer(response, tooLarge(limits.bodyBytes));
+			refuse(response, requestId, tooLarge(limits.bodyBytes));
 			return;
 		}
 
@@ -314,7 +324,10 @@
 		connectionsCheckingInterval: Math.max(50, Math.min(1000, Math.floor(limits.idleTimeoutMs / 4))),
 	});
 	server.maxConnections = limits.connections;
-	server.on('clientError', answerMalformed);
+	server.on('clientError', (error, socket) => {
+		metrics.increment('callers.malformed');
+		answerMalformed(error, socket);
+	});
 	server.setTimeout(limits.idleTimeoutMs, (socket: Socket) => {
 		const response = waitingSockets.get(socket);
 		const isWaiting = response !== undefined && !response.writableEnded && !response.headersSent && response.req.complete;
--- a/src/entry/entry-effect-executor.ts
+++ b/src/entry/entry-effect-executor.ts
@@ -6,6 +6,7 @@
 import {type EntryEffect} from './entry-effect.js';
 import {type EntryEvent} from './entry-event.js';
 import {type LogConnection} from './log-connection.js';
+import {type RequestHistory} from './request-history.js';
 import {type RequestForwarder} from './request-forwarder.js';
 
 type EffectTable = {readonly [Kind in EntryEffect['kind']]: (effect: Extract<EntryEffect, {kind: Kind}>) => void};
@@ -23,20 +24,23 @@
 	forwarder: RequestForwarder;
 	deferredReplies: DeferredReplies;
 	timeline: Timeline;
+	requestHistory: RequestHistory;
 	eventLog: EventLog;
 	metrics: Metrics;
 	dispatch: (event: EntryEvent) => void;
 	newIncarnation: () => string;
 }>): (effect: EntryEffect) => void {
 	const {
-		logConnection, agents, forwarder, deferredReplies, timeline, eventLog, metrics, dispatch, newIncarnation,
+		logConnection, agents, forwarder, deferredReplies, timeline, requestHistory, eventLog, metrics, dispatch, newIncarnation,
 	} = targets;
 	const table: EffectTable = {
 		'append-record'({record}) {
 			logConnection.append(record);
 		},
 		'send-to-agent'({vmId, command}) {
-			agents.send(vmId, command);
+			if (agents.send(vmId, command) && command.case === 'leaseGrant') {
+				metrics.increment('leases.granted');
+			}
 		},
 		'write-snapshot'() {
 			logConnection.writeSnapshot();
@@ -62,9 +66,18 @@
 		'confirm-log-tail'() {
 			logConnection.confirmTail();
 		},
-		'forward-request': forwarder.forward,
-		'answer-request': forwarder.answer,
-		'cancel-forward': forwarder.cancel,
+		'forward-request'(effect) {
+			requestHistory.noteEffect(effect);
+			forwarder.forward(effect);
+		},
+		'answer-request'(effect) {
+			requestHistory.noteEffect(effect);
+			forwarder.answer(effect);
+		},
+		'cancel-forward'(effect) {
+			requestHistory.noteEffect(effect);
+			forwarder.cancel(effect);
+		},
 	};
 	return <Kind extends EntryEffect['kind']>(effect: Extract<EntryEffect, {kind: Kind}>) => {
 		table[effect.kind](effect);
--- a/src/entry/entry-process.ts
+++ b/src/entry/entry-process.ts
@@ -9,8 +9,10 @@
 import {type EventLog} from '../telemetry/event-log.js';
 import {type Metrics} from '../telemetry/metrics.js';
 import {type Timeline} from '../telemetry/timeline-event.js';
+import {createTimeline} from '../telemetry/create-timeline.js';
 import {createEventLoop} from '../event-loop/create-event-loop.js';
 import {readTokenFile} from '../operator/read-token-file.js';
+import {type RequestEvent} from '../requests/request-event.js';
 import {type TypedError} from '../errors/typed-error.js';
 import {createAgentStreamServer} from './agent-stream-server.js';
 import {createCallerServer, type Readiness} from './caller-server.js';
@@ -25,6 +27,8 @@
 import {createOperatorBackend} from './operator-backend.js';
 import {startOperatorServer} from './operator-server.js';
 import {reduceEntry} from './reduce-entry.js';
+import {reportGauges} from './report-gauges.js';
+import {createRequestHistory} from './request-history.js';
 import {createRequestForwarder} from './request-forwarder.js';
 
 /** A running entry. */
@@ -37,6 +41,9 @@
 const logTimeoutMs = 2000;
 const forwardConcurrency = 4096;
 const planExpiresInMs = 600_000;
+const requestTimelineCapacity = 2048;
+/** Time between two reports of gauges and two looks at the set of agents. */
+const reportMs = 1000;
 
 /**
 Wires and starts an entry.
@@ -76,21 +83,30 @@
 		},
 	});
 	const {dispatch} = loop;
+	const requestHistory = createRequestHistory({
+		metrics,
+		timeline: createTimeline({process: `requests/${settings.entryId}@${incarnation}`, capacity: requestTimelineCapacity}),
+		nowMs: () => performance.now(),
+		cluster: () => loop.state().cluster,
+	});
+
+	function dispatchRequest(event: RequestEvent): void {
+		requestHistory.noteEvent(event);
+		dispatch({kind: 'request', event});
+	}
 
 	const logConnection = createLogConnection({
-		settings, token: token.value, logService, snapshots, eventLog, dispatch, state: loop.state,
+		settings, token: token.value, logService, snapshots, eventLog, metrics, dispatch, state: loop.state,
 	});
 	const agents = createAgentStreamServer({address: settings.agentAddress, dispatch, eventLog});
 	const forwarder = createRequestForwarder({
 		exchanges,
-		dispatch(event) {
-			dispatch({kind: 'request', event});
-		},
+		dispatch: dispatchRequest,
 		log: eventLog,
 		concurrency: forwardConcurrency,
 	});
 	const execute = createEntryEffectExecutor({
-		logConnection, agents, forwarder, deferredReplies, timeline, eventLog, metrics, dispatch, newIncarnation,
+		logConnection, agents, forwarder, deferredReplies, timeline, requestHistory, eventLog, metrics, dispatch, newIncarnation,
 	});
 
 	const readiness = (): Readiness => {
@@ -105,10 +121,10 @@
 
 	const callers = createCallerServer({
 		settings,
-		dispatch(event) {
-			dispatch({kind: 'request', event});
-		},
+		dispatch: dispatchRequest,
 		exchanges,
+		onRefusal: requestHistory.noteRefusal,
+		metrics,
 		jobs: createJobInterface({state: loop.state, ask}),
 		readiness,
 		nowMs: () => performance.now(),
@@ -130,7 +146,10 @@
 			state: loop.state,
 			ask,
 			logService,
+			snapshots,
 			timeline,
+			requestHistory,
+			metrics,
 			nowMs: () => performance.now(),
 			computePlan: intent => computePlan(loop.state().cluster, intent, {
 				planId: randomUUID(), nowMs: Date.now(), expiresInMs: planExpiresInMs,
@@ -141,6 +160,15 @@
 	const ticker = setInterval(() => {
 		dispatch({kind: 'tick'});
 	}, tickMs);
+	let knownVms: EntryState['cluster']['vms'] | undefined;
+	const reporter = setInterval(() => {
+		const state = loop.state();
+		reportGauges(state, {metrics, nowMs: performance.now(), pendingAppends: logConnection.pendingAppends()});
+		if (state.cluster.vms !== knownVms) {
+			knownVms = state.cluster.vms;
+			forwarder.keepOnly(new Set(knownVms.valueSeq().filter(vm => vm.phase !== 'expired').map(vm => vm.requestAddress)));
+		}
+	}, reportMs);
 	eventLog.info('entry-started', {entryId: settings.entryId, incarnation});
 
 	return ok({
@@ -153,6 +181,7 @@
 			await operators.close();
 			await logConnection.leave(settings.entryId);
 			clearInterval(ticker);
+			clearInterval(reporter);
 			await agents.close();
 			await forwarder.close();
 			await logConnection.close();
--- a/src/entry/log-connection.ts
+++ b/src/entry/log-connection.ts
@@ -8,6 +8,7 @@
 import {type Snapshot, type SnapshotStore} from '../log/snapshot-store.js';
 import {type EntrySettings} from '../settings/entry-settings.js';
 import {type EventLog} from '../telemetry/event-log.js';
+import {type Metrics} from '../telemetry/metrics.js';
 import {type EntryEvent} from './entry-event.js';
 import {type EntryState} from './entry-state.js';
 import {fetchPeerState} from './fetch-peer-state.js';
@@ -32,15 +33,16 @@
 Creates the connection; `start` must be called before anything else.
 
 @example
-const connection = createLogConnection({settings, token, logService, snapshots, eventLog, dispatch, state});
+const connection = createLogConnection({settings, token, logService, snapshots, eventLog, metrics, dispatch, state});
 await connection.start(incarnation);
 */
-export function createLogConnection({settings, token, logService, snapshots, eventLog, dispatch, state}: Readonly<{
+export function createLogConnection({settings, token, logService, snapshots, eventLog, metrics, dispatch, state}: Readonly<{
 	settings: EntrySettings;
 	token: string;
 	logService: LogService;
 	snapshots: SnapshotStore;
 	eventLog: EventLog;
+	metrics: Metrics;
 	dispatch: (event: EntryEvent) => void;
 	state: () => EntryState;
 }>): LogConnection {
@@ -57,7 +59,10 @@
 			appendIntervalMs: settings.timings.appendIntervalMs,
 			maxBatchRecords,
 			onStatus(status) {
-				if (status.kind === 'failed') {
+				if (status.kind === 'appended') {
+					metrics.timingMs('log.append', status.durationMs);
+				} else {
+					metrics.increment('log.append.failures');
 					eventLog.debug('log-append-failed', {reason: status.error.message, failures: status.failures, pending: status.pendingCount});
 				}
 			},
--- a/src/entry/operator-backend.ts
+++ b/src/entry/operator-backend.ts
@@ -6,13 +6,17 @@
 import {type Intent, type Plan} from '../cluster/intent.js';
 import {type TypedError} from '../errors/typed-error.js';
 import {logEnvelopeSchema} from '../log/log-envelope.js';
-import {type LogService} from '../log/log-service.js';
+import {type LogService, type StreamValue} from '../log/log-service.js';
+import {type RecordsPage} from '../operator/operator-api.js';
+import {type SnapshotStore} from '../log/snapshot-store.js';
 import {type EntrySettings} from '../settings/entry-settings.js';
+import {type Metrics} from '../telemetry/metrics.js';
 import {type Timeline, type TimelineEvent, timelineEventSchema} from '../telemetry/timeline-event.js';
 import {type DeferredAnswer} from './control-effect.js';
 import {type DeferredSubject} from './entry-event.js';
 import {type EntryState} from './entry-state.js';
 import {type OperatorBackend} from './operator-server.js';
+import {type RequestHistory} from './request-history.js';
 
 const agentTimeoutMs = 1000;
 
@@ -20,14 +24,17 @@
 Creates what the operators' interface needs from the state of an entry.
 
 @example
-const backend = createOperatorBackend({settings, state, ask, logService, timeline, nowMs, computePlan});
+const backend = createOperatorBackend({settings, state, ask, logService, snapshots, timeline, requestHistory, metrics, nowMs, computePlan});
 */
-export function createOperatorBackend({settings, state, ask, logService, timeline, nowMs, computePlan}: Readonly<{
+export function createOperatorBackend({settings, state, ask, logService, snapshots, timeline, requestHistory, metrics, nowMs, computePlan}: Readonly<{
 	settings: EntrySettings;
 	state: () => EntryState;
 	ask: (subject: DeferredSubject) => Promise<DeferredAnswer>;
 	logService: LogService;
+	snapshots: SnapshotStore;
 	timeline: Timeline;
+	requestHistory: RequestHistory;
+	metrics: Metrics;
 	nowMs: () => number;
 	computePlan: (intent: Intent) => Result<Plan, TypedError>;
 }>): OperatorBackend {
@@ -57,30 +64,54 @@
 		async timeline(fromSequence) {
 			const addresses = [...state().links.values()].map(link => link.hello.requestAddress);
 			const ofAgents = await Promise.all(addresses.map(async address => fetchAgentTimeline(address)));
-			return [...timeline.read(fromSequence), ...ofAgents.flat()];
+			return [...timeline.read(fromSequence), ...requestHistory.timeline(), ...ofAgents.flat()];
 		},
 		async records(fromOffset, limit) {
 			const page = await logService.read(settings.logStream, fromOffset, {limit, waitMs: 0});
-			return page.andThen(({values, ...bounds}) => ok({
-				...bounds,
-				records: values.flatMap(({offset, value}) => {
-					const envelope = logEnvelopeSchema.safeParse(JSON.parse(value));
-					return envelope.success ? [{offset, envelope: envelope.data}] : [];
-				}),
-			}));
+			return page.andThen(({values, ...bounds}) => {
+				const records = values.flatMap(stored => readRecord(stored));
+				const skipped = values.length - records.length;
+				if (skipped > 0) {
+					metrics.increment('log.values.skipped', skipped);
+				}
+
+				return ok({...bounds, records, skipped});
+			});
+		},
+		async snapshot() {
+			const newest = await snapshots.loadNewest();
+			return newest.map(snapshot => ({snapshot: snapshot ?? null}));
 		},
-		explainRequest: () => undefined,
+		explainRequest: requestHistory.explain,
 		encodeState: () => Buffer.from(JSON.stringify(encodeClusterState(state().cluster))),
 	};
 }
 
+/** A value that is no record is skipped, as readers of the log skip it. */
+function readRecord({offset, value}: StreamValue): RecordsPage['records'] {
+	let content: unknown;
+	try {
+		content = JSON.parse(value);
+	} catch {
+		return [];
+	}
+
+	const envelope = logEnvelopeSchema.safeParse(content);
+	return envelope.success ? [{offset, envelope: envelope.data}] : [];
+}
+
 const agentTimelineSchema = z.object({events: z.array(timelineEventSchema)});
 
+/** An agent acts on a task only because of its claim, which is in the timeline of the entry that wrote it. */
+function withCause(event: TimelineEvent): TimelineEvent {
+	return {...event, cause: event.cause ?? event.taskId};
+}
+
 async function fetchAgentTimeline(address: string): Promise<readonly TimelineEvent[]> {
 	try {
 		const {statusCode, body} = await request(`http://${address}/timeline`, {headersTimeout: agentTimeoutMs, bodyTimeout: agentTimeoutMs});
 		const answer = agentTimelineSchema.safeParse(await body.json());
-		return statusCode === 200 && answer.success ? answer.data.events : [];
+		return statusCode === 200 && answer.success ? answer.data.events.map(event => withCause(event)) : [];
 	} catch {
 		// An agent that does not answer is missing from the timeline; status shows it as unreachable.
 		return [];
--- a/src/entry/operator-server.test.ts
+++ b/src/entry/operator-server.test.ts
@@ -38,6 +38,7 @@
 		process: 'entry-1', sequence: from, wallTimeMs: 1, event: 'started', offset: -1,
 	}],
 	records: async () => err({kind: 'log-unavailable', message: 'the log does not answer', remedy: 'try again later'}),
+	snapshot: async () => ok({snapshot: null}),
 	explainRequest: id => id === 'r1' ? ['Request r1 was sent to b1.'] : undefined,
 	encodeState: () => Buffer.from([1, 2, 255]),
 };
--- a/src/entry/operator-server.ts
+++ b/src/entry/operator-server.ts
@@ -11,7 +11,7 @@
 import {buildStatus} from '../operator/build-status.js';
 import {explainSubject} from '../operator/explain-subject.js';
 import {
-	type Confirmation, explainQuerySchema, type Liveness, planEnvelopeSchema, planRequestSchema, type RecordsPage, recordsQuerySchema, timelineQuerySchema,
+	type Confirmation, explainQuerySchema, type Liveness, planEnvelopeSchema, planRequestSchema, type RecordsPage, recordsQuerySchema, type SnapshotAnswer, timelineQuerySchema,
 } from '../operator/operator-api.js';
 import {type EventLog} from '../telemetry/event-log.js';
 import {type TimelineEvent} from '../telemetry/timeline-event.js';
@@ -26,6 +26,7 @@
 	/** This entry's events from that sequence on, and its agents' events. */
 	timeline: (fromSequence: number) => Promise<readonly TimelineEvent[]>;
 	records: (fromOffset: number, limit: number) => Promise<Result<RecordsPage, TypedError>>;
+	snapshot: () => Promise<Result<SnapshotAnswer, TypedError>>;
 	/** What this entry knows of a request, in words; undefined when it has not seen the request. */
 	explainRequest: (requestId: string) => readonly string[] | undefined;
 	/** The cluster state as snapshots encode it, for a starting entry. */
@@ -183,6 +184,17 @@
 				});
 			},
 		},
+		{
+			method: 'GET',
+			path: '/snapshot',
+			async handler() {
+				const snapshot = await backend.snapshot();
+				return snapshot.match<Answer>({
+					Ok: value => ({status: 200, body: value}),
+					Err: error => refusal(503, error),
+				});
+			},
+		},
 		{
 			method: 'GET',
 			path: '/peer-state',
--- a/src/entry/record-timeline.ts
+++ b/src/entry/record-timeline.ts
@@ -6,9 +6,20 @@
 /** Records that would fill the timeline without telling an operator anything. */
 const quietKinds: ReadonlySet<ClusterRecord['kind']> = new Set(['entry-alive', 'key-claimed', 'keys-expired']);
 
+/** Counters of records; each is counted by its writer alone, so that their sum over all entries is right. */
+const countedKinds: Readonly<Partial<Record<ClusterRecord['kind'], string>>> = {
+	'task-claimed': 'claims.tasks',
+	'key-claimed': 'claims.keys',
+	'task-checkpointed': 'evictions',
+	'vm-quarantined': 'quarantines',
+	'vm-lease-expired': 'leases.expired',
+	'plan-confirmed': 'plans.confirmed',
+};
+
 /**
 Turns this entry's own records, once read back, into timeline events and log lines, so that over all entries each
-record appears once.
+record appears once. A claim is the origin of everything that happens to its task, so it names no cause; other records of
+a task follow its claim.
 
 @example
 recordTimeline(records, before, after, incarnation);
@@ -19,8 +30,13 @@
 	after: ClusterState,
 	incarnation: string,
 ): readonly ControlEffect[] {
-	return records
-		.filter(({envelope}) => envelope.incarnation === incarnation && !quietKinds.has(envelope.record.kind))
+	const own = records.filter(({envelope}) => envelope.incarnation === incarnation);
+	const counts = own.flatMap(({envelope}): readonly ControlEffect[] => {
+		const name = countedKinds[envelope.record.kind];
+		return name === undefined ? [] : [{kind: 'count-metric', name, count: 1}];
+	});
+	const events = own
+		.filter(({envelope}) => !quietKinds.has(envelope.record.kind))
 		.flatMap(({offset, envelope: {record}}) => {
 			const taskId = 'taskId' in record ? record.taskId : undefined;
 			const vmId = 'vmId' in record ? record.vmId : vmOfTask(taskId, before, after);
@@ -29,7 +45,7 @@
 				{
 					kind: 'record-timeline',
 					entry: {
-						event: record.kind, offset, taskId, vmId, detail, cause: taskId,
+						event: record.kind, offset, taskId, vmId, detail, cause: record.kind === 'task-claimed' ? undefined : taskId,
 					},
 				},
 				{
@@ -39,6 +55,7 @@
 				},
 			] satisfies ControlEffect[];
 		});
+	return [...counts, ...events];
 }
 
 /** The record may have ended the claim, so the state before it counts too. */
--- a/src/entry/reduce-entry.ts
+++ b/src/entry/reduce-entry.ts
@@ -1,6 +1,7 @@
 import {type ClusterState} from '../cluster/cluster-state.js';
 import {applyRecord} from '../cluster/reduce-cluster.js';
 import {ownerByRendezvous} from '../cluster/rendezvous.js';
+import {BackendServerPhase} from '../generated/arbutushinge/v1/agent_pb.js';
 import {tickEntryLiveness, resetEntryObservation} from '../membership/entry-liveness.js';
 import {tickVmLiveness} from '../membership/vm-liveness.js';
 import {noteAttempts, tickFailureBlame} from '../placement/failure-blame.js';
@@ -33,6 +34,9 @@
 /** Time between two rounds of liveness, expiry and reconciliation. */
 const controlTickMs = 250;
 
+/** Phases in which an agent refuses new work for a backend server. */
+const refusingPhases: ReadonlySet<BackendServerPhase> = new Set([BackendServerPhase.LEAVING, BackendServerPhase.DRAINED]);
+
 const handlers: {readonly [Kind in EntryEvent['kind']]: Handler<Kind>} = {
 	'log-page': reduceLogPage,
 	'log-failed': reduceLogFailure,
@@ -62,8 +66,9 @@
 			? continueWithRequest(step, {
 				kind: 'agent-load-reported',
 				vmId: link.vmId,
-				backendServers: event.heartbeat.backendServers.map(({backendServerId, activeRequests, queuedRequests}) =>
-					({backendServerId, activeRequests, queuedRequests})),
+				backendServers: event.heartbeat.backendServers.map(({backendServerId, activeRequests, queuedRequests, phase}) => ({
+					backendServerId, activeRequests, queuedRequests, leaving: event.heartbeat.leaving || refusingPhases.has(phase),
+				})),
 			}, inputs, settings)
 			: step;
 	},
--- a/src/operator/explain-subject.ts
+++ b/src/operator/explain-subject.ts
@@ -1,4 +1,5 @@
 import {err, ok, type Result} from 'true-myth/result';
+import {type ScoreInputs} from '../cluster/cluster-record.js';
 import {
 	type ClusterState, type KeyClaim, type PlanDecision, type Task, type TaskClaim,
 } from '../cluster/cluster-state.js';
@@ -64,12 +65,24 @@
 	return [
 		`Attempt ${attempt} is bound to VM ${claim.vmId} (agent ${claim.agentIncarnation}) by the claim at offset ${claim.claimOffset}, which commits ${formatResources(claim.committed)}.`,
 		`Policy ${decision.policy} with seed ${decision.seed} decided on the state at offset ${decision.stateOffset} and considered ${decision.consideredVms} VMs: ${decision.reason}.`,
-		...decision.candidates.map(({vmId, scoreMilli, harmMilli, room}, index) =>
-			`Candidate ${index + 1}: ${vmId}, score ${scoreMilli} milli, harm ${harmMilli} milli, room ${formatResources(room)}${vmId === claim.vmId ? ', chosen' : ''}.`),
+		...decision.candidates.map(({vmId, scoreMilli, harmMilli, room, inputs}, index) =>
+			`Candidate ${index + 1}: ${vmId}, score ${scoreMilli} milli, harm ${harmMilli} milli, room ${formatResources(room)}${explainInputs(inputs)}${vmId === claim.vmId ? ', chosen' : ''}.`),
 		...(claim.evictTaskIds.length === 0 ? [] : [`It evicts ${claim.evictTaskIds.join(', ')} first to make room.`]),
 	];
 }
 
+function explainInputs(inputs: ScoreInputs | undefined): string {
+	const {serviceHarmMilli, siblingsInRack, siblingsInFailureDomain, failedBefore, wastesAccelerators, evictions} = inputs ?? {};
+	return [
+		serviceHarmMilli === undefined ? '' : `, of the harm ${serviceHarmMilli} milli to services`,
+		siblingsInRack === undefined ? '' : `, ${siblingsInRack} tasks of the job in its rack`,
+		siblingsInFailureDomain === undefined ? '' : `, ${siblingsInFailureDomain} tasks of the job in its failure domain`,
+		failedBefore ? ', an earlier attempt failed there' : '',
+		wastesAccelerators ? ', its accelerators would be wasted' : '',
+		evictions === undefined ? '' : `, ${evictions} evictions needed`,
+	].join('');
+}
+
 function queuePosition(state: ClusterState, task: Task): number | undefined {
 	const index = state.queued.get(task.priority)?.keySeq().indexOf(task.spec.taskId) ?? -1;
 	return index === -1 ? undefined : index + 1;
--- a/src/operator/operator-api.ts
+++ b/src/operator/operator-api.ts
@@ -126,10 +126,19 @@
 	nextOffset: z.int(),
 	tailOffset: z.int(),
 	firstRetainedOffset: z.int(),
+	/** Values of the page that are no records. */
+	skipped: z.int().min(0).default(0),
 }).readonly();
 
 export type RecordsPage = z.infer<typeof recordsPageSchema>;
 
+/** Answer of `GET /snapshot`: the newest snapshot in the log, or null when there is none. */
+export const snapshotAnswerSchema = z.strictObject({
+	snapshot: z.strictObject({coversOffset: z.int(), value: z.unknown()}).readonly().nullable(),
+}).readonly();
+
+export type SnapshotAnswer = z.infer<typeof snapshotAnswerSchema>;
+
 const offsetParameterSchema = z.coerce.number().int().min(0);
 
 /** Query of `GET /explain`. */
--- a/src/operator/operator-client.ts
+++ b/src/operator/operator-client.ts
@@ -7,8 +7,8 @@
 import {type TypedError} from '../errors/typed-error.js';
 import {type TimelineEvent} from '../telemetry/timeline-event.js';
 import {
-	confirmationSchema, errorAnswerSchema, explanationSchema, planEnvelopeSchema, recordsPageSchema, statusReportSchema, timelineAnswerSchema,
-	type Confirmation, type Explanation, type RecordsPage, type StatusReport,
+	confirmationSchema, errorAnswerSchema, explanationSchema, planEnvelopeSchema, recordsPageSchema, snapshotAnswerSchema, statusReportSchema, timelineAnswerSchema,
+	type Confirmation, type Explanation, type RecordsPage, type SnapshotAnswer, type StatusReport,
 } from './operator-api.js';
 
 export type OperatorClientOptions = Readonly<{
@@ -33,6 +33,8 @@
 	/** Events that one entry holds; each entry is asked on its own. */
 	timeline: (address: string, fromSequence: number) => Promise<Result<readonly TimelineEvent[], TypedError>>;
 	records: (fromOffset: number, limit: number) => Promise<Result<RecordsPage, TypedError>>;
+	/** The newest snapshot in the log. */
+	snapshot: () => Promise<Result<SnapshotAnswer, TypedError>>;
 	/** The encoded cluster state of another entry. */
 	peerState: () => Promise<Result<Uint8Array, TypedError>>;
 	close: () => Promise<void>;
@@ -144,6 +146,7 @@
 			return answer.map(({events}) => events);
 		},
 		records: async (fromOffset, limit) => ask(recordsPageSchema, {method: 'GET', path: `/records?from=${fromOffset}&limit=${limit}`}),
+		snapshot: async () => ask(snapshotAnswerSchema, {method: 'GET', path: '/snapshot'}),
 		peerState: async () => sendToAny({method: 'GET', path: '/peer-state'}),
 		async close() {
 			await agent.close();
--- a/src/operator/replay-records.ts
+++ b/src/operator/replay-records.ts
@@ -1,5 +1,7 @@
+import {type Result} from 'true-myth/result';
 import {type ClusterRecordOf, type PlacementDecision} from '../cluster/cluster-record.js';
 import {type ClusterState} from '../cluster/cluster-state.js';
+import {type TypedError} from '../errors/typed-error.js';
 import {type LoggedRecord} from '../log/log-envelope.js';
 
 export type TaskClaimed = ClusterRecordOf<'task-claimed'>;
@@ -11,6 +13,8 @@
 	applyRecord: (state: ClusterState, record: LoggedRecord) => ClusterState;
 	/** Decides again on the state that the recorded decision names; undefined when it places the task nowhere. */
 	decide: (state: ClusterState, claim: TaskClaimed) => Readonly<{vmId: string; decision: PlacementDecision}> | undefined;
+	/** Reads the state of a snapshot, for a log whose first records are past retention. */
+	decodeState: (value: unknown) => Result<ClusterState, TypedError>;
 }>;
 
 /** A recorded decision that came out differently. */
@@ -26,7 +30,7 @@
 	firstOffset: number;
 	lastOffset: number;
 	decisions: number;
-	/** Decisions whose input state is older than the states that were kept. */
+	/** Decisions whose input state is older than the states that were kept, or whose record lacks the inputs of the scores. */
 	skipped: number;
 	differences: readonly ReplayDifference[];
 }>;
@@ -66,7 +70,7 @@
 				if (record.kind === 'task-claimed') {
 					decisions++;
 					const input = states.get(record.decision.stateOffset);
-					if (input === undefined) {
+					if (input === undefined || record.decision.candidates.some(candidate => candidate.inputs === undefined)) {
 						skipped++;
 					} else {
 						differences.push(...compareDecision(offset, record, decide(input, record)));
--- a/src/placement/choose-vm.ts
+++ b/src/placement/choose-vm.ts
@@ -1,4 +1,4 @@
-import {type PlacementDecision} from '../cluster/cluster-record.js';
+import {type PlacementDecision, type ScoreInputs} from '../cluster/cluster-record.js';
 import {type Weights} from '../cluster/intent.js';
 import {type Resources} from '../cluster/resources.js';
 
@@ -80,8 +80,43 @@
 				scoreMilli: entry.scoreMilli,
 				harmMilli: entry.candidate.serviceHarmMilli + entry.candidate.batchHarmMilli,
 				room: entry.candidate.room,
+				inputs: packInputs(entry.candidate),
 			})),
 			reason: `best score of ${candidates.length} feasible VMs among ${inputs.consideredVms} considered`,
 		},
 	};
 }
+
+function packInputs(candidate: PlacementCandidate): ScoreInputs {
+	const {serviceHarmMilli, siblingsInRack, siblingsInFailureDomain, failedBefore, wastesAccelerators, evictions} = candidate;
+	return {
+		...(serviceHarmMilli !== 0 && {serviceHarmMilli}),
+		...(siblingsInRack !== 0 && {siblingsInRack}),
+		...(siblingsInFailureDomain !== 0 && {siblingsInFailureDomain}),
+		...(failedBefore && {failedBefore: true}),
+		...(wastesAccelerators && {wastesAccelerators: true}),
+		...(evictions !== 0 && {evictions}),
+	};
+}
+
+/**
+Restores a candidate from a decision's record, so that it can be scored again.
+
+@example
+restoreCandidate(recorded, inputs, vm.capacity).batchHarmMilli; // => 40
+*/
+export function restoreCandidate(recorded: PlacementDecision['candidates'][number], inputs: ScoreInputs, capacity: Resources): PlacementCandidate {
+	const {serviceHarmMilli = 0, siblingsInRack = 0, siblingsInFailureDomain = 0, failedBefore = false, wastesAccelerators = false, evictions = 0} = inputs;
+	return {
+		vmId: recorded.vmId,
+		capacity,
+		room: recorded.room,
+		serviceHarmMilli,
+		batchHarmMilli: recorded.harmMilli - serviceHarmMilli,
+		siblingsInRack,
+		siblingsInFailureDomain,
+		failedBefore,
+		wastesAccelerators,
+		evictions,
+	};
+}
--- a/src/telemetry/merge-timelines.ts
+++ b/src/telemetry/merge-timelines.ts
@@ -10,7 +10,7 @@
 Events that neither of these orders are placed by log offset, then by wall time, process and sequence.
 
 An event whose `cause` names a request or a task follows the first event of another process that carries this identifier
-and is no effect of it. An event counts as being at the highest offset that its process or its cause had reached, because
+and is no effect of it, and names the same VM if any does. An event counts as being at the highest offset that its process or its cause had reached, because
 agents report lower offsets than entries. An event that arrives through several entries is kept once.
 
 @example
@@ -64,18 +64,22 @@
 	for (const {events} of queues) {
 		const seen = new Set<string>();
 		for (const event of events) {
-			for (const id of [event.requestId, event.taskId]) {
-				if (id !== undefined && id !== event.cause && !seen.has(id)) {
-					seen.add(id);
-					origins.set(id, [...origins.get(id) ?? [], event]);
-				}
+			for (const key of originKeys(event).filter(each => !seen.has(each))) {
+				seen.add(key);
+				origins.set(key, [...origins.get(key) ?? [], event]);
 			}
 		}
 	}
 
 	const causes = new Map<TimelineEvent, TimelineEvent>();
 	for (const event of queues.flatMap(queue => queue.events)) {
-		const others = event.cause === undefined ? [] : (origins.get(event.cause) ?? []).filter(origin => origin.process !== event.process);
+		if (event.cause === undefined) {
+			continue;
+		}
+
+		const onVm = originOnVm(event.cause, event.vmId);
+		const found = (onVm === undefined ? undefined : origins.get(onVm)) ?? origins.get(event.cause) ?? [];
+		const others = found.filter(origin => origin.process !== event.process);
 		const cause = others.toSorted(compareEvents)[0];
 		if (cause !== undefined) {
 			causes.set(event, cause);
@@ -85,6 +89,18 @@
 	return causes;
 }
 
+/** A task may be claimed for several VMs in turn; each VM's events follow the claim that names it. */
+function originKeys({requestId, taskId, cause, vmId}: TimelineEvent): readonly string[] {
+	return [requestId, taskId]
+		.filter((id): id is string => id !== undefined && id !== cause)
+		.flatMap(id => [id, originOnVm(id, vmId)])
+		.filter(key => key !== undefined);
+}
+
+function originOnVm(id: string, vmId: string | undefined): string | undefined {
+	return vmId === undefined ? undefined : `${id} on ${vmId}`;
+}
+
 function candidate(queue: Queue, causes: ReadonlyMap<TimelineEvent, TimelineEvent>, offsetByEvent: ReadonlyMap<TimelineEvent, number>): Candidate {
 	const event = queue.events[queue.next]!;
 	const cause = causes.get(event);
