--- a/demo/deployment.ts
+++ b/demo/deployment.ts
@@ -1,3 +1,4 @@
+import {randomUUID} from 'node:crypto';
 import {mkdtemp, rm, writeFile} from 'node:fs/promises';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
@@ -17,6 +18,11 @@
 	processorsMilli: number;
 	memoryMb: number;
 	usageLagMs: number;
+	/** Failure domains that entries and VMs are spread over in turn; one for each of them without it. */
+	failureDomains?: readonly string[];
+	vmsPerRack?: number;
+	/** More arguments of the backend server stand-in on a VM. */
+	backendServerArguments?: (vm: VmProcesses) => readonly string[];
 	/** Settings of all entries beside the addresses, such as `timings`. */
 	entrySettings?: Readonly<Record<string, unknown>>;
 	/** Settings of all agents beside the addresses. */
@@ -107,6 +113,7 @@
 		const tokenFile = await writeText('operator-token', 'demo-operator-token\n');
 		const addresses = await findFreeAddresses((options.entries * 3) + options.vms);
 		const addressOf = (index: number): string => addresses[index]!;
+		const failureDomainOf = (index: number): string => options.failureDomains?.[index % options.failureDomains.length] ?? `domain-${index + 1}`;
 		const entryNumbers = Array.from({length: options.entries}, (_, index) => index);
 		const operatorAddresses = entryNumbers.map(index => addressOf((index * 3) + 1));
 		const entryAddresses = entryNumbers.map(index => addressOf((index * 3) + 2));
@@ -134,7 +141,7 @@
 			const settings = await writeText(`${entryId}.yaml`, stringify({
 				role: 'entry',
 				entryId,
-				failureDomain: `domain-${index + 1}`,
+				failureDomain: failureDomainOf(index),
 				callerAddress,
 				operatorAddress,
 				agentAddress: addressOf((index * 3) + 2),
@@ -152,7 +159,14 @@
 			const requestAddress = addressOf((options.entries * 3) + index);
 			const workerUrl = workerUrls[index]!;
 			const settings = await writeText(`agent-${vmId}.yaml`, stringify({
-				role: 'agent', vmId, failureDomain: `domain-${index + 1}`, rack: `rack-${index + 1}`, requestAddress, entryAddresses, workerUrl, ...options.agentSettings,
+				role: 'agent',
+				vmId,
+				failureDomain: failureDomainOf(index),
+				rack: `rack-${Math.floor(index / (options.vmsPerRack ?? 1)) + 1}`,
+				requestAddress,
+				entryAddresses,
+				workerUrl,
+				...options.agentSettings,
 			}));
 			vms.push({
 				vmId, agent: runner.start(`agent-${vmId}`, ['src/main.ts', 'agent', '--settings', settings]), worker, workerUrl, agentUrl: `http://${requestAddress}`,
@@ -176,7 +190,7 @@
 				return [...planned.lines(), ...planned.errorLines()].join('\n');
 			}
 
-			const planFile = await writeText(`plan-${commands}.json`, planned.lines().join('\n'));
+			const planFile = await writeText(`${path.basename(intentFile)}.plan`, planned.lines().join('\n'));
 			const confirmed = await runCommand(['confirm', ...access, '--plan', planFile, '--json']);
 			return confirmed.exit()?.code === 0 ? '' : [...confirmed.lines(), ...confirmed.errorLines()].join('\n');
 		}
@@ -197,9 +211,10 @@
 				vm.agentUrl,
 				'--service-time-ms',
 				String(serviceTimeMs),
+				...options.backendServerArguments?.(vm) ?? [],
 			]),
 			async confirm(intent, entry) {
-				const intentFile = await writeText(`intent-${commands}.json`, JSON.stringify(intent));
+				const intentFile = await writeText(`intent-${randomUUID()}.json`, JSON.stringify(intent));
 				let problem = '';
 				for (let attempt = 1; attempt <= planAttempts; attempt++) {
 					problem = await tryToConfirm(intentFile, ['--entry', entry.operatorAddress, '--token-file', tokenFile]);
--- a/src/placement/choose-vm.ts
+++ b/src/placement/choose-vm.ts
@@ -1,6 +1,7 @@
 import {type PlacementDecision} from '../cluster/cluster-record.js';
 import {type Weights} from '../cluster/intent.js';
 import {type Resources} from '../cluster/resources.js';
+import {type PlacementPolicyName} from './placement-policy-name.js';
 
 /** A VM that could take the task, with what the score depends on. */
 export type PlacementCandidate = Readonly<{
@@ -53,16 +54,16 @@
 Returns undefined without candidates.
 
 @example
-const choice = chooseVm(candidates, demand, weights, {seed: 7, stateOffset: 120, consideredVms: 24});
+const choice = chooseVm(candidates, scoreCandidate, {demand, weights}, {policy: 'least-harm', seed: 7, stateOffset: 120, consideredVms: 24});
 */
 export function chooseVm(
 	candidates: readonly PlacementCandidate[],
-	demand: Resources,
-	weights: Weights,
-	inputs: Readonly<{seed: number; stateOffset: number; consideredVms: number}>,
+	score: typeof scoreCandidate,
+	{demand, weights}: Readonly<{demand: Resources; weights: Weights}>,
+	inputs: Readonly<{policy: PlacementPolicyName; seed: number; stateOffset: number; consideredVms: number}>,
 ): Readonly<{vmId: string; decision: PlacementDecision}> | undefined {
 	const scored = candidates
-		.map(candidate => ({candidate, scoreMilli: scoreCandidate(candidate, demand, weights)}))
+		.map(candidate => ({candidate, scoreMilli: score(candidate, demand, weights)}))
 		.toSorted((left, right) => right.scoreMilli - left.scoreMilli || (left.candidate.vmId < right.candidate.vmId ? -1 : 1));
 	const best = scored[0];
 	if (!best) {
@@ -73,7 +74,6 @@
 	return {
 		vmId: candidate.vmId,
 		decision: {
-			policy: 'least-harm',
 			...inputs,
 			candidates: scored.slice(0, recordedCandidates).map(entry => ({
 				vmId: entry.candidate.vmId,
--- a/src/placement/place-queued-tasks.ts
+++ b/src/placement/place-queued-tasks.ts
@@ -14,6 +14,7 @@
 import {
 	addPendingClaim, noPendingClaims, type PendingClaims, settlePendingClaims,
 } from './pending-claims.js';
+import {placementPolicies} from './placement-policies.js';
 import {chooseVictims} from './choose-victims.js';
 import {noVmHistory, type VmHistory} from './observe-usage.js';
 import {harmOfPlacement, type InterferenceEstimates, noInterferenceEstimates} from './interference-estimates.js';
@@ -118,7 +119,7 @@
 }
 
 function placeTask(pass: Pass, task: Task): void {
-	const {cluster, seed, nowMs} = pass.context;
+	const {cluster, settings, seed, nowMs} = pass.context;
 	const {demand, taskId} = task.spec;
 	if (pass.withoutRoom.some(failed => fitsInto(failed, demand)) || exceedsQuota(pass, task)) {
 		return;
@@ -143,11 +144,14 @@
 		candidates = candidatesWithEvictions(pass, task);
 	}
 
+	const policy = settings.placementPolicy;
 	const choice = chooseVm(
 		candidates.map(({candidate}) => candidate),
-		demand,
-		cluster.configuration.weights,
-		{seed: taskSeed, stateOffset: cluster.offset, consideredVms: considered},
+		placementPolicies[policy],
+		{demand, weights: cluster.configuration.weights},
+		{
+			policy, seed: taskSeed, stateOffset: cluster.offset, consideredVms: considered,
+		},
 	);
 	if (!choice) {
 		pass.withoutRoom.push(demand);
--- a/src/settings/entry-settings.ts
+++ b/src/settings/entry-settings.ts
@@ -1,5 +1,6 @@
 import {z} from 'zod';
 import {nameSchema} from '../cluster/intent.js';
+import {placementPolicyNames} from '../placement/placement-policy-name.js';
 
 const addressSchema = z.string().regex(/^\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}$/v, 'use an IP number and a port, such as 127.0.0.1:8080');
 
@@ -23,6 +24,7 @@
 	logServiceUrl: z.url().describe('Address of the platform\'s log service'),
 	logStream: nameSchema.default('arbutushinge').describe('Stream that holds the cluster records'),
 	logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info').describe('Least severe level that is logged'),
+	placementPolicy: z.enum(placementPolicyNames).default('least-harm').describe('How VMs are chosen for tasks; `first-fit` and `least-loaded` are baselines meant for comparison'),
 	metrics: metricsSettingsSchema.default({prefix: 'arbutushinge.'}),
 	timings: z.strictObject({
 		appendIntervalMs: z.int().min(1).default(20).describe('Shortest time between two appends of this entry'),
--- a/stand-ins/backend-server-stand-in.test.ts
+++ b/stand-ins/backend-server-stand-in.test.ts
@@ -3,6 +3,7 @@
 import {createBackendServerStandIn} from './backend-server-stand-in.js';
 import {sendJson} from './json-client.js';
 import {startJsonServer} from './json-server.js';
+import {createWorkerStandIn} from './worker-stand-in.js';
 
 test('a backend server announces itself and stops only when its leaving is answered', async t => {
 	const calls: string[] = [];
@@ -54,3 +55,30 @@
 	const backendServer = await createBackendServerStandIn({agentUrl: agent.url});
 	t.false(await backendServer.leave());
 });
+
+test('a noisy task on the VM slows its backend server down, by kind and by throttle', async t => {
+	const worker = await createWorkerStandIn({capacity: {processorsMilli: 4000, memoryMb: 8192, accelerators: 0}, nowMs: () => 1000});
+	t.teardown(worker.close);
+	const pressure = async (kind: string): Promise<number> => {
+		const {body} = await sendJson({url: `${worker.url}/pressure/${kind}`});
+		return z.object({relativeSpeedMilli: z.number()}).parse(body).relativeSpeedMilli;
+	};
+
+	t.is(await pressure('service'), 1000);
+	await sendJson({
+		method: 'PUT',
+		url: `${worker.url}/tasks/noisy`,
+		body: {
+			attempt: 1,
+			limit: {processorsMilli: 2000, memoryMb: 1024, accelerators: 0},
+			payload: JSON.stringify({kind: 'stress-run', workMs: 60_000}),
+			checkpoint: '',
+			latencyCritical: false,
+			leaseDeadlineMonotonicMs: 100_000,
+		},
+	});
+	t.is(await pressure('service'), 571);
+	t.true(await pressure('curing-watch') > 571);
+	await sendJson({method: 'POST', url: `${worker.url}/tasks/noisy/throttle`, body: {processorsShareMilli: 300}});
+	t.is(await pressure('service'), 816);
+});
--- a/stand-ins/backend-server-stand-in.ts
+++ b/stand-ins/backend-server-stand-in.ts
@@ -4,7 +4,7 @@
 import {z} from 'zod';
 import {hashBody, requestIdOf, type EchoAnswer} from './echo-answer.js';
 import {type BackendServerJournal} from './journal.js';
-import {sendJson} from './json-client.js';
+import {fetchJson, sendJson} from './json-client.js';
 import {listenLocally} from './json-server.js';
 
 /** Behaviour of a backend server; it can be changed at any time. */
@@ -22,6 +22,11 @@
 
 export type BackendServerFaults = z.infer<typeof backendServerFaultsSchema>;
 
+/** Time between two reads of the neighbours' effect from the worker. */
+const pressureIntervalMs = 100;
+
+const pressureSchema = z.strictObject({relativeSpeedMilli: z.int().min(1)});
+
 export type BackendServerStandInOptions = Readonly<{
 	port?: number;
 	backendServerId?: string;
@@ -32,6 +37,12 @@
 	connections?: number;
 	announceMs?: number;
 	serviceTimeMs?: number;
+	/** Round trip between the entry's failure domain and this one, added to each answer. */
+	networkDelayMs?: number;
+	/** Worker on the same VM, whose tasks slow this server down; without it nothing does. */
+	workerUrl?: string;
+	/** Kind of this server in the worker's table of harm. */
+	workKind?: string;
 	/** Longest wait for the agent's answer to `/leaving`. */
 	leavingTimeoutMs?: number;
 }>;
@@ -89,6 +100,7 @@
 	let cutByOwnStop = 0;
 	let cutByAgent = 0;
 	let isClosing = false;
+	let relativeSpeedMilli = 1000;
 
 	function journal(): BackendServerJournal {
 		return {
@@ -125,7 +137,7 @@
 		}
 
 		const serviceTimeMs = faults.outOfOrder && number % 2 === 1 ? faults.serviceTimeMs * 4 : faults.serviceTimeMs;
-		await delay(serviceTimeMs + faults.lateMs);
+		await delay((serviceTimeMs * 1000 / relativeSpeedMilli) + (options.networkDelayMs ?? 0) + faults.lateMs);
 		if (faults.failEverything) {
 			answerJson(response, 500, {error: 'the backend server fails everything'});
 			return;
@@ -216,8 +228,25 @@
 		void announce();
 	}
 
+	async function readPressure(): Promise<void> {
+		try {
+			const pressure = await fetchJson(pressureSchema, {url: `${options.workerUrl}/pressure/${options.workKind ?? 'service'}`, timeoutMs: 1000});
+			relativeSpeedMilli = pressure.relativeSpeedMilli;
+		} catch {
+			// A worker that is away harms nobody.
+			relativeSpeedMilli = 1000;
+		}
+	}
+
+	const pressureReader = options.workerUrl === undefined
+		? undefined
+		: setInterval(() => {
+			void readPressure();
+		}, pressureIntervalMs);
+
 	async function close(): Promise<void> {
 		clearInterval(announcer);
+		clearInterval(pressureReader);
 		// An answer that the agent already has may still wait for its `finish` event in this turn of the event loop.
 		await setImmediate();
 		if (!isClosing) {
--- a/stand-ins/caller-load.ts
+++ b/stand-ins/caller-load.ts
@@ -21,6 +21,10 @@
 	pauseMs?: number;
 	/** Parts of the load in thousandths; the rest are lookups. */
 	ordersMilli?: number;
+	/** Priority class of all requests; the entry's default without it. */
+	priority?: string;
+	/** One-way delay between this client and the entries. */
+	clientDelayMs?: number;
 	largeMilli?: number;
 	largeBodyBytes?: number;
 	/** Attempts of one request, the first one included. */
@@ -45,8 +49,12 @@
 	large: new Set(['no-answer', 'unknown', 'failed']),
 };
 
-function headersOf(attempt: Attempt, caller: string): Record<string, string> {
+function headersOf(attempt: Attempt, caller: string, priority: string | undefined): Record<string, string> {
 	const headers: Record<string, string> = {'x-arbutushinge-caller': caller};
+	if (priority !== undefined) {
+		headers['x-arbutushinge-priority'] = priority;
+	}
+
 	if (attempt.body !== undefined) {
 		headers['content-type'] = 'application/json';
 	}
@@ -118,7 +126,7 @@
 		try {
 			const answer = await request(`http://${entry}/services/${options.service}/${pathByKind[attempt.kind]}/${attempt.requestId}`, {
 				method: attempt.body === undefined ? 'GET' : 'POST',
-				headers: headersOf(attempt, name),
+				headers: headersOf(attempt, name, options.priority),
 				body: attempt.body ?? null,
 				dispatcher: connections,
 				signal: AbortSignal.timeout(options.timeoutMs ?? 15_000),
@@ -137,6 +145,18 @@
 		}
 	}
 
+	async function attemptFromClient(attempt: Attempt): Promise<Outcome> {
+		const clientDelayMs = options.clientDelayMs ?? 0;
+		if (clientDelayMs === 0) {
+			return attemptOnce(attempt);
+		}
+
+		await delay(clientDelayMs);
+		const outcome = await attemptOnce(attempt);
+		await delay(clientDelayMs);
+		return outcome;
+	}
+
 	function nextAttempt(): Attempt {
 		requests++;
 		const part = uniformInt(random, 0, 999);
@@ -157,12 +177,12 @@
 	async function sendOne(): Promise<void> {
 		let attempt = nextAttempt();
 		const startedAtMs = performance.now();
-		let outcome = await attemptOnce(attempt);
+		let outcome = await attemptFromClient(attempt);
 		while (retriedResultsByKind[attempt.kind].has(outcome.result) && attempt.attempt < (options.attempts ?? 6)) {
 			retries++;
 			await delay(100 * attempt.attempt);
 			attempt = {...attempt, attempt: attempt.attempt + 1};
-			outcome = await attemptOnce(attempt);
+			outcome = await attemptFromClient(attempt);
 		}
 
 		counts[outcome.result]++;
@@ -205,6 +225,7 @@
 		retries,
 		p50Ms: quantileMs(50),
 		p99Ms: quantileMs(99),
+		p999Ms: quantileMs(99.9),
 		maxMs: latencies.maxValue / 1000,
 		ordersAnswered,
 		ordersRefused,
--- a/stand-ins/journal.ts
+++ b/stand-ins/journal.ts
@@ -52,6 +52,7 @@
 	retries: z.int(),
 	p50Ms: z.number(),
 	p99Ms: z.number(),
+	p999Ms: z.number().optional(),
 	maxMs: z.number(),
 	/** Identifiers of the keyed orders by their outcome; only these run at most once. */
 	ordersAnswered: z.array(z.string()),
--- a/stand-ins/main.ts
+++ b/stand-ins/main.ts
@@ -87,6 +87,9 @@
 		slots: numberOf(options, 'slots'),
 		connections: numberOf(options, 'connections'),
 		serviceTimeMs: numberOf(options, 'serviceTimeMs'),
+		networkDelayMs: numberOf(options, 'networkDelayMs'),
+		workerUrl: textOf(options, 'workerUrl'),
+		workKind: textOf(options, 'workKind'),
 	});
 	onStop(async () => {
 		const isDrained = await backendServer.leave();
@@ -112,6 +115,8 @@
 		pauseMs: numberOf(options, 'pauseMs'),
 		ordersMilli: numberOf(options, 'ordersMilli'),
 		largeMilli: numberOf(options, 'largeMilli'),
+		priority: textOf(options, 'priority'),
+		clientDelayMs: numberOf(options, 'clientDelayMs'),
 		signal: stopping.signal,
 	});
 	printJournal(journal);
@@ -144,6 +149,9 @@
 	.option('--slots <count>', 'Requests that it handles at once')
 	.option('--connections <count>', 'Connections that it takes')
 	.option('--service-time-ms <ms>', 'Time that each request takes')
+	.option('--network-delay-ms <ms>', 'Round trip that is added to each answer')
+	.option('--worker-url <url>', 'Worker on the same VM, whose tasks slow the server down')
+	.option('--work-kind <kind>', 'Kind of the server in the worker\'s table of harm')
 	.action(runBackendServer);
 
 cli.command('caller-load', 'Send a mixed load and check every answer')
@@ -156,6 +164,8 @@
 	.option('--pause-ms <ms>', 'Pause after each request')
 	.option('--orders-milli <count>', 'Part of keyed orders in thousandths')
 	.option('--large-milli <count>', 'Part of large bodies in thousandths')
+	.option('--priority <class>', 'Priority class of all requests')
+	.option('--client-delay-ms <ms>', 'One-way delay to the entries')
 	.action(runCaller);
 
 cli.help();
--- a/stand-ins/task-runner.ts
+++ b/stand-ins/task-runner.ts
@@ -138,6 +138,13 @@
 		}
 	}
 
+	/** Speed, in thousandths of its speed alone, of work of a kind that shares the VM but is no task, such as a service. */
+	public speedBesideTasksMilli(kind: string): number {
+		this.settle();
+		const tasks = this.running.map(task => ({kind: task.payload.kind, processorsMilli: this.processorsOf(task)}));
+		return Math.round(1000 * relativeSpeed(this.harmTable, kind, tasks, this.capacity.processorsMilli));
+	}
+
 	public sample(): readonly TaskSample[] {
 		this.settle();
 		return this.running.map(task => ({
--- a/stand-ins/worker-stand-in.ts
+++ b/stand-ins/worker-stand-in.ts
@@ -205,6 +205,7 @@
 			},
 		},
 		{method: 'GET', path: '/journal', handle: () => ({status: 200, body: journal()})},
+		{method: 'GET', path: '/pressure/:kind', handle: request => ({status: 200, body: {relativeSpeedMilli: runner.speedBesideTasksMilli(request.params.kind ?? '')}})},
 		{method: 'GET', path: '/usage', handle: worker(() => ({status: 200, body: usage()}))},
 		{method: 'GET', path: '/tasks', handle: worker(() => ({status: 200, body: {capacity, tasks: [...runner.tasks.values()].map(task => reported(task))}}))},
 		{method: 'PUT', path: '/tasks/:taskId', handle: worker((request, body) => startTask(request.params.taskId ?? '', body))},
