--- a/src/operator/replay-functions.ts
+++ b/src/operator/replay-functions.ts
@@ -3,6 +3,8 @@
 import {decodeClusterState} from '../cluster/cluster-state-codec.js';
 import {applyRecord, emptyClusterState} from '../cluster/reduce-cluster.js';
 import {fitsInto, noResources} from '../cluster/resources.js';
+import {placementPolicies} from '../placement/placement-policies.js';
+import {placementPolicyNames} from '../placement/placement-policy-name.js';
 import {chooseVm, type PlacementCandidate, restoreCandidate} from '../placement/choose-vm.js';
 import {roomOf, takesNewTasks} from '../placement/feasibility.js';
 import {type ReplayFunctions, type TaskClaimed} from './replay-records.js';
@@ -26,7 +28,16 @@
 
 	const candidates = decision.candidates.flatMap(candidate => feasibleCandidate(state, claim, candidate));
 	const {seed, stateOffset, consideredVms} = decision;
-	return chooseVm(candidates, task.spec.demand, state.configuration.weights, {seed, stateOffset, consideredVms});
+	const policy = placementPolicyNames.find(name => name === decision.policy);
+	// Another version may have written the decision with a policy that this one does not know.
+	return policy && chooseVm(
+		candidates,
+		placementPolicies[policy],
+		{demand: task.spec.demand, weights: state.configuration.weights},
+		{
+			policy, seed, stateOffset, consideredVms,
+		},
+	);
 }
 
 /** The candidate as it was scored, or nothing when it could not have taken the task. */
--- a/src/operator/replay-records.test.ts
+++ b/src/operator/replay-records.test.ts
@@ -2,7 +2,7 @@
 import {ok} from 'true-myth/result';
 import {type ClusterState} from '../cluster/cluster-state.js';
 import {type LoggedRecord} from '../log/log-envelope.js';
-import {chooseVm, type PlacementCandidate} from '../placement/choose-vm.js';
+import {chooseVm, type PlacementCandidate, scoreCandidate} from '../placement/choose-vm.js';
 import {replayFunctions} from './replay-functions.js';
 import {type ReplayFunctions, replayRecords, type TaskClaimed} from './replay-records.js';
 import {
@@ -89,9 +89,11 @@
 
 const {decision} = chooseVm(
 	[candidate('vm-1', 10), candidate('vm-2', 400)],
-	taskFixture.spec.demand,
-	emptyStateFixture.configuration.weights,
-	{seed: 7, stateOffset: 0, consideredVms: 2},
+	scoreCandidate,
+	{demand: taskFixture.spec.demand, weights: emptyStateFixture.configuration.weights},
+	{
+		policy: 'least-harm', seed: 7, stateOffset: 0, consideredVms: 2,
+	},
 )!;
 
 const decided: TaskClaimed = {...claim('t1', 0), attempt: taskFixture.attempt + 1, decision};
