--- a/demo/deployment.ts
+++ b/demo/deployment.ts
@@ -37,12 +37,15 @@
 export type Deployment = Readonly<{
 	runner: ProcessRunner;
 	log: RunnerProcess;
+	logServiceUrl: string;
 	entries: readonly EntryProcess[];
 	vms: readonly VmProcesses[];
 	startBackendServer: (vm: VmProcesses, backendServerId: string, service: string, serviceTimeMs: number) => RunnerProcess;
 	/** Plans and confirms an intent with the operator commands; plans again when something changed in between. */
 	confirm: (intent: Intent, entry: EntryProcess) => Promise<void>;
 	submitJob: (job: Job, entry: EntryProcess) => Promise<void>;
+	/** Plans all intents at first and confirms them at once, each at its own entry; returns the exit code of each confirmation. */
+	race: (rivals: ReadonlyArray<Readonly<{intent: Intent; entry: EntryProcess}>>) => Promise<ReadonlyArray<number | undefined>>;
 	/** Kills what is left and removes the settings. */
 	close: () => Promise<void>;
 }>;
@@ -184,6 +187,7 @@
 		return {
 			runner,
 			log,
+			logServiceUrl: logServiceUrl!,
 			entries,
 			vms,
 			startBackendServer: (vm, backendServerId, service, serviceTimeMs) => runner.start(backendServerId, [
@@ -210,6 +214,19 @@
 
 				throw new Error(`the intent ${intent.kind} was not confirmed: ${problem}`);
 			},
+			async race(rivals) {
+				const confirmations: Array<readonly string[]> = [];
+				for (const {intent, entry} of rivals) {
+					const access = ['--entry', entry.operatorAddress, '--token-file', tokenFile];
+					const intentFile = await writeText(`intent-${commands}.json`, JSON.stringify(intent));
+					const planned = await runCommand(['plan', ...access, '--intent', intentFile, '--json']);
+					const planFile = await writeText(`plan-${commands}.json`, planned.lines().join('\n'));
+					confirmations.push(['confirm', ...access, '--plan', planFile, '--json']);
+				}
+
+				const confirmed = await Promise.all(confirmations.map(async command => runCommand(command)));
+				return confirmed.map(command => command.exit()?.code);
+			},
 			async submitJob(job, entry) {
 				const answer = await sendJson({method: 'POST', url: `http://${entry.callerAddress}/jobs`, body: job});
 				if (answer.status !== 202) {
--- a/demo/process-runner.ts
+++ b/demo/process-runner.ts
@@ -33,6 +33,8 @@
 export type ProcessRunner = Readonly<{
 	/** Starts Node.js with these arguments, the TypeScript loader included. */
 	start: (name: string, nodeArguments: readonly string[]) => RunnerProcess;
+	/** Starts a process with the name and the arguments of one that this runner started earlier. */
+	startAgain: (earlier: RunnerProcess) => RunnerProcess;
 	processes: () => readonly RunnerProcess[];
 	/** Kills the process groups that are left and waits until they are gone; nothing can be started afterwards. */
 	killAll: () => Promise<void>;
@@ -158,6 +160,7 @@
 */
 export function createProcessRunner(): ProcessRunner {
 	const processes: RunnerProcess[] = [];
+	const argumentsOf = new Map<RunnerProcess, readonly string[]>();
 	let isClosed = false;
 
 	function killLeft(): void {
@@ -170,16 +173,27 @@
 
 	process.on('exit', killLeft);
 
+	function start(name: string, nodeArguments: readonly string[]): RunnerProcess {
+		if (isClosed) {
+			throw new Error(`${name} cannot start: the runner is closed`);
+		}
+
+		const child = spawn(process.execPath, ['--import', 'tsx', ...nodeArguments], {detached: true, stdio: ['ignore', 'pipe', 'pipe']});
+		const started = wrap(name, child);
+		processes.push(started);
+		argumentsOf.set(started, nodeArguments);
+		return started;
+	}
+
 	return {
-		start(name, nodeArguments) {
-			if (isClosed) {
-				throw new Error(`${name} cannot start: the runner is closed`);
+		start,
+		startAgain(earlier) {
+			const nodeArguments = argumentsOf.get(earlier);
+			if (!nodeArguments) {
+				throw new Error(`${earlier.name} was not started by this runner`);
 			}
 
-			const child = spawn(process.execPath, ['--import', 'tsx', ...nodeArguments], {detached: true, stdio: ['ignore', 'pipe', 'pipe']});
-			const started = wrap(name, child);
-			processes.push(started);
-			return started;
+			return start(earlier.name, nodeArguments);
 		},
 		processes: () => processes,
 		async killAll() {
--- a/src/agent/task-handlers.ts
+++ b/src/agent/task-handlers.ts
@@ -199,6 +199,22 @@
 	};
 }
 
+/**
+Refuses an attempt whose evict or cancel command came before its start: no start is sent after these commands, so nobody else
+would report it. The attempt is remembered, so that a late start does not run it.
+*/
+function refuseUnstarted(state: AgentState, command: EvictTask | CancelTask): Transition {
+	const seen = {taskId: command.taskId, attempt: command.attempt, claimOffset: Number(command.claimOffset)};
+	const held = state.tasks.get(command.taskId);
+	const isUnstarted = state.phase !== 'counting'
+		&& command.agentIncarnation === state.incarnation
+		&& !wasSeen(state.attempts, seen)
+		&& (held === undefined || held.attempt < command.attempt);
+	return isUnstarted
+		? refuseTask({...state, attempts: rememberAttempt(state.attempts, seen)}, command, 'stopped before it started')
+		: transition(state);
+}
+
 /**
 Handles an evict command.
 
@@ -208,7 +224,7 @@
 export function evictAttempt(state: AgentState, evict: EvictTask): Transition {
 	const task = state.tasks.get(evict.taskId);
 	if (task?.attempt !== evict.attempt) {
-		return transition(state);
+		return refuseUnstarted(state, evict);
 	}
 
 	return task.phase === 'waiting' ? refuseTask(state, task, evict.reason) : evictTask(state, evict.taskId, evict.reason);
@@ -222,7 +238,11 @@
 */
 export function cancelAttempt(state: AgentState, cancel: CancelTask): Transition {
 	const task = state.tasks.get(cancel.taskId);
-	if (task?.attempt !== cancel.attempt || task.stopping === 'cancel') {
+	if (task?.attempt !== cancel.attempt) {
+		return refuseUnstarted(state, cancel);
+	}
+
+	if (task.stopping === 'cancel') {
 		return transition(state);
 	}
 
--- a/src/dispatch/agent-commands.ts
+++ b/src/dispatch/agent-commands.ts
@@ -71,6 +71,7 @@
 function commandFor(task: Task, vm: Vm): AgentCommand | undefined {
 	const {claim, attempt} = task;
 	const {taskId} = task.spec;
+	const {agentIncarnation} = vm;
 	if (claim?.vmId !== vm.vmId) {
 		return undefined;
 	}
@@ -82,7 +83,7 @@
 				value: {
 					taskId,
 					attempt,
-					agentIncarnation: vm.agentIncarnation,
+					agentIncarnation,
 					claimOffset: BigInt(claim.claimOffset),
 					latencyCritical: task.workClass === 'latency-critical',
 					demand: claim.committed,
@@ -95,11 +96,19 @@
 		}
 
 		case 'evicting': {
-			return {case: 'evictTask', value: {taskId, attempt, reason: task.reason}};
+			return {
+				case: 'evictTask', value: {
+					taskId, attempt, reason: task.reason, agentIncarnation, claimOffset: BigInt(claim.claimOffset),
+				},
+			};
 		}
 
 		case 'cancelling': {
-			return {case: 'cancelTask', value: {taskId, attempt}};
+			return {
+				case: 'cancelTask', value: {
+					taskId, attempt, agentIncarnation, claimOffset: BigInt(claim.claimOffset),
+				},
+			};
 		}
 
 		case 'queued':
--- a/src/dispatch/agent-link.ts
+++ b/src/dispatch/agent-link.ts
@@ -17,6 +17,6 @@
 	/** When each command was last sent on this stream. */
 	sentCommands: Map<string, number>;
 	/** Task events that are not in the log yet. */
-	pendingTaskEvents: Map<bigint, TaskEvent>;
+	pendingTaskEvents: Map<bigint, Readonly<{event: TaskEvent; receivedAtMs: number; appendedAtMs: number}>>;
 	leaving: boolean;
 }>;
--- a/src/dispatch/task-event-relay.ts
+++ b/src/dispatch/task-event-relay.ts
@@ -18,6 +18,9 @@
 	[TaskOutcome.CANCELLED]: 'cancelled',
 };
 
+/** Time after which a repeated event whose record was not read back is written again; its writer may have been replaced. */
+const repeatAfterMs = 3000;
+
 /**
 Writes an agent's task events to the log; each is acknowledged once the cluster state reflects it.
 
@@ -32,31 +35,38 @@
 	const effects: ControlEffect[] = [];
 	let {pendingTaskEvents} = link;
 	for (const event of events) {
-		const isPending = pendingTaskEvents.has(event.eventId);
-		pendingTaskEvents = pendingTaskEvents.set(event.eventId, event);
-		const record = isPending ? undefined : toRecord(event, link.agentIncarnation);
-		if (record && !isReflected(context.cluster, event, link)) {
+		const known = pendingTaskEvents.get(event.eventId);
+		const record = toRecord(event, link.agentIncarnation);
+		const isDue = known === undefined || context.nowMs - known.appendedAtMs >= repeatAfterMs;
+		const isAppended = isDue && record !== undefined && !(isReadAttempt(context.cluster, event) && isReflected(context.cluster, event, link));
+		pendingTaskEvents = pendingTaskEvents.set(event.eventId, {
+			event,
+			receivedAtMs: known?.receivedAtMs ?? context.nowMs,
+			appendedAtMs: isAppended ? context.nowMs : known?.appendedAtMs ?? Number.NEGATIVE_INFINITY,
+		});
+		if (isAppended) {
 			effects.push({kind: 'append-record', record});
 		}
 	}
 
-	const acknowledged = acknowledgeTaskEvents({...link, pendingTaskEvents}, context.cluster);
+	const acknowledged = acknowledgeTaskEvents({...link, pendingTaskEvents}, context);
 	return {link: acknowledged.link, effects: [...effects, ...acknowledged.effects]};
 }
 
 /**
-Acknowledges the pending events that the cluster state reflects or that can no longer change it.
+Acknowledges the pending events that the cluster state reflects or that can no longer change it. The state must cover the
+log's tail as of the arrival of the event: before that, the claim that the event is about may not have been read.
 
 @example
-const {link, effects} = acknowledgeTaskEvents(link, cluster);
+const {link, effects} = acknowledgeTaskEvents(link, context);
 */
 export function acknowledgeTaskEvents(
 	link: AgentLink,
-	cluster: ClusterState,
+	context: EntryContext,
 ): Readonly<{link: AgentLink; effects: readonly ControlEffect[]}> {
 	const eventIds = [...link.pendingTaskEvents.values()]
-		.filter(event => isReflected(cluster, event, link))
-		.map(event => event.eventId);
+		.filter(({event, receivedAtMs}) => context.tailConfirmedSentAtMs > receivedAtMs && isReflected(context.cluster, event, link))
+		.map(({event}) => event.eventId);
 	if (eventIds.length === 0) {
 		return {link, effects: []};
 	}
@@ -71,15 +81,24 @@
 	};
 }
 
+/** Tells whether this entry has read the claim of the attempt, or of a later one. */
+function isReadAttempt(cluster: ClusterState, event: TaskEvent): boolean {
+	return (cluster.tasks.get(event.taskId)?.attempt ?? 0) >= event.attempt;
+}
+
 function isReflected(cluster: ClusterState, event: TaskEvent, link: AgentLink): boolean {
+	const vm = cluster.vms.get(link.vmId);
+	const isRegistered = vm?.agentIncarnation === link.agentIncarnation || (vm?.formerAgentIncarnations.includes(link.agentIncarnation) ?? false);
 	const task = cluster.tasks.get(event.taskId);
-	const isCurrentAttempt = task?.attempt === event.attempt
-		&& task.claim?.vmId === link.vmId
-		&& task.claim.agentIncarnation === link.agentIncarnation;
-	if (!isCurrentAttempt) {
+	if (task?.attempt !== event.attempt || task.claim?.vmId !== link.vmId) {
 		return true;
 	}
 
+	// The claim passes to the agent's incarnation when the log registers it.
+	if (task.claim.agentIncarnation !== link.agentIncarnation) {
+		return isRegistered;
+	}
+
 	// An end or a checkpoint removes the claim, so a current claim means that neither is in the log.
 	return event.outcome.case === 'started' && task.phase !== 'claimed';
 }
--- a/src/entry/reduce-agent-event.ts
+++ b/src/entry/reduce-agent-event.ts
@@ -148,7 +148,7 @@
 	const checked = checkHello(link, context);
 	const configured = pushConfiguration(checked.link, context);
 	const commanded = reconcileCommands(configured.link, state.claimReadAtMs, context);
-	const acknowledged = acknowledgeTaskEvents(commanded.link, context.cluster);
+	const acknowledged = acknowledgeTaskEvents(commanded.link, context);
 	const reported = reportBackendServers(registration.state, acknowledged.link, context);
 	return {
 		state: withLink(reported.state, acknowledged.link),
