--- a/src/invariants.test.ts
+++ b/src/invariants.test.ts
@@ -525,7 +525,7 @@
 		this.toAgent(vm, 'worker-tasks', {
 			requestedAtMs: process.clock(),
 			list: {
-				capacity, tasks: [...vm.worker.values()].map(({deadlineMs: _, doneMs: __, run: ___, ...task}) => vm.hidesEnds && task.phase !== 'running'
+				workerIncarnation: `worker-${vm.vmId}`, capacity, tasks: [...vm.worker.values()].map(({deadlineMs: _, doneMs: __, run: ___, ...task}) => vm.hidesEnds && task.phase !== 'running'
 					? {
 						...task, phase: 'running', checkpoint: '', reason: '',
 					}
