--- /dev/null
+++ b/src/entry/agent-stream-server.test.ts
@@ -0,0 +1,64 @@
+import {once} from 'node:events';
+import {connect as connectSession} from 'node:http2';
+import {connect} from 'node:net';
+import test from 'ava';
+import fc from 'fast-check';
+import {createAgentStreamServer} from './agent-stream-server.js';
+import {type EntryEvent} from './entry-event.js';
+
+const ignore = (): void => undefined;
+
+test('garbage at the agents\' port makes no hello, and the port goes on', async t => {
+	const events: EntryEvent[] = [];
+	const address = `127.0.0.1:${await freePort()}`;
+	const server = createAgentStreamServer({
+		address,
+		dispatch(event) {
+			events.push(event);
+		},
+		eventLog: {
+			debug: ignore, info: ignore, warn: ignore, error: ignore,
+		},
+	});
+	await server.listen();
+	const port = Number(address.split(':')[1]);
+	await fc.assert(fc.asyncProperty(fc.uint8Array({minLength: 1, maxLength: 300}), async bytes => {
+		const socket = connect(port, '127.0.0.1');
+		socket.on('error', ignore);
+		const closed = once(socket, 'close');
+		socket.resume();
+		socket.end(bytes);
+		await closed;
+	}), {numRuns: 30});
+	// Well-formed HTTP/2 with a body that is no message.
+	await fc.assert(fc.asyncProperty(fc.uint8Array({maxLength: 200}), async bytes => {
+		const session = connectSession(`http://${address}`);
+		session.on('error', ignore);
+		const stream = session.request({
+			':method': 'POST', ':path': '/arbutushinge.v1.AgentSession/Connect', 'content-type': 'application/connect+proto', 'connect-protocol-version': '1',
+		});
+		stream.on('error', ignore);
+		const closed = once(stream, 'close');
+		stream.resume();
+		stream.end(bytes);
+		await closed;
+		session.close();
+	}), {numRuns: 30});
+	t.deepEqual(events.filter(({kind}) => kind !== 'agent-session-closed'), []);
+	const alive = connect(port, '127.0.0.1');
+	await once(alive, 'connect');
+	alive.destroy();
+	await server.close();
+});
+
+async function freePort(): Promise<number> {
+	const {createServer} = await import('node:net');
+	const probe = createServer();
+	probe.listen(0, '127.0.0.1');
+	await once(probe, 'listening');
+	const bound = probe.address();
+	const port = typeof bound === 'object' && bound ? bound.port : 0;
+	probe.close();
+	await once(probe, 'close');
+	return port;
+}
--- a/src/entry/caller-server.ts
+++ b/src/entry/caller-server.ts
@@ -208,13 +208,14 @@
 		exchanges.set(requestId, exchange);
 		response.once('close', () => {
 			exchanges.delete(requestId);
+			// A response also closes after its last byte, before the promise of its forward settles; the forward's end goes first.
 			// A request that ended is no longer pending, and the reducer passes over the event.
-			dispatch({kind: 'request-abandoned', requestId});
-			if (isClosing) {
-				setImmediate(() => {
+			setImmediate(() => {
+				dispatch({kind: 'request-abandoned', requestId});
+				if (isClosing) {
 					server.closeIdleConnections();
-				});
-			}
+				}
+			});
 		});
 		dispatch({kind: 'request-arrived', ...checked.description, ...hashes});
 	}
--- a/src/entry/operator-server.test.ts
+++ b/src/entry/operator-server.test.ts
@@ -1,6 +1,8 @@
 import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
 import {connect} from 'node:net';
 import test from 'ava';
+import fc from 'fast-check';
 import {err, ok, type Result} from 'true-myth/result';
 import {request} from 'undici';
 import {type TypedError} from '../errors/typed-error.js';
@@ -144,6 +146,49 @@
 	await server.close();
 });
 
+test('a confirmation that an entry cut off from the log could not write is tried at the next entry', async t => {
+	const cutOff = await start({
+		confirm: async plan => ({
+			planId: plan.planId, result: 'rejected', offset: -1, reason: 'the log is out of reach',
+		}),
+	});
+	const server = await start();
+	const addresses = [cutOff, server].map(each => `127.0.0.1:${each.port}`);
+	const client = createOperatorClient({addresses, token});
+	t.like(await valueOf(client.confirm(planFixture)), {result: 'accepted'});
+	const alone = createOperatorClient({addresses: addresses.slice(0, 1), token});
+	t.like(await valueOf(alone.confirm(planFixture)), {result: 'rejected', offset: -1});
+	await Promise.all([client.close(), alone.close()]);
+	await Promise.all([cutOff.close(), server.close()]);
+});
+
+test('garbage at the operators\' port is answered with an error or dropped, and the server goes on', async t => {
+	const server = await start({}, 10_000);
+	const paths = ['/plans', '/plans/confirm', '/status', '/explain', '/records', '/timeline', '/%00', '/\u00E9'];
+	const attack = fc.record({
+		method: fc.constantFrom('GET', 'POST'), path: fc.constantFrom(...paths), query: fc.string({maxLength: 40}), body: fc.oneof(fc.json(), fc.string({maxLength: 200})),
+	});
+	await fc.assert(fc.asyncProperty(attack, async ({method, path, query, body}) => {
+		const response = await request(`http://127.0.0.1:${server.port}${encodeURI(path)}?${encodeURIComponent(query)}`, {
+			method: method === 'GET' ? 'GET' : 'POST', body: method === 'GET' ? null : body, headers: {authorization: `Bearer ${token}`},
+		});
+		await response.body.dump();
+		return response.statusCode !== 500;
+	}), {numRuns: 50});
+	await fc.assert(fc.asyncProperty(fc.uint8Array({minLength: 1, maxLength: 300}), async bytes => {
+		const socket = connect(server.port, '127.0.0.1');
+		socket.on('error', ignore);
+		const closed = once(socket, 'close');
+		socket.resume();
+		socket.end(bytes);
+		await closed;
+	}), {numRuns: 30});
+	const alive = await request(`http://127.0.0.1:${server.port}/status`, {headers: {authorization: `Bearer ${token}`}});
+	t.is(alive.statusCode, 200);
+	await alive.body.dump();
+	await server.close();
+});
+
 test('the client tries the next entry when one does not answer', async t => {
 	const server = await start();
 	const client = createOperatorClient({addresses: ['127.0.0.1:1', `127.0.0.1:${server.port}`], token});
--- a/src/entry/request-path.test.ts
+++ b/src/entry/request-path.test.ts
@@ -5,6 +5,7 @@
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import {text} from 'node:stream/consumers';
 import test, {type ExecutionContext} from 'ava';
+import fc from 'fast-check';
 import {ok} from 'true-myth/result';
 import {request as sendRequest} from 'undici';
 import {type ClusterState} from '../cluster/cluster-state.js';
@@ -40,6 +41,8 @@
 async function startEntry(t: ExecutionContext, agents: readonly string[], limits: Partial<Record<string, number>> = {}) {
 	const lines: string[] = [];
 	const refused: string[] = [];
+	const counted: string[] = [];
+	const events: string[] = [];
 	const write = (event: string, fields: unknown) => {
 		lines.push(`${event} ${JSON.stringify(fields)}`);
 	};
@@ -57,6 +60,7 @@
 	let state = initialRequestState;
 	const exchanges: CallerExchanges = new Map();
 	const dispatch = (event: RequestEvent) => {
+		events.push(event.kind);
 		const reduced = reduceRequests(state, event, fixtureContext(cluster, performance.now(), {tailConfirmedSentAtMs: performance.now()}));
 		state = reduced.state;
 		for (const effect of reduced.effects) {
@@ -95,7 +99,12 @@
 			refused.push(requestId);
 		},
 		metrics: {
-			increment: ignore, gauge: ignore, timingMs: ignore, close: async () => undefined,
+			increment(name) {
+				counted.push(name);
+			},
+			gauge: ignore,
+			timingMs: ignore,
+			close: async () => undefined,
 		},
 		readiness: () => ({isReady: true, reason: ''}),
 		nowMs: () => performance.now(),
@@ -110,7 +119,7 @@
 		await Promise.all([server.close(), forwarder.close()]);
 	});
 	return {
-		url: `http://127.0.0.1:${port}`, port, lines, refused, exchanges, pending: () => state.pending.size, close: async () => server.close(),
+		url: `http://127.0.0.1:${port}`, port, lines, refused, counted, events, exchanges, pending: () => state.pending.size, close: async () => server.close(),
 	};
 }
 
@@ -126,6 +135,19 @@
 	}
 }
 
+async function exchangeBytes(port: number, bytes: Uint8Array): Promise<string> {
+	const socket = connect(port, '127.0.0.1');
+	socket.on('error', ignore);
+	const closed = once(socket, 'close');
+	const chunks: Buffer[] = [];
+	socket.on('data', (chunk: Buffer) => {
+		chunks.push(chunk);
+	});
+	socket.end(bytes);
+	await closed;
+	return Buffer.concat(chunks).toString('latin1');
+}
+
 async function exchangeRaw(port: number, bytes: string): Promise<string> {
 	const socket = connect(port, '127.0.0.1');
 	socket.end(bytes);
@@ -360,3 +382,60 @@
 	const health = await sendRequest(`${entry.url}/health`);
 	t.is(health.statusCode, 200);
 });
+
+test('garbage at the callers\' port reaches no backend server, is counted and leaves the server alive', async t => {
+	let reached = 0;
+	const agent = await startAgent(t, (_request, response) => {
+		reached++;
+		answerDone(response, 'ok');
+	});
+	const entry = await startEntry(t, [agent]);
+	await fc.assert(fc.asyncProperty(fc.uint8Array({minLength: 1, maxLength: 400}), async bytes => {
+		await exchangeBytes(entry.port, bytes);
+	}), {numRuns: 60});
+	const own = ['priority', 'deadline-ms', 'caller', 'attempt'].map(name => `x-arbutushinge-${name}`);
+	const header = fc.constantFrom('idempotency-key', 'content-length', 'transfer-encoding', ...own);
+	await fc.assert(fc.asyncProperty(header, fc.string({maxLength: 40}), async (name, value) => {
+		const head = `GET /services/none/x HTTP/1.1\r\nhost: a\r\n${name}: ${value}\r\nconnection: close\r\n\r\n`;
+		const answer = await exchangeBytes(entry.port, Buffer.from(head, 'latin1'));
+		return answer === '' || /^HTTP\/1\.1 4\d\d /v.test(answer);
+	}), {numRuns: 60});
+	t.is(reached, 0);
+	t.true(entry.counted.includes('callers.malformed'));
+	const alive = await sendRequest(`${entry.url}/services/loaf-ordering/x`);
+	t.is(alive.statusCode, 200);
+	await alive.body.dump();
+});
+
+test('neither keys nor bodies nor tokens of callers reach the log', async t => {
+	const agent = await startAgent(t, async (request, response) => {
+		await text(request);
+		response.writeHead(503, {'x-arbutushinge-outcome': 'failed', 'content-type': 'application/json'});
+		response.end('{"error":{"kind":"failed","message":"the backend server failed","remedy":"none"}}');
+	});
+	const entry = await startEntry(t, [agent]);
+	const headers = {'idempotency-key': 'private-key', authorization: 'Bearer private-token'};
+	const bodies = ['private-body', 'private-other'];
+	for (const body of bodies) {
+		const answer = await sendRequest(`${entry.url}/services/loaf-ordering/private-path`, {method: 'POST', headers, body});
+		await answer.body.dump();
+	}
+
+	const refused = await sendRequest(`${entry.url}/services/loaf-ordering/x`, {method: 'POST', headers: {...headers, 'x-arbutushinge-priority': 'private-priority'}, body: 'private-body'});
+	t.is(refused.statusCode, 400);
+	await refused.body.dump();
+	t.is(entry.refused.length, 1);
+	t.true(entry.lines.length > 0);
+	t.deepEqual(entry.lines.filter(line => line.includes('private')), []);
+});
+
+test('an answer that is complete counts as the end of its forward, not as a caller that left', async t => {
+	const agent = await startAgent(t, (_request, response) => {
+		answerDone(response, 'ok');
+	});
+	const entry = await startEntry(t, [agent]);
+	const answer = await sendRequest(`${entry.url}/services/loaf-ordering/x`);
+	await answer.body.dump();
+	await until(() => entry.events.includes('request-abandoned'));
+	t.deepEqual(entry.events.filter(kind => kind === 'forward-finished' || kind === 'request-abandoned'), ['forward-finished', 'request-abandoned']);
+});
--- a/src/operator/confirm-command.ts
+++ b/src/operator/confirm-command.ts
@@ -33,6 +33,14 @@
 			output.print(`Plan ${planId} was accepted at offset ${offset}.`);
 		}
 
+		if (result === 'rejected' && offset === -1) {
+			return failCommand(output, {
+				kind: 'plan-not-written',
+				message: `plan ${planId}: ${reason}`,
+				remedy: 'confirm the same plan again once `arbutushinge status` shows the log as reachable; if it has expired, make a new plan',
+			});
+		}
+
 		if (result === 'rejected') {
 			return failCommand(output, {kind: 'plan-rejected', message: `plan ${planId}: ${reason}`, remedy: 'make a new plan and confirm that one'});
 		}
--- a/src/operator/operator-client.ts
+++ b/src/operator/operator-client.ts
@@ -127,13 +127,17 @@
 
 				for (const address of addresses) {
 					const answer = await ask(confirmationSchema, {method: 'POST', path: '/plans/confirm', body: {plan}}, [address]);
-					const decided = answer.isOk ? answer.value.result !== 'unknown' : isRefusal(answer.error);
+					const decided = answer.isOk ? isDecided(answer.value) : isRefusal(answer.error);
 					if (decided) {
 						return answer;
 					}
 
-					// An answer of unknown says more than an entry that could not be reached at all.
-					last = last?.isOk && answer.isErr ? last : answer;
+					// An answer of unknown says more than an entry that wrote nothing, and both say more than none at all.
+					last = last?.isOk && (answer.isErr || last.value.result === 'unknown') ? last : answer;
+				}
+
+				if (last?.isOk && last.value.result !== 'unknown') {
+					return last;
 				}
 			}
 
@@ -154,6 +158,11 @@
 	};
 }
 
+/** A rejection without an offset is that of one entry alone, such as one that is cut off from the log. */
+function isDecided({result, offset}: Confirmation): boolean {
+	return result === 'accepted' || (result === 'rejected' && offset >= 0);
+}
+
 /** Tells whether an entry understood the request and refused it, so that asking again changes nothing. */
 function isRefusal(error: TypedError): boolean {
 	return refusalKinds.has(error.kind);
