--- a/src/entry/record-timeline.ts
+++ b/src/entry/record-timeline.ts
@@ -4,7 +4,7 @@
 import {type ControlEffect} from './control-effect.js';
 
 /** Records that would fill the timeline without telling an operator anything. */
-const quietKinds: ReadonlySet<ClusterRecord['kind']> = new Set(['entry-alive', 'key-claimed', 'keys-expired']);
+const quietKinds: ReadonlySet<ClusterRecord['kind']> = new Set(['entry-alive', 'key-claimed', 'key-released', 'keys-expired']);
 
 /** Counters of records; each is counted by its writer alone, so that their sum over all entries is right. */
 const countedKinds: Readonly<Partial<Record<ClusterRecord['kind'], string>>> = {
