--- a/src/entry/agent-stream-server.test.ts
+++ b/src/entry/agent-stream-server.test.ts
@@ -1,8 +1,12 @@
 import {once} from 'node:events';
 import {connect as connectSession} from 'node:http2';
 import {connect} from 'node:net';
+import {create} from '@bufbuild/protobuf';
+import {createClient} from '@connectrpc/connect';
+import {createGrpcTransport} from '@connectrpc/connect-node';
 import test from 'ava';
 import fc from 'fast-check';
+import {AgentMessageSchema, AgentSession} from '../generated/arbutushinge/v1/agent_pb.js';
 import {createAgentStreamServer} from './agent-stream-server.js';
 import {type EntryEvent} from './entry-event.js';
 
@@ -51,6 +55,38 @@
 	await server.close();
 });
 
+test('a second hello, of a new incarnation, leaves the agent its stream', async t => {
+	const port = await freePort();
+	let hellos = 0;
+	const server = createAgentStreamServer({
+		address: `127.0.0.1:${port}`,
+		dispatch({kind}) {
+			hellos += kind === 'agent-hello' ? 1 : 0;
+			if (hellos === 2) {
+				server.send('vm-1', {case: 'leaseGrant', value: {durationMs: 7}});
+			}
+		},
+		eventLog: {
+			debug: ignore, info: ignore, warn: ignore, error: ignore,
+		},
+	});
+	await server.listen();
+	const stop = new AbortController();
+	async function * messages() {
+		yield create(AgentMessageSchema, {message: {case: 'hello', value: {vmId: 'vm-1', agentIncarnation: 'a1'}}});
+		yield create(AgentMessageSchema, {message: {case: 'hello', value: {vmId: 'vm-1', agentIncarnation: 'a2'}}});
+		await once(stop.signal, 'abort');
+	}
+
+	const client = createClient(AgentSession, createGrpcTransport({baseUrl: `http://127.0.0.1:${port}`}));
+	const answers = client.connect(messages(), {signal: stop.signal})[Symbol.asyncIterator]();
+	const answer = await answers.next();
+	t.false(answer.done);
+	t.is(answer.done ? undefined : answer.value.message.case, 'leaseGrant');
+	stop.abort();
+	await server.close();
+});
+
 async function freePort(): Promise<number> {
 	const {createServer} = await import('node:net');
 	const probe = createServer();
--- a/src/entry/agent-stream-server.ts
+++ b/src/entry/agent-stream-server.ts
@@ -47,7 +47,12 @@
 				for await (const {message} of messages) {
 					if (message.case === 'hello') {
 						vmId = message.value.vmId;
-						queues.get(vmId)?.close();
+						const former = queues.get(vmId);
+						// A new incarnation of the agent says hello on the stream that it has.
+						if (former !== queue) {
+							former?.close();
+						}
+
 						queues.set(vmId, queue);
 						dispatch({kind: 'agent-hello', sessionId, hello: message.value});
 					} else if (vmId !== undefined) {
