--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,34 +1,27 @@
 import process from 'node:process';
 import cac from 'cac';
+import {messageOf} from '../src/errors/message-of.js';
 
-type Bench = () => Promise<void>;
+type Run = () => Promise<void>;
 
-/** Benches by name; each prints key=value lines. */
-const benches: Readonly<Record<string, () => Promise<Bench>>> = {
-	async bakehouse() {
-		const {runBakehouse} = await import('./bakehouse.js');
-		return runBakehouse;
-	},
-	async tankwright() {
-		const {runTankwright} = await import('./tankwright.js');
-		return runTankwright;
-	},
-	async outage() {
-		const {runOutage} = await import('./outage.js');
-		return runOutage;
-	},
+type Bench = Readonly<{description: string; load: () => Promise<Run>}>;
+
+/** One line a bench; a bench prints lines of key=value pairs and is loaded only when it runs. */
+const benches: Readonly<Record<string, Bench>> = {
+	scale: {description: 'Decision logic alone at 10%, 50% and 100% of the design size', load: async () => (await import('./scale.js')).runBench},
+	bakehouse: {description: 'The Bakehouse\'s workload with each placement policy', load: async () => (await import('./bakehouse.js')).runBakehouse},
+	tankwright: {description: 'Tankwright\'s workload with each placement policy', load: async () => (await import('./tankwright.js')).runTankwright},
+	outage: {description: 'The log service down for longer than a lease, then back', load: async () => (await import('./outage.js')).runOutage},
 };
 
 const cli = cac('bench');
-cli.command('<name>', `Run a bench: ${Object.keys(benches).join(', ')}`).action(async (name: string) => {
-	const load = Object.hasOwn(benches, name) ? benches[name] : undefined;
-	if (!load) {
-		throw new Error(`there is no bench ${name}; choose one of ${Object.keys(benches).join(', ')}`);
-	}
+for (const [name, {description, load}] of Object.entries(benches)) {
+	cli.command(name, description).action(async () => {
+		const run = await load();
+		await run();
+	});
+}
 
-	const run = await load();
-	await run();
-});
 cli.help();
 
 for (const signal of ['SIGINT', 'SIGTERM'] as const) {
@@ -38,8 +31,13 @@
 
 try {
 	cli.parse(process.argv, {run: false});
-	await cli.runMatchedCommand();
+	if (cli.matchedCommand) {
+		await cli.runMatchedCommand();
+	} else if (!cli.options.help) {
+		cli.outputHelp();
+		process.exitCode = 2;
+	}
 } catch (error) {
-	process.stderr.write(`${error instanceof Error ? error.message : String(error)}\n`);
+	process.stderr.write(`${messageOf(error)}\n`);
 	process.exitCode = 2;
 }
