--- a/bench/main.ts
+++ b/bench/main.ts
@@ -8,10 +8,30 @@
 
 /** One line a bench; a bench prints lines of key=value pairs and is loaded only when it runs. */
 const benches: Readonly<Record<string, Bench>> = {
-	scale: {description: 'Decision logic alone at 10%, 50% and 100% of the design size', load: async () => (await import('./scale.js')).runBench},
-	bakehouse: {description: 'The Bakehouse\'s workload with each placement policy', load: async () => (await import('./bakehouse.js')).runBakehouse},
-	tankwright: {description: 'Tankwright\'s workload with each placement policy', load: async () => (await import('./tankwright.js')).runTankwright},
-	outage: {description: 'The log service down for longer than a lease, then back', load: async () => (await import('./outage.js')).runOutage},
+	scale: {
+		description: 'Decision logic alone at 10%, 50% and 100% of the design size', async load() {
+			const {runBench} = await import('./scale.js');
+			return runBench;
+		},
+	},
+	bakehouse: {
+		description: 'The Bakehouse\'s workload with each placement policy', async load() {
+			const {runBakehouse} = await import('./bakehouse.js');
+			return runBakehouse;
+		},
+	},
+	tankwright: {
+		description: 'Tankwright\'s workload with each placement policy', async load() {
+			const {runTankwright} = await import('./tankwright.js');
+			return runTankwright;
+		},
+	},
+	outage: {
+		description: 'The log service down for longer than a lease, then back', async load() {
+			const {runOutage} = await import('./outage.js');
+			return runOutage;
+		},
+	},
 };
 
 const cli = cac('bench');
