Drop half of the interference pairs at once

Cause: with the kinds of many teams the limit of 20,000 pairs is met all the time, and each overflow sorted all pairs with an ordered map to drop a tenth (2.5 s of 4.1 s in a profile of 350 VMs without starts). Change: sort an array and keep 10,000 pairs.

--- a/src/placement/interference-estimates.ts
+++ b/src/placement/interference-estimates.ts
@@ -35,6 +35,9 @@
 /** Pairs kept; the least sampled ones are dropped beyond it. */
 const maxPairs = 20_000;
 
+/** Pairs that are left then; the sort of all pairs is paid once for the difference. */
+const keptPairs = 10_000;
+
 /**
 Tells the load band of a VM.
 
@@ -89,7 +92,8 @@
 }
 
 function dropLeastSampled(pairs: Map<string, Estimate>): Map<string, Estimate> {
-	return pairs.sortBy(({samples}) => -samples).take(maxPairs * 0.9);
+	const bySamples = [...pairs].toSorted(([, left], [, right]) => right.samples - left.samples);
+	return Map(bySamples.slice(0, keptPairs));
 }
 
 /** The other kinds; of the harmed kind itself, all but one. */
