Leave the agents' streams alone when a job is submitted

Cause: a submitted job counted as a record that concerns every VM, so each page with one brought all streams in line. Change: submissions are not looked at; only a claim gives an agent something to do.

--- a/src/entry/reduce-entry.ts
+++ b/src/entry/reduce-entry.ts
@@ -1,6 +1,7 @@
 import {type ClusterState} from '../cluster/cluster-state.js';
 import {applyRecord} from '../cluster/reduce-cluster.js';
 import {ownerByRendezvous} from '../cluster/rendezvous.js';
+import {type LoggedRecord} from '../log/log-envelope.js';
 import {tickEntryLiveness, resetEntryObservation} from '../membership/entry-liveness.js';
 import {tickVmLiveness} from '../membership/vm-liveness.js';
 import {noteAttempts, tickFailureBlame} from '../placement/failure-blame.js';
@@ -139,7 +140,7 @@
 		effects: recordTimeline(event.records, before, cluster, state.incarnation),
 	};
 	if (event.records.length > 0) {
-		step = continueWith(step, refreshLinks(step.state, touchedVmIds(event.records, before, cluster), inputs, settings));
+		step = continueWith(step, refreshLinks(step.state, touchedVmIds(recordsForAgents(event.records), before, cluster), inputs, settings));
 		step = continueWith(step, settleAnswers(step.state, inputs, settings));
 		step = continueWithRequest(step, {kind: 'cluster-advanced', readBackKeyHashes: ownKeyHashes(event, state.incarnation)}, inputs, settings);
 		step = continueWith(step, place(step.state, inputs, settings));
@@ -150,6 +151,11 @@
 		: step;
 }
 
+/** A submitted job only waits in a queue, so no agent has anything to do for it until a claim names its VM. */
+function recordsForAgents(records: readonly LoggedRecord[]): readonly LoggedRecord[] {
+	return records.filter(({envelope}) => envelope.record.kind !== 'job-submitted');
+}
+
 function reduceLogFailure(
 	state: EntryState,
 	event: Extract<EntryEvent, {kind: 'log-failed'}>,
