Learn interference from six tasks of a usage report

Cause: each task of a report updates one pair for every kind on its VM, the square of the tasks of a VM. Change: at most six tasks of a report are learned from; which ones follows from the time of receipt. Estimates of a pair take more reports to settle.

--- a/src/placement/observe-usage.ts
+++ b/src/placement/observe-usage.ts
@@ -18,6 +18,9 @@
 /** Moments kept for each VM: at one heartbeat a second, enough for reports that lag by half a minute. */
 const keptMoments = 30;
 
+/** Each sample updates one pair for every kind on the VM, so that learning from all tasks costs the square of their number. */
+const learnedTasksPerReport = 6;
+
 /** A heartbeat's measurements with the time at which this entry received them. */
 export type UsageObservation = Readonly<{
 	vmId: string;
@@ -58,7 +61,7 @@
 	}
 
 	const loadBand = loadBandOf(usage.processorsUsedMilli, vm.capacity.processorsMilli);
-	const samples = [...samplesOfTasks(usage, cluster), ...samplesOfServices(observation, cluster)];
+	const samples = [...samplesOfTasks(learnedTasks(usage.tasks, observation.receivedAtMs), cluster), ...samplesOfServices(observation, cluster)];
 	let {estimates} = known;
 	for (const sample of samples) {
 		estimates = learnInterference(estimates, {...sample, kinds, loadBand});
@@ -69,8 +72,18 @@
 
 type HarmSample = Pick<InterferenceSample, 'harmedKind' | 'harmMilli'>;
 
-function samplesOfTasks(usage: UsageReport, cluster: ClusterState): readonly HarmSample[] {
-	return usage.tasks.flatMap(({taskId, relativeSpeedMilli}) => {
+/** The tasks of a report that are learned from; where they start varies with the time of receipt. */
+function learnedTasks(tasks: UsageReport['tasks'], receivedAtMs: number): UsageReport['tasks'] {
+	if (tasks.length <= learnedTasksPerReport) {
+		return tasks;
+	}
+
+	const start = Math.floor(receivedAtMs) % tasks.length;
+	return [...tasks.slice(start), ...tasks.slice(0, start)].slice(0, learnedTasksPerReport);
+}
+
+function samplesOfTasks(tasks: UsageReport['tasks'], cluster: ClusterState): readonly HarmSample[] {
+	return tasks.flatMap(({taskId, relativeSpeedMilli}) => {
 		const task = cluster.tasks.get(taskId);
 		return task && relativeSpeedMilli > 0
 			? [{harmedKind: taskKindName(task), harmMilli: Math.max(0, 1000 - relativeSpeedMilli)}]
