Bring only the streams in line whose claims came due

Cause: four times a second the round of control brought all streams in line, and it filtered a minute of claims of other entries. Change: claims are kept until their takeover time; the round looks at the VMs of those that came due. Heartbeats bring each stream in line once a second as before.

--- /dev/null
+++ b/src/entry/reduce-entry.test.ts
@@ -0,0 +1,92 @@
+import test from 'ava';
+import {create} from '@bufbuild/protobuf';
+import {type ClusterRecord} from '../cluster/cluster-record.js';
+import {HelloSchema} from '../generated/arbutushinge/v1/agent_pb.js';
+import {entrySettingsSchema} from '../settings/entry-settings.js';
+import {type EntryEvent} from './entry-event.js';
+import {initialEntryState} from './entry-state.js';
+import {type EntryStep, reduceEntry} from './reduce-entry.js';
+
+const settings = entrySettingsSchema.parse({
+	role: 'entry',
+	entryId: 'entry-1',
+	failureDomain: 'domain-1',
+	callerAddress: '127.0.0.1:1',
+	operatorAddress: '127.0.0.1:2',
+	agentAddress: '127.0.0.1:3',
+	operatorTokenFile: 'token',
+	logServiceUrl: 'http://127.0.0.1:4',
+});
+
+const capacity = {processorsMilli: 16_000, memoryMb: 60_000, accelerators: 0};
+const demand = {processorsMilli: 1000, memoryMb: 512, accelerators: 0};
+
+/** An entry whose log holds the records of another entry as well. */
+function createEntry() {
+	let state = initialEntryState('own');
+	let offset = -1;
+	const sequences = new Map<string, number>();
+
+	function dispatch(event: EntryEvent, nowMs: number): EntryStep {
+		const step = reduceEntry(state, event, {
+			nowMs, wallTimeMs: nowMs, seed: 1, pendingAppends: 0,
+		}, settings);
+		state = step.state;
+		return step;
+	}
+
+	return {
+		dispatch,
+		read(incarnation: string, records: readonly ClusterRecord[], nowMs: number): EntryStep {
+			return dispatch({
+				kind: 'log-page', readSentAtMs: nowMs, reachedTail: true, records: records.map(record => {
+					offset++;
+					const sequence = (sequences.get(incarnation) ?? 0) + 1;
+					sequences.set(incarnation, sequence);
+					return {
+						offset, envelope: {
+							writer: incarnation, incarnation, sequence, record,
+						},
+					};
+				}),
+			}, nowMs);
+		},
+	};
+}
+
+const startedTasks = ({effects}: EntryStep): readonly string[] => effects.flatMap(effect =>
+	effect.kind === 'send-to-agent' && effect.command.case === 'startTask' ? [effect.command.value.taskId ?? ''] : []);
+
+// The round of control looks only at the claims that came due; a claim whose writer died must still be among them.
+test('the start of another entry\'s claim is sent once its writer had its time', t => {
+	const entry = createEntry();
+	entry.read('own', [{
+		kind: 'entry-registered', entryId: 'entry-1', failureDomain: 'domain-1', operatorAddress: '127.0.0.1:2',
+	}], 0);
+	entry.read('other', [
+		{
+			kind: 'entry-registered', entryId: 'entry-2', failureDomain: 'domain-1', operatorAddress: '127.0.0.1:5',
+		},
+		{
+			kind: 'vm-registered', vmId: 'vm-1', agentIncarnation: 'agent-1', failureDomain: 'domain-1', rack: 'rack-1', requestAddress: '127.0.0.1:6', capacity, runningTasks: [],
+		},
+		{
+			kind: 'job-submitted', job: {
+				jobId: 'job-1', teamId: 'team-1', workClass: 'batch', priority: 'normal', tasks: [{
+					taskId: 'task-1', demand, declaredRunTimeMs: 1000, payload: '',
+				}],
+			},
+		},
+	], 0);
+	entry.dispatch({kind: 'agent-hello', sessionId: 'session-1', hello: create(HelloSchema, {vmId: 'vm-1', agentIncarnation: 'agent-1'})}, 0);
+	const claimed = entry.read('other', [{
+		kind: 'task-claimed', taskId: 'task-1', attempt: 1, vmId: 'vm-1', agentIncarnation: 'agent-1', committed: demand, evictTaskIds: [], decision: {
+			policy: 'test', seed: 1, stateOffset: 0, candidates: [], consideredVms: 1, reason: '',
+		},
+	}], 100);
+	t.deepEqual(startedTasks(claimed), []);
+	const {commandTakeoverMs} = settings.timings;
+	t.deepEqual(startedTasks(entry.dispatch({kind: 'tick'}, 100 + commandTakeoverMs - 1)), []);
+	t.deepEqual(startedTasks(entry.dispatch({kind: 'tick'}, 100 + commandTakeoverMs + 300)), ['task-1']);
+	t.deepEqual(startedTasks(entry.dispatch({kind: 'tick'}, 100 + commandTakeoverMs + 600)), []);
+});
--- a/src/entry/reduce-entry.ts
+++ b/src/entry/reduce-entry.ts
@@ -191,6 +191,7 @@
 	const failureBlame = tickFailureBlame(state.failureBlame, context);
 	const keyExpiry = tickKeyExpiry(state.keyExpiry, context);
 	const snapshot = tickSnapshot(state, context);
+	const dueClaims = state.claimReadAtMs.filter(readAtMs => inputs.nowMs - readAtMs >= settings.timings.commandTakeoverMs);
 	const next: EntryStep = {
 		state: {
 			...state,
@@ -199,14 +200,28 @@
 			failureBlame: failureBlame.state,
 			keyExpiry: keyExpiry.state,
 			snapshot: snapshot.state,
-			claimReadAtMs: state.claimReadAtMs.filter(atMs => inputs.nowMs - atMs < 60_000),
+			claimReadAtMs: state.claimReadAtMs.deleteAll(dueClaims.keys()),
 		},
 		effects: [...entryLiveness.effects, ...vmLiveness.effects, ...failureBlame.effects, ...keyExpiry.effects, ...snapshot.effects],
 	};
-	const refreshed = continueWith(next, refreshLinks(next.state, undefined, inputs, settings));
+	// Everything else that depends on time alone is sent with the answer to a heartbeat, once a second.
+	const refreshed = continueWith(next, refreshLinks(next.state, vmIdsOfClaims(dueClaims.keys(), state.cluster), inputs, settings));
 	return continueWith(refreshed, settleAnswers(refreshed.state, inputs, settings));
 }
 
+/** VMs whose agents were not seen to start what another entry claimed; without a time of reading, a claim's command is sent by all. */
+function vmIdsOfClaims(claimKeys: Iterable<string>, cluster: ClusterState): ReadonlySet<string> {
+	const vmIds = new Set<string>();
+	for (const key of claimKeys) {
+		const task = cluster.tasks.get(key.slice(0, key.indexOf('/')));
+		if (task?.claim && task.phase === 'claimed') {
+			vmIds.add(task.claim.vmId);
+		}
+	}
+
+	return vmIds;
+}
+
 function tickSnapshot(state: EntryState, context: EntryContext): Readonly<{state: EntryState['snapshot']; effects: readonly EntryEffect[]}> {
 	const {snapshot, cluster} = state;
 	const {settings, nowMs} = context;
