Rank entries for a VM only when its worker is to be judged

Cause: each round of control computed a rendezvous hash for every VM and entry. Change: the owner is computed only when there is a verdict to write.

--- a/src/placement/failure-blame.ts
+++ b/src/placement/failure-blame.ts
@@ -78,11 +78,11 @@
 	let next: FailureBlameState = {...state, guard: pruneAppendGuard(state.guard, context.nowMs)};
 	const effects: ControlEffect[] = [];
 	for (const vm of context.cluster.vms.values()) {
-		const owner = ownerByRendezvous([...context.cluster.entries.keys()], vm.vmId);
 		const verdict = judge(next, vm.vmId, vm.quarantined, context.nowMs);
 		next = verdict.state;
 		const subject = `${verdict.kind ?? ''}/${vm.vmId}`;
-		if (verdict.kind && owner === context.incarnation && vm.phase === 'live' && mayAppend(next.guard, subject, context.nowMs)) {
+		const isOwnTurn = verdict.kind !== undefined && ownerByRendezvous(context.cluster.entries.keys(), vm.vmId) === context.incarnation;
+		if (verdict.kind && isOwnTurn && vm.phase === 'live' && mayAppend(next.guard, subject, context.nowMs)) {
 			next = {...next, guard: next.guard.set(subject, context.nowMs)};
 			effects.push({
 				kind: 'append-record',
