--- a/bench/main.ts
+++ b/bench/main.ts
@@ -6,6 +6,7 @@
 
 /** One line a bench; a bench prints lines of key=value pairs and is loaded only when it runs. */
 const benches: Readonly<Record<string, Bench>> = {
+	'control-entry': {description: 'One entry process with up to 1,400 agent streams', load: async () => import('./control-entry.js')},
 	scale: {description: 'Decision logic alone at 10%, 50% and 100% of the design size', load: async () => import('./scale.js')},
 };
 
