--- a/src/entry/reduce-entry.test.ts
+++ b/src/entry/reduce-entry.test.ts
@@ -68,7 +68,15 @@
 			kind: 'entry-registered', entryId: 'entry-2', failureDomain: 'domain-1', operatorAddress: '127.0.0.1:5',
 		},
 		{
-			kind: 'vm-registered', vmId: 'vm-1', agentIncarnation: 'agent-1', failureDomain: 'domain-1', rack: 'rack-1', requestAddress: '127.0.0.1:6', capacity, runningTasks: [],
+			kind: 'vm-registered',
+			vmId: 'vm-1',
+			agentIncarnation: 'agent-1',
+			workerIncarnation: 'worker-1',
+			failureDomain: 'domain-1',
+			rack: 'rack-1',
+			requestAddress: '127.0.0.1:6',
+			capacity,
+			runningTasks: [],
 		},
 		{
 			kind: 'job-submitted', job: {
--- a/src/operator/state-fixture.ts
+++ b/src/operator/state-fixture.ts
@@ -16,6 +16,7 @@
 	vmId: 'vm-1',
 	agentIncarnation: 'agent-1',
 	formerAgentIncarnations: [],
+	workerIncarnation: 'worker-1',
 	failureDomain: 'Kambalda',
 	rack: 'rack-1',
 	requestAddress: '127.0.0.1:9000',
@@ -51,10 +52,10 @@
 	stateOffset: 11,
 	candidates: [
 		{
-			vmId: 'vm-1', scoreMilli: 120, harmMilli: 40, room: {processorsMilli: 12_000, memoryMb: 50_000, accelerators: 0},
+			vmId: 'vm-1', scoreMilli: 120, harmMilli: 40, room: {processorsMilli: 12_000, memoryMb: 50_000, accelerators: 0}, inputs: {serviceHarmMilli: 40},
 		},
 		{
-			vmId: 'vm-2', scoreMilli: 300, harmMilli: 210, room: {processorsMilli: 2000, memoryMb: 9000, accelerators: 0},
+			vmId: 'vm-2', scoreMilli: 300, harmMilli: 210, room: {processorsMilli: 2000, memoryMb: 9000, accelerators: 0}, inputs: {serviceHarmMilli: 210},
 		},
 	],
 	consideredVms: 2,
