--- a/bench/main.ts
+++ b/bench/main.ts
@@ -8,6 +8,16 @@
 
 /** A bench prints lines of key=value pairs and is loaded only when it runs. */
 const benches: Readonly<Record<string, Bench>> = {
+	control: {
+		description: 'One agent, then one entry with up to 1,400 agent streams: memory, processor time and traffic',
+		async load() {
+			const [agent, entry] = await Promise.all([import('./control-agent.js'), import('./control-entry.js')]);
+			return async () => {
+				await agent.runBench();
+				await entry.runBench();
+			};
+		},
+	},
 	scale: {
 		description: 'Decision logic alone at 10%, 50% and 100% of the design size',
 		async load() {
--- a/src/entry/reduce-entry.ts
+++ b/src/entry/reduce-entry.ts
@@ -2,6 +2,7 @@
 import {applyRecord} from '../cluster/reduce-cluster.js';
 import {ownerByRendezvous} from '../cluster/rendezvous.js';
 import {BackendServerPhase} from '../generated/arbutushinge/v1/agent_pb.js';
+import {type LoggedRecord} from '../log/log-envelope.js';
 import {tickEntryLiveness, resetEntryObservation} from '../membership/entry-liveness.js';
 import {tickVmLiveness} from '../membership/vm-liveness.js';
 import {noteAttempts, tickFailureBlame} from '../placement/failure-blame.js';
@@ -144,7 +145,7 @@
 		effects: recordTimeline(event.records, before, cluster, state.incarnation),
 	};
 	if (event.records.length > 0) {
-		step = continueWith(step, refreshLinks(step.state, touchedVmIds(event.records, before, cluster), inputs, settings));
+		step = continueWith(step, refreshLinks(step.state, touchedVmIds(recordsForAgents(event.records), before, cluster), inputs, settings));
 		step = continueWith(step, settleAnswers(step.state, inputs, settings));
 		step = continueWithRequest(step, {kind: 'cluster-advanced', readBackKeyHashes: ownKeyHashes(event, state.incarnation)}, inputs, settings);
 		step = continueWith(step, place(step.state, inputs, settings));
@@ -155,6 +156,11 @@
 		: step;
 }
 
+/** A submitted job only waits in a queue, so no agent has anything to do for it until a claim names its VM. */
+function recordsForAgents(records: readonly LoggedRecord[]): readonly LoggedRecord[] {
+	return records.filter(({envelope}) => envelope.record.kind !== 'job-submitted');
+}
+
 function reduceLogFailure(
 	state: EntryState,
 	event: Extract<EntryEvent, {kind: 'log-failed'}>,
@@ -190,6 +196,7 @@
 	const failureBlame = tickFailureBlame(state.failureBlame, context);
 	const keyExpiry = tickKeyExpiry(state.keyExpiry, context);
 	const snapshot = tickSnapshot(state, context);
+	const dueClaims = state.claimReadAtMs.filter(readAtMs => inputs.nowMs - readAtMs >= settings.timings.commandTakeoverMs);
 	const next: EntryStep = {
 		state: {
 			...state,
@@ -198,14 +205,28 @@
 			failureBlame: failureBlame.state,
 			keyExpiry: keyExpiry.state,
 			snapshot: snapshot.state,
-			claimReadAtMs: state.claimReadAtMs.filter(atMs => inputs.nowMs - atMs < 60_000),
+			claimReadAtMs: state.claimReadAtMs.deleteAll(dueClaims.keys()),
 		},
 		effects: [...entryLiveness.effects, ...vmLiveness.effects, ...failureBlame.effects, ...keyExpiry.effects, ...snapshot.effects],
 	};
-	const refreshed = continueWith(next, refreshLinks(next.state, undefined, inputs, settings));
+	// Everything else that depends on time alone is sent with the answer to a heartbeat, once a second.
+	const refreshed = continueWith(next, refreshLinks(next.state, vmIdsOfClaims(dueClaims.keys(), state.cluster), inputs, settings));
 	return continueWith(refreshed, settleAnswers(refreshed.state, inputs, settings));
 }
 
+/** VMs whose agents were not seen to start what another entry claimed; without a time of reading, a claim's command is sent by all. */
+function vmIdsOfClaims(claimKeys: Iterable<string>, cluster: ClusterState): ReadonlySet<string> {
+	const vmIds = new Set<string>();
+	for (const key of claimKeys) {
+		const task = cluster.tasks.get(key.slice(0, key.indexOf('/')));
+		if (task?.claim && task.phase === 'claimed') {
+			vmIds.add(task.claim.vmId);
+		}
+	}
+
+	return vmIds;
+}
+
 function tickSnapshot(state: EntryState, context: EntryContext): Readonly<{state: EntryState['snapshot']; effects: readonly EntryEffect[]}> {
 	const {snapshot, cluster} = state;
 	const {settings, nowMs} = context;
