Send the agent's requests over node:http instead of undici

Cause: one request over an undici pool in an otherwise empty Node.js process leaves 73.2 MB resident (17.4 MB anonymous once loaded, 28.5 MB after one request), the same request over node:http 45.6 MB. undici alone breaks the agent's limit of 64 MB. Change: src/platform/http-connections.ts keeps connections on node:http; the backend server client and the worker client use it.

--- a/src/agent/backend-server-client.ts
+++ b/src/agent/backend-server-client.ts
@@ -1,17 +1,14 @@
 import {Buffer} from 'node:buffer';
-import type {IncomingHttpHeaders} from 'node:http';
-import {pipeline} from 'node:stream/promises';
+import type {IncomingHttpHeaders, IncomingMessage, OutgoingHttpHeaders} from 'node:http';
+import {finished, pipeline} from 'node:stream/promises';
 import PQueue from 'p-queue';
-import {errors, Pool, type Dispatcher} from 'undici';
+import {createHttpConnections, isConnectFailure, type HttpConnections} from '../platform/http-connections.js';
 import type {AgentEffectOf} from './agent-effect.js';
 import type {RequestSettlement} from './agent-event.js';
 import type {Exchange} from './exchange.js';
 import {LatencyWindow} from './latency-window.js';
 import {refusalOf, type RefusalKind} from './request-outcome.js';
 
-/** Longest wait for a connection to a backend server on the same VM. */
-const connectTimeoutMs = 1000;
-
 /** Headers that belong to one connection, or that only the agent and the entry exchange. */
 const droppedHeaders: ReadonlySet<string> = new Set([
 	'connection',
@@ -35,7 +32,7 @@
 	'x-arbutushinge-outcome',
 ]);
 
-type Target = Readonly<{pool: Pool; queue: PQueue; address: string; connections: number; latencies: LatencyWindow}>;
+type Target = Readonly<{pool: HttpConnections; queue: PQueue; address: string; connections: number; latencies: LatencyWindow}>;
 
 /** Sends requests to the backend servers of this VM. */
 export type BackendServerClient = Readonly<{
@@ -52,16 +49,24 @@
 	settle: (requestId: string, settlement: RequestSettlement) => void;
 }>;
 
-function passedHeaders(headers: IncomingHttpHeaders): string[] {
-	return Object.entries(headers)
-		.filter(([name]) => !droppedHeaders.has(name))
-		.flatMap(([name, value]) => [value ?? []].flat().flatMap(each => [name, each]));
+/** Headers for the backend server; a body without a length is sent in chunks, whatever the method. */
+function requestHeaders(headers: IncomingHttpHeaders): OutgoingHttpHeaders {
+	return Object.fromEntries([
+		...Object.entries(headers).filter(([name]) => !droppedHeaders.has(name)),
+		...(headers['transfer-encoding'] === undefined ? [] : [['transfer-encoding', 'chunked'] as const]),
+	]);
+}
+
+/** Names and values in turn, repeated headers included. */
+function answerHeaders(rawHeaders: readonly string[]): string[] {
+	return rawHeaders.flatMap((name, index) => index % 2 === 1 || droppedHeaders.has(name.toLowerCase())
+		? []
+		: [name.toLowerCase(), rawHeaders[index + 1] ?? '']);
 }
 
-/** Tells whether an error shows that no byte of the request reached the backend server. */
-function isNotRun(error: unknown): boolean {
-	return error instanceof errors.ConnectTimeoutError
-		|| (error instanceof Error && 'syscall' in error && error.syscall === 'connect');
+/** Answers that a client receives always have a status. */
+function statusOf(answer: IncomingMessage): number {
+	return answer.statusCode ?? 502;
 }
 
 function hasBody(headers: IncomingHttpHeaders): boolean {
@@ -87,13 +92,11 @@
 		const target: Target = {
 			address,
 			connections,
-			pool: new Pool(`http://${address}`, {
-				connections, pipelining: 1, connect: {timeout: connectTimeoutMs}, headersTimeout: 0, bodyTimeout: 0,
-			}),
+			pool: createHttpConnections({address, connections}),
 			queue: known?.queue ?? new PQueue({concurrency: slots}),
 			latencies: known?.latencies ?? new LatencyWindow(),
 		};
-		void known?.pool.close();
+		known?.pool.closeWhenIdle();
 		targets.set(backendServerId, target);
 		return target;
 	}
@@ -105,27 +108,33 @@
 	}
 
 	/** Streams an answer to the entry. A broken one resets the connection, so that it never looks whole. */
-	async function pass(exchange: Exchange, answer: Dispatcher.ResponseData, begun: readonly Uint8Array[]): Promise<void> {
+	async function pass(exchange: Exchange, answer: IncomingMessage, begun: readonly Uint8Array[]): Promise<void> {
 		const {response} = exchange.parts;
 		exchange.settle();
 		if (!exchange.isOpen) {
 			// The backend server works until its answer ends, so the slot stays taken until then.
-			await answer.body.dump({limit: Number.MAX_SAFE_INTEGER});
+			answer.resume();
+			try {
+				await finished(answer);
+			} catch {
+				// The answer broke off, which ends it too.
+			}
+
 			return;
 		}
 
-		response.writeHead(answer.statusCode, [...passedHeaders(answer.headers), 'x-arbutushinge-outcome', 'done']);
+		response.writeHead(statusOf(answer), [...answerHeaders(answer.rawHeaders), 'x-arbutushinge-outcome', 'done']);
 		for (const chunk of begun) {
 			response.write(chunk);
 		}
 
-		await pipeline(answer.body, response);
+		await pipeline(answer, response);
 	}
 
-	async function keep(exchange: Exchange, answer: Dispatcher.ResponseData): Promise<void> {
+	async function keep(exchange: Exchange, answer: IncomingMessage): Promise<void> {
 		const chunks: Uint8Array[] = [];
 		let bytes = 0;
-		const iterator: AsyncIterable<Uint8Array> = answer.body.iterator({destroyOnReturn: false});
+		const iterator: AsyncIterable<Uint8Array> = answer.iterator({destroyOnReturn: false});
 		for await (const chunk of iterator) {
 			chunks.push(chunk);
 			bytes += chunk.byteLength;
@@ -140,7 +149,7 @@
 			return;
 		}
 
-		const kept = {status: answer.statusCode, headers: passedHeaders(answer.headers), body: Buffer.concat(chunks)};
+		const kept = {status: statusOf(answer), headers: answerHeaders(answer.rawHeaders), body: Buffer.concat(chunks)};
 		settle(exchange.parts.requestId, {kind: 'kept', answer: kept});
 		exchange.answer(kept);
 	}
@@ -158,11 +167,11 @@
 		exchange.isSent = true;
 		const {request, response} = exchange.parts;
 		try {
-			const answer = await target.pool.request({
+			const answer = await target.pool.send({
 				method: exchange.parts.method,
 				path: exchange.parts.path,
-				headers: passedHeaders(request.headers),
-				body: hasBody(request.headers) ? request : null,
+				headers: requestHeaders(request.headers),
+				body: hasBody(request.headers) ? request : undefined,
 			});
 			if (keyed) {
 				await keep(exchange, answer);
@@ -177,7 +186,7 @@
 				response.destroy();
 			}
 
-			refuse(exchange, isNotRun(error) ? 'unreachable' : 'answer-lost');
+			refuse(exchange, isConnectFailure(error) ? 'unreachable' : 'answer-lost');
 		}
 	}
 
@@ -188,11 +197,13 @@
 		},
 		latencies: () => [...targets].map(([backendServerId, target]) => ({backendServerId, p99Ms: target.latencies.p99Ms(nowMs())})),
 		forget(backendServerId) {
-			void targets.get(backendServerId)?.pool.close();
+			targets.get(backendServerId)?.pool.closeWhenIdle();
 			targets.delete(backendServerId);
 		},
 		async close() {
-			await Promise.all([...targets.values()].map(async target => target.pool.destroy()));
+			for (const target of targets.values()) {
+				target.pool.destroy();
+			}
 		},
 	};
 }
--- /dev/null
+++ b/src/platform/http-connections.ts
@@ -0,0 +1,142 @@
+import {
+	Agent, request as sendRequest, type ClientRequest, type IncomingMessage, type OutgoingHttpHeaders,
+} from 'node:http';
+import {pipeline, type Readable} from 'node:stream';
+
+/** Longest wait for a connection to a process on the same VM. */
+const connectTimeoutMs = 1000;
+
+/** Time after which an unused connection is closed. */
+const idleTimeoutMs = 4000;
+
+/** Idle connections are closed this long before the end that the server announces, so that no request meets a closing one. */
+const idleMarginMs = 2000;
+
+/** One request of a process on the same VM. */
+export type HttpCall = Readonly<{
+	method: string;
+	path: string;
+	headers: OutgoingHttpHeaders;
+	body: Readable | string | undefined;
+	signal?: AbortSignal | undefined;
+}>;
+
+/** Connections to one address that are kept open between requests. */
+export type HttpConnections = Readonly<{
+	/** Resolves with the beginning of the answer; the caller reads its body. */
+	send: (call: HttpCall) => Promise<IncomingMessage>;
+	/** Closes each connection when its request has ended. */
+	closeWhenIdle: () => void;
+	/** Ends all connections and the requests in flight. */
+	destroy: () => void;
+}>;
+
+/** A connection that was not made in time has the mark of all failures to connect: `syscall` is `connect`. */
+function connectTimeout(address: string): Error {
+	return Object.assign(new Error(`no connection to ${address} within ${connectTimeoutMs} ms`), {code: 'ETIMEDOUT', syscall: 'connect'});
+}
+
+/** How long the server keeps an idle connection, from its `Keep-Alive` header. */
+function announcedIdleMs(answer: IncomingMessage): number | undefined {
+	const seconds = /timeout=(?<seconds>\d+)/v.exec([answer.headers['keep-alive'] ?? ''].flat().join(','))?.groups?.seconds;
+	return seconds === undefined ? undefined : Number(seconds) * 1000;
+}
+
+/**
+Tells whether an error shows that no byte of a request was sent.
+
+@example
+isConnectFailure(Object.assign(new Error('refused'), {syscall: 'connect'})); // => true
+*/
+export function isConnectFailure(error: unknown): boolean {
+	return error instanceof Error && 'syscall' in error && error.syscall === 'connect';
+}
+
+/**
+Makes HTTP/1.1 connections to one address on demand. It uses `node:http` because the WebAssembly parser of undici takes
+more memory than the agent has (docs/decisions/agent-footprint.md).
+
+@example
+const connections = createHttpConnections({address: '127.0.0.1:7000', connections: 4});
+const answer = await connections.send({method: 'GET', path: '/tasks', headers: {}, body: undefined});
+*/
+export function createHttpConnections({address, connections}: Readonly<{address: string; connections: number}>): HttpConnections {
+	const {hostname, port} = new URL(`http://${address}`);
+	const agent = new Agent({keepAlive: true, maxSockets: connections, timeout: idleTimeoutMs});
+	const inFlight = new Set<ClientRequest>();
+	let isDestroyed = false;
+
+	function watchConnection(outgoing: ClientRequest): void {
+		outgoing.once('socket', socket => {
+			if (!socket.connecting) {
+				return;
+			}
+
+			const timer = setTimeout(() => {
+				outgoing.destroy(connectTimeout(address));
+			}, connectTimeoutMs);
+			const stopWatch = (): void => {
+				clearTimeout(timer);
+			};
+
+			socket.once('connect', stopWatch);
+			socket.once('close', stopWatch);
+		});
+	}
+
+	return {
+		async send({method, path, headers, body, signal}) {
+			return new Promise((resolve, reject) => {
+				if (isDestroyed) {
+					reject(new Error(`the connections to ${address} are closed`));
+					return;
+				}
+
+				const outgoing = sendRequest({
+					agent, hostname, port: port === '' ? 80 : port, method, path, headers, signal,
+				});
+				inFlight.add(outgoing);
+				outgoing.once('close', () => {
+					inFlight.delete(outgoing);
+				});
+				// Later errors reach the reader of the answer; a handler must stay, since one without would end the process.
+				outgoing.on('error', reject);
+				outgoing.once('response', answer => {
+					const idleMs = announcedIdleMs(answer);
+					if (idleMs !== undefined && idleMs < idleTimeoutMs + idleMarginMs) {
+						const {socket} = answer;
+						socket.once('free', () => {
+							socket.setTimeout(Math.max(1, idleMs - idleMarginMs));
+						});
+					}
+
+					resolve(answer);
+				});
+				watchConnection(outgoing);
+				if (body === undefined || typeof body === 'string') {
+					outgoing.end(body);
+				} else {
+					pipeline(body, outgoing, error => {
+						if (error) {
+							reject(error);
+						}
+					});
+				}
+			});
+		},
+		closeWhenIdle() {
+			agent.maxFreeSockets = 0;
+			for (const socket of Object.values(agent.freeSockets).flat()) {
+				socket?.destroy();
+			}
+		},
+		destroy() {
+			isDestroyed = true;
+			for (const outgoing of inFlight) {
+				outgoing.destroy();
+			}
+
+			agent.destroy();
+		},
+	};
+}
--- a/src/platform/worker-client.ts
+++ b/src/platform/worker-client.ts
@@ -1,7 +1,8 @@
+import {text as readText} from 'node:stream/consumers';
 import {Result} from 'true-myth';
-import {Pool} from 'undici';
 import {type z} from 'zod';
 import {type TypedError} from '../errors/typed-error.js';
+import {createHttpConnections} from './http-connections.js';
 import {
 	workerTaskSchema, workerTasksSchema, workerUsageSchema,
 	type StartTaskRequest, type WorkerTask, type WorkerTasks, type WorkerUsage,
@@ -61,7 +62,7 @@
 */
 export function createWorkerClient(options: WorkerClientOptions): WorkerClient {
 	const timeoutMs = options.timeoutMs ?? 5000;
-	const pool = new Pool(new URL(options.baseUrl).origin, {connections: options.connections ?? 4});
+	const pool = createHttpConnections({address: new URL(options.baseUrl).host, connections: options.connections ?? 4});
 
 	function failure(kind: WorkerErrorKind, message: string): Result<never, WorkerError> {
 		return Result.err({kind, message, remedy: remedies[kind]});
@@ -69,15 +70,15 @@
 
 	async function call(method: Method, path: string, body?: unknown): Promise<Result<string, WorkerError>> {
 		try {
-			const answer = await pool.request({
+			const answer = await pool.send({
 				method,
 				path,
-				body: body === undefined ? null : JSON.stringify(body),
+				body: body === undefined ? undefined : JSON.stringify(body),
 				headers: body === undefined ? {} : {'content-type': 'application/json'},
 				signal: AbortSignal.timeout(timeoutMs),
 			});
-			const text = await answer.body.text();
-			const {statusCode} = answer;
+			const text = await readText(answer);
+			const {statusCode = 0} = answer;
 			if (statusCode >= 200 && statusCode < 300) {
 				return Result.ok(text);
 			}
@@ -129,7 +130,7 @@
 		stopTask: async taskId => callFor(workerTaskSchema, 'POST', pathOf(taskId, '/stop')),
 		readUsage: async () => callFor(workerUsageSchema, 'GET', '/usage'),
 		async close() {
-			await pool.destroy();
+			pool.destroy();
 		},
 	};
 }
