Load only the typed-array histogram for the latency window

Change: the latency window takes the typed-array histogram of the same library. Conclusion: the same histogram with fewer modules.

--- a/src/agent/latency-window.ts
+++ b/src/agent/latency-window.ts
@@ -1,4 +1,6 @@
-import {build, type Histogram} from 'hdr-histogram-js';
+import {type Histogram} from 'hdr-histogram-js';
+// The library's main module also loads its WebAssembly and compression, which the agent does not use.
+import {constructorFromBucketSize} from 'hdr-histogram-js/dist/JsHistogramFactory.js';
 
 /** How long a histogram collects before the next one takes over. */
 const windowMs = 5000;
@@ -6,9 +8,10 @@
 const longestLatencyMs = 3_600_000;
 
 function emptyHistogram(): Histogram {
-	return build({
-		bitBucketSize: 32, autoResize: true, lowestDiscernibleValue: 1, highestTrackableValue: longestLatencyMs, numberOfSignificantValueDigits: 2,
-	});
+	const TypedHistogram = constructorFromBucketSize(32);
+	const histogram = new TypedHistogram(1, longestLatencyMs, 2);
+	histogram.autoResize = true;
+	return histogram;
 }
 
 /** Latencies of about the last 5 to 10 seconds. */
