Check the agent's settings and inputs with zod/mini

Change: the schemas of the agent's settings, of the worker's answers and of announcements are written for zod/mini; the settings loader needs only zod/v4/core, so it takes schemas of both kinds. Conclusion: messages and docs/settings.md stay the same, as the tests show. zod itself is still in the agent's bundle through src/cluster/resources.ts and src/operator/intent-options.ts.

--- a/scripts/settings-page.ts
+++ b/scripts/settings-page.ts
@@ -1,4 +1,4 @@
-import {type z} from 'zod';
+import {type $ZodType} from 'zod/v4/core';
 import {schemaFields, type SchemaField} from '../src/settings/schema-fields.js';
 import {settingsSchemas} from '../src/settings/settings-schemas.js';
 
@@ -17,7 +17,7 @@
 export async function renderSettingsPage(): Promise<string> {
 	const sections: string[] = [];
 	for (const role of ['entry', 'agent', 'deployment'] as const) {
-		const schema: z.ZodType = await settingsSchemas[role]();
+		const schema: $ZodType = await settingsSchemas[role]();
 		sections.push(`## ${titles[role]}`, '', '| field | type | default | meaning |', '|---|---|---|---|', ...renderRows(schemaFields(schema), '', ''), '');
 	}
 
--- a/src/agent/agent-state.ts
+++ b/src/agent/agent-state.ts
@@ -1,8 +1,9 @@
 import {Map as immutableMap, type Map as ImmutableMap} from 'immutable';
-import {noResources, type Resources} from '../cluster/resources.js';
+import type {Resources} from '../cluster/resources.js';
 import type {StartTask} from '../generated/arbutushinge/v1/agent_pb.js';
 import type {WorkerUsage} from '../platform/worker-api.js';
 import type {AgentSettings} from '../settings/agent-settings.js';
+import {noResources} from './no-resources.js';
 import {emptyAttemptTable, type AttemptTable} from './attempt-table.js';
 import type {BackendServerTable} from './backend-server-table.js';
 import {restingGuard, type Guard} from './guard.js';
--- a/src/agent/backend-server-handlers.ts
+++ b/src/agent/backend-server-handlers.ts
@@ -1,4 +1,5 @@
-import {noResources, type Resources} from '../cluster/resources.js';
+import type {Resources} from '../cluster/resources.js';
+import {noResources} from './no-resources.js';
 import type {AgentEffect} from './agent-effect.js';
 import type {AgentState} from './agent-state.js';
 import {
--- a/src/agent/reduce-agent.ts
+++ b/src/agent/reduce-agent.ts
@@ -1,6 +1,6 @@
 import {Map as immutableMap} from 'immutable';
-import {noResources} from '../cluster/resources.js';
 import type {AgentConfiguration, LeaseGrant} from '../generated/arbutushinge/v1/agent_pb.js';
+import {noResources} from './no-resources.js';
 import type {AgentEffect} from './agent-effect.js';
 import type {AgentEvent, AgentEventKind, AgentEventOf} from './agent-event.js';
 import {closedLink, type AgentState, type AppliedConfiguration} from './agent-state.js';
--- a/src/agent/request-server.ts
+++ b/src/agent/request-server.ts
@@ -3,7 +3,7 @@
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
 import polka from 'polka';
 import {Result} from 'true-myth';
-import {z} from 'zod';
+import * as z from 'zod/mini';
 import type {TypedError} from '../errors/typed-error.js';
 import type {AgentEvent, ArrivedRequest} from './agent-event.js';
 import type {BackendServerClient} from './backend-server-client.js';
@@ -21,15 +21,15 @@
 /** Longer than the idle time of an entry's pool, so that the entry closes idle connections first. */
 const keepAliveTimeoutMs = 65_000;
 
-const announcementSchema = z.object({
-	backendServerId: z.string().min(1),
-	service: z.string().min(1),
-	address: z.string().min(1),
-	slots: z.int().positive(),
-	connections: z.int().positive(),
-}).readonly();
+const announcementSchema = z.readonly(z.object({
+	backendServerId: z.string().check(z.minLength(1)),
+	service: z.string().check(z.minLength(1)),
+	address: z.string().check(z.minLength(1)),
+	slots: z.int().check(z.positive()),
+	connections: z.int().check(z.positive()),
+}));
 
-const leavingSchema = z.object({backendServerId: z.string().min(1)}).readonly();
+const leavingSchema = z.readonly(z.object({backendServerId: z.string().check(z.minLength(1))}));
 
 /** Effects that answer requests of entries and backend servers. */
 export type RequestEffectKind = 'run-request' | 'refuse-request' | 'answer-request' | 'answer-leaving';
@@ -88,7 +88,7 @@
 	sendJson(response, 400, {error: {kind: 'bad-notice', message: 'the notice does not have the agreed fields', remedy: `send ${fields}`}});
 }
 
-async function readNotice<Value>(request: IncomingMessage, schema: z.ZodType<Value>): Promise<Value | undefined> {
+async function readNotice<Value>(request: IncomingMessage, schema: z.ZodMiniType<Value>): Promise<Value | undefined> {
 	const chunks: Uint8Array[] = [];
 	let bytes = 0;
 	for await (const chunk of request as AsyncIterable<Uint8Array>) {
--- a/src/operator/check-settings-command.ts
+++ b/src/operator/check-settings-command.ts
@@ -16,7 +16,7 @@
 	const text = await readSettingsFile(file);
 	const role = text.andThen(content => parseSettings(content, file, roleSchema)).map(value => value.role);
 	const schema = role.isOk && isSettingsRole(role.value) ? await settingsSchemas[role.value]() : roleSchema;
-	const checked = text.andThen(content => parseSettings<z.ZodType>(content, file, schema));
+	const checked = text.andThen(content => parseSettings<z.core.$ZodType>(content, file, schema));
 	if (json) {
 		output.print(JSON.stringify({
 			file, role: role.unwrapOr(null), valid: checked.isOk, problems: checked.isErr ? checked.error.problems : [],
--- a/src/platform/worker-api.ts
+++ b/src/platform/worker-api.ts
@@ -14,47 +14,10 @@
 
 export type StartTaskRequest = z.infer<typeof startTaskRequestSchema>;
 
-/** What the worker knows of a task; ended tasks stay listed until they are deleted. */
-export const workerTaskSchema = z.strictObject({
-	taskId: z.string(),
-	attempt: z.int().positive(),
-	phase: z.enum(['running', 'finished', 'failed', 'checkpointed', 'stopped']),
-	limit: resourcesSchema,
-	latencyCritical: z.boolean(),
-	/** Set in phase `checkpointed`. */
-	checkpoint: z.string(),
-	/** Why the task ended. */
-	reason: z.string(),
-}).readonly();
-
-export type WorkerTask = z.infer<typeof workerTaskSchema>;
-
-/** `GET /tasks` */
-export const workerTasksSchema = z.strictObject({
-	capacity: resourcesSchema,
-	tasks: z.array(workerTaskSchema).readonly(),
-}).readonly();
-
-export type WorkerTasks = z.infer<typeof workerTasksSchema>;
-
 /** `PUT /lease`: moves the deadline of all run-once tasks; a deadline that has passed is answered 409. */
 export const leaseRequestSchema = z.strictObject({leaseDeadlineMonotonicMs: z.number()}).readonly();
 
 /** `POST /tasks/{taskId}/throttle`: limits the task's processors; 1,000 removes the limit. */
 export const throttleRequestSchema = z.strictObject({processorsShareMilli: z.int().min(50).max(1000)}).readonly();
 
-/** `GET /usage`: measurements of a window that ended some time ago. */
-export const workerUsageSchema = z.strictObject({
-	/** End of the window on the VM's monotonic clock. */
-	measuredAtMonotonicMs: z.number(),
-	processorsUsedMilli: z.int().min(0),
-	memoryUsedMb: z.int().min(0),
-	tasks: z.array(z.strictObject({
-		taskId: z.string(),
-		processorsUsedMilli: z.int().min(0),
-		memoryUsedMb: z.int().min(0),
-		relativeSpeedMilli: z.int().min(0),
-	}).readonly()).readonly(),
-}).readonly();
-
-export type WorkerUsage = z.infer<typeof workerUsageSchema>;
+export type {WorkerTask, WorkerTasks, WorkerUsage} from './worker-answers.js';
--- a/src/platform/worker-client.ts
+++ b/src/platform/worker-client.ts
@@ -1,12 +1,13 @@
 import {text as readText} from 'node:stream/consumers';
 import {Result} from 'true-myth';
-import {type z} from 'zod';
+import {safeParse, type $ZodType} from 'zod/v4/core';
+import en from 'zod/v4/locales/en.js';
 import {type TypedError} from '../errors/typed-error.js';
 import {createHttpConnections} from './http-connections.js';
 import {
-	workerTaskSchema, workerTasksSchema, workerUsageSchema,
-	type StartTaskRequest, type WorkerTask, type WorkerTasks, type WorkerUsage,
-} from './worker-api.js';
+	workerTaskSchema, workerTasksSchema, workerUsageSchema, type WorkerTask, type WorkerTasks, type WorkerUsage,
+} from './worker-answers.js';
+import {type StartTaskRequest} from './worker-api.js';
 
 /**
 `worker-unavailable`: no answer or a 5xx; the call may have taken effect. `worker-refused`: the worker did nothing (4xx).
@@ -41,6 +42,9 @@
 /** Where the worker is; `timeoutMs` bounds each call and defaults to 5,000. */
 export type WorkerClientOptions = Readonly<{baseUrl: string; timeoutMs?: number; connections?: number}>;
 
+/** Words of problems; zod/mini has none of its own. */
+const issueText = en().localeError;
+
 type Method = 'GET' | 'PUT' | 'POST' | 'DELETE';
 
 const remedies: Readonly<Record<WorkerErrorKind, string>> = {
@@ -94,7 +98,7 @@
 		}
 	}
 
-	async function callFor<Value>(schema: z.ZodType<Value>, method: Method, path: string, body?: unknown): Promise<Result<Value, WorkerError>> {
+	async function callFor<Value>(schema: $ZodType<Value>, method: Method, path: string, body?: unknown): Promise<Result<Value, WorkerError>> {
 		const answer = await call(method, path, body);
 		if (answer.isErr) {
 			return Result.err(answer.error);
@@ -107,7 +111,7 @@
 			return failure('worker-protocol', `${method} ${path} was answered with text that is not JSON`);
 		}
 
-		const parsed = schema.safeParse(value);
+		const parsed = safeParse(schema, value, {error: issueText});
 		return parsed.success
 			? Result.ok(parsed.data)
 			: failure('worker-protocol', `${method} ${path}: ${parsed.error.issues.map(issue => `${issue.path.join('.')}: ${issue.message}`).join(', ')}`);
--- a/src/settings/load-settings.ts
+++ b/src/settings/load-settings.ts
@@ -3,7 +3,9 @@
 import {
 	isMap, isNode, isScalar, LineCounter, parseDocument, type Document,
 } from 'yaml';
-import {type z} from 'zod';
+import {
+	safeParse, type output, type $ZodIssue, type $ZodType,
+} from 'zod/v4/core';
 import {messageOf} from '../errors/message-of.js';
 import {type TypedError} from '../errors/typed-error.js';
 import {nearestName} from './nearest-name.js';
@@ -25,7 +27,7 @@
 /** Why settings could not be loaded; `problems` holds every one that was found. */
 export type SettingsError = TypedError<SettingsErrorKind> & Readonly<{problems: readonly SettingsProblem[]}>;
 
-type Issue = z.core.$ZodIssue;
+type Issue = $ZodIssue;
 type Path = ReadonlyArray<string | number>;
 
 /** A settings file is small; a larger one is not a settings file. */
@@ -42,11 +44,11 @@
 	console.error(settings.error.message);
 }
 */
-export async function loadSettings<Schema extends z.ZodType>(
+export async function loadSettings<Schema extends $ZodType>(
 	file: string,
 	schema: Schema,
 	maximumBytes = MAXIMUM_FILE_BYTES,
-): Promise<Result<z.infer<Schema>, SettingsError>> {
+): Promise<Result<output<Schema>, SettingsError>> {
 	const text = await readSettingsFile(file, maximumBytes);
 	return text.andThen(content => parseSettings(content, file, schema));
 }
@@ -77,11 +79,11 @@
 parseSettings('role: entry\nentryid: e1', 'entry.yaml', entrySettingsSchema);
 // => Err: entry.yaml:2: entryid: expected a known field; remedy: rename it to "entryId"
 */
-export function parseSettings<Schema extends z.ZodType>(
+export function parseSettings<Schema extends $ZodType>(
 	text: string,
 	file: string,
 	schema: Schema,
-): Result<z.infer<Schema>, SettingsError> {
+): Result<output<Schema>, SettingsError> {
 	const lineCounter = new LineCounter();
 	const document = parseDocument(text, {lineCounter, prettyErrors: false});
 	if (document.errors.length > 0) {
@@ -103,7 +105,7 @@
 		}]));
 	}
 
-	const checked = schema.safeParse(value);
+	const checked = safeParse(schema, value);
 	if (checked.success) {
 		return ok(checked.data);
 	}
--- a/src/settings/schema-fields.ts
+++ b/src/settings/schema-fields.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import {toJSONSchema, type JSONSchema, type $ZodType} from 'zod/v4/core';
 
 /** One field of a settings schema, as the documentation and the error messages show it. */
 export type SchemaField = Readonly<{
@@ -14,7 +14,7 @@
 	itemFields: readonly SchemaField[];
 }>;
 
-type JsonSchema = z.core.JSONSchema.BaseSchema;
+type JsonSchema = JSONSchema.BaseSchema;
 
 /**
 Lists the fields of a settings schema with descriptions, bounds and defaults.
@@ -23,8 +23,8 @@
 schemaFields(z.strictObject({port: z.int().describe('Port')}))[0]?.description;
 // => 'Port'
 */
-export function schemaFields(schema: z.ZodType): readonly SchemaField[] {
-	return fieldsOf(z.toJSONSchema(schema, {io: 'input', unrepresentable: 'any', reused: 'inline'}));
+export function schemaFields(schema: $ZodType): readonly SchemaField[] {
+	return fieldsOf(toJSONSchema(schema, {io: 'input', unrepresentable: 'any', reused: 'inline'}));
 }
 
 function fieldsOf(schema: JsonSchema | undefined): readonly SchemaField[] {
--- a/src/settings/settings-schemas.ts
+++ b/src/settings/settings-schemas.ts
@@ -1,4 +1,4 @@
-import {type z} from 'zod';
+import {type $ZodType} from 'zod/v4/core';
 
 /** Loads the schema of each kind of settings file; loaded on demand, so that an agent does not load the entry's. */
 export const settingsSchemas = {
@@ -14,7 +14,7 @@
 		const {deploymentSettingsSchema} = await import('./deployment-settings.js');
 		return deploymentSettingsSchema;
 	},
-} as const satisfies Readonly<Record<string, () => Promise<z.ZodType>>>;
+} as const satisfies Readonly<Record<string, () => Promise<$ZodType>>>;
 
 export type SettingsRole = keyof typeof settingsSchemas;
 
