--- a/src/platform/worker-client.ts
+++ b/src/platform/worker-client.ts
@@ -1,11 +1,13 @@
+import {text as readText} from 'node:stream/consumers';
 import {Result} from 'true-myth';
-import {Pool} from 'undici';
-import {type z} from 'zod';
+import {safeParse, type $ZodType} from 'zod/v4/core';
+import en from 'zod/v4/locales/en.js';
 import {type TypedError} from '../errors/typed-error.js';
+import {createHttpConnections} from './http-connections.js';
 import {
-	workerTaskSchema, workerTasksSchema, workerUsageSchema,
-	type StartTaskRequest, type WorkerTask, type WorkerTasks, type WorkerUsage,
-} from './worker-api.js';
+	workerTaskSchema, workerTasksSchema, workerUsageSchema, type WorkerTask, type WorkerTasks, type WorkerUsage,
+} from './worker-answers.js';
+import {type StartTaskRequest} from './worker-api.js';
 
 /**
 `worker-unavailable`: no answer or a 5xx; the call may have taken effect. `worker-refused`: the worker did nothing (4xx).
@@ -40,6 +42,9 @@
 /** Where the worker is; `timeoutMs` bounds each call and defaults to 5,000. */
 export type WorkerClientOptions = Readonly<{baseUrl: string; timeoutMs?: number; connections?: number}>;
 
+/** Words of problems; zod/mini has none of its own. */
+const issueText = en().localeError;
+
 type Method = 'GET' | 'PUT' | 'POST' | 'DELETE';
 
 const remedies: Readonly<Record<WorkerErrorKind, string>> = {
@@ -61,7 +66,7 @@
 */
 export function createWorkerClient(options: WorkerClientOptions): WorkerClient {
 	const timeoutMs = options.timeoutMs ?? 5000;
-	const pool = new Pool(new URL(options.baseUrl).origin, {connections: options.connections ?? 4});
+	const pool = createHttpConnections({address: new URL(options.baseUrl).host, connections: options.connections ?? 4});
 
 	function failure(kind: WorkerErrorKind, message: string): Result<never, WorkerError> {
 		return Result.err({kind, message, remedy: remedies[kind]});
@@ -69,15 +74,15 @@
 
 	async function call(method: Method, path: string, body?: unknown): Promise<Result<string, WorkerError>> {
 		try {
-			const answer = await pool.request({
+			const answer = await pool.send({
 				method,
 				path,
-				body: body === undefined ? null : JSON.stringify(body),
+				body: body === undefined ? undefined : JSON.stringify(body),
 				headers: body === undefined ? {} : {'content-type': 'application/json'},
 				signal: AbortSignal.timeout(timeoutMs),
 			});
-			const text = await answer.body.text();
-			const {statusCode} = answer;
+			const text = await readText(answer);
+			const {statusCode = 0} = answer;
 			if (statusCode >= 200 && statusCode < 300) {
 				return Result.ok(text);
 			}
@@ -93,7 +98,7 @@
 		}
 	}
 
-	async function callFor<Value>(schema: z.ZodType<Value>, method: Method, path: string, body?: unknown): Promise<Result<Value, WorkerError>> {
+	async function callFor<Value>(schema: $ZodType<Value>, method: Method, path: string, body?: unknown): Promise<Result<Value, WorkerError>> {
 		const answer = await call(method, path, body);
 		if (answer.isErr) {
 			return Result.err(answer.error);
@@ -106,7 +111,7 @@
 			return failure('worker-protocol', `${method} ${path} was answered with text that is not JSON`);
 		}
 
-		const parsed = schema.safeParse(value);
+		const parsed = safeParse(schema, value, {error: issueText});
 		return parsed.success
 			? Result.ok(parsed.data)
 			: failure('worker-protocol', `${method} ${path}: ${parsed.error.issues.map(issue => `${issue.path.join('.')}: ${issue.message}`).join(', ')}`);
@@ -129,7 +134,7 @@
 		stopTask: async taskId => callFor(workerTaskSchema, 'POST', pathOf(taskId, '/stop')),
 		readUsage: async () => callFor(workerUsageSchema, 'GET', '/usage'),
 		async close() {
-			await pool.destroy();
+			pool.destroy();
 		},
 	};
 }
