--- a/bench/control-agent.ts
+++ b/bench/control-agent.ts
@@ -5,7 +5,6 @@
 import path from 'node:path';
 import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
-import cac from 'cac';
 import {Pool} from 'undici';
 import {stringify} from 'yaml';
 import {findFreeAddresses} from '../demo/free-addresses.js';
@@ -147,7 +146,7 @@
 	return url;
 }
 
-async function runBench(options: Options): Promise<void> {
+async function measureAgent(options: Options): Promise<void> {
 	const runner = createProcessRunner();
 	const directory = await mkdtemp(path.join(tmpdir(), 'arbutushinge-bench-'));
 	const relays: ByteCountingRelay[] = [];
@@ -240,39 +239,27 @@
 	}
 }
 
-const cli = cac('control-agent');
-cli.command('', 'Measure the memory, processor time and control traffic of one agent')
-	.option('--program <file>', 'Built binary, or a bundle (.cjs) that runs under plain Node.js', {default: 'dist/arbutushinge'})
-	.option('--entries <count>', 'Entries of the region', {default: 3})
-	.option('--settle-ms <ms>', 'Time between the start and the measurement', {default: 6000})
-	.option('--idle-ms <ms>', 'Length of the measurement without requests', {default: 12_000})
-	.option('--load-ms <ms>', 'Length of the measurement with requests; 0 leaves it out', {default: 10_000})
-	.option('--rate <count>', 'Requests a second', {default: 100})
-	.action(async (flags: Readonly<Record<string, string | number>>) => {
-		await runBench({
-			program: path.resolve(String(flags.program)),
-			entries: Number(flags.entries),
-			settleMs: Number(flags.settleMs),
-			idleMs: Number(flags.idleMs),
-			loadMs: Number(flags.loadMs),
-			ratePerSecond: Number(flags.rate),
-		});
-	});
+/** The agent as it ships, with the entries of one region. */
+const defaultOptions: Options = {
+	program: path.resolve('dist/arbutushinge'),
+	entries: 3,
+	settleMs: 6000,
+	idleMs: 12_000,
+	loadMs: 10_000,
+	ratePerSecond: 100,
+};
 
-setTimeout(() => {
-	process.stderr.write(`the bench took longer than ${benchTimeoutMs} ms\n`);
-	process.exit(1);
-}, benchTimeoutMs).unref();
-
-for (const signal of ['SIGINT', 'SIGTERM'] as const) {
-	process.on(signal, () => process.exit(1));
-}
+/**
+Measures the memory, processor time and control traffic of one agent, idle and under load; `npm run build` must have run.
 
-try {
-	cli.help();
-	cli.parse(process.argv, {run: false});
-	await cli.runMatchedCommand();
-} catch (error) {
-	process.stderr.write(`${error instanceof Error ? error.message : String(error)}\n`);
-	process.exitCode = 1;
+@example
+await runBench();
+*/
+export async function runBench(): Promise<void> {
+	const timer = setTimeout(() => {
+		process.stderr.write(`the bench took longer than ${benchTimeoutMs} ms\n`);
+		process.exit(1);
+	}, benchTimeoutMs);
+	await measureAgent(defaultOptions);
+	clearTimeout(timer);
 }
