--- a/bench/main.ts
+++ b/bench/main.ts
@@ -14,6 +14,7 @@
 			const {runBench} = await import('./control-entry.js');
 			return runBench;
 		},
+	},
 	scale: {
 		description: 'Decision logic alone at 10%, 50% and 100% of the design size',
 		async load() {
