Share the answer to what no VM could hold, and count granted leases only

The plan and the placement worked out the same statement in two places. A grant of no time, which only answers a heartbeat, no longer counts as a granted lease.

--- a/src/cluster/compute-plan.ts
+++ b/src/cluster/compute-plan.ts
@@ -24,7 +24,7 @@
 		}
 
 		checked.add(key);
-		const lacks = lackingResources(state.vms.values(), demand);
+		const lacks = lackingResources(state.vms.filter(vm => vm.phase !== 'expired').values(), demand);
 		if (lacks !== undefined) {
 			return {
 				kind: 'task-unplaceable',
--- a/src/cluster/lacking-resources.ts
+++ b/src/cluster/lacking-resources.ts
@@ -18,10 +18,6 @@
 	const largest = {processorsMilli: 0, memoryMb: 0, accelerators: 0};
 	let isEmpty = true;
 	for (const vm of vms) {
-		if (vm.phase === 'expired') {
-			continue;
-		}
-
 		if (fitsInto(demand, vm.capacity)) {
 			return undefined;
 		}
--- a/src/entry/entry-effect-executor.ts
+++ b/src/entry/entry-effect-executor.ts
@@ -38,7 +38,7 @@
 			logConnection.append(record);
 		},
 		'send-to-agent'({vmId, command}) {
-			if (agents.send(vmId, command) && command.case === 'leaseGrant') {
+			if (agents.send(vmId, command) && command.case === 'leaseGrant' && command.value.durationMs !== 0) {
 				metrics.increment('leases.granted');
 			}
 		},
--- a/src/placement/feasibility.ts
+++ b/src/placement/feasibility.ts
@@ -1,7 +1,6 @@
 import {type ClusterState, type Task, type Vm} from '../cluster/cluster-state.js';
-import {
-	addResources, fitsInto, type Resources, subtractResources,
-} from '../cluster/resources.js';
+import {lackingResources} from '../cluster/lacking-resources.js';
+import {addResources, type Resources, subtractResources} from '../cluster/resources.js';
 
 /**
 Tells how much a VM has left when claims that are not in the log yet are counted too.
@@ -30,19 +29,9 @@
 Says what the largest VM lacks for a task that no VM of the cluster could hold even when empty; undefined when one could.
 
 @example
-lackingForever(task, cluster); // => '64000 processorsMilli demanded, the largest VM has 16000'
+lackingForever(task, cluster); // => 'needs 64000 processorsMilli; the largest VM has 16000'
 */
 export function lackingForever(task: Task, cluster: ClusterState): string | undefined {
-	const {demand} = task.spec;
-	const vms = [...cluster.vms.values()];
-	if (vms.length === 0 || vms.some(vm => fitsInto(demand, vm.capacity))) {
-		return undefined;
-	}
-
-	const dimensions = ['processorsMilli', 'memoryMb', 'accelerators'] as const;
-	const lacks = dimensions
-		.map(dimension => ({dimension, largest: Math.max(...vms.map(vm => vm.capacity[dimension]))}))
-		.filter(({dimension, largest}) => demand[dimension] > largest)
-		.map(({dimension, largest}) => `${demand[dimension]} ${dimension} demanded, the largest VM has ${largest}`);
-	return lacks.length > 0 ? lacks.join('; ') : 'no single VM has all of the demanded amounts together';
+	// An expired VM may come back, so only what no known VM could hold is given up.
+	return cluster.vms.isEmpty() ? undefined : lackingResources(cluster.vms.values(), task.spec.demand);
 }
