Build an entry's context in one place

Two functions bundled the same fields, and the streams' one ran again for each link of a round although nothing that it reads changes there. Checked: type check, linter on src/entry, the entry reducer's tests and the fleet property; not the whole suite.

--- /dev/null
+++ b/src/entry/context-of.ts
@@ -0,0 +1,20 @@
+import {type EntrySettings} from '../settings/entry-settings.js';
+import {type EntryContext} from './entry-context.js';
+import {type EventInputs} from './entry-event.js';
+import {type EntryState} from './entry-state.js';
+
+/**
+Bundles what the managers read while an event is handled.
+
+@example
+const context = contextOf(state, inputs, settings);
+*/
+export function contextOf(state: EntryState, inputs: EventInputs, settings: EntrySettings): EntryContext {
+	return {
+		...inputs,
+		cluster: state.cluster,
+		settings,
+		incarnation: state.incarnation,
+		tailConfirmedSentAtMs: state.log.tailConfirmedSentAtMs,
+	};
+}
--- a/src/entry/reduce-agent-event.ts
+++ b/src/entry/reduce-agent-event.ts
@@ -13,6 +13,7 @@
 import {mayAppend, pruneAppendGuard} from './append-guard.js';
 import {type ControlEffect} from './control-effect.js';
 import {type EntryContext} from './entry-context.js';
+import {contextOf} from './context-of.js';
 import {type EntryEvent, type EventInputs} from './entry-event.js';
 import {type EntryState} from './entry-state.js';
 
@@ -32,7 +33,7 @@
 	inputs: EventInputs,
 	settings: EntrySettings,
 ): ControlStep {
-	const context = agentContext(state, inputs, settings);
+	const context = contextOf(state, inputs, settings);
 	switch (event.kind) {
 		case 'agent-hello': {
 			return openLink(state, event.sessionId, event.hello, context);
@@ -74,12 +75,13 @@
 	inputs: EventInputs,
 	settings: EntrySettings,
 ): ControlStep {
+	const context = contextOf(state, inputs, settings);
 	let next: EntryState = {...state, guard: pruneAppendGuard(state.guard, inputs.nowMs)};
 	const effects: ControlEffect[] = [];
 	for (const vmId of vmIds ?? state.links.keys()) {
 		const link = next.links.get(vmId);
 		if (link) {
-			const refreshed = refreshLink(next, link, agentContext(next, inputs, settings));
+			const refreshed = refreshLink(next, link, context);
 			next = refreshed.state;
 			effects.push(...refreshed.effects);
 		}
@@ -88,16 +90,6 @@
 	return {state: next, effects};
 }
 
-function agentContext(state: EntryState, inputs: EventInputs, settings: EntrySettings): EntryContext {
-	return {
-		...inputs,
-		cluster: state.cluster,
-		settings,
-		incarnation: state.incarnation,
-		tailConfirmedSentAtMs: state.log.tailConfirmedSentAtMs,
-	};
-}
-
 /**
 Finds the link of an open stream; undefined when another stream of the same VM took its place.
 
--- a/src/entry/reduce-entry.ts
+++ b/src/entry/reduce-entry.ts
@@ -13,6 +13,7 @@
 import {linkOf, reduceAgentEvent, refreshLinks} from './reduce-agent-event.js';
 import {askDeferred, settleDeferred} from './deferred-answers.js';
 import {type EntryContext} from './entry-context.js';
+import {contextOf} from './context-of.js';
 import {type EntryEffect} from './entry-effect.js';
 import {type EntryEvent, type EventInputs} from './entry-event.js';
 import {type EntryState} from './entry-state.js';
@@ -102,22 +103,6 @@
 	return (state, inputs, settings) => handlers[kind](state, event, inputs, settings);
 }
 
-/**
-Bundles what the managers read while an event is handled.
-
-@example
-const context = contextOf(state, inputs, settings);
-*/
-export function contextOf(state: EntryState, inputs: EventInputs, settings: EntrySettings): EntryContext {
-	return {
-		...inputs,
-		cluster: state.cluster,
-		settings,
-		incarnation: state.incarnation,
-		tailConfirmedSentAtMs: state.log.tailConfirmedSentAtMs,
-	};
-}
-
 function reduceLogPage(
 	state: EntryState,
 	event: Extract<EntryEvent, {kind: 'log-page'}>,
