Rename src/platform to src/worker

The folder holds the client of the product's own worker interface and the launcher. The name platform is needed for the adapter to the users' platform, so that one folder of that name exists. No behaviour changes.

--- a/bench/outage.ts
+++ b/bench/outage.ts
@@ -4,7 +4,7 @@
 import {judgeJournals} from '../demo/outcome.js';
 import {waitUntil, type RunnerProcess} from '../demo/process-runner.js';
 import {type Job} from '../src/cluster/intent.js';
-import {monotonicMs} from '../src/platform/monotonic-clock.js';
+import {monotonicMs} from '../src/worker/monotonic-clock.js';
 import {
 	backendServerJournalSchema, callerJournalSchema, workerJournalSchema, type TaskRun,
 } from '../stand-ins/journal.js';
--- a/bench/workload.ts
+++ b/bench/workload.ts
@@ -11,7 +11,7 @@
 import {waitUntil, type RunnerProcess} from '../demo/process-runner.js';
 import {priorityClassSchema, type Job, type PriorityClass} from '../src/cluster/intent.js';
 import {type PlacementPolicyName} from '../src/placement/placement-policy-name.js';
-import {monotonicMs} from '../src/platform/monotonic-clock.js';
+import {monotonicMs} from '../src/worker/monotonic-clock.js';
 import {deploymentSettingsSchema, type DeploymentSettings} from '../src/settings/deployment-settings.js';
 import {
 	backendServerJournalSchema, callerJournalSchema, workerJournalSchema, type CallerJournal,
--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -54,7 +54,7 @@
 			'./replay-functions.js',
 		],
 	}),
-	build({...common, entryPoints: ['src/platform/launcher.ts'], outfile: launcherFile}),
+	build({...common, entryPoints: ['src/worker/launcher.ts'], outfile: launcherFile}),
 ]);
 
 /** Parts of the system that the agent's bundle must not hold. */
--- a/src/agent/agent-effect.ts
+++ b/src/agent/agent-effect.ts
@@ -1,6 +1,6 @@
 import type {MessageInitShape} from '@bufbuild/protobuf';
 import type {AgentMessageSchema} from '../generated/arbutushinge/v1/agent_pb.js';
-import type {StartTaskRequest} from '../platform/worker-api.js';
+import type {StartTaskRequest} from '../worker/worker-api.js';
 import type {EventFields, EventLog} from '../telemetry/event-log.js';
 import type {TimelineEntry} from '../telemetry/timeline-event.js';
 import type {KeptAnswer, Refusal} from './request-outcome.js';
--- a/src/agent/agent-event.ts
+++ b/src/agent/agent-event.ts
@@ -1,5 +1,5 @@
 import type {EntryMessage} from '../generated/arbutushinge/v1/agent_pb.js';
-import type {WorkerTasks, WorkerUsage} from '../platform/worker-api.js';
+import type {WorkerTasks, WorkerUsage} from '../worker/worker-api.js';
 import type {Announcement} from './backend-server-table.js';
 import type {KeyClaim} from './key-table.js';
 import type {KeptAnswer, Refusal} from './request-outcome.js';
--- a/src/agent/agent-process.test.ts
+++ b/src/agent/agent-process.test.ts
@@ -11,7 +11,7 @@
 import {
 	AgentSession, EntryMessageSchema, type AgentMessage, type EntryMessage,
 } from '../generated/arbutushinge/v1/agent_pb.js';
-import type {WorkerTask} from '../platform/worker-api.js';
+import type {WorkerTask} from '../worker/worker-api.js';
 import {agentSettingsSchema} from '../settings/agent-settings.js';
 import {startAgent} from './agent-process.js';
 import type {Worker} from './worker.js';
--- a/src/agent/agent-process.ts
+++ b/src/agent/agent-process.ts
@@ -2,7 +2,7 @@
 import {err, ok, type Result} from 'true-myth/result';
 import {type TypedError} from '../errors/typed-error.js';
 import {createEventLoop} from '../event-loop/create-event-loop.js';
-import {monotonicMs} from '../platform/monotonic-clock.js';
+import {monotonicMs} from '../worker/monotonic-clock.js';
 import type {AgentSettings} from '../settings/agent-settings.js';
 import type {EventLog} from '../telemetry/event-log.js';
 import type {Metrics} from '../telemetry/metrics.js';
--- a/src/agent/agent-state.ts
+++ b/src/agent/agent-state.ts
@@ -1,7 +1,7 @@
 import {Map as immutableMap, type Map as ImmutableMap} from 'immutable';
 import type {Resources} from '../cluster/resources.js';
 import type {StartTask} from '../generated/arbutushinge/v1/agent_pb.js';
-import type {WorkerUsage} from '../platform/worker-api.js';
+import type {WorkerUsage} from '../worker/worker-api.js';
 import type {AgentSettings} from '../settings/agent-settings.js';
 import {noResources} from './no-resources.js';
 import {emptyAttemptTable, type AttemptTable} from './attempt-table.js';
--- a/src/agent/backend-server-client.ts
+++ b/src/agent/backend-server-client.ts
@@ -2,7 +2,7 @@
 import type {IncomingHttpHeaders, IncomingMessage, OutgoingHttpHeaders} from 'node:http';
 import {finished, pipeline} from 'node:stream/promises';
 import PQueue from 'p-queue';
-import {createHttpConnections, isConnectFailure, type HttpConnections} from '../platform/http-connections.js';
+import {createHttpConnections, isConnectFailure, type HttpConnections} from '../worker/http-connections.js';
 import type {AgentEffectOf} from './agent-effect.js';
 import type {RequestSettlement} from './agent-event.js';
 import type {Exchange} from './exchange.js';
--- a/src/agent/reduce-agent.test.ts
+++ b/src/agent/reduce-agent.test.ts
@@ -3,7 +3,7 @@
 import fc from 'fast-check';
 import {fitsInto, type Resources} from '../cluster/resources.js';
 import {EntryMessageSchema, TaskOutcome, type EntryMessage} from '../generated/arbutushinge/v1/agent_pb.js';
-import type {WorkerTask} from '../platform/worker-api.js';
+import type {WorkerTask} from '../worker/worker-api.js';
 import {agentSettingsSchema} from '../settings/agent-settings.js';
 import type {AgentEffect, AgentEffectOf} from './agent-effect.js';
 import type {
--- a/src/agent/task-handlers.ts
+++ b/src/agent/task-handlers.ts
@@ -4,7 +4,7 @@
 import {
 	TaskOutcome, type CancelTask, type EvictTask, type StartTask,
 } from '../generated/arbutushinge/v1/agent_pb.js';
-import type {WorkerTask} from '../platform/worker-api.js';
+import type {WorkerTask} from '../worker/worker-api.js';
 import type {AgentEffect} from './agent-effect.js';
 import type {AgentEventOf} from './agent-event.js';
 import type {AgentState, AgentTask} from './agent-state.js';
--- a/src/agent/worker-driver.ts
+++ b/src/agent/worker-driver.ts
@@ -1,6 +1,6 @@
 import type {Result} from 'true-myth';
 import {formatError} from '../errors/typed-error.js';
-import type {WorkerError} from '../platform/worker-client.js';
+import type {WorkerError} from '../worker/worker-client.js';
 import type {EventLog} from '../telemetry/event-log.js';
 import type {AgentEffectOf} from './agent-effect.js';
 import type {AgentEvent} from './agent-event.js';
--- a/src/agent/worker.ts
+++ b/src/agent/worker.ts
@@ -1,5 +1,5 @@
 import type {Result} from 'true-myth';
-import type {WorkerClient, WorkerError} from '../platform/worker-client.js';
+import type {WorkerClient, WorkerError} from '../worker/worker-client.js';
 
 type Command = 'startTask' | 'deleteTask' | 'setLease' | 'checkpointTask' | 'throttleTask' | 'stopTask';
 
--- a/src/invariants.test.ts
+++ b/src/invariants.test.ts
@@ -18,7 +18,7 @@
 import {reduceEntry} from './entry/reduce-entry.js';
 import {AgentMessageSchema, EntryMessageSchema} from './generated/arbutushinge/v1/agent_pb.js';
 import type {LogEnvelope} from './log/log-envelope.js';
-import type {StartTaskRequest, WorkerTask} from './platform/worker-api.js';
+import type {StartTaskRequest, WorkerTask} from './worker/worker-api.js';
 import {agentSettingsSchema} from './settings/agent-settings.js';
 import {entrySettingsSchema} from './settings/entry-settings.js';
 
--- a/src/roles.ts
+++ b/src/roles.ts
@@ -22,7 +22,7 @@
 	},
 	async agent(context) {
 		const [{startAgent}, {createWorkerClient}] = await Promise.all([
-			import('./agent/agent-process.js'), import('./platform/worker-client.js'),
+			import('./agent/agent-process.js'), import('./worker/worker-client.js'),
 		]);
 		const worker = createWorkerClient({baseUrl: context.settings.workerUrl});
 		const agent = await startAgent({...context, worker});
--- a/stand-ins/task-runner.ts
+++ b/stand-ins/task-runner.ts
@@ -1,4 +1,4 @@
-import {type StartTaskRequest, type WorkerTask} from '../src/platform/worker-api.js';
+import {type StartTaskRequest, type WorkerTask} from '../src/worker/worker-api.js';
 import {type Resources} from '../src/cluster/resources.js';
 import {relativeSpeed, type HarmTable} from './interference.js';
 import {type TaskRun} from './journal.js';
--- a/stand-ins/worker-stand-in.ts
+++ b/stand-ins/worker-stand-in.ts
@@ -2,10 +2,10 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {z} from 'zod';
 import {addResources, fitsInto, type Resources} from '../src/cluster/resources.js';
-import {monotonicMs} from '../src/platform/monotonic-clock.js';
+import {monotonicMs} from '../src/worker/monotonic-clock.js';
 import {
 	leaseRequestSchema, startTaskRequestSchema, throttleRequestSchema, type WorkerTask, type WorkerUsage,
-} from '../src/platform/worker-api.js';
+} from '../src/worker/worker-api.js';
 import {defaultHarmTable, type HarmTable} from './interference.js';
 import {type TaskRun, type WorkerJournal} from './journal.js';
 import {startJsonServer, type JsonAnswer, type JsonHandler} from './json-server.js';
