--- /dev/null
+++ b/scripts/bundle-programs.ts
@@ -0,0 +1,59 @@
+import path from 'node:path';
+import {build, type BuildOptions, type Metafile} from 'esbuild';
+
+export const wholeBundleName = 'arbutushinge.cjs';
+export const agentBundleName = 'arbutushinge-agent.cjs';
+export const launcherName = 'launcher.cjs';
+
+const common = {
+	bundle: true,
+	platform: 'node',
+	target: 'node20',
+	format: 'cjs',
+	minifySyntax: true,
+	minifyWhitespace: true,
+	metafile: true,
+	logLevel: 'warning',
+} as const satisfies BuildOptions;
+
+// An optional addition of hot-shots for Unix sockets, which is loaded only when one is configured.
+const optionalModules = ['unix-dgram'];
+
+/** Parts of the system that the agent's bundle must not hold. */
+const foreignModule = /^src\/(?:entry|requests|placement|dispatch|log)\/|node_modules\/undici\//v;
+
+/**
+Bundles the programs into CommonJS files; modules that are imported dynamically are evaluated only when they are first asked for.
+
+@example
+const metafiles = await bundlePrograms('dist');
+*/
+export async function bundlePrograms(directory: string): Promise<readonly Metafile[]> {
+	const [whole, agent, launcher] = await Promise.all([
+		build({
+			...common, entryPoints: ['src/main.ts'], outfile: path.join(directory, wholeBundleName), external: optionalModules,
+		}),
+		// The agent's command line never reaches these modules, and their source alone would take memory.
+		build({
+			...common,
+			entryPoints: ['src/main.ts'],
+			outfile: path.join(directory, agentBundleName),
+			external: [
+				...optionalModules,
+				'./entry/*',
+				'../platform/open-entry-platform.js',
+				'./entry-settings.js',
+				'./deployment-settings.js',
+				...['plan', 'confirm', 'status', 'explain', 'timeline', 'replay', 'check-settings'].map(name => `./${name}-command.js`),
+				'./replay-functions.js',
+			],
+		}),
+		build({...common, entryPoints: ['src/worker/launcher.ts'], outfile: path.join(directory, launcherName)}),
+	]);
+	const foreign = Object.keys(agent.metafile.inputs).filter(name => foreignModule.test(name));
+	if (foreign.length > 0) {
+		throw new Error(`the agent's bundle holds modules that are not the agent's: ${foreign.join(', ')}`);
+	}
+
+	return [whole, agent, launcher].map(({metafile}) => metafile);
+}
--- a/src/agent/agent-event.ts
+++ b/src/agent/agent-event.ts
@@ -20,6 +20,8 @@
 /** Events of the agent by kind. Every event also carries `nowMs` of the VM's monotonic clock. */
 export type AgentEventPayloads = Readonly<{
 	tick: Readonly<{latencies: ReadonlyArray<Readonly<{backendServerId: string; p99Ms: number}>>}>;
+	/** The entries to keep a stream to, in place of those known before. */
+	'entries-discovered': Readonly<{entryAddresses: readonly string[]}>;
 	'entry-connected': Readonly<{entryAddress: string}>;
 	'entry-disconnected': Readonly<{entryAddress: string}>;
 	'entry-message': Readonly<{entryAddress: string; message: EntryMessage['message']}>;
--- a/src/agent/agent-process.ts
+++ b/src/agent/agent-process.ts
@@ -24,6 +24,8 @@
 	metrics: Metrics;
 	timeline: Timeline;
 	worker: Worker;
+	/** Tells the agent which entries there are when the settings cannot; called with the addresses of all of them. */
+	watchEntries?: (onEntries: (entryAddresses: readonly string[]) => void) => Readonly<{close: () => void}>;
 }>;
 
 /** An agent that runs. */
@@ -41,7 +43,7 @@
 	await agent.value.stop();
 }
 */
-export async function startAgent({settings, eventLog, metrics, timeline, worker}: AgentParts): Promise<Result<RunningAgent, TypedError>> {
+export async function startAgent({settings, eventLog, metrics, timeline, worker, watchEntries}: AgentParts): Promise<Result<RunningAgent, TypedError>> {
 	const sessions = new Map<string, EntrySession>();
 	let finishStop: (() => void) | undefined;
 	const stopped = new Promise<void>(resolve => {
@@ -131,8 +133,8 @@
 	}
 
 	ports.requestServer = opened.value;
-	for (const entryAddress of settings.entryAddresses) {
-		sessions.set(entryAddress, openEntrySession(entryAddress, {
+	function openSession(entryAddress: string): EntrySession {
+		return openEntrySession(entryAddress, {
 			connected() {
 				eventLog.info('entry-connected', {entryAddress});
 				dispatch({kind: 'entry-connected', nowMs: monotonicMs(), entryAddress});
@@ -146,9 +148,30 @@
 					kind: 'entry-message', nowMs: monotonicMs(), entryAddress, message,
 				});
 			},
-		}, {random: Math.random, heartbeatMs: settings.timings.heartbeatMs}));
+		}, {random: Math.random, heartbeatMs: settings.timings.heartbeatMs});
 	}
 
+	/** Keeps a stream to each of the given entries and ends those to all others. */
+	function keepSessions(entryAddresses: readonly string[]): void {
+		const wanted = new Set(entryAddresses);
+		for (const [entryAddress, session] of sessions) {
+			if (!wanted.has(entryAddress)) {
+				eventLog.info('entry-forgotten', {entryAddress});
+				sessions.delete(entryAddress);
+				void session.close();
+			}
+		}
+
+		dispatch({kind: 'entries-discovered', nowMs: monotonicMs(), entryAddresses});
+		for (const entryAddress of wanted) {
+			if (!sessions.has(entryAddress)) {
+				sessions.set(entryAddress, openSession(entryAddress));
+			}
+		}
+	}
+
+	keepSessions(settings.entryAddresses);
+	const entriesWatch = watchEntries?.(keepSessions);
 	const heartbeatTimer = setInterval(() => {
 		dispatch({kind: 'tick', nowMs: monotonicMs(), latencies: client.latencies()});
 	}, settings.timings.heartbeatMs);
@@ -164,6 +187,7 @@
 			await stopped;
 			clearInterval(heartbeatTimer);
 			clearInterval(pollTimer);
+			entriesWatch?.close();
 			await Promise.all([...sessions.values()].map(async session => session.close()));
 			await opened.value.close();
 			await client.close();
--- a/src/agent/agent-state.ts
+++ b/src/agent/agent-state.ts
@@ -11,6 +11,7 @@
 import {noLease, type Lease} from './lease.js';
 import {emptyLedger, type Ledger} from './ledger.js';
 import {noTaskEvents, type TaskEvents} from './task-events.js';
+import {unknownWorker, type WorkerView} from './worker-view.js';
 
 /**
 `waiting` needs room that evictions will give, `starting` was sent to the worker, `running` is confirmed by the
@@ -82,7 +83,7 @@
 	heartbeatSequence: number;
 	lease: Lease;
 	/** Worker process that the ledger was counted from. */
-	workerIncarnation: string;
+	worker: WorkerView;
 	ledger: Ledger;
 	tasks: ImmutableMap<string, AgentTask>;
 	attempts: AttemptTable;
@@ -111,7 +112,7 @@
 		stop: undefined,
 		heartbeatSequence: 0,
 		lease: noLease,
-		workerIncarnation: '',
+		worker: unknownWorker,
 		ledger: emptyLedger(noResources),
 		tasks: immutableMap(),
 		attempts: emptyAttemptTable,
--- a/src/agent/entry-messages.ts
+++ b/src/agent/entry-messages.ts
@@ -38,9 +38,12 @@
 			vmId: settings.vmId,
 			agentIncarnation: state.incarnation,
 			failureDomain: settings.failureDomain,
-			rack: settings.rack,
+			rack: state.worker.rack || settings.rack,
 			requestAddress: settings.requestAddress,
-			workerIncarnation: state.workerIncarnation,
+			workerIncarnation: state.worker.incarnation,
+			service: state.worker.service,
+			labels: [...state.worker.labels],
+			workerStartedAtMs: BigInt(state.worker.startedAtMs),
 			capacity: wireResources(state.ledger.capacity),
 			runningTasks: [...state.tasks.values()]
 				.filter(task => holdsClaim(state, task))
@@ -91,6 +94,7 @@
 				backendServers: changed,
 				usage: isUsageDue ? usageReport(state, nowMs) : undefined,
 				leaving: state.stop !== undefined,
+				workerLeaving: state.worker.leaving,
 			},
 		},
 		link: {
--- a/src/agent/reduce-agent.ts
+++ b/src/agent/reduce-agent.ts
@@ -15,9 +15,10 @@
 } from './lease.js';
 import {requestArrived, requestSettled} from './request-handlers.js';
 import {
-	acknowledge, applyWorkerTasks, cancelAttempt, checkpointAll, evictAttempt, evictTask, hasRunOnceTasks, repeatCalls, settleWaiting, startAnswered, startTask,
+	acknowledge, applyWorkerTasks, cancelAttempt, checkpointAll, dropLiveTasks, evictAttempt, evictTask, hasRunOnceTasks, repeatCalls, settleWaiting, startAnswered, startTask,
 } from './task-handlers.js';
 import {chain, transition, type Transition} from './transition.js';
+import {hasLapsed, nextHoldDeadline} from './worker-view.js';
 
 type Step = (state: AgentState) => Transition;
 
@@ -43,6 +44,39 @@
 		: transition(state);
 }
 
+/** Replaces the incarnation at once, because nothing of the worker process that it counted runs any more. */
+function replaceIncarnation(state: AgentState, reason: string): Transition {
+	return transition({...dropLiveTasks(state), phase: 'ending', lease: noLease}, {
+		kind: 'log', level: 'warn', event: 'incarnation-ended', fields: {incarnation: state.incarnation, workerIncarnation: state.worker.incarnation, reason},
+	}, {kind: 'count', metric: 'agent.incarnations.ended'}, {kind: 'create-incarnation'});
+}
+
+/** Ends the wait for a silent worker when its tasks have certainly stopped. The VM offers nothing until the worker is back. */
+function settleSilentWorker(nowMs: number): Step {
+	return state => {
+		const {workerHoldMs, workerTimeoutMs} = state.settings.timings;
+		const isSilent = nowMs - state.worker.heardAtMs > workerTimeoutMs;
+		return state.phase === 'ending' && isSilent && state.worker.incarnation !== '' && hasLapsed(state.worker, {nowMs, workerHoldMs})
+			? replaceIncarnation({...state, worker: {...state.worker, incarnation: ''}}, 'the worker is silent and its tasks have lapsed')
+			: transition(state);
+	};
+}
+
+/** Tells the worker to go on, as far as the lease and the worker's silence allow. */
+function renewHold(nowMs: number): Step {
+	return state => {
+		const {workerHoldMs, workerTimeoutMs} = state.settings.timings;
+		const deadlineMs = state.phase === 'active'
+			? nextHoldDeadline(state.worker, {
+				leaseDeadlineMs: state.lease.deadlineMs, nowMs, workerHoldMs, workerTimeoutMs,
+			})
+			: undefined;
+		return deadlineMs === undefined
+			? transition(state)
+			: transition({...state, worker: {...state.worker, holdDeadlineMs: deadlineMs}}, {kind: 'set-lease', deadlineMonotonicMs: deadlineMs});
+	};
+}
+
 function sendHello(state: AgentState): Transition {
 	const connected = [...state.entries.entries()].filter(([, link]) => link.connected).map(([address]) => address);
 	return transition(
@@ -120,6 +154,13 @@
 		}
 
 		const {drainTimeoutMs} = state.settings.timings;
+		if (!stop.tasksStopped && state.settings.tasksAtStop === 'keep') {
+			const isDone = state.events.pending.size === 0 && !state.requests.some(request => request.runs);
+			return isDone || nowMs - stop.sinceMs >= acknowledgementTimeoutMs
+				? transition({...state, stop: {...stop, finished: true}}, {kind: 'finish-stop'})
+				: transition(state);
+		}
+
 		if (!stop.tasksStopped) {
 			return state.requests.some(request => request.runs) && nowMs - stop.sinceMs < drainTimeoutMs
 				? transition(state)
@@ -168,7 +209,7 @@
 	const lease = grantLease(state.lease, {sequence: Number(value.heartbeatSequence), durationMs: value.durationMs}, nowMs);
 	return lease.deadlineMs === undefined || lease === state.lease
 		? transition(state)
-		: transition({...state, lease}, {kind: 'set-lease', deadlineMonotonicMs: lease.deadlineMs});
+		: renewHold(nowMs)({...state, lease});
 }
 
 function applyMessage(state: AgentState, {message, nowMs}: AgentEventOf<'entry-message'>): Transition {
@@ -210,6 +251,16 @@
 }
 
 function applyWorkerList(state: AgentState, event: AgentEventOf<'worker-tasks'>): Transition {
+	if (state.phase !== 'counting' && state.worker.incarnation !== event.list.workerIncarnation) {
+		// The list is of another process, or of one whose tasks lapsed: what the agent knew of its tasks is over.
+		return chain(
+			dropLiveTasks(state),
+			current => applyWorkerTasks(current, event),
+			settleBackendServers,
+			current => transition({...current, phase: 'ending', lease: noLease}, {kind: 'create-incarnation'}),
+		);
+	}
+
 	return chain(
 		state,
 		current => applyWorkerTasks(current, event),
@@ -244,10 +295,15 @@
 		settleBackendServers,
 		repeatCalls(event.nowMs),
 		runGuard(event.nowMs),
+		settleSilentWorker(event.nowMs),
+		renewHold(event.nowMs),
 		sendHeartbeats(event.nowMs),
 	),
 	'entry-connected': (state, event) => connect(state, event.entryAddress),
-	'entry-disconnected': (state, event) => transition({...state, entries: state.entries.set(event.entryAddress, closedLink)}),
+	'entries-discovered': (state, event) => transition({
+		...state, entries: immutableMap(event.entryAddresses.map(address => [address, state.entries.get(address, closedLink)])),
+	}),
+	'entry-disconnected': (state, event) => transition(state.entries.has(event.entryAddress) ? {...state, entries: state.entries.set(event.entryAddress, closedLink)} : state),
 	'entry-message': applyMessage,
 	'worker-tasks': applyWorkerList,
 	'worker-usage': (state, event) => transition({...state, usage: event.usage}),
--- a/src/agent/task-handlers.ts
+++ b/src/agent/task-handlers.ts
@@ -11,10 +11,11 @@
 import {rememberAttempt, wasSeen} from './attempt-table.js';
 import {isLeaseLive} from './lease.js';
 import {
-	commit, count, freeResources, release,
+	commit, count, emptyLedger, freeResources, release,
 } from './ledger.js';
 import {acknowledgeTaskEvents, addTaskEvent, type TaskEventOutcome} from './task-events.js';
 import {chain, transition, type Transition} from './transition.js';
+import {hearWorker} from './worker-view.js';
 
 type Step = (state: AgentState) => Transition;
 
@@ -79,7 +80,7 @@
 				payload: task.start.payload,
 				checkpoint: task.start.checkpoint,
 				latencyCritical: task.latencyCritical,
-				leaseDeadlineMonotonicMs: state.lease.deadlineMs ?? 0,
+				leaseDeadlineMonotonicMs: state.worker.holdDeadlineMs,
 			},
 		}];
 }
@@ -125,7 +126,7 @@
 		return 'the agent has no live lease';
 	}
 
-	if (state.stop !== undefined || state.configuration.vmDraining) {
+	if (state.stop !== undefined || state.configuration.vmDraining || state.worker.leaving) {
 		return 'the VM takes no new work';
 	}
 
@@ -372,7 +373,7 @@
 		}
 
 		// The worker refuses starts whose deadline has passed, so a start that it does not list after that never runs.
-		return task.phase === 'starting' && !task.startInFlight && requestedAtMs >= (state.lease.deadlineMs ?? 0)
+		return task.phase === 'starting' && !task.startInFlight && requestedAtMs >= state.worker.holdDeadlineMs
 			? refuseTask(state, task, 'the lease expired before the worker answered')
 			: transition(state);
 	};
@@ -387,7 +388,7 @@
 export function applyWorkerTasks(state: AgentState, event: AgentEventOf<'worker-tasks'>): Transition {
 	const listedIds = new Set(event.list.tasks.map(task => task.taskId));
 	return chain(
-		{...state, workerIncarnation: event.list.workerIncarnation, ledger: {...state.ledger, capacity: event.list.capacity}},
+		{...state, worker: hearWorker(state.worker, event.list, event.nowMs), ledger: {...state.ledger, capacity: event.list.capacity}},
 		...event.list.tasks.map(listed => applyListed(listed, event.nowMs)),
 		current => chain(current, ...[...current.tasks.values()]
 			.filter(task => !listedIds.has(task.taskId))
@@ -460,6 +461,21 @@
 		.map(task => (current: AgentState) => evictTask(current, task.taskId, reason)));
 }
 
+/**
+Forgets the tasks that a worker process ran which is known to have ended or to have stopped them. Ends that no entry has
+acknowledged are kept, so that the new registration does not give their claims away.
+
+@example
+dropLiveTasks(state).tasks.size; // => 0
+*/
+export function dropLiveTasks(state: AgentState): AgentState {
+	return {
+		...state,
+		ledger: emptyLedger(noResources),
+		tasks: state.tasks.filter(task => task.phase === 'ended' && task.endEventId !== undefined && state.events.pending.has(task.endEventId)),
+	};
+}
+
 /**
 Tells whether a run-once task may still run on this VM.
 
--- /dev/null
+++ b/src/agent/worker-view.ts
@@ -0,0 +1,71 @@
+import type {WorkerTasks} from '../worker/worker-api.js';
+
+/** What the agent knows of the worker process on its VM. */
+export type WorkerView = Readonly<{
+	/** Identity of the process; empty until its first list. */
+	incarnation: string;
+	service: string;
+	labels: readonly string[];
+	/** Empty when the worker does not tell. */
+	rack: string;
+	/** Unix time in milliseconds; 0 when the worker does not tell. */
+	startedAtMs: number;
+	/** Whether the worker announced that it leaves. */
+	leaving: boolean;
+	/** When its newest list arrived, on the VM's monotonic clock. */
+	heardAtMs: number;
+	/** Latest deadline that was sent to the worker; nothing that the lease covers runs there after it. */
+	holdDeadlineMs: number;
+}>;
+
+/** A worker that has not been heard yet. */
+export const unknownWorker: WorkerView = {
+	incarnation: '', service: '', labels: [], rack: '', startedAtMs: 0, leaving: false, heardAtMs: Number.NEGATIVE_INFINITY, holdDeadlineMs: 0,
+};
+
+/**
+Takes over what a list says of the worker itself.
+
+@example
+hearWorker(unknownWorker, list, 5000).heardAtMs; // => 5000
+*/
+export function hearWorker(worker: WorkerView, list: WorkerTasks, nowMs: number): WorkerView {
+	const {workerIncarnation, service = '', labels = [], rack = '', startedAtMs = 0, leaving = false} = list;
+	return {
+		...worker, incarnation: workerIncarnation, service, labels, rack, startedAtMs, leaving, heardAtMs: nowMs,
+	};
+}
+
+/**
+Says until when the worker may be told to run tasks: the lease bounds it, and so does `workerHoldMs`, so that the tasks of a
+worker that stays silent are known to have stopped soon. Undefined when the worker is too silent for a longer hold.
+
+@example
+nextHoldDeadline(worker, {leaseDeadlineMs: 20_000, nowMs: 5000, workerHoldMs: 6000, workerTimeoutMs: 1500}); // => 11_000
+*/
+export function nextHoldDeadline(worker: WorkerView, {leaseDeadlineMs, nowMs, workerHoldMs, workerTimeoutMs}: Readonly<{
+	leaseDeadlineMs: number | undefined;
+	nowMs: number;
+	workerHoldMs: number;
+	workerTimeoutMs: number;
+}>): number | undefined {
+	if (leaseDeadlineMs === undefined || nowMs - worker.heardAtMs > workerTimeoutMs) {
+		return undefined;
+	}
+
+	const deadlineMs = Math.min(leaseDeadlineMs, nowMs + workerHoldMs);
+	return deadlineMs > worker.holdDeadlineMs ? deadlineMs : undefined;
+}
+
+/** Part of the time by which the worker's clock may run slow; its deadlines then come that much later. */
+const clockDriftShare = 0.02;
+
+/**
+Tells whether everything that the lease covers has certainly stopped at a worker that does not answer.
+
+@example
+hasLapsed({...unknownWorker, holdDeadlineMs: 5000}, {nowMs: 12_000, workerHoldMs: 6000}); // => true
+*/
+export function hasLapsed(worker: WorkerView, {nowMs, workerHoldMs}: Readonly<{nowMs: number; workerHoldMs: number}>): boolean {
+	return nowMs > worker.holdDeadlineMs + (workerHoldMs * clockDriftShare);
+}
--- a/src/cluster/cluster-record.ts
+++ b/src/cluster/cluster-record.ts
@@ -57,7 +57,14 @@
 		requestAddress: z.string(),
 		capacity: resourcesSchema,
 		runningTasks: z.array(attemptSchema.readonly()).readonly(),
+		/** Service whose backend server is the worker, for workers that serve one. */
+		service: z.string().optional(),
+		labels: z.array(z.string()).readonly().optional(),
+		/** Start of the worker process; a later start on the same VM means that the earlier process has ended. */
+		workerStartedAtMs: z.int().optional(),
 	}),
+	/** The worker announced that it leaves: it takes no new work, and what can move on does. */
+	agentSchema.extend({kind: z.literal('vm-leaving')}),
 	agentSchema.extend({kind: z.literal('vm-unreachable')}),
 	agentSchema.extend({kind: z.literal('vm-reachable')}),
 	agentSchema.extend({kind: z.literal('vm-revoked'), reason: z.string()}),
@@ -76,6 +83,10 @@
 	/** A job that a team submits directly; operators' jobs arrive inside a plan. */
 	z.strictObject({kind: z.literal('job-submitted'), job: jobSchema}),
 	z.strictObject({kind: z.literal('tasks-cancelled'), taskIds: z.array(nameSchema).max(10_000).readonly()}),
+	/** Ends a workflow's job, with the tasks that it would have made later. */
+	z.strictObject({kind: z.literal('job-cancelled'), jobId: nameSchema}),
+	/** An occurrence of a scheduled workflow has come due. */
+	z.strictObject({kind: z.literal('occurrence-due'), jobId: nameSchema, occurrence: z.int().min(0)}),
 	/** A job or task that no VM could ever hold. */
 	z.strictObject({kind: z.literal('task-unplaceable'), taskId: nameSchema, lacks: z.string()}),
 	agentSchema.extend({
--- a/src/cluster/cluster-state-codec.ts
+++ b/src/cluster/cluster-state-codec.ts
@@ -12,9 +12,10 @@
 	priorityClassSchema, requestLimitsSchema, serviceSchema, weightsSchema,
 } from './intent.js';
 import {type Resources} from './resources.js';
+import {workflowSchema} from './workflow.js';
 
 /** Raised whenever the form below changes; a snapshot of another version is not loaded. */
-const VERSION = 1;
+const VERSION = 2;
 
 const resources = z.tuple([z.number(), z.number(), z.number()]);
 const strings = z.array(z.string());
@@ -35,7 +36,7 @@
 	z.string(),
 	z.enum(['latency-critical', 'batch']),
 	priorityClassSchema,
-	z.enum(['queued', 'claimed', 'running', 'evicting', 'cancelling', 'finished', 'failed', 'cancelled', 'unplaceable']),
+	z.enum(['blocked', 'queued', 'claimed', 'running', 'evicting', 'cancelling', 'finished', 'failed', 'cancelled', 'unplaceable']),
 	z.number(),
 	claim.nullable(),
 	z.string(),
@@ -45,6 +46,7 @@
 	z.number(),
 	z.number(),
 	z.string(),
+	z.tuple([z.number(), z.number()]).nullable(),
 ]);
 
 const vm = z.object({
@@ -59,7 +61,11 @@
 	committed: resources,
 	phase: z.enum(['live', 'revoked', 'expired']),
 	draining: z.boolean(),
+	leaving: z.boolean(),
 	quarantined: z.boolean(),
+	service: z.string(),
+	labels: strings,
+	workerStartedAtMs: z.number(),
 	unreachableFrom: strings,
 	taskIds: strings,
 	backendServerIds: strings,
@@ -98,6 +104,16 @@
 	unfinishedTasksByJob: z.array(z.tuple([z.string(), z.number()])),
 	finishedJobs: z.array(z.tuple([z.string(), z.number()])),
 	finishedTaskCount: z.number(),
+	workflows: z.array(z.object({
+		workflow: workflowSchema,
+		owner: z.object({
+			jobId: z.string(), teamId: z.string(), workClass: z.enum(['latency-critical', 'batch']), priority: priorityClassSchema,
+		}),
+		phase: z.enum(['queued', 'running', 'failed', 'cancelled']),
+		unfinishedByStep: z.array(z.tuple([z.string(), z.number()])),
+		madeOccurrences: z.number(),
+	})),
+	finishedWorkflows: z.array(z.tuple([z.string(), z.string(), z.enum(['completed', 'failed', 'cancelled'])])),
 	committedByTeam: z.array(z.tuple([z.string(), resources])),
 	keys: z.array(z.tuple([z.string(), z.string(), z.string(), z.string(), z.string(), z.string(), z.number()])),
 	keysForgottenThroughOffset: z.number(),
@@ -199,6 +215,7 @@
 	value.submittedOffset,
 	value.changedOffset,
 	value.reason,
+	value.position ? [value.position.occurrence, value.position.stepIndex] : null,
 ];
 
 function unpackTask(packed: EncodedTask): [string, Task] {
@@ -222,6 +239,7 @@
 		submittedOffset,
 		changedOffset,
 		reason,
+		position,
 	] = packed;
 	return [taskId, {
 		spec: {
@@ -231,6 +249,7 @@
 			payload,
 			...(taskKind === null ? {} : {taskKind}),
 		},
+		position: position ? {occurrence: position[0], stepIndex: position[1]} : undefined,
 		jobId,
 		teamId,
 		workClass,
@@ -251,6 +270,7 @@
 const packVm = (value: Vm): EncodedClusterState['vms'][number] => ({
 	...value,
 	formerAgentIncarnations: [...value.formerAgentIncarnations],
+	labels: [...value.labels],
 	capacity: packResources(value.capacity),
 	committed: packResources(value.committed),
 	unreachableFrom: sorted(value.unreachableFrom),
@@ -296,6 +316,8 @@
 		unfinishedTasksByJob: sortedEntries(state.unfinishedTasksByJob),
 		finishedJobs: [...state.finishedJobs],
 		finishedTaskCount: state.finishedTaskCount,
+		workflows: sortedValues(state.workflows).map(run => ({...run, unfinishedByStep: sortedEntries(run.unfinishedByStep)})),
+		finishedWorkflows: [...state.finishedWorkflows].map(([jobId, {queue, phase}]) => [jobId, queue, phase]),
 		committedByTeam: sortedEntries(state.committedByTeam).map(([teamId, amount]) => [teamId, packResources(amount)]),
 		keys: [...state.keys.values()].map(value => [
 			value.keyHash, value.bodyHash, value.service, value.vmId, value.agentIncarnation, value.backendServerId, value.claimOffset,
@@ -347,6 +369,8 @@
 		unfinishedTasksByJob: immutableMap(data.unfinishedTasksByJob),
 		finishedJobs: orderedMap(data.finishedJobs),
 		finishedTaskCount: data.finishedTaskCount,
+		workflows: immutableMap(data.workflows.map(run => [run.owner.jobId, {...run, unfinishedByStep: immutableMap(run.unfinishedByStep)}])),
+		finishedWorkflows: orderedMap(data.finishedWorkflows.map(([jobId, queue, phase]) => [jobId, {queue, phase}])),
 		committedByTeam: immutableMap(data.committedByTeam.map(([teamId, amount]) => [teamId, unpackResources(amount)])),
 		keys: orderedMap(data.keys.map(([keyHash, bodyHash, service, vmId, agentIncarnation, backendServerId, claimOffset]) => [keyHash, {
 			keyHash, bodyHash, service, vmId, agentIncarnation, backendServerId, claimOffset,
--- a/src/cluster/cluster-state.ts
+++ b/src/cluster/cluster-state.ts
@@ -3,9 +3,10 @@
 } from 'immutable';
 import {type PlacementDecision} from './cluster-record.js';
 import {
-	type PriorityClass, type RequestLimits, type Service, type TaskSpec, type Weights,
+	type Job, type PriorityClass, type RequestLimits, type Service, type TaskSpec, type Weights,
 } from './intent.js';
 import {type Resources} from './resources.js';
+import {type TaskPosition, type Workflow} from './workflow.js';
 
 /** An entry process that registered itself in the log. */
 export type EntryMember = Readonly<{
@@ -38,7 +39,14 @@
 	committed: Resources;
 	phase: VmPhase;
 	draining: boolean;
+	/** Set when the worker itself announced that it leaves. */
+	leaving: boolean;
 	quarantined: boolean;
+	/** Service that the worker belongs to; empty for a worker that takes any task. */
+	service: string;
+	labels: readonly string[];
+	/** Start of the worker process in Unix time; 0 when it is not known. */
+	workerStartedAtMs: number;
 	/** Incarnations of the entries that report the agent unreachable. */
 	unreachableFrom: Set<string>;
 	/** Tasks whose current attempt is claimed for this VM and has not ended. */
@@ -67,10 +75,10 @@
 }>;
 
 /**
-`queued` waits for a claim, `claimed` is bound to a VM, `running` was reported started, `evicting` must checkpoint and stop,
+`blocked` waits for earlier steps of its workflow, `queued` waits for a claim, `claimed` is bound to a VM, `running` was reported started, `evicting` must checkpoint and stop,
 `cancelling` must stop; `finished`, `failed`, `cancelled` and `unplaceable` are final.
 */
-export type TaskPhase = 'queued' | 'claimed' | 'running' | 'evicting' | 'cancelling' | 'finished' | 'failed' | 'cancelled' | 'unplaceable';
+export type TaskPhase = 'blocked' | 'queued' | 'claimed' | 'running' | 'evicting' | 'cancelling' | 'finished' | 'failed' | 'cancelled' | 'unplaceable';
 
 /** Where the current attempt of a task is bound to. */
 export type TaskClaim = Readonly<{
@@ -89,6 +97,8 @@
 /** A task with its current attempt; `attempt` is 0 until the first claim. `claim` is set only while an attempt is live. */
 export type Task = Readonly<{
 	spec: TaskSpec;
+	/** Set for a task of a workflow. */
+	position: TaskPosition | undefined;
 	jobId: string;
 	teamId: string;
 	workClass: 'latency-critical' | 'batch';
@@ -107,6 +117,25 @@
 	reason: string;
 }>;
 
+/** How far the job of a workflow is. */
+export type WorkflowPhase = 'queued' | 'running' | 'completed' | 'failed' | 'cancelled';
+
+/** The job of a workflow that is not finished. */
+export type WorkflowRun = Readonly<{
+	workflow: Workflow;
+	/** What the tasks take over from their job. */
+	owner: Readonly<Pick<Job, 'jobId' | 'teamId' | 'workClass' | 'priority'>>;
+	/** `failed` and `cancelled` while the last attempts stop. */
+	phase: Exclude<WorkflowPhase, 'completed'>;
+	/** Tasks that have not finished by step of an occurrence, such as `0.1`. */
+	unfinishedByStep: Map<string, number>;
+	/** Occurrences of a schedule whose tasks were made; 1 without a schedule. */
+	madeOccurrences: number;
+}>;
+
+/** What is remembered of the finished job of a workflow. */
+export type FinishedWorkflow = Readonly<{queue: string; phase: 'completed' | 'failed' | 'cancelled'}>;
+
 /** A key of a non-idempotent request, bound to one agent incarnation for good. */
 export type KeyClaim = Readonly<{
 	keyHash: string;
@@ -166,6 +195,10 @@
 	finishedJobs: OrderedMap<string, number>;
 	/** Sum of the values of `finishedJobs`. */
 	finishedTaskCount: number;
+	/** Jobs of workflows that are not finished. */
+	workflows: Map<string, WorkflowRun>;
+	/** Finished jobs of workflows, oldest first; their tasks are forgotten at once, the oldest jobs later. */
+	finishedWorkflows: OrderedMap<string, FinishedWorkflow>;
 	/** What the live claims of each team commit. */
 	committedByTeam: Map<string, Resources>;
 	keys: OrderedMap<string, KeyClaim>;
--- a/src/cluster/intent.ts
+++ b/src/cluster/intent.ts
@@ -1,5 +1,6 @@
 import {z} from 'zod';
 import {resourcesSchema} from './resources.js';
+import {findInvalidDependency, workflowSchema} from './workflow.js';
 
 /** Names of services, jobs, teams, VMs and other entities: what fits into a URL path segment unescaped. */
 export const nameSchema = z.string().regex(/^[\w.:\-]{1,128}$/v, 'use 1 to 128 letters, digits, dots, colons, hyphens or underscores');
@@ -52,14 +53,17 @@
 
 export type TaskSpec = z.infer<typeof taskSpecSchema>;
 
-/** A job: tasks that one team submits together. */
+/** A job: tasks that one team submits together, or a workflow whose steps make its tasks. */
 export const jobSchema = z.strictObject({
 	jobId: nameSchema,
 	teamId: nameSchema,
 	workClass: z.enum(['latency-critical', 'batch']),
 	priority: priorityClassSchema,
-	tasks: z.array(taskSpecSchema).min(1).max(1000).readonly(),
-}).readonly();
+	tasks: z.array(taskSpecSchema).max(1000).readonly(),
+	workflow: workflowSchema.optional(),
+}).readonly()
+	.refine(({tasks, workflow}) => (tasks.length > 0) !== (workflow !== undefined), {message: 'give either tasks or a workflow', path: ['tasks']})
+	.refine(({workflow}) => workflow === undefined || findInvalidDependency(workflow.steps) === undefined, {message: 'a step may depend on earlier steps only', path: ['workflow', 'steps']});
 
 export type Job = z.infer<typeof jobSchema>;
 
--- a/src/cluster/reduce-cluster.ts
+++ b/src/cluster/reduce-cluster.ts
@@ -11,6 +11,7 @@
 import {planHandlers} from './plan-handlers.js';
 import {type RecordByKind, type RecordContext, type RecordHandlers} from './record-handler.js';
 import {taskHandlers} from './task-handlers.js';
+import {workflowHandlers} from './workflow-handlers.js';
 import {vmHandlers} from './vm-handlers.js';
 
 /** The state before the first record. */
@@ -33,6 +34,8 @@
 	unfinishedTasksByJob: immutableMap(),
 	finishedJobs: orderedMap(),
 	finishedTaskCount: 0,
+	workflows: immutableMap(),
+	finishedWorkflows: orderedMap(),
 	committedByTeam: immutableMap(),
 	keys: orderedMap(),
 	keysForgottenThroughOffset: -1,
@@ -63,6 +66,7 @@
 	...vmHandlers,
 	...backendServerHandlers,
 	...taskHandlers,
+	...workflowHandlers,
 	...keyHandlers,
 	...planHandlers,
 };
--- a/src/cluster/state-limits.ts
+++ b/src/cluster/state-limits.ts
@@ -21,3 +21,6 @@
 
 /** Failed attempts after which a task counts as failed; as many VMs are remembered in `failedOnVmIds`. */
 export const MAX_TASK_FAILURES = 5;
+
+/** Finished jobs of workflows that are remembered: 120 s of status queries at 40 jobs a second, and 100 bytes each. */
+export const MAX_FINISHED_WORKFLOWS = 5000;
--- a/src/cluster/task-handlers.ts
+++ b/src/cluster/task-handlers.ts
@@ -4,10 +4,14 @@
 import {type RecordHandlers} from './record-handler.js';
 import {addResources, fitsInto, noResources} from './resources.js';
 import {MAX_TASK_FAILURES} from './state-limits.js';
+import {isAllowedOn} from './step-constraints.js';
+import {dequeue} from './task-queue.js';
 import {
-	addJob, cancelTask, dequeue, endTask, evictTask, isLive, isNewJob, requeueTask,
+	addJob, cancelTask, endTask, evictTask, isLive, isNewJob, requeueTask,
 } from './task-transitions.js';
 import {bindClaim, fitOnVm} from './vm-commitment.js';
+import {stopWorkflow} from './workflow-handlers.js';
+import {isLongRunning} from './workflow-progress.js';
 
 const rankByPriority: Readonly<Record<PriorityClass, number>> = {urgent: 2, normal: 1, background: 0};
 
@@ -39,7 +43,11 @@
 		return state;
 	}
 
-	if (vm?.phase !== 'live' || vm.agentIncarnation !== agentIncarnation || vm.draining || !fitsQuota(state, task, committed)) {
+	if (vm?.phase !== 'live' || vm.agentIncarnation !== agentIncarnation || vm.draining || vm.leaving) {
+		return state;
+	}
+
+	if (!fitsQuota(state, task, committed) || !isAllowedOn(state, task, vm, 0)) {
 		return state;
 	}
 
@@ -86,16 +94,34 @@
 const failedOn = ({task, vmId}: Ended): readonly string[] =>
 	[...task.failedOnVmIds.filter(id => id !== vmId), vmId].slice(-MAX_TASK_FAILURES);
 
+/** Ends a task for good and, for a task of a workflow, its job with it. */
+function failTask(state: ClusterState, task: Task, change: Parameters<typeof endTask>[3]): ClusterState {
+	// The job is marked first: the end of its last task would otherwise finish it as completed.
+	const stopped = stopWorkflow(state, task.jobId, {phase: 'failed', offset: change.offset});
+	const current = stopped.tasks.get(task.spec.taskId);
+	return current?.claim ? endTask(stopped, current, 'failed', change) : stopped;
+}
+
+/** How many failed attempts end a task. */
+function maxFailuresOf(state: ClusterState, task: Task): number {
+	return state.workflows.get(task.jobId)?.workflow.maxFailures ?? MAX_TASK_FAILURES;
+}
+
 const endHandlers: Readonly<Record<ClusterRecordOf<'task-ended'>['outcome'], (ended: Ended) => ClusterState>> = {
-	finished: ({state, task, reason, offset}) => endTask(state, task, 'finished', {offset, reason}),
+	finished: ({state, task, reason, offset}) => isLongRunning(state, task)
+		? requeueTask(state, task, {offset, reason})
+		: endTask(state, task, 'finished', {offset, reason}),
 	failed(ended) {
 		const {state, task, vmId, reason, offset} = ended;
-		// A failure on a quarantined VM is blamed on its worker, not on the task.
-		const failures = task.failures + (state.vms.get(vmId)?.quarantined ? 0 : 1);
+		// A failure on a quarantined VM is blamed on its worker, not on the task; the limit of a workflow counts every failure.
+		const isBlamedOnWorker = task.position === undefined && state.vms.get(vmId)?.quarantined;
+		const failures = task.failures + (isBlamedOnWorker ? 0 : 1);
 		const change = {
 			offset, reason, failures, failedOnVmIds: failedOn(ended),
 		};
-		return failures < MAX_TASK_FAILURES ? requeueTask(state, task, change) : endTask(state, task, 'failed', change);
+		return isLongRunning(state, task) || failures < maxFailuresOf(state, task)
+			? requeueTask(state, task, change)
+			: failTask(state, task, change);
 	},
 	'refused-not-run': ended => requeueTask(ended.state, ended.task, {offset: ended.offset, reason: ended.reason, failedOnVmIds: failedOn(ended)}),
 	// Nobody asked to cancel the task, so its work must not be lost.
@@ -117,14 +143,26 @@
 	},
 	'task-unplaceable'(state, {taskId, lacks}, {offset}) {
 		const task = state.tasks.get(taskId);
-		return task?.phase === 'queued' ? endTask(state, task, 'unplaceable', {offset, reason: lacks}) : state;
+		if (task?.phase !== 'queued') {
+			return state;
+		}
+
+		return task.position ? failTask(state, task, {offset, reason: lacks}) : endTask(state, task, 'unplaceable', {offset, reason: lacks});
 	},
 	'task-claimed': (state, record, {offset, writerIncarnation}) => claimTask(state, record, offset, writerIncarnation),
 	'task-started'(state, record, {offset}) {
 		const task = liveAttempt(state, record);
-		return task?.phase === 'claimed'
-			? {...state, tasks: state.tasks.set(record.taskId, {...task, phase: 'running', changedOffset: offset})}
+		if (!task) {
+			return state;
+		}
+
+		const run = state.workflows.get(task.jobId);
+		const noted: ClusterState = run?.phase === 'queued'
+			? {...state, workflows: state.workflows.set(task.jobId, {...run, phase: 'running'})}
 			: state;
+		return task.phase === 'claimed'
+			? {...noted, tasks: noted.tasks.set(record.taskId, {...task, phase: 'running', changedOffset: offset})}
+			: noted;
 	},
 	'task-ended'(state, record, {offset}) {
 		const {outcome, reason} = record;
--- a/src/cluster/task-transitions.ts
+++ b/src/cluster/task-transitions.ts
@@ -1,9 +1,12 @@
-import {type OrderedMap} from 'immutable';
 import {type ClusterState, type Task, type TaskPhase} from './cluster-state.js';
 import {entityName, forgetEntity, markChanged} from './entity-offsets.js';
-import {type Job, type PriorityClass} from './intent.js';
+import {type Job} from './intent.js';
 import {MAX_FINISHED_JOBS, MAX_FINISHED_TASKS} from './state-limits.js';
+import {dequeue, enqueue} from './task-queue.js';
 import {releaseClaim} from './vm-commitment.js';
+import {
+	addWorkflow, advanceWorkflow, finishWorkflow, isStopping,
+} from './workflow-progress.js';
 
 /** Phases in which a task has a live attempt. */
 const livePhases: ReadonlySet<TaskPhase> = new Set<TaskPhase>(['claimed', 'running', 'evicting', 'cancelling']);
@@ -18,35 +21,6 @@
 	return livePhases.has(task.phase);
 }
 
-function updateQueue(
-	state: ClusterState,
-	priority: PriorityClass,
-	update: (queue: OrderedMap<string, true>) => OrderedMap<string, true>,
-): ClusterState {
-	const queue = state.queued.get(priority);
-	return queue ? {...state, queued: state.queued.set(priority, update(queue))} : state;
-}
-
-/**
-Takes a task out of the queue of its priority class.
-
-@example
-dequeue(state, task).queued.get('urgent').has(task.spec.taskId); // => false
-*/
-export function dequeue(state: ClusterState, task: Task): ClusterState {
-	return updateQueue(state, task.priority, queue => queue.delete(task.spec.taskId));
-}
-
-/** Stores a task as queued, last in the queue of its priority class. */
-function enqueue(state: ClusterState, task: Task): ClusterState {
-	const {taskId} = task.spec;
-	return updateQueue(
-		{...state, tasks: state.tasks.set(taskId, {...task, phase: 'queued', claim: undefined})},
-		task.priority,
-		queue => queue.set(taskId, true),
-	);
-}
-
 /**
 Ends a task's live attempt and queues the task for its next attempt.
 
@@ -59,7 +33,10 @@
 	change: Readonly<{offset: number; reason: string; checkpoint?: string; failures?: number; evictions?: number; failedOnVmIds?: readonly string[]}>,
 ): ClusterState {
 	const {offset, ...fields} = change;
-	return enqueue(releaseClaim(state, task), {...task, ...fields, changedOffset: offset});
+	const run = state.workflows.get(task.jobId);
+	return run && isStopping(run)
+		? endTask(state, task, 'cancelled', change)
+		: enqueue(releaseClaim(state, task), {...task, ...fields, changedOffset: offset});
 }
 
 /** Forgets the oldest finished jobs with their tasks until the limits hold. */
@@ -103,18 +80,23 @@
 ): ClusterState {
 	const {offset, ...fields} = change;
 	const {taskId} = task.spec;
-	const released = task.phase === 'queued' ? dequeue(state, task) : releaseClaim(state, task);
-	const ended: ClusterState = {
+	const released = task.claim ? releaseClaim(state, task) : dequeue(state, task);
+	const stored: ClusterState = {
 		...released,
 		tasks: released.tasks.set(taskId, {
 			...task, ...fields, spec: {...task.spec, payload: ''}, checkpoint: '', phase, claim: undefined, changedOffset: offset,
 		}),
 	};
+	const ended = phase === 'finished' ? advanceWorkflow(stored, task) : stored;
 	const unfinished = (ended.unfinishedTasksByJob.get(task.jobId) ?? 1) - 1;
 	if (unfinished > 0) {
 		return {...ended, unfinishedTasksByJob: ended.unfinishedTasksByJob.set(task.jobId, unfinished)};
 	}
 
+	if (ended.workflows.has(task.jobId)) {
+		return finishWorkflow({...ended, unfinishedTasksByJob: ended.unfinishedTasksByJob.delete(task.jobId)}, task.jobId);
+	}
+
 	const taskCount = ended.jobs.get(task.jobId)?.length ?? 0;
 	return forgetFinishedJobs(markChanged({
 		...ended,
@@ -208,7 +190,7 @@
 		return state;
 	}
 
-	if (task.phase === 'queued') {
+	if (task.phase === 'queued' || task.phase === 'blocked') {
 		return endTask(state, task, 'cancelled', {offset, reason: 'cancelled while queued'});
 	}
 
@@ -229,6 +211,10 @@
 addJob(state, job, 17).tasks.get('task-1').phase; // => 'queued'
 */
 export function addJob(state: ClusterState, job: Job, offset: number): ClusterState {
+	if (job.workflow) {
+		return addWorkflow(state, job, job.workflow, offset);
+	}
+
 	let next = markChanged({
 		...state,
 		jobs: state.jobs.set(job.jobId, job.tasks.map(spec => spec.taskId)),
@@ -237,6 +223,7 @@
 	for (const spec of job.tasks) {
 		next = enqueue(next, {
 			spec,
+			position: undefined,
 			jobId: job.jobId,
 			teamId: job.teamId,
 			workClass: job.workClass,
@@ -265,5 +252,5 @@
 */
 export function isNewJob(state: ClusterState, job: Job): boolean {
 	const taskIds = new Set(job.tasks.map(spec => spec.taskId));
-	return !state.jobs.has(job.jobId) && taskIds.size === job.tasks.length && job.tasks.every(spec => !state.tasks.has(spec.taskId));
+	return !state.jobs.has(job.jobId) && !state.finishedWorkflows.has(job.jobId) && taskIds.size === job.tasks.length && job.tasks.every(spec => !state.tasks.has(spec.taskId));
 }
--- a/src/cluster/vm-handlers.ts
+++ b/src/cluster/vm-handlers.ts
@@ -8,6 +8,7 @@
 import {addResources, fitsInto, noResources} from './resources.js';
 import {MAX_EXPIRED_VMS, MAX_FORMER_INCARNATIONS} from './state-limits.js';
 import {evictTask, loseTask} from './task-transitions.js';
+import {stepOf} from './workflow-progress.js';
 
 type AgentRecord = Readonly<{vmId: string; agentIncarnation: string}>;
 
@@ -109,8 +110,12 @@
 		committed: noResources,
 		phase: 'live',
 		draining: isVmDrained(settled, record),
+		leaving: false,
 		// The quarantine is the worker's, which did not change with the agent.
-		quarantined: former?.quarantined ?? false,
+		quarantined: former?.workerIncarnation === record.workerIncarnation && former.quarantined,
+		service: record.service ?? '',
+		labels: record.labels ?? [],
+		workerStartedAtMs: record.workerStartedAtMs ?? 0,
 		unreachableFrom: immutableSet(),
 		taskIds: settled.vms.get(record.vmId)?.taskIds ?? immutableSet(),
 		backendServerIds: immutableSet(),
@@ -139,11 +144,14 @@
 
 /**
 Tells whether run-once tasks may still run on the VM although another worker process registers under its name. Such a
-worker's list says nothing of the earlier one, which may be a VM that was replaced while it is out of reach.
+worker's list says nothing of the earlier one, which may be a VM that was replaced while it is out of reach; a worker that is
+known to have started later on the same VM replaced a process that has ended.
 */
-function mayStillRunTasks(state: ClusterState, former: Vm, workerIncarnation: string): boolean {
+function mayStillRunTasks(state: ClusterState, former: Vm, {workerIncarnation, workerStartedAtMs = 0}: ClusterRecordOf<'vm-registered'>): boolean {
+	const isSuccessor = former.workerStartedAtMs > 0 && workerStartedAtMs > former.workerStartedAtMs;
 	return former.phase !== 'expired'
 		&& former.workerIncarnation !== workerIncarnation
+		&& !isSuccessor
 		&& former.taskIds.some(taskId => state.tasks.get(taskId)?.workClass === 'batch');
 }
 
@@ -165,7 +173,7 @@
 
 /** Records about VMs and their agents. */
 export const vmHandlers: RecordHandlers<
-	'vm-registered' | 'vm-unreachable' | 'vm-reachable' | 'vm-revoked' | 'vm-lease-expired' | 'vm-quarantined' | 'vm-unquarantined'
+	'vm-registered' | 'vm-leaving' | 'vm-unreachable' | 'vm-reachable' | 'vm-revoked' | 'vm-lease-expired' | 'vm-quarantined' | 'vm-unquarantined'
 > = {
 	'vm-registered'(state, record, {offset}) {
 		const former = state.vms.get(record.vmId);
@@ -174,10 +182,28 @@
 			return state;
 		}
 
-		return former && mayStillRunTasks(state, former, record.workerIncarnation)
+		return former && mayStillRunTasks(state, former, record)
 			? revokeVm(state, former, 'another worker registered under the name of the VM', offset)
 			: registerIncarnation(state, record, former, offset);
 	},
+	'vm-leaving'(state, record, {offset}) {
+		const vm = current(state, record);
+		if (!vm || vm.leaving) {
+			return state;
+		}
+
+		let next = markChanged({...state, vms: state.vms.set(vm.vmId, {...vm, leaving: true})}, offset, [entityName('vm', vm.vmId)]);
+		for (const taskId of inOrder(vm.taskIds)) {
+			const task = next.tasks.get(taskId);
+			const step = task && stepOf(next, task);
+			// Short work that cannot be resumed has more from the time that is left than from a new start.
+			if (task && (step?.longRunning === true || step?.checkpoints === true)) {
+				next = evictTask(next, task, {offset, reason: `the worker of VM ${vm.vmId} leaves`});
+			}
+		}
+
+		return next;
+	},
 	'vm-unreachable'(state, record, {writerIncarnation}) {
 		const vm = current(state, record);
 		return vm
--- /dev/null
+++ b/src/cluster/workflow-handlers.ts
@@ -0,0 +1,32 @@
+import {type ClusterState, type WorkflowRun} from './cluster-state.js';
+import {type RecordHandlers} from './record-handler.js';
+import {cancelTask} from './task-transitions.js';
+import {finishWorkflow, isStopping, makeOccurrence} from './workflow-progress.js';
+
+/**
+Stops the job of a workflow: what has not started ends at once, what runs is told to stop.
+
+@example
+stopWorkflow(state, 'job-1', {phase: 'cancelled', offset: 17}).workflows.get('job-1').phase; // => 'cancelled'
+*/
+export function stopWorkflow(state: ClusterState, jobId: string, {phase, offset}: Readonly<{phase: 'cancelled' | 'failed'; offset: number}>): ClusterState {
+	const run = state.workflows.get(jobId);
+	if (!run || isStopping(run)) {
+		return state;
+	}
+
+	const stopping: WorkflowRun = {...run, phase};
+	let next: ClusterState = {...state, workflows: state.workflows.set(jobId, stopping)};
+	for (const taskId of state.jobs.get(jobId) ?? []) {
+		next = cancelTask(next, taskId, offset);
+	}
+
+	// A schedule without a live occurrence has no task whose end would finish the job.
+	return (next.unfinishedTasksByJob.get(jobId) ?? 0) === 0 ? finishWorkflow(next, jobId) : next;
+}
+
+/** Records about the jobs of workflows. */
+export const workflowHandlers: RecordHandlers<'job-cancelled' | 'occurrence-due'> = {
+	'job-cancelled': (state, {jobId}, {offset}) => stopWorkflow(state, jobId, {phase: 'cancelled', offset}),
+	'occurrence-due': (state, {jobId, occurrence}, {offset}) => makeOccurrence(state, jobId, {occurrence, offset}),
+};
--- /dev/null
+++ b/src/cluster/workflow-progress.ts
@@ -0,0 +1,201 @@
+import {Map as immutableMap} from 'immutable';
+import {type ClusterState, type Task, type WorkflowRun} from './cluster-state.js';
+import {entityName, forgetEntity, markChanged} from './entity-offsets.js';
+import {type Job} from './intent.js';
+import {MAX_FINISHED_WORKFLOWS} from './state-limits.js';
+import {enqueue} from './task-queue.js';
+import {
+	committedByStep, stepKeyOf, taskIdOf, type Step, type TaskPosition, type Workflow,
+} from './workflow.js';
+
+/** Name of the kind of work for interference: what the step says that it runs, or else its queue. */
+function taskKindOf(workflow: Workflow, step: Step): string {
+	return (step.image ?? workflow.queue).replaceAll(/[^\w.:\-]/gv, '_').slice(0, 128);
+}
+
+function addTask(state: ClusterState, run: WorkflowRun, {taskId, position, offset}: Readonly<{taskId: string; position: TaskPosition; offset: number}>): ClusterState {
+	const {workflow, owner} = run;
+	const step = workflow.steps[position.stepIndex]!;
+	const isBlocked = (step.dependsOn ?? []).length > 0;
+	const task: Task = {
+		spec: {
+			taskId,
+			demand: committedByStep(step),
+			declaredRunTimeMs: Math.max(1, step.declaredRunTimeMs),
+			taskKind: taskKindOf(workflow, step),
+			// All tasks of the job share the workflow's payload.
+			payload: '',
+		},
+		position,
+		...owner,
+		phase: 'blocked',
+		attempt: 0,
+		claim: undefined,
+		checkpoint: '',
+		failures: 0,
+		evictions: 0,
+		failedOnVmIds: [],
+		submittedOffset: offset,
+		changedOffset: offset,
+		reason: isBlocked ? 'waits for earlier steps' : 'waits for a placement',
+	};
+	return isBlocked ? {...state, tasks: state.tasks.set(taskId, task)} : enqueue(state, task);
+}
+
+/**
+Makes the tasks of the next occurrence of a workflow; occurrences are made in order, so any other is ignored.
+
+@example
+makeOccurrence(state, 'job-1', {occurrence: 0, offset: 17}).jobs.get('job-1'); // => ['job-1.0.0.0']
+*/
+export function makeOccurrence(state: ClusterState, jobId: string, {occurrence, offset}: Readonly<{occurrence: number; offset: number}>): ClusterState {
+	const run = state.workflows.get(jobId);
+	if (run?.madeOccurrences !== occurrence || occurrence >= (run.workflow.schedule?.times ?? 1) || isStopping(run)) {
+		return state;
+	}
+
+	const taskIds: string[] = [];
+	let {unfinishedByStep} = run;
+	let next = state;
+	for (const [stepIndex, step] of run.workflow.steps.entries()) {
+		const position = {occurrence, stepIndex};
+		unfinishedByStep = unfinishedByStep.set(stepKeyOf(position), step.count);
+		for (let index = 0; index < step.count; index++) {
+			const taskId = taskIdOf(jobId, position, index);
+			taskIds.push(taskId);
+			next = addTask(next, run, {taskId, position, offset});
+		}
+	}
+
+	return {
+		...next,
+		jobs: next.jobs.update(jobId, [], known => [...known, ...taskIds]),
+		unfinishedTasksByJob: next.unfinishedTasksByJob.update(jobId, 0, count => count + taskIds.length),
+		workflows: next.workflows.set(jobId, {...run, unfinishedByStep, madeOccurrences: occurrence + 1}),
+	};
+}
+
+/**
+Adds the job of a workflow. Without a schedule its tasks are made at once.
+
+@example
+addWorkflow(state, job, workflow, 17).workflows.get(job.jobId).phase; // => 'queued'
+*/
+export function addWorkflow(state: ClusterState, job: Job, workflow: Workflow, offset: number): ClusterState {
+	const {jobId, teamId, workClass, priority} = job;
+	const run: WorkflowRun = {
+		workflow,
+		owner: {
+			jobId, teamId, workClass, priority,
+		},
+		phase: 'queued',
+		unfinishedByStep: immutableMap(),
+		madeOccurrences: 0,
+	};
+	const added = markChanged({
+		...state, jobs: state.jobs.set(jobId, []), workflows: state.workflows.set(jobId, run),
+	}, offset, [entityName('job', jobId)]);
+	return workflow.schedule ? added : makeOccurrence(added, jobId, {occurrence: 0, offset});
+}
+
+/**
+Tells whether a workflow's job was cancelled or has failed, so that nothing of it starts any more.
+
+@example
+isStopping(run); // => false
+*/
+export function isStopping(run: WorkflowRun): boolean {
+	return run.phase === 'cancelled' || run.phase === 'failed';
+}
+
+/** Queues the tasks of the steps that waited for the given one only. */
+function unblockSteps(state: ClusterState, run: WorkflowRun, finished: TaskPosition): ClusterState {
+	const {workflow, unfinishedByStep, owner: {jobId}} = run;
+	const {occurrence} = finished;
+	let next = state;
+	for (const [stepIndex, step] of workflow.steps.entries()) {
+		const dependsOn = step.dependsOn ?? [];
+		const isUnblocked = dependsOn.includes(finished.stepIndex)
+			&& dependsOn.every(dependency => (unfinishedByStep.get(stepKeyOf({occurrence, stepIndex: dependency})) ?? 0) === 0);
+		for (let index = 0; isUnblocked && index < step.count; index++) {
+			const task = next.tasks.get(taskIdOf(jobId, {occurrence, stepIndex}, index));
+			if (task?.phase === 'blocked') {
+				next = enqueue(next, {...task, reason: 'waits for a placement'});
+			}
+		}
+	}
+
+	return next;
+}
+
+/**
+Notes that a task of a workflow has finished and queues the steps that waited for its step.
+
+@example
+advanceWorkflow(state, task).queued.get('urgent').size; // => 6
+*/
+export function advanceWorkflow(state: ClusterState, task: Task): ClusterState {
+	const run = state.workflows.get(task.jobId);
+	if (!run || !task.position) {
+		return state;
+	}
+
+	const key = stepKeyOf(task.position);
+	const left = (run.unfinishedByStep.get(key) ?? 1) - 1;
+	const advanced: WorkflowRun = {...run, unfinishedByStep: run.unfinishedByStep.set(key, left)};
+	const next: ClusterState = {...state, workflows: state.workflows.set(task.jobId, advanced)};
+	return left === 0 && !isStopping(advanced) ? unblockSteps(next, advanced, task.position) : next;
+}
+
+/**
+Finishes the job of a workflow whose tasks have all ended, unless a schedule makes more of them. Only its outcome is remembered.
+
+@example
+finishWorkflow(state, 'job-1').finishedWorkflows.get('job-1').phase; // => 'completed'
+*/
+export function finishWorkflow(state: ClusterState, jobId: string): ClusterState {
+	const run = state.workflows.get(jobId);
+	if (!run) {
+		return state;
+	}
+
+	const hasMore = !isStopping(run) && run.madeOccurrences < (run.workflow.schedule?.times ?? 1);
+	const tasks = state.tasks.deleteAll(state.jobs.get(jobId) ?? []);
+	if (hasMore) {
+		return {
+			...state, tasks, jobs: state.jobs.set(jobId, []), workflows: state.workflows.set(jobId, {...run, unfinishedByStep: immutableMap()}),
+		};
+	}
+
+	const finishedWorkflows = state.finishedWorkflows.set(jobId, {
+		queue: run.workflow.queue, phase: isStopping(run) && run.phase !== 'queued' && run.phase !== 'running' ? run.phase : 'completed',
+	});
+	const oldest: string | undefined = finishedWorkflows.keySeq().first();
+	return forgetEntity({
+		...state,
+		tasks,
+		jobs: state.jobs.delete(jobId),
+		workflows: state.workflows.delete(jobId),
+		finishedWorkflows: finishedWorkflows.size > MAX_FINISHED_WORKFLOWS && oldest !== undefined ? finishedWorkflows.delete(oldest) : finishedWorkflows,
+	}, entityName('job', jobId));
+}
+
+/**
+Tells whether a task's step runs until its job is cancelled.
+
+@example
+isLongRunning(state, task); // => true
+*/
+export function isLongRunning(state: ClusterState, task: Task): boolean {
+	return stepOf(state, task)?.longRunning === true;
+}
+
+/**
+Finds the step of a workflow that a task belongs to; undefined for other tasks.
+
+@example
+stepOf(state, task)?.maxTasksPerVm; // => 2
+*/
+export function stepOf(state: ClusterState, task: Task): Step | undefined {
+	return task.position && state.workflows.get(task.jobId)?.workflow.steps[task.position.stepIndex];
+}
--- a/src/dispatch/agent-commands.ts
+++ b/src/dispatch/agent-commands.ts
@@ -1,4 +1,4 @@
-import {type Task, type Vm} from '../cluster/cluster-state.js';
+import {type ClusterState, type Task, type Vm} from '../cluster/cluster-state.js';
 import {isLiveAgent} from '../cluster/liveness.js';
 import {type AgentCommand, type ControlEffect} from '../entry/control-effect.js';
 import {type EntryContext} from '../entry/entry-context.js';
@@ -30,7 +30,7 @@
 	let sentCommands = link.sentCommands.filter((_sentAtMs, key) => vm.taskIds.has(taskIdOf(key)));
 	for (const taskId of vm.taskIds) {
 		const task = context.cluster.tasks.get(taskId);
-		const command = task && commandFor(task, vm);
+		const command = task && commandFor(task, vm, context.cluster);
 		if (!task || !command || !isTurnOf(task, claimReadTimes, context)) {
 			continue;
 		}
@@ -68,7 +68,7 @@
 		}));
 }
 
-function commandFor(task: Task, vm: Vm): AgentCommand | undefined {
+function commandFor(task: Task, vm: Vm, cluster: ClusterState): AgentCommand | undefined {
 	const {claim, attempt} = task;
 	const {taskId} = task.spec;
 	const {agentIncarnation} = vm;
@@ -88,7 +88,7 @@
 					latencyCritical: task.workClass === 'latency-critical',
 					demand: claim.committed,
 					declaredRunTimeMs: task.spec.declaredRunTimeMs,
-					payload: task.spec.payload,
+					payload: cluster.workflows.get(task.jobId)?.workflow.payload ?? task.spec.payload,
 					checkpoint: task.checkpoint,
 					evictTaskIds: [...claim.evictTaskIds],
 				},
@@ -111,6 +111,7 @@
 			};
 		}
 
+		case 'blocked':
 		case 'queued':
 		case 'running':
 		case 'finished':
--- a/src/dispatch/agent-link.ts
+++ b/src/dispatch/agent-link.ts
@@ -19,4 +19,6 @@
 	/** Task events that are not in the log yet. */
 	pendingTaskEvents: Map<bigint, Readonly<{event: TaskEvent; receivedAtMs: number; appendedAtMs: number}>>;
 	leaving: boolean;
+	/** The worker announced that it leaves. */
+	workerLeaving: boolean;
 }>;
--- a/src/entry/caller-server.ts
+++ b/src/entry/caller-server.ts
@@ -22,7 +22,7 @@
 } from './caller-request.js';
 
 /** An error of a job function with the status that it is answered with. */
-export type CallerJobError = Readonly<{status: number; error: TypedError}>;
+export type CallerJobError = Readonly<{status: number; error: TypedError; retryAfterMs?: number}>;
 
 /** Functions behind the job paths; the values are answered as JSON. */
 export type CallerJobs = Readonly<{
--- a/src/entry/deferred-answers.ts
+++ b/src/entry/deferred-answers.ts
@@ -1,6 +1,7 @@
 import {Map} from 'immutable';
 import {type ClusterRecord} from '../cluster/cluster-record.js';
 import {type ClusterState, type TaskPhase} from '../cluster/cluster-state.js';
+import {isStopping} from '../cluster/workflow-progress.js';
 import {type ControlEffect, type DeferredAnswer, type Step} from './control-effect.js';
 import {type EntryContext, isLogFresh} from './entry-context.js';
 import {type DeferredSubject} from './entry-event.js';
@@ -88,6 +89,10 @@
 		}
 
 		case 'cancel-job': {
+			if (cluster.workflows.has(subject.jobId)) {
+				return {kind: 'job-cancelled', jobId: subject.jobId};
+			}
+
 			const taskIds = cluster.jobs.get(subject.jobId);
 			return taskIds && {kind: 'tasks-cancelled', taskIds};
 		}
@@ -108,6 +113,10 @@
 		}
 
 		case 'job': {
+			if (cluster.workflows.has(subject.job.jobId) || cluster.finishedWorkflows.has(subject.job.jobId)) {
+				return {result: 'accepted', offset: cluster.offset, reason: ''};
+			}
+
 			const taskIds = cluster.jobs.get(subject.job.jobId);
 			if (!taskIds) {
 				return undefined;
@@ -120,6 +129,15 @@
 		}
 
 		case 'cancel-job': {
+			const run = cluster.workflows.get(subject.jobId);
+			if (run) {
+				return isStopping(run) ? {result: 'accepted', offset: cluster.offset, reason: ''} : undefined;
+			}
+
+			if (cluster.finishedWorkflows.has(subject.jobId)) {
+				return {result: 'accepted', offset: cluster.offset, reason: 'the job has ended'};
+			}
+
 			const taskIds = cluster.jobs.get(subject.jobId);
 			const isStopped = taskIds?.every(taskId => stoppedPhases.has(cluster.tasks.get(taskId)?.phase ?? 'cancelled'));
 			return isStopped ? {result: 'accepted', offset: cluster.offset, reason: ''} : undefined;
--- a/src/entry/entry-process.ts
+++ b/src/entry/entry-process.ts
@@ -5,6 +5,7 @@
 import {computePlan} from '../cluster/compute-plan.js';
 import {type EntrySettings} from '../settings/entry-settings.js';
 import {createHttpLogService} from '../log/http-log-service.js';
+import {type LogService} from '../log/log-service.js';
 import {createSnapshotStore} from '../log/snapshot-store.js';
 import {type EventLog} from '../telemetry/event-log.js';
 import {type Metrics} from '../telemetry/metrics.js';
@@ -21,6 +22,7 @@
 import {type EntryEffect} from './entry-effect.js';
 import {createEntryEffectExecutor} from './entry-effect-executor.js';
 import {type EntryEvent} from './entry-event.js';
+import {type EntryPlatform} from './entry-platform.js';
 import {type EntryState, initialEntryState} from './entry-state.js';
 import {createJobInterface} from './job-interface.js';
 import {createLogConnection} from './log-connection.js';
@@ -39,6 +41,8 @@
 
 const tickMs = 50;
 const logTimeoutMs = 2000;
+/** Age of the newest read of the log after which the balancer is told to send callers elsewhere; three long polls that failed. */
+const notReadyAfterMs = 3000;
 const forwardConcurrency = 4096;
 const planExpiresInMs = 600_000;
 const requestTimelineCapacity = 2048;
@@ -52,20 +56,25 @@
 const entry = await startEntry({settings, eventLog, metrics, timeline});
 await entry.stop();
 */
-export async function startEntry({settings, eventLog, metrics, timeline}: Readonly<{
+export async function startEntry({settings, eventLog, metrics, timeline, platform}: Readonly<{
 	settings: EntrySettings;
 	eventLog: EventLog;
 	metrics: Metrics;
 	timeline: Timeline;
+	platform?: EntryPlatform;
 }>): Promise<Result<EntryProcess, TypedError>> {
 	let isStopping = false;
-	const token = await readTokenFile(settings.operatorTokenFile);
+	const token = settings.operatorTokenFile === undefined ? ok(undefined) : await readTokenFile(settings.operatorTokenFile);
 	if (token.isErr) {
 		return err(token.error);
 	}
 
+	const logService = platform?.logService ?? createLogService(settings);
+	if (logService === undefined) {
+		return err({kind: 'log-service-missing', message: 'the settings name no log service', remedy: 'set logServiceUrl, or platform on the users\' platform'});
+	}
+
 	const incarnation = newIncarnation();
-	const logService = createHttpLogService({baseUrl: settings.logServiceUrl, timeoutMs: logTimeoutMs});
 	const snapshots = createSnapshotStore({service: logService, stream: `${settings.logStream}-snapshots`});
 	const exchanges: CallerExchanges = new Map();
 	const deferredReplies = createDeferredReplies();
@@ -114,18 +123,30 @@
 			return {isReady: false, reason: 'the entry is stopping'};
 		}
 
-		return loop.state().cluster.offset >= 0 || loop.state().log.tailConfirmedSentAtMs > Number.NEGATIVE_INFINITY
-			? {isReady: true, reason: ''}
-			: {isReady: false, reason: 'the entry has not read its configuration yet'};
+		if (platform && !platform.isConfigured()) {
+			return {isReady: false, reason: 'the entry has not read the operator\'s configuration yet'};
+		}
+
+		const {cluster, log} = loop.state();
+		if (cluster.offset < 0 && log.tailConfirmedSentAtMs === Number.NEGATIVE_INFINITY) {
+			return {isReady: false, reason: 'the entry has not read its configuration yet'};
+		}
+
+		// On the platform every request needs the log; without it the other entries serve callers better.
+		return platform && performance.now() - log.tailConfirmedSentAtMs > notReadyAfterMs
+			? {isReady: false, reason: `the log was not read for ${notReadyAfterMs} ms`}
+			: {isReady: true, reason: ''};
 	};
 
+	const jobs = createJobInterface({state: loop.state, ask, nowMs: () => performance.now(), logFreshnessMs: settings.timings.logFreshnessMs});
+
 	const callers = createCallerServer({
 		settings,
 		dispatch: dispatchRequest,
 		exchanges,
 		onRefusal: requestHistory.noteRefusal,
 		metrics,
-		jobs: createJobInterface({state: loop.state, ask}),
+		jobs,
 		readiness,
 		nowMs: () => performance.now(),
 		log: eventLog,
@@ -137,7 +158,7 @@
 
 	await logConnection.start(incarnation);
 	await agents.listen();
-	const operators = await startOperatorServer({
+	const operators = token.value === undefined ? undefined : await startOperatorServer({
 		address: settings.operatorAddress,
 		token: token.value,
 		eventLog,
@@ -157,6 +178,7 @@
 		}),
 	});
 	await callers.listen();
+	await platform?.open({jobs, readiness});
 	const ticker = setInterval(() => {
 		dispatch({kind: 'tick'});
 	}, tickMs);
@@ -177,8 +199,8 @@
 			eventLog.info('entry-stopping', {entryId: settings.entryId});
 			// The balancer needs this time to notice that the entry is no longer ready.
 			await delay(settings.timings.shutdownDelayMs);
-			await callers.close();
-			await operators.close();
+			await Promise.all([callers.close(), platform?.close()]);
+			await operators?.close();
 			await logConnection.leave(settings.entryId);
 			clearInterval(ticker);
 			clearInterval(reporter);
@@ -191,6 +213,10 @@
 	});
 }
 
+function createLogService({logServiceUrl}: EntrySettings): LogService | undefined {
+	return logServiceUrl === undefined ? undefined : createHttpLogService({baseUrl: logServiceUrl, timeoutMs: logTimeoutMs});
+}
+
 function newIncarnation(): string {
 	return randomBytes(9).toString('base64url').replaceAll('-', '_');
 }
--- a/src/entry/job-interface.ts
+++ b/src/entry/job-interface.ts
@@ -1,26 +1,46 @@
 import {err, ok, type Result} from 'true-myth/result';
-import {type ClusterState, type Task} from '../cluster/cluster-state.js';
+import {type ClusterState, type Task, type WorkflowPhase} from '../cluster/cluster-state.js';
 import {jobSchema, nameSchema} from '../cluster/intent.js';
 import {type CallerJobError, type CallerJobs} from './caller-server.js';
 import {type DeferredAnswer} from './control-effect.js';
 import {type DeferredSubject} from './entry-event.js';
 import {type EntryState} from './entry-state.js';
 
-type JobReport = Readonly<{jobId: string; tasks: ReadonlyArray<Pick<Task, 'phase' | 'attempt' | 'evictions' | 'failures' | 'reason'> & {readonly taskId: string}>}>;
+type TaskReport = Readonly<Pick<Task, 'phase' | 'attempt' | 'evictions' | 'failures' | 'reason'> & {taskId: string}>;
+
+/** What callers are told of a job; `phase` stands for the whole job of a workflow. */
+export type JobReport = Readonly<{jobId: string; phase?: WorkflowPhase; tasks: readonly TaskReport[]}>;
+
+/** The job functions of an entry. */
+export type JobInterface = Omit<CallerJobs, 'find'> & Readonly<{
+	find: (jobId: string) => Promise<Result<JobReport, CallerJobError>>;
+	/** Counts the accepted jobs of a queue of which no task has started. */
+	countPending: (queue: string) => Result<number, CallerJobError>;
+}>;
 
 const statusByResult: Readonly<Record<DeferredAnswer['result'], number>> = {accepted: 202, rejected: 409, unknown: 504};
 
+/** When a caller may try again that met an entry without the log; the log's outages last seconds, and other entries may reach it. */
+const logRetryAfterMs = 1000;
+
 /**
 Creates the functions behind the callers' job paths.
 
 @example
-const jobs = createJobInterface({state, ask});
+const jobs = createJobInterface({state, ask, nowMs: () => performance.now(), logFreshnessMs: 2000});
 await jobs.find('panel-17');
 */
-export function createJobInterface({state, ask}: Readonly<{
+export function createJobInterface({state, ask, nowMs, logFreshnessMs}: Readonly<{
 	state: () => EntryState;
 	ask: (subject: DeferredSubject) => Promise<DeferredAnswer>;
-}>): CallerJobs {
+	nowMs: () => number;
+	logFreshnessMs: number;
+}>): JobInterface {
+	const isFresh = (): boolean => nowMs() - state().log.tailConfirmedSentAtMs <= logFreshnessMs;
+
+	/** A job that a stale state does not hold may have been accepted elsewhere. */
+	const missing = (jobId: string): CallerJobError => isFresh() ? unknownJob(jobId) : staleState();
+
 	return {
 		async submit(body) {
 			const job = jobSchema.safeParse(body);
@@ -42,15 +62,24 @@
 		},
 		async find(jobId) {
 			const report = reportJob(state().cluster, jobId);
-			return report ? ok(report) : err(unknownJob(jobId));
+			return report ? ok(report) : err(missing(jobId));
 		},
 		async cancel(jobId) {
-			if (!nameSchema.safeParse(jobId).success || !state().cluster.jobs.has(jobId)) {
-				return err(unknownJob(jobId));
+			const {cluster} = state();
+			const isKnown = cluster.jobs.has(jobId) || cluster.finishedWorkflows.has(jobId);
+			if (!nameSchema.safeParse(jobId).success || !isKnown) {
+				return err(missing(jobId));
 			}
 
 			return toResult(jobId, await ask({kind: 'cancel-job', jobId}));
 		},
+		countPending(queue) {
+			if (!isFresh()) {
+				return err(staleState());
+			}
+
+			return ok(state().cluster.workflows.count(run => run.phase === 'queued' && run.workflow.queue === queue));
+		},
 	};
 }
 
@@ -59,20 +88,29 @@
 		return ok({jobId, ...answer});
 	}
 
+	const isLogAway = answer.reason.startsWith('the log service');
 	return err({
-		status: answer.reason.startsWith('the log service') ? 503 : statusByResult[answer.result],
+		status: isLogAway ? 503 : statusByResult[answer.result],
 		error: {
 			kind: `job-${answer.result}`,
 			message: answer.reason,
 			remedy: 'send the same job again with the same job id; a job that is already known is not submitted twice',
 		},
+		...(isLogAway && {retryAfterMs: logRetryAfterMs}),
 	});
 }
 
 function reportJob(cluster: ClusterState, jobId: string): JobReport | undefined {
+	const finished = cluster.finishedWorkflows.get(jobId);
+	if (finished) {
+		return {jobId, phase: finished.phase, tasks: []};
+	}
+
 	const taskIds = cluster.jobs.get(jobId);
+	const phase = cluster.workflows.get(jobId)?.phase;
 	return taskIds && {
 		jobId,
+		...(phase !== undefined && {phase}),
 		tasks: taskIds.map(taskId => cluster.tasks.get(taskId)).filter(task => task !== undefined).map(task => ({
 			taskId: task.spec.taskId,
 			phase: task.phase,
@@ -94,3 +132,15 @@
 		},
 	};
 }
+
+function staleState(): CallerJobError {
+	return {
+		status: 503,
+		error: {
+			kind: 'state-stale',
+			message: 'the log is out of reach, so this entry does not know the newest jobs',
+			remedy: 'ask again, or ask another entry',
+		},
+		retryAfterMs: logRetryAfterMs,
+	};
+}
--- a/src/entry/log-connection.ts
+++ b/src/entry/log-connection.ts
@@ -38,7 +38,8 @@
 */
 export function createLogConnection({settings, token, logService, snapshots, eventLog, metrics, dispatch, state}: Readonly<{
 	settings: EntrySettings;
-	token: string;
+	/** Token for the peers; without it no peer is asked for its state. */
+	token: string | undefined;
 	logService: LogService;
 	snapshots: SnapshotStore;
 	eventLog: EventLog;
@@ -95,7 +96,7 @@
 		// Without the log a peer's state is the newest that can be had.
 		const cluster = loaded.isOk
 			? decodeSnapshot(loaded.value)
-			: await fetchPeerState({addresses: settings.peerOperatorAddresses, token});
+			: token === undefined ? undefined : await fetchPeerState({addresses: settings.peerOperatorAddresses, token});
 		if (cluster) {
 			eventLog.info('state-loaded', {offset: cluster.offset, from: loaded.isOk ? 'snapshot' : 'peer'});
 			dispatch({kind: 'snapshot-loaded', cluster});
--- a/src/entry/reduce-agent-event.ts
+++ b/src/entry/reduce-agent-event.ts
@@ -119,6 +119,7 @@
 		sentCommands: Map(),
 		pendingTaskEvents: Map(),
 		leaving: false,
+		workerLeaving: false,
 	};
 	const vmLiveness = noteVmHeard(state.vmLiveness, hello.vmId, hello.agentIncarnation, context.nowMs);
 	const vmIdBySession = state.vmIdBySession.set(sessionId, hello.vmId);
@@ -130,6 +131,7 @@
 		...link,
 		appliedConfigurationOffset: Number(heartbeat.appliedConfigurationOffset),
 		leaving: heartbeat.leaving,
+		workerLeaving: heartbeat.workerLeaving,
 		backendServers: link.backendServers.merge(heartbeat.backendServers.map(report => [report.backendServerId, report])),
 	};
 	const vmLiveness = noteVmHeard(state.vmLiveness, link.vmId, link.agentIncarnation, context.nowMs);
@@ -151,7 +153,8 @@
 	const configured = pushConfiguration(checked.link, context);
 	const commanded = reconcileCommands(configured.link, state.claimReadAtMs, context);
 	const acknowledged = acknowledgeTaskEvents(commanded.link, context);
-	const reported = reportBackendServers(registration.state, acknowledged.link, context);
+	const left = reportLeavingWorker(registration.state, acknowledged.link, context);
+	const reported = reportBackendServers(left.state, acknowledged.link, context);
 	return {
 		state: withLink(reported.state, acknowledged.link),
 		effects: [
@@ -160,6 +163,7 @@
 			...configured.effects,
 			...commanded.effects,
 			...acknowledged.effects,
+			...left.effects,
 			...reported.effects,
 		],
 	};
@@ -190,6 +194,7 @@
 				workerIncarnation: hello.workerIncarnation,
 				capacity: {processorsMilli, memoryMb, accelerators},
 				runningTasks: hello.runningTasks.map(({taskId, attempt}) => ({taskId, attempt})),
+				...(hello.service !== '' && {service: hello.service, labels: hello.labels, workerStartedAtMs: Number(hello.workerStartedAtMs)}),
 			},
 		}],
 	};
@@ -202,6 +207,20 @@
 		: {link: {...link, isHelloChecked: true}, effects: cancelUnclaimedTasks(link, context)};
 }
 
+function reportLeavingWorker(state: EntryState, link: AgentLink, context: EntryContext): ControlStep {
+	const {vmId, agentIncarnation} = link;
+	const subject = `vm-leaving/${agentIncarnation}`;
+	const vm = context.cluster.vms.get(vmId);
+	if (!link.workerLeaving || vm?.agentIncarnation !== agentIncarnation || vm.leaving || !mayAppend(state.guard, subject, context.nowMs)) {
+		return {state, effects: []};
+	}
+
+	return {
+		state: {...state, guard: state.guard.set(subject, context.nowMs)},
+		effects: [{kind: 'append-record', record: {kind: 'vm-leaving', vmId, agentIncarnation}}],
+	};
+}
+
 function reportBackendServers(state: EntryState, link: AgentLink, context: EntryContext): ControlStep {
 	const effects: ControlEffect[] = [];
 	let {guard} = state;
--- a/src/entry/reduce-entry.ts
+++ b/src/entry/reduce-entry.ts
@@ -33,9 +33,6 @@
 	settings: EntrySettings,
 ) => EntryStep;
 
-/** Shortest time between two snapshots: at the peak, 5,000 records come every 1.6 s, and one encoding holds the event loop for 0.3 s. */
-const minSnapshotIntervalMs = 15_000;
-
 /** Time between two rounds of liveness, expiry and reconciliation. */
 const controlTickMs = 250;
 
@@ -219,7 +216,7 @@
 	const {snapshot, cluster} = state;
 	const {settings, nowMs} = context;
 	const newRecords = cluster.offset - snapshot.coversOffset;
-	const isEncodable = nowMs - snapshot.writtenAtMs >= minSnapshotIntervalMs;
+	const isEncodable = nowMs - snapshot.writtenAtMs >= settings.timings.minSnapshotIntervalMs;
 	const isDue = (isEncodable && newRecords >= settings.snapshotEveryRecords)
 		|| (newRecords > 0 && nowMs - snapshot.writtenAtMs >= settings.timings.snapshotEveryMs);
 	const owner = ownerByRendezvous([...cluster.entries.keys()], 'snapshot');
--- a/src/entry/touched-vms.ts
+++ b/src/entry/touched-vms.ts
@@ -3,7 +3,7 @@
 import {type LoggedRecord} from '../log/log-envelope.js';
 
 /** Kinds whose effect may reach any VM. */
-const fleetWideKinds: ReadonlySet<ClusterRecord['kind']> = new Set(['plan-confirmed', 'job-submitted']);
+const fleetWideKinds: ReadonlySet<ClusterRecord['kind']> = new Set(['plan-confirmed', 'job-submitted', 'job-cancelled']);
 
 /**
 Lists the VMs that a page of records may have given something to do; undefined means all of them.
--- a/src/placement/choose-victims.ts
+++ b/src/placement/choose-victims.ts
@@ -3,6 +3,7 @@
 import {
 	addResources, fitsInto, type Resources, noResources,
 } from '../cluster/resources.js';
+import {isLongRunning} from '../cluster/workflow-progress.js';
 import {roomOf} from './feasibility.js';
 
 /** Batch tasks whose eviction makes room, with the room that results. */
@@ -24,7 +25,7 @@
 	const evictable = [...vm.taskIds]
 		.map(taskId => cluster.tasks.get(taskId))
 		.filter(found => found !== undefined)
-		.filter(found => found.workClass === 'batch' && found.phase === 'running' && rankByClass[found.priority] < rankByClass[task.priority])
+		.filter(found => found.workClass === 'batch' && found.phase === 'running' && !isLongRunning(cluster, found) && rankByClass[found.priority] < rankByClass[task.priority])
 		.toSorted((left, right) => rankByClass[left.priority] - rankByClass[right.priority]
 			|| left.evictions - right.evictions
 			|| sizeOf(right) - sizeOf(left)
--- a/src/placement/feasibility.ts
+++ b/src/placement/feasibility.ts
@@ -1,5 +1,6 @@
 import {type ClusterState, type Task, type Vm} from '../cluster/cluster-state.js';
 import {lackingResources} from '../cluster/lacking-resources.js';
+import {stepOf} from '../cluster/workflow-progress.js';
 import {addResources, type Resources, subtractResources} from '../cluster/resources.js';
 
 /**
@@ -21,6 +22,7 @@
 export function takesNewTasks(vm: Vm, cluster: ClusterState): boolean {
 	return vm.phase === 'live'
 		&& !vm.draining
+		&& !vm.leaving
 		&& !vm.quarantined
 		&& !cluster.configuration.drainingFailureDomains.has(vm.failureDomain);
 }
@@ -33,5 +35,13 @@
 */
 export function lackingForever(task: Task, cluster: ClusterState): string | undefined {
 	// An expired VM may come back, so only what no known VM could hold is given up.
-	return cluster.vms.isEmpty() ? undefined : lackingResources(cluster.vms.values(), task.spec.demand);
+	const run = cluster.workflows.get(task.jobId);
+	const vms = run ? cluster.vms.filter(vm => vm.service === run.workflow.service) : cluster.vms;
+	if (vms.isEmpty()) {
+		return undefined;
+	}
+
+	const label = stepOf(cluster, task)?.requiredLabel;
+	const labelled = label === undefined ? vms : vms.filter(vm => vm.labels.includes(label));
+	return labelled.isEmpty() ? `needs label ${label ?? ''}, which no VM has` : lackingResources(labelled.values(), task.spec.demand);
 }
--- a/src/placement/pending-claims.ts
+++ b/src/placement/pending-claims.ts
@@ -1,19 +1,32 @@
 import {Map} from 'immutable';
-import {type ClusterState} from '../cluster/cluster-state.js';
+import {type ClusterState, type Task} from '../cluster/cluster-state.js';
 import {
 	addResources, noResources, type Resources, subtractResources,
 } from '../cluster/resources.js';
+import {stepKeyOf} from '../cluster/workflow.js';
 
 /** A claim that this entry appended and has not read back. */
-type PendingClaim = Readonly<{vmId: string; attempt: number; committed: Resources; appendedAtMs: number}>;
+type PendingClaim = Readonly<{vmId: string; attempt: number; committed: Resources; appendedAtMs: number; siblingsKey: string}>;
+
+/**
+Names the tasks that a step's limit for one VM counts together.
+
+@example
+siblingsKeyOf(task, 'vm-1'); // => 'job-1/0.1/vm-1'
+*/
+export function siblingsKeyOf(task: Task, vmId: string): string {
+	return `${task.jobId}/${task.position ? stepKeyOf(task.position) : ''}/${vmId}`;
+}
 
 /** Claims under way, so that one pass after the other does not promise the same room twice. */
 export type PendingClaims = Readonly<{
 	byTask: Map<string, PendingClaim>;
 	committedByVm: Map<string, Resources>;
+	/** Number of claims under way by `siblingsKeyOf`. */
+	siblings: Map<string, number>;
 }>;
 
-export const noPendingClaims: PendingClaims = {byTask: Map(), committedByVm: Map()};
+export const noPendingClaims: PendingClaims = {byTask: Map(), committedByVm: Map(), siblings: Map()};
 
 /** Time after which a claim that was not read back no longer holds room; the reducer protects capacity in any case. */
 const pendingTimeoutMs = 5000;
@@ -22,12 +35,15 @@
 Adds a claim that was appended.
 
 @example
-addPendingClaim(noPendingClaims, 'task-1', {vmId: 'vm-1', attempt: 1, committed, appendedAtMs: nowMs});
+addPendingClaim(noPendingClaims, 'task-1', {
+	vmId: 'vm-1', attempt: 1, committed, appendedAtMs: nowMs, siblingsKey,
+});
 */
 export function addPendingClaim(pending: PendingClaims, taskId: string, claim: PendingClaim): PendingClaims {
 	return {
 		byTask: pending.byTask.set(taskId, claim),
 		committedByVm: pending.committedByVm.update(claim.vmId, noResources, sum => addResources(sum, claim.committed)),
+		siblings: pending.siblings.update(claim.siblingsKey, 0, count => count + 1),
 	};
 }
 
@@ -38,7 +54,7 @@
 settlePendingClaims(pending, cluster, nowMs);
 */
 export function settlePendingClaims(pending: PendingClaims, cluster: ClusterState, nowMs: number): PendingClaims {
-	let {byTask, committedByVm} = pending;
+	let {byTask, committedByVm, siblings} = pending;
 	for (const [taskId, claim] of pending.byTask) {
 		const task = cluster.tasks.get(taskId);
 		const isDecided = task?.phase !== 'queued' || task.attempt >= claim.attempt;
@@ -46,10 +62,12 @@
 			byTask = byTask.delete(taskId);
 			const left = subtractResources(committedByVm.get(claim.vmId, noResources), claim.committed);
 			committedByVm = isEmpty(left) ? committedByVm.delete(claim.vmId) : committedByVm.set(claim.vmId, left);
+			const count = siblings.get(claim.siblingsKey, 1) - 1;
+			siblings = count === 0 ? siblings.delete(claim.siblingsKey) : siblings.set(claim.siblingsKey, count);
 		}
 	}
 
-	return {byTask, committedByVm};
+	return {byTask, committedByVm, siblings};
 }
 
 function isEmpty(resources: Resources): boolean {
--- a/src/placement/place-queued-tasks.ts
+++ b/src/placement/place-queued-tasks.ts
@@ -1,4 +1,4 @@
-import {Map} from 'immutable';
+import {Map as immutableMap, type Map as ImmutableMap} from 'immutable';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {type ClusterState, type Task, type Vm} from '../cluster/cluster-state.js';
@@ -7,13 +7,15 @@
 import {
 	addResources, fitsInto, noResources, type Resources,
 } from '../cluster/resources.js';
+import {isAllowedOn} from '../cluster/step-constraints.js';
+import {stepOf} from '../cluster/workflow-progress.js';
 import {type ControlEffect, type Step} from '../entry/control-effect.js';
 import {type EntryContext, isLogFresh} from '../entry/entry-context.js';
 import {classesInTurn} from './classes-in-turn.js';
 import {chooseVm, type PlacementCandidate} from './choose-vm.js';
 import {lackingForever, roomOf, takesNewTasks} from './feasibility.js';
 import {
-	addPendingClaim, noPendingClaims, type PendingClaims, settlePendingClaims,
+	addPendingClaim, noPendingClaims, type PendingClaims, settlePendingClaims, siblingsKeyOf,
 } from './pending-claims.js';
 import {placementPolicies} from './placement-policies.js';
 import {chooseVictims} from './choose-victims.js';
@@ -24,13 +26,13 @@
 export type PlacementState = Readonly<{
 	pending: PendingClaims;
 	/** When this entry first saw a queued task that belongs to another entry. */
-	foreignSince: Map<string, number>;
+	foreignSince: ImmutableMap<string, number>;
 	interference: InterferenceEstimates;
 	history: VmHistory;
 }>;
 
 export const initialPlacement: PlacementState = {
-	pending: noPendingClaims, foreignSince: Map(), interference: noInterferenceEstimates, history: noVmHistory,
+	pending: noPendingClaims, foreignSince: immutableMap(), interference: noInterferenceEstimates, history: noVmHistory,
 };
 
 /** VMs that are looked at first for one task; a full scan follows only when none of them has room. */
@@ -46,9 +48,9 @@
 	/** Demands that found no room in this pass: a larger one finds none either. */
 	readonly withoutRoom: Resources[];
 	readonly claims: ControlEffect[];
-	readonly blockedTeams: Set<string>;
+	/** Entry that places the tasks of a service or of a job. */
+	readonly owners: Map<string, string>;
 	state: PlacementState;
-	scanned: number;
 };
 
 /**
@@ -72,9 +74,8 @@
 		vms: [...context.cluster.vms.values()].filter(vm => takesNewTasks(vm, context.cluster)),
 		withoutRoom: [],
 		claims: [],
-		blockedTeams: new Set(),
+		owners: new Map(),
 		state: settled,
-		scanned: 0,
 	};
 	for (const priority of classesInTurn(context.seed, context.cluster.configuration.requestLimits.floorMilliByClass)) {
 		placeClass(pass, priority);
@@ -107,7 +108,9 @@
 
 function isOwnTurn(pass: Pass, task: Task): boolean {
 	const {cluster, settings, incarnation, nowMs} = pass.context;
-	const owner = ownerByRendezvous([...cluster.entries.keys()], task.jobId);
+	// One entry places everything of a service, so that it weighs all of its tasks against each other.
+	const subject = cluster.workflows.get(task.jobId)?.workflow.service ?? task.jobId;
+	const owner = ownerOf(pass, subject);
 	if (owner === undefined || owner === incarnation) {
 		return true;
 	}
@@ -122,6 +125,20 @@
 	return nowMs - sinceMs >= settings.timings.placementTakeoverMs;
 }
 
+function ownerOf(pass: Pass, subject: string): string | undefined {
+	const known = pass.owners.get(subject);
+	if (known !== undefined) {
+		return known;
+	}
+
+	const owner = ownerByRendezvous(pass.context.cluster.entries.keys(), subject);
+	if (owner !== undefined) {
+		pass.owners.set(subject, owner);
+	}
+
+	return owner;
+}
+
 function placeTask(pass: Pass, task: Task): void {
 	const {cluster, settings, seed, nowMs} = pass.context;
 	const {demand, taskId} = task.spec;
@@ -158,7 +175,11 @@
 		},
 	);
 	if (!choice) {
-		pass.withoutRoom.push(demand);
+		// A task that its step keeps off VMs says nothing about the room that other tasks find.
+		if (!isConstrained(cluster, task)) {
+			pass.withoutRoom.push(demand);
+		}
+
 		return;
 	}
 
@@ -180,11 +201,21 @@
 	pass.state = {
 		...pass.state,
 		pending: addPendingClaim(pass.state.pending, taskId, {
-			vmId: choice.vmId, attempt, committed: demand, appendedAtMs: nowMs,
+			vmId: choice.vmId, attempt, committed: demand, appendedAtMs: nowMs, siblingsKey: siblingsKeyOf(task, choice.vmId),
 		}),
 	};
 }
 
+function isConstrained(cluster: ClusterState, task: Task): boolean {
+	const step = stepOf(cluster, task);
+	return step?.requiredLabel !== undefined || step?.maxTasksPerVm !== undefined;
+}
+
+/** Tells whether a task's step allows it on a VM, claims under way included. */
+function isAllowed(pass: Pass, task: Task, vm: Vm): boolean {
+	return isAllowedOn(pass.context.cluster, task, vm, pass.state.pending.siblings.get(siblingsKeyOf(task, vm.vmId), 0));
+}
+
 function exceedsQuota(pass: Pass, task: Task): boolean {
 	const {cluster} = pass.context;
 	const quota = cluster.configuration.quotas.get(task.teamId);
@@ -203,7 +234,7 @@
 	const found: FeasibleVm[] = [];
 	for (const vm of vms) {
 		const room = roomOf(vm, pass.state.pending.committedByVm.get(vm.vmId, noResources));
-		if (fitsInto(task.spec.demand, room)) {
+		if (fitsInto(task.spec.demand, room) && isAllowed(pass, task, vm)) {
 			found.push({vm, candidate: toCandidate(pass, task, vm, {room, evictions: 0}), evictTaskIds: []});
 		}
 	}
@@ -220,7 +251,7 @@
 	const found: FeasibleVm[] = [];
 	for (const vm of pass.vms.slice(0, sampledVmsForEviction)) {
 		// A VM with a claim under way is left alone: its victims may already be promised.
-		if (pass.state.pending.committedByVm.has(vm.vmId)) {
+		if (pass.state.pending.committedByVm.has(vm.vmId) || !isAllowed(pass, task, vm)) {
 			continue;
 		}
 
--- a/src/roles.ts
+++ b/src/roles.ts
@@ -1,4 +1,5 @@
-import {ok, type Result} from 'true-myth/result';
+import {err, ok, type Result} from 'true-myth/result';
+import {type AgentParts} from './agent/agent-process.js';
 import {type TypedError} from './errors/typed-error.js';
 import {type AgentSettings} from './settings/agent-settings.js';
 import {type EntrySettings} from './settings/entry-settings.js';
@@ -18,24 +19,56 @@
 export const startRole: Readonly<{entry: StartRole<EntrySettings>; agent: StartRole<AgentSettings>}> = {
 	async entry(context) {
 		const {startEntry} = await import('./entry/entry-process.js');
-		return startEntry(context);
+		const {settings, eventLog, metrics} = context;
+		if (!settings.platform) {
+			return startEntry(context);
+		}
+
+		const {openEntryPlatform} = await import('../platform/open-entry-platform.js');
+		const {entryId, agentAddress} = settings;
+		return startEntry({
+			...context,
+			platform: openEntryPlatform({
+				settings: settings.platform, entryId, agentAddress, eventLog, metrics,
+			}),
+		});
 	},
 	async agent(context) {
-		const [{startAgent}, {createWorkerClient}] = await Promise.all([
-			import('./agent/agent-process.js'), import('./worker/worker-client.js'),
-		]);
-		const worker = createWorkerClient({baseUrl: context.settings.workerUrl});
-		const agent = await startAgent({...context, worker});
+		const [{startAgent}, connected] = await Promise.all([import('./agent/agent-process.js'), connectWorker(context)]);
+		if (connected.isErr) {
+			return err(connected.error);
+		}
+
+		const {close, ...parts} = connected.value;
+		const agent = await startAgent({...context, ...parts});
 		if (agent.isErr) {
-			await worker.close();
-			return agent;
+			await close();
+			return err(agent.error);
 		}
 
 		return ok({
 			async stop() {
 				await agent.value.stop();
-				await worker.close();
+				await close();
 			},
 		});
 	},
 };
+
+type ConnectedWorker = Readonly<Pick<AgentParts, 'worker' | 'watchEntries'> & {close: () => Promise<void>}>;
+
+/** Connects the agent with the worker on its VM: the one of the users' platform, or one with the product's own interface. */
+async function connectWorker({settings, eventLog}: RoleContext<AgentSettings>): Promise<Result<ConnectedWorker, TypedError>> {
+	if (settings.platform) {
+		const {openAgentPlatform} = await import('../platform/open-agent-platform.js');
+		return ok(await openAgentPlatform({settings: settings.platform, eventLog}));
+	}
+
+	if (settings.workerUrl === undefined) {
+		return err({kind: 'worker-missing', message: 'the settings name no worker', remedy: 'set workerUrl, or platform on the users\' platform'});
+	}
+
+	const {createWorkerClient} = await import('./worker/worker-client.js');
+	const worker = createWorkerClient({baseUrl: settings.workerUrl});
+	return ok({worker, close: async () => worker.close()});
+}
--- a/src/settings/agent-settings.ts
+++ b/src/settings/agent-settings.ts
@@ -1,4 +1,5 @@
 import * as z from 'zod/mini';
+import {agentPlatformSettingsSchema} from './agent-platform-settings.js';
 
 const nameSchema = z.string().check(z.regex(/^[\w.:\-]{1,128}$/v, 'use 1 to 128 letters, digits, dots, colons, hyphens or underscores'));
 const addressSchema = z.string().check(z.regex(/^\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}$/v, 'use an IP number and a port, such as 127.0.0.1:8080'));
@@ -10,8 +11,9 @@
 	failureDomain: nameSchema.check(z.describe('Failure domain that this VM is in')),
 	rack: nameSchema.check(z.describe('Rack that this VM is in')),
 	requestAddress: addressSchema.check(z.describe('Where entries send requests and backend servers announce themselves')),
-	entryAddresses: z.readonly(z.array(addressSchema).check(z.minLength(1))).check(z.describe('Agent addresses of the entries of this region')),
-	workerUrl: z.url().check(z.describe('Address of the platform\'s worker on this VM')),
+	entryAddresses: z._default(z.readonly(z.array(addressSchema)), []).check(z.describe('Agent addresses of the entries of this region; needed without `platform`')),
+	workerUrl: z.optional(z.url()).check(z.describe('Address of the platform\'s worker on this VM; not used beside `platform`')),
+	platform: z.optional(agentPlatformSettingsSchema).check(z.describe('Addresses of the users\' platform, when the agent runs on it')),
 	logLevel: z._default(z.enum(['debug', 'info', 'warn', 'error']), 'info').check(z.describe('Least severe level that is logged')),
 	metrics: z._default(z.readonly(z.strictObject({
 		statsdAddress: z.optional(addressSchema).check(z.describe('Where StatsD metrics go; none are sent without it')),
@@ -23,8 +25,11 @@
 		announceTimeoutMs: z._default(z.int().check(z.minimum(200)), 4000).check(z.describe('Time without an announcement after which a backend server counts as gone')),
 		keyRetentionMs: z._default(z.int().check(z.minimum(1000)), 600_000).check(z.describe('W: how long outcomes of keyed requests are kept')),
 		drainTimeoutMs: z._default(z.int().check(z.minimum(100)), 30_000).check(z.describe('Longest wait for requests in flight at a stop')),
+		workerHoldMs: z._default(z.int().check(z.minimum(500)), 60_000).check(z.describe('Longest time for which the worker is told to run tasks without word from the agent; the lease bounds it as well')),
+		workerTimeoutMs: z._default(z.int().check(z.minimum(200)), 10_000).check(z.describe('Silence of the worker after which its tasks are held no longer')),
 		usageLagMs: z._default(z.int().check(z.minimum(0)), 5000).check(z.describe('Expected lag of the worker\'s usage reports')),
 	})), {}),
+	tasksAtStop: z._default(z.enum(['checkpoint', 'keep']), 'checkpoint').check(z.describe('What a graceful stop does to run-once tasks: `checkpoint` stops them, `keep` leaves them to the next agent on the VM')),
 	guards: z.prefault(z.readonly(z.strictObject({
 		enabled: z._default(z.boolean(), true).check(z.describe('Whether batch tasks are throttled and evicted for services')),
 		throttleShareMilli: z._default(z.int().check(z.minimum(50), z.maximum(1000)), 300).check(z.describe('Processor share of a throttled batch task, in thousandths')),
--- a/src/settings/entry-settings.ts
+++ b/src/settings/entry-settings.ts
@@ -1,5 +1,6 @@
 import {z} from 'zod';
 import {nameSchema} from '../cluster/intent.js';
+import {entryPlatformSettingsSchema} from './entry-platform-settings.js';
 import {placementPolicyNames} from '../placement/placement-policy-name.js';
 
 const addressSchema = z.string().regex(/^\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}$/v, 'use an IP number and a port, such as 127.0.0.1:8080');
@@ -19,9 +20,10 @@
 	callerAddress: addressSchema.describe('Where callers and the balancer\'s health check connect'),
 	operatorAddress: addressSchema.describe('Where operator commands connect'),
 	agentAddress: addressSchema.describe('Where agents open their stream'),
-	operatorTokenFile: z.string().describe('File that holds the operators\' token'),
+	operatorTokenFile: z.string().optional().describe('File that holds the operators\' token; without it the operator interface stays closed'),
 	peerOperatorAddresses: z.array(addressSchema).readonly().default([]).describe('Operator addresses of the other entries, asked for state when the log is down at start'),
-	logServiceUrl: z.url().describe('Address of the platform\'s log service'),
+	logServiceUrl: z.url().optional().describe('Address of the platform\'s log service; not used beside `platform`'),
+	platform: entryPlatformSettingsSchema.optional().describe('Addresses of the users\' platform, when the entry runs on it'),
 	logStream: nameSchema.default('arbutushinge').describe('Stream that holds the cluster records'),
 	logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info').describe('Least severe level that is logged'),
 	placementPolicy: z.enum(placementPolicyNames).default('least-harm').describe('How VMs are chosen for tasks; `first-fit` and `least-loaded` are baselines meant for comparison'),
@@ -36,6 +38,7 @@
 		leaseMarginMs: z.int().min(50).default(1000).describe('Margin for clock drift added to F + D before leases count as expired'),
 		commandTakeoverMs: z.int().min(50).default(500).describe('Time after which an entry sends the start of another entry\'s claim'),
 		placementTakeoverMs: z.int().min(50).default(300).describe('Time after which an entry places a task that another entry should place'),
+		minSnapshotIntervalMs: z.int().min(500).default(15_000).describe('Shortest time between two snapshots, which hold the event loop while they are encoded'),
 		snapshotEveryMs: z.int().min(1000).default(60_000).describe('Longest time between two snapshots'),
 		keyRetentionMs: z.int().min(1000).default(600_000).describe('W: how long keys of non-idempotent requests are remembered'),
 		shutdownDelayMs: z.int().min(0).default(2000).describe('Time between not ready and the closing of the callers\' port'),
--- a/src/worker/worker-answers.ts
+++ b/src/worker/worker-answers.ts
@@ -28,6 +28,15 @@
 	workerIncarnation: z.string(),
 	capacity: resourcesSchema,
 	tasks: z.readonly(z.array(workerTaskSchema)),
+	/** Service that the worker belongs to; missing for a worker that takes any task. */
+	service: z.optional(z.string()),
+	labels: z.optional(z.readonly(z.array(z.string()))),
+	/** Rack of the worker, in place of the one in the agent's settings. */
+	rack: z.optional(z.string()),
+	/** Start of the worker's process in Unix time. */
+	startedAtMs: z.optional(z.int()),
+	/** Whether the worker announced that it leaves. */
+	leaving: z.optional(z.boolean()),
 }));
 
 export type WorkerTasks = z.infer<typeof workerTasksSchema>;
@@ -43,6 +52,10 @@
 		processorsUsedMilli: z.int().check(z.minimum(0)),
 		memoryUsedMb: z.int().check(z.minimum(0)),
 		relativeSpeedMilli: z.int().check(z.minimum(0)),
+		/** Tail of the response times of a task that serves users, in milliseconds. */
+		latencyTailMs: z.optional(z.number()),
+		/** Share of its processors at which the task may work. */
+		paceShareMilli: z.optional(z.number()),
 	})))),
 }));
 
