Pace filling work by feedback and place it where processors are idle

Agents now slow filling work in proportion to the worst tail of a serving task; placement counts filling work against idle processors, keeps serving tasks together and orders queued tasks by whether their job can still meet its objective, then by the work left.

--- a/src/agent/agent-state.ts
+++ b/src/agent/agent-state.ts
@@ -10,6 +10,7 @@
 import {emptyKeyTable, type KeyTable} from './key-table.js';
 import {noLease, type Lease} from './lease.js';
 import {emptyLedger, type Ledger} from './ledger.js';
+import {restingPace, type PaceControl} from './pace-control.js';
 import {noTaskEvents, type TaskEvents} from './task-events.js';
 import {unknownWorker, type WorkerView} from './worker-view.js';
 
@@ -35,6 +36,12 @@
 	/** Why the task is being stopped, if it is. */
 	stopping: 'evict' | 'cancel' | undefined;
 	stoppingReason: string;
+	/** Bound of the tail of its response times; 0 for a task that serves no users. */
+	latencyTargetMs: number;
+	/** Whether it takes only processors that other tasks leave idle. */
+	fillsIdle: boolean;
+	/** Share of its processors that the worker was last told, in thousandths. */
+	paceMilli: number;
 	/** Event that reports the end; missing before. */
 	endEventId: number | undefined;
 }>;
@@ -95,6 +102,7 @@
 	keys: KeyTable;
 	usage: WorkerUsage | undefined;
 	guard: Guard;
+	pace: PaceControl;
 }>;
 
 /**
@@ -126,5 +134,6 @@
 		keys: emptyKeyTable,
 		usage: undefined,
 		guard: restingGuard,
+		pace: restingPace,
 	};
 }
--- a/src/agent/reduce-agent.ts
+++ b/src/agent/reduce-agent.ts
@@ -13,9 +13,10 @@
 import {
 	grantLease, heartbeatSent, isLeaseExpired, noLease,
 } from './lease.js';
+import {fullPaceMilli, stepPace, type ServingMeasure} from './pace-control.js';
 import {requestArrived, requestSettled} from './request-handlers.js';
 import {
-	acknowledge, applyWorkerTasks, cancelAttempt, checkpointAll, dropLiveTasks, evictAttempt, evictTask, hasRunOnceTasks, repeatCalls, settleWaiting, startAnswered, startTask,
+	acknowledge, applyPace, applyTraits, applyWorkerTasks, cancelAttempt, checkpointAll, dropLiveTasks, evictAttempt, evictTask, hasRunOnceTasks, repeatCalls, settleWaiting, startAnswered, startTask,
 } from './task-handlers.js';
 import {chain, transition, type Transition} from './transition.js';
 import {hasLapsed, nextHoldDeadline} from './worker-view.js';
@@ -145,6 +146,28 @@
 	};
 }
 
+/** Takes in a usage report and slows filling work when a serving task is close to its target or beyond it. */
+function applyUsage(state: AgentState, {usage, nowMs}: AgentEventOf<'worker-usage'>): Transition {
+	const serving = usage.tasks.flatMap(({taskId, latencyTailMs}) => {
+		const latencyTargetMs = state.tasks.get(taskId)?.latencyTargetMs ?? 0;
+		return latencyTailMs === undefined || latencyTargetMs === 0 ? [] : [{latencyTailMs, latencyTargetMs}];
+	});
+	const fills = state.tasks.some(task => task.fillsIdle && task.phase === 'running');
+	const pace = fills || state.pace.shareMilli < fullPaceMilli ? stepPace(state.pace, serving, nowMs) : state.pace;
+	const paced: AgentState = {...state, usage, pace};
+	return pace.shareMilli === state.pace.shareMilli
+		? transition(paced)
+		: chain(paced, applyPace, current => transition(current, {
+			kind: 'log', level: 'info', event: 'filling-work-paced', fields: {
+				shareMilli: pace.shareMilli, formerShareMilli: state.pace.shareMilli, worstTailShare: worstTailShare(serving),
+			},
+		}));
+}
+
+function worstTailShare(serving: readonly ServingMeasure[]): number {
+	return Math.round(1000 * Math.max(0, ...serving.map(({latencyTailMs, latencyTargetMs}) => latencyTailMs / latencyTargetMs))) / 1000;
+}
+
 /** Moves a graceful stop along: requests in flight, then run-once tasks, then acknowledgements. */
 function advanceStop(nowMs: number): Step {
 	return state => {
@@ -238,6 +261,12 @@
 			return acknowledge(state, message.value.eventIds.map(Number));
 		}
 
+		case 'claimedTraits': {
+			return applyTraits(state, message.value.claims.map(({taskId, traits}) => ({
+				taskId, latencyTargetMs: traits?.latencyTargetMs ?? 0, fillsIdle: traits?.fillsIdle ?? false,
+			})));
+		}
+
 		case 'revoked': {
 			return state.phase === 'active' && message.value.agentIncarnation === state.incarnation
 				? endIncarnation(state, nowMs, 'the incarnation was revoked')
@@ -306,7 +335,7 @@
 	'entry-disconnected': (state, event) => transition(state.entries.has(event.entryAddress) ? {...state, entries: state.entries.set(event.entryAddress, closedLink)} : state),
 	'entry-message': applyMessage,
 	'worker-tasks': applyWorkerList,
-	'worker-usage': (state, event) => transition({...state, usage: event.usage}),
+	'worker-usage': applyUsage,
 	'start-answered': startAnswered,
 	'incarnation-created': (state, event) => state.phase === 'ending'
 		? sendHello({
--- a/src/agent/task-handlers.ts
+++ b/src/agent/task-handlers.ts
@@ -13,6 +13,7 @@
 import {
 	commit, count, emptyLedger, freeResources, release,
 } from './ledger.js';
+import {fullPaceMilli} from './pace-control.js';
 import {acknowledgeTaskEvents, addTaskEvent, type TaskEventOutcome} from './task-events.js';
 import {chain, transition, type Transition} from './transition.js';
 import {hearWorker} from './worker-view.js';
@@ -165,6 +166,9 @@
 		changedAtMs: nowMs,
 		stopping: undefined,
 		stoppingReason: '',
+		latencyTargetMs: start.traits?.latencyTargetMs ?? 0,
+		fillsIdle: start.traits?.fillsIdle ?? false,
+		paceMilli: fullPaceMilli,
 		endEventId: undefined,
 	};
 	const evictions = start.evictTaskIds.map(taskId => (current: AgentState) => evictTask(current, taskId, `${start.taskId} takes the room`));
@@ -273,7 +277,11 @@
 
 	const answered: AgentTask = {...task, startInFlight: false, changedAtMs: event.nowMs};
 	const handlers: Readonly<Record<typeof event.result, Step>> = {
-		started: current => report({...current, tasks: current.tasks.set(task.taskId, {...answered, phase: 'running', start: undefined})}, task, {case: 'started', value: {}}),
+		started: current => chain(
+			{...current, tasks: current.tasks.set(task.taskId, {...answered, phase: 'running', start: undefined})},
+			next => report(next, task, {case: 'started', value: {}}),
+			applyPace,
+		),
 		refused: current => chain(current, next => refuseTask(next, task, event.reason), settleWaiting(event.nowMs)),
 		unknown: current => transition({...current, tasks: current.tasks.set(task.taskId, answered)}),
 	};
@@ -304,6 +312,49 @@
 	};
 }
 
+/**
+Tells the worker the pace of the filling tasks that do not have it yet; a task starts at full pace.
+
+@example
+applyPace(state).effects; // => [{kind: 'throttle-task', taskId: 't1', shareMilli: 400}]
+*/
+export function applyPace(state: AgentState): Transition {
+	const {shareMilli} = state.pace;
+	const paced = [...state.tasks.values()].filter(task => task.phase === 'running' && task.fillsIdle && task.paceMilli !== shareMilli);
+	return transition(
+		{
+			...state, tasks: state.tasks.withMutations(tasks => {
+				for (const task of paced) {
+					tasks.set(task.taskId, {...task, paceMilli: shareMilli});
+				}
+			}),
+		},
+		...paced.map((task): AgentEffect => ({kind: 'throttle-task', taskId: task.taskId, shareMilli})),
+	);
+}
+
+/**
+Takes over the traits of the tasks that the agent found running when it started.
+
+@example
+applyTraits(state, [{taskId: 't1', latencyTargetMs: 18, fillsIdle: false}]);
+*/
+export function applyTraits(state: AgentState, claims: ReadonlyArray<Readonly<{taskId: string; latencyTargetMs: number; fillsIdle: boolean}>>): Transition {
+	return applyPace({
+		...state, tasks: state.tasks.withMutations(tasks => {
+			for (const {taskId, latencyTargetMs, fillsIdle} of claims) {
+				const task = tasks.get(taskId);
+				if (task) {
+					// The pace that an earlier agent told the worker is not known, so that it is told anew.
+					tasks.set(taskId, {
+						...task, latencyTargetMs, fillsIdle, paceMilli: fillsIdle ? 0 : task.paceMilli,
+					});
+				}
+			}
+		}),
+	});
+}
+
 /** How the end that the worker lists is reported. */
 const outcomesByPhase: Readonly<Record<Exclude<WorkerTask['phase'], 'running'>, (listed: WorkerTask, task: AgentTask) => TaskEventOutcome>> = {
 	finished: listed => ended(TaskOutcome.FINISHED, listed.reason),
@@ -327,6 +378,9 @@
 		changedAtMs: nowMs,
 		stopping: undefined,
 		stoppingReason: '',
+		latencyTargetMs: 0,
+		fillsIdle: false,
+		paceMilli: fullPaceMilli,
 		endEventId: undefined,
 	};
 }
--- a/src/cluster/cluster-record.ts
+++ b/src/cluster/cluster-record.ts
@@ -17,6 +17,7 @@
 	failedBefore: z.literal(true).optional(),
 	wastesAccelerators: z.literal(true).optional(),
 	evictions: z.int().positive().optional(),
+	packs: z.literal(true).optional(),
 }).readonly();
 
 export type ScoreInputs = z.infer<typeof scoreInputsSchema>;
--- a/src/cluster/workflow.ts
+++ b/src/cluster/workflow.ts
@@ -47,6 +47,15 @@
 	maxFailures: z.int().positive(),
 	/** The steps run `times` times; occurrence K is due at `firstAtMs` + K x `intervalMs` of Unix time. */
 	schedule: z.strictObject({firstAtMs: z.int(), intervalMs: z.int().positive(), times: z.int().positive().max(100_000)}).readonly().optional(),
+	/** When the caller wants the job finished; jobs that can still make it go first. */
+	objective: z.strictObject({
+		/** Unix time at which an entry took the job in. */
+		submittedAtMs: z.int(),
+		/** Factor on the longest chain of declared run times, in thousandths. */
+		stretchMilli: z.int().min(0),
+		/** Time beyond the stretched chain. */
+		slackMs: z.int().min(0),
+	}).readonly().optional(),
 	/** Whether starts need a ticket of the queue's advice service. */
 	needsAdvice: z.boolean().optional(),
 }).readonly();
--- a/src/dispatch/agent-commands.ts
+++ b/src/dispatch/agent-commands.ts
@@ -1,5 +1,6 @@
 import {type ClusterState, type Task, type Vm} from '../cluster/cluster-state.js';
 import {isLiveAgent} from '../cluster/liveness.js';
+import {stepOf} from '../cluster/workflow-progress.js';
 import {type AgentCommand, type ControlEffect} from '../entry/control-effect.js';
 import {type EntryContext} from '../entry/entry-context.js';
 import {type AgentLink} from './agent-link.js';
@@ -91,6 +92,7 @@
 					payload: cluster.workflows.get(task.jobId)?.workflow.payload ?? task.spec.payload,
 					checkpoint: task.checkpoint,
 					evictTaskIds: [...claim.evictTaskIds],
+					traits: traitsOf(task, cluster),
 				},
 			};
 		}
@@ -123,6 +125,25 @@
 	}
 }
 
+function traitsOf(task: Task, cluster: ClusterState): Readonly<{latencyTargetMs: number; fillsIdle: boolean}> {
+	const step = stepOf(cluster, task);
+	return {latencyTargetMs: step?.latencyTargetMs ?? 0, fillsIdle: step?.fillsIdle ?? false};
+}
+
+/**
+Tells an agent the traits of the tasks that its hello lists and that are claimed for its VM; the worker's list does not hold them.
+
+@example
+const effects = sendClaimedTraits(link, context);
+*/
+export function sendClaimedTraits(link: AgentLink, {cluster}: EntryContext): readonly ControlEffect[] {
+	const claims = link.hello.runningTasks.flatMap(({taskId}) => {
+		const task = cluster.tasks.get(taskId);
+		return task?.claim?.vmId === link.vmId ? [{taskId, traits: traitsOf(task, cluster)}] : [];
+	});
+	return claims.length === 0 ? [] : [{kind: 'send-to-agent', vmId: link.vmId, command: {case: 'claimedTraits', value: {claims}}}];
+}
+
 /** The claim's writer sends at once, the others only when the writer may have died. */
 function isTurnOf(task: Task, claimReadTimes: ClaimReadTimes, context: EntryContext): boolean {
 	if (task.claim?.writerIncarnation === context.incarnation) {
--- a/src/entry/reduce-agent-event.ts
+++ b/src/entry/reduce-agent-event.ts
@@ -1,6 +1,6 @@
 import {Map} from 'immutable';
 import {pushConfiguration} from '../dispatch/agent-configuration.js';
-import {cancelUnclaimedTasks, reconcileCommands} from '../dispatch/agent-commands.js';
+import {cancelUnclaimedTasks, reconcileCommands, sendClaimedTraits} from '../dispatch/agent-commands.js';
 import {type AgentLink} from '../dispatch/agent-link.js';
 import {recordsForBackendServers} from '../dispatch/backend-server-relay.js';
 import {acknowledgeTaskEvents, relayTaskEvents} from '../dispatch/task-event-relay.js';
@@ -204,7 +204,7 @@
 	const isRegistered = context.cluster.vms.get(link.vmId)?.agentIncarnation === link.agentIncarnation;
 	return link.isHelloChecked || !isRegistered
 		? {link, effects: []}
-		: {link: {...link, isHelloChecked: true}, effects: cancelUnclaimedTasks(link, context)};
+		: {link: {...link, isHelloChecked: true}, effects: [...cancelUnclaimedTasks(link, context), ...sendClaimedTraits(link, context)]};
 }
 
 function reportLeavingWorker(state: EntryState, link: AgentLink, context: EntryContext): ControlStep {
--- a/src/placement/choose-vm.ts
+++ b/src/placement/choose-vm.ts
@@ -20,6 +20,8 @@
 	/** Whether the VM has accelerators that the task does not need. */
 	wastesAccelerators: boolean;
 	evictions: number;
+	/** Whether the VM with the least room left is the best, to keep the others free. */
+	packs: boolean;
 }>;
 
 const siblingInRackMilli = 40;
@@ -43,7 +45,7 @@
 	const failure = candidate.failedBefore ? failedBeforeMilli : 0;
 	const waste = candidate.wastesAccelerators ? wastedAcceleratorMilli : 0;
 	const evictions = (weights.evictionsMilli * evictionMilli * candidate.evictions) / 1000;
-	return Math.round(leftMilli - harm - spread - failure - waste - evictions);
+	return Math.round((candidate.packs ? -leftMilli : leftMilli) - harm - spread - failure - waste - evictions);
 }
 
 /** Candidates that a decision's record keeps for `explain` and `replay`. */
@@ -88,7 +90,7 @@
 }
 
 function packInputs(candidate: PlacementCandidate): ScoreInputs {
-	const {serviceHarmMilli, siblingsInRack, siblingsInFailureDomain, failedBefore, wastesAccelerators, evictions} = candidate;
+	const {serviceHarmMilli, siblingsInRack, siblingsInFailureDomain, failedBefore, wastesAccelerators, evictions, packs} = candidate;
 	return {
 		...(serviceHarmMilli !== 0 && {serviceHarmMilli}),
 		...(siblingsInRack !== 0 && {siblingsInRack}),
@@ -96,6 +98,7 @@
 		...(failedBefore && {failedBefore: true}),
 		...(wastesAccelerators && {wastesAccelerators: true}),
 		...(evictions !== 0 && {evictions}),
+		...(packs && {packs: true}),
 	};
 }
 
@@ -106,7 +109,7 @@
 restoreCandidate(recorded, inputs, vm.capacity).batchHarmMilli; // => 40
 */
 export function restoreCandidate(recorded: PlacementDecision['candidates'][number], inputs: ScoreInputs, capacity: Resources): PlacementCandidate {
-	const {serviceHarmMilli = 0, siblingsInRack = 0, siblingsInFailureDomain = 0, failedBefore = false, wastesAccelerators = false, evictions = 0} = inputs;
+	const {serviceHarmMilli = 0, siblingsInRack = 0, siblingsInFailureDomain = 0, failedBefore = false, wastesAccelerators = false, evictions = 0, packs = false} = inputs;
 	return {
 		vmId: recorded.vmId,
 		capacity,
@@ -118,5 +121,6 @@
 		failedBefore,
 		wastesAccelerators,
 		evictions,
+		packs,
 	};
 }
--- a/src/placement/pending-claims.ts
+++ b/src/placement/pending-claims.ts
@@ -6,7 +6,7 @@
 import {stepKeyOf} from '../cluster/workflow.js';
 
 /** A claim that this entry appended and has not read back. */
-type PendingClaim = Readonly<{vmId: string; attempt: number; committed: Resources; appendedAtMs: number; siblingsKey: string}>;
+type PendingClaim = Readonly<{vmId: string; attempt: number; committed: Resources; appendedAtMs: number; siblingsKey: string; fillingMilli: number}>;
 
 /**
 Names the tasks that a step's limit for one VM counts together.
@@ -24,9 +24,13 @@
 	committedByVm: Map<string, Resources>;
 	/** Number of claims under way by `siblingsKeyOf`. */
 	siblings: Map<string, number>;
+	/** Idle processors that filling tasks under way will take, in thousandths. */
+	fillingByVm: Map<string, number>;
 }>;
 
-export const noPendingClaims: PendingClaims = {byTask: Map(), committedByVm: Map(), siblings: Map()};
+export const noPendingClaims: PendingClaims = {
+	byTask: Map(), committedByVm: Map(), siblings: Map(), fillingByVm: Map(),
+};
 
 /** Time after which a claim that was not read back no longer holds room; the reducer protects capacity in any case. */
 const pendingTimeoutMs = 5000;
@@ -36,7 +40,7 @@
 
 @example
 addPendingClaim(noPendingClaims, 'task-1', {
-	vmId: 'vm-1', attempt: 1, committed, appendedAtMs: nowMs, siblingsKey,
+	vmId: 'vm-1', attempt: 1, committed, appendedAtMs: nowMs, siblingsKey, fillingMilli: 0,
 });
 */
 export function addPendingClaim(pending: PendingClaims, taskId: string, claim: PendingClaim): PendingClaims {
@@ -44,6 +48,7 @@
 		byTask: pending.byTask.set(taskId, claim),
 		committedByVm: pending.committedByVm.update(claim.vmId, noResources, sum => addResources(sum, claim.committed)),
 		siblings: pending.siblings.update(claim.siblingsKey, 0, count => count + 1),
+		fillingByVm: pending.fillingByVm.update(claim.vmId, 0, sum => sum + claim.fillingMilli),
 	};
 }
 
@@ -54,7 +59,7 @@
 settlePendingClaims(pending, cluster, nowMs);
 */
 export function settlePendingClaims(pending: PendingClaims, cluster: ClusterState, nowMs: number): PendingClaims {
-	let {byTask, committedByVm, siblings} = pending;
+	let {byTask, committedByVm, siblings, fillingByVm} = pending;
 	for (const [taskId, claim] of pending.byTask) {
 		const task = cluster.tasks.get(taskId);
 		const isDecided = task?.phase !== 'queued' || task.attempt >= claim.attempt;
@@ -62,12 +67,16 @@
 			byTask = byTask.delete(taskId);
 			const left = subtractResources(committedByVm.get(claim.vmId, noResources), claim.committed);
 			committedByVm = isEmpty(left) ? committedByVm.delete(claim.vmId) : committedByVm.set(claim.vmId, left);
+			const filling = fillingByVm.get(claim.vmId, 0) - claim.fillingMilli;
+			fillingByVm = filling === 0 ? fillingByVm.delete(claim.vmId) : fillingByVm.set(claim.vmId, filling);
 			const count = siblings.get(claim.siblingsKey, 1) - 1;
 			siblings = count === 0 ? siblings.delete(claim.siblingsKey) : siblings.set(claim.siblingsKey, count);
 		}
 	}
 
-	return {byTask, committedByVm, siblings};
+	return {
+		byTask, committedByVm, siblings, fillingByVm,
+	};
 }
 
 function isEmpty(resources: Resources): boolean {
--- a/src/placement/place-queued-tasks.ts
+++ b/src/placement/place-queued-tasks.ts
@@ -13,11 +13,13 @@
 import {type EntryContext, isLogFresh} from '../entry/entry-context.js';
 import {classesInTurn} from './classes-in-turn.js';
 import {chooseVm, type PlacementCandidate} from './choose-vm.js';
+import {fillingDemandMilli, fillingLoadOf} from './filling-work.js';
 import {lackingForever, roomOf, takesNewTasks} from './feasibility.js';
 import {
 	addPendingClaim, noPendingClaims, type PendingClaims, settlePendingClaims, siblingsKeyOf,
 } from './pending-claims.js';
 import {placementPolicies} from './placement-policies.js';
+import {orderQueue} from './queue-order.js';
 import {chooseVictims} from './choose-victims.js';
 import {noVmHistory, type VmHistory} from './observe-usage.js';
 import {harmOfPlacement, type InterferenceEstimates, noInterferenceEstimates} from './interference-estimates.js';
@@ -93,7 +95,7 @@
 
 	// Every class may scan its share, so that a flood of one leaves the others their turn.
 	let scannedOfClass = 0;
-	for (const taskId of cluster.queued.get(priority)?.keys() ?? []) {
+	for (const taskId of orderQueue(cluster.queued.get(priority)?.keys() ?? [], cluster, pass.context.wallTimeMs)) {
 		if (scannedOfClass >= maxScannedTasks || pass.state.pending.byTask.size >= maxPendingClaims) {
 			return;
 		}
@@ -176,7 +178,7 @@
 	);
 	if (!choice) {
 		// A task that its step keeps off VMs says nothing about the room that other tasks find.
-		if (!isConstrained(cluster, task)) {
+		if (!isConstrained(cluster, task) && fillingDemandMilli(task, cluster) === 0) {
 			pass.withoutRoom.push(demand);
 		}
 
@@ -201,7 +203,7 @@
 	pass.state = {
 		...pass.state,
 		pending: addPendingClaim(pass.state.pending, taskId, {
-			vmId: choice.vmId, attempt, committed: demand, appendedAtMs: nowMs, siblingsKey: siblingsKeyOf(task, choice.vmId),
+			vmId: choice.vmId, attempt, committed: demand, appendedAtMs: nowMs, siblingsKey: siblingsKeyOf(task, choice.vmId), fillingMilli: fillingDemandMilli(task, cluster),
 		}),
 	};
 }
@@ -232,10 +234,12 @@
 function candidatesAmong(pass: Pass, task: Task, vms: readonly Vm[]): readonly FeasibleVm[] {
 	const {cluster} = pass.context;
 	const found: FeasibleVm[] = [];
+	const fillingMilli = fillingDemandMilli(task, cluster);
 	for (const vm of vms) {
 		const room = roomOf(vm, pass.state.pending.committedByVm.get(vm.vmId, noResources));
-		if (fitsInto(task.spec.demand, room) && isAllowed(pass, task, vm)) {
-			found.push({vm, candidate: toCandidate(pass, task, vm, {room, evictions: 0}), evictTaskIds: []});
+		const offered = fillingMilli === 0 ? room : {...room, processorsMilli: idleMilliOf(pass, vm, room)};
+		if (fitsInto(task.spec.demand, room) && offered.processorsMilli >= fillingMilli && isAllowed(pass, task, vm)) {
+			found.push({vm, candidate: toCandidate(pass, task, vm, {room: offered, evictions: 0}), evictTaskIds: []});
 		}
 	}
 
@@ -243,6 +247,14 @@
 	return withSiblings(found, task, cluster);
 }
 
+/** Processors of a VM that neither committed tasks nor filling ones use, claims under way included. */
+function idleMilliOf(pass: Pass, vm: Vm, room: Resources): number {
+	return room.processorsMilli - fillingLoadOf(vm, pass.context.cluster).fillingMilli - pass.state.pending.fillingByVm.get(vm.vmId, 0);
+}
+
+/** Expected harm of a filling task to one serving neighbour before anything is known of the pair, in thousandths of its speed. */
+const fillingHarmMilli = 400;
+
 /** VMs on which evictions are weighed for one urgent task. */
 const sampledVmsForEviction = 64;
 
@@ -269,11 +281,18 @@
 }
 
 function toCandidate(pass: Pass, task: Task, vm: Vm, facts: Readonly<{room: Resources; evictions: number}>): PlacementCandidate {
+	const {cluster} = pass.context;
+	const harm = harmOfPlacement(pass.state.interference, task, vm, cluster);
+	const step = stepOf(cluster, task);
+	const servingNeighbours = step?.fillsIdle ? fillingLoadOf(vm, cluster).servingTasks : 0;
 	return {
 		vmId: vm.vmId,
 		capacity: vm.capacity,
 		...facts,
-		...harmOfPlacement(pass.state.interference, task, vm, pass.context.cluster),
+		...harm,
+		serviceHarmMilli: harm.serviceHarmMilli + (fillingHarmMilli * servingNeighbours),
+		// Serving tasks share few VMs, so that filling work finds others without them.
+		packs: step?.latencyTargetMs !== undefined,
 		siblingsInRack: 0,
 		siblingsInFailureDomain: 0,
 		failedBefore: task.failedOnVmIds.includes(vm.vmId),
--- a/src/placement/placement-policies.test.ts
+++ b/src/placement/placement-policies.test.ts
@@ -20,6 +20,7 @@
 	failedBefore: fc.constant(false),
 	wastesAccelerators: fc.constant(false),
 	evictions: fc.constant(0),
+	packs: fc.constant(false),
 });
 
 const candidates = fc.uniqueArray(candidate, {minLength: 1, maxLength: 12, selector: ({vmId}) => vmId});
--- a/src/worker/worker-api.ts
+++ b/src/worker/worker-api.ts
@@ -18,6 +18,6 @@
 export const leaseRequestSchema = z.strictObject({leaseDeadlineMonotonicMs: z.number()}).readonly();
 
 /** `POST /tasks/{taskId}/throttle`: limits the task's processors; 1,000 removes the limit. */
-export const throttleRequestSchema = z.strictObject({processorsShareMilli: z.int().min(50).max(1000)}).readonly();
+export const throttleRequestSchema = z.strictObject({processorsShareMilli: z.int().min(0).max(1000)}).readonly();
 
 export type {WorkerTask, WorkerTasks, WorkerUsage} from './worker-answers.js';
