--- a/src/agent/pace-control.ts
+++ b/src/agent/pace-control.ts
@@ -31,7 +31,7 @@
 const strongestDecrease = 0.25;
 
 /** Factor and least amount of a step up. */
-const increase = 1.25;
+const increase = 1.5;
 const leastIncreaseMilli = 40;
 
 /** Shares below this stop the filling work: it would cost memory and bring nothing. */
--- a/src/operator/replay-records.test.ts
+++ b/src/operator/replay-records.test.ts
@@ -85,6 +85,7 @@
 	failedBefore: false,
 	wastesAccelerators: true,
 	evictions: 1,
+	packs: true,
 });
 
 const {decision} = chooseVm(
--- a/src/placement/place-queued-tasks.ts
+++ b/src/placement/place-queued-tasks.ts
@@ -249,7 +249,8 @@
 
 /** Processors of a VM that neither committed tasks nor filling ones use, claims under way included. */
 function idleMilliOf(pass: Pass, vm: Vm, room: Resources): number {
-	return room.processorsMilli - fillingLoadOf(vm, pass.context.cluster).fillingMilli - pass.state.pending.fillingByVm.get(vm.vmId, 0);
+	const {fillingMilli, servingIdleMilli} = fillingLoadOf(vm, pass.context.cluster);
+	return Math.max(0, room.processorsMilli + servingIdleMilli - fillingMilli - pass.state.pending.fillingByVm.get(vm.vmId, 0));
 }
 
 /** Expected harm of a filling task to one serving neighbour before anything is known of the pair, in thousandths of its speed. */
