--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -5,7 +5,9 @@
 import path from 'node:path';
 import process from 'node:process';
 import {inject} from 'postject';
-import {agentBundleName, bundlePrograms, launcherName, wholeBundleName} from './bundle-programs.js';
+import {
+	agentBundleName, bundlePrograms, launcherName, wholeBundleName,
+} from './bundle-programs.js';
 
 const directory = 'dist';
 const bundleFile = path.join(directory, wholeBundleName);
--- a/src/agent/agent-event.ts
+++ b/src/agent/agent-event.ts
@@ -28,6 +28,8 @@
 	'worker-tasks': Readonly<{requestedAtMs: number; list: WorkerTasks}>;
 	'worker-usage': Readonly<{usage: WorkerUsage}>;
 	'start-answered': Readonly<{taskId: string; attempt: number; result: 'started' | 'refused' | 'unknown'; reason: string}>;
+	/** The worker took a stop. */
+	'stop-answered': Readonly<{taskId: string}>;
 	'incarnation-created': Readonly<{incarnation: string}>;
 	'backend-server-announced': Readonly<{announcement: Announcement}>;
 	'backend-server-leaving': Readonly<{backendServerId: string}>;
--- a/src/agent/agent-state.ts
+++ b/src/agent/agent-state.ts
@@ -31,6 +31,10 @@
 	start: StartTask | undefined;
 	/** Whether a start call to the worker is under way. */
 	startInFlight: boolean;
+	/** Whether a try of the start got no answer, so that the worker may still carry it out. */
+	startUncertain: boolean;
+	/** When the worker took a stop of an attempt whose start is uncertain. */
+	stopAnsweredAtMs: number | undefined;
 	/** A worker's list that was requested earlier says nothing about the current phase. */
 	changedAtMs: number;
 	/** Why the task is being stopped, if it is. */
--- a/src/agent/pace-control.ts
+++ b/src/agent/pace-control.ts
@@ -12,6 +12,9 @@
 /** Nothing is slowed. */
 export const restingPace: PaceControl = {shareMilli: fullPaceMilli, waitUntilMs: 0};
 
+/** Pace of an agent that finds tasks running: full pace beside serving tasks that it has not measured would harm them. */
+export const cautiousPace: PaceControl = {shareMilli: 300, waitUntilMs: 0};
+
 /** A serving task with the newest measure of the tail of its response times. */
 export type ServingMeasure = Readonly<{latencyTailMs: number; latencyTargetMs: number}>;
 
--- a/src/agent/reduce-agent.ts
+++ b/src/agent/reduce-agent.ts
@@ -16,7 +16,7 @@
 import {fullPaceMilli, stepPace, type ServingMeasure} from './pace-control.js';
 import {requestArrived, requestSettled} from './request-handlers.js';
 import {
-	acknowledge, applyPace, applyTraits, applyWorkerTasks, cancelAttempt, checkpointAll, dropLiveTasks, evictAttempt, evictTask, hasRunOnceTasks, repeatCalls, settleWaiting, startAnswered, startTask,
+	acknowledge, applyPace, applyTraits, applyWorkerTasks, cancelAttempt, checkpointAll, dropLiveTasks, evictAttempt, evictTask, hasRunOnceTasks, repeatCalls, settleWaiting, startAnswered, startTask, stopAnswered,
 } from './task-handlers.js';
 import {chain, transition, type Transition} from './transition.js';
 import {hasLapsed, nextHoldDeadline} from './worker-view.js';
@@ -337,6 +337,7 @@
 	'worker-tasks': applyWorkerList,
 	'worker-usage': applyUsage,
 	'start-answered': startAnswered,
+	'stop-answered': stopAnswered,
 	'incarnation-created': (state, event) => state.phase === 'ending'
 		? sendHello({
 			...state, phase: 'active', incarnation: event.incarnation, lease: noLease,
--- a/src/agent/task-handlers.ts
+++ b/src/agent/task-handlers.ts
@@ -13,13 +13,16 @@
 import {
 	commit, count, emptyLedger, freeResources, release,
 } from './ledger.js';
-import {fullPaceMilli} from './pace-control.js';
+import {cautiousPace, fullPaceMilli, restingPace} from './pace-control.js';
 import {acknowledgeTaskEvents, addTaskEvent, type TaskEventOutcome} from './task-events.js';
 import {chain, transition, type Transition} from './transition.js';
 import {hearWorker} from './worker-view.js';
 
 type Step = (state: AgentState) => Transition;
 
+/** Differs from every pace, so that the worker is told the one in force. */
+const unknownPaceMilli = -1;
+
 const holderOf = (taskId: string): string => `task/${taskId}`;
 
 const plainResources = (resources: Readonly<Resources> | undefined): Resources => resources === undefined
@@ -163,6 +166,8 @@
 		phase: 'waiting',
 		start,
 		startInFlight: false,
+		startUncertain: false,
+		stopAnsweredAtMs: undefined,
 		changedAtMs: nowMs,
 		stopping: undefined,
 		stoppingReason: '',
@@ -275,19 +280,41 @@
 		return transition(state);
 	}
 
-	const answered: AgentTask = {...task, startInFlight: false, changedAtMs: event.nowMs};
+	const isUncertain = task.startUncertain || event.result === 'unknown';
+	const answered: AgentTask = {
+		...task, startInFlight: false, startUncertain: isUncertain, changedAtMs: event.nowMs,
+	};
 	const handlers: Readonly<Record<typeof event.result, Step>> = {
 		started: current => chain(
 			{...current, tasks: current.tasks.set(task.taskId, {...answered, phase: 'running', start: undefined})},
 			next => report(next, task, {case: 'started', value: {}}),
 			applyPace,
 		),
-		refused: current => chain(current, next => refuseTask(next, task, event.reason), settleWaiting(event.nowMs)),
+		// An earlier try without an answer may still be carried out after this refusal; a stop keeps it from running.
+		refused: current => task.startUncertain
+			? transition(
+				{...current, tasks: current.tasks.set(task.taskId, {...answered, stopping: 'evict', stoppingReason: event.reason})},
+				{kind: 'checkpoint-task', taskId: task.taskId},
+			)
+			: chain(current, next => refuseTask(next, task, event.reason), settleWaiting(event.nowMs)),
 		unknown: current => transition({...current, tasks: current.tasks.set(task.taskId, answered)}),
 	};
 	return handlers[event.result](state);
 }
 
+/**
+Notes that the worker has taken a stop: an attempt that it does not list afterwards never runs.
+
+@example
+stopAnswered(state, {kind: 'stop-answered', nowMs, taskId: 't1'});
+*/
+export function stopAnswered(state: AgentState, {taskId, nowMs}: AgentEventOf<'stop-answered'>): Transition {
+	const task = state.tasks.get(taskId);
+	return transition(task?.phase === 'starting' && task.stopping !== undefined
+		? {...state, tasks: state.tasks.set(taskId, {...task, stopAnsweredAtMs: nowMs})}
+		: state);
+}
+
 /**
 Sends starts without a known result again while the lease lives, and repeats stops that have no effect yet.
 
@@ -296,8 +323,8 @@
 */
 export function repeatCalls(nowMs: number): Step {
 	return state => {
-		const unsettled = [...state.tasks.values()].filter(task => task.phase === 'starting' && !task.startInFlight && isLeaseLive(state.lease, nowMs));
-		const stopping = [...state.tasks.values()].filter(task => task.phase === 'running' && task.stopping !== undefined);
+		const unsettled = [...state.tasks.values()].filter(task => task.phase === 'starting' && !task.startInFlight && task.stopping === undefined && isLeaseLive(state.lease, nowMs));
+		const stopping = [...state.tasks.values()].filter(task => isLive(task) && !task.startInFlight && task.stopping !== undefined);
 		return transition(
 			{
 				...state, tasks: state.tasks.withMutations(tasks => {
@@ -340,14 +367,15 @@
 applyTraits(state, [{taskId: 't1', latencyTargetMs: 18, fillsIdle: false}]);
 */
 export function applyTraits(state: AgentState, claims: ReadonlyArray<Readonly<{taskId: string; latencyTargetMs: number; fillsIdle: boolean}>>): Transition {
+	const pace = claims.some(({latencyTargetMs}) => latencyTargetMs > 0) && state.pace === restingPace ? cautiousPace : state.pace;
 	return applyPace({
-		...state, tasks: state.tasks.withMutations(tasks => {
+		...state, pace, tasks: state.tasks.withMutations(tasks => {
 			for (const {taskId, latencyTargetMs, fillsIdle} of claims) {
 				const task = tasks.get(taskId);
 				if (task) {
 					// The pace that an earlier agent told the worker is not known, so that it is told anew.
 					tasks.set(taskId, {
-						...task, latencyTargetMs, fillsIdle, paceMilli: fillsIdle ? 0 : task.paceMilli,
+						...task, latencyTargetMs, fillsIdle, paceMilli: fillsIdle ? unknownPaceMilli : task.paceMilli,
 					});
 				}
 			}
@@ -375,6 +403,8 @@
 		phase: 'running',
 		start: undefined,
 		startInFlight: false,
+		startUncertain: false,
+		stopAnsweredAtMs: undefined,
 		changedAtMs: nowMs,
 		stopping: undefined,
 		stoppingReason: '',
@@ -427,8 +457,10 @@
 		}
 
 		// The worker refuses starts whose deadline has passed, so a start that it does not list after that never runs.
-		return task.phase === 'starting' && !task.startInFlight && requestedAtMs >= state.worker.holdDeadlineMs
-			? refuseTask(state, task, 'the lease expired before the worker answered')
+		const isLapsed = requestedAtMs >= state.worker.holdDeadlineMs;
+		const isStopped = task.stopAnsweredAtMs !== undefined && requestedAtMs > task.stopAnsweredAtMs;
+		return task.phase === 'starting' && !task.startInFlight && (isLapsed || isStopped)
+			? refuseTask(state, task, isStopped ? 'stopped before it started' : 'the lease expired before the worker answered')
 			: transition(state);
 	};
 }
--- a/src/agent/worker-driver.ts
+++ b/src/agent/worker-driver.ts
@@ -30,6 +30,7 @@
 	const lastCalls = new Map<string, Promise<void>>();
 	let polling: Promise<void> | undefined;
 	let isPollWanted = false;
+	let isWorkerSilent = false;
 
 	function warn(call: string, taskId: string | undefined, error: WorkerError): void {
 		eventLog.warn('worker-call-failed', {call, taskId, error: formatError(error)});
@@ -88,6 +89,8 @@
 			const result = await call();
 			if (result.isErr) {
 				warn(name, taskId, result.error);
+			} else {
+				dispatch({kind: 'stop-answered', nowMs: nowMs(), taskId});
 			}
 
 			void poll();
@@ -124,11 +127,21 @@
 		const requestedAtMs = nowMs();
 		const tasks = await worker.listTasks();
 		if (tasks.isOk) {
+			if (isWorkerSilent) {
+				isWorkerSilent = false;
+				eventLog.info('worker-regained', {workerIncarnation: tasks.value.workerIncarnation});
+			}
+
 			dispatch({
 				kind: 'worker-tasks', nowMs: nowMs(), requestedAtMs, list: tasks.value,
 			});
 		} else {
-			warn('list-tasks', undefined, tasks.error);
+			// One line tells that the worker is lost; every poll of a silent worker would write another one.
+			if (!isWorkerSilent) {
+				isWorkerSilent = true;
+				warn('list-tasks', undefined, tasks.error);
+			}
+
 			return;
 		}
 
--- a/src/cluster/intent.ts
+++ b/src/cluster/intent.ts
@@ -62,8 +62,8 @@
 	tasks: z.array(taskSpecSchema).max(1000).readonly(),
 	workflow: workflowSchema.optional(),
 }).readonly()
-	.refine(({tasks, workflow}) => (tasks.length > 0) !== (workflow !== undefined), {message: 'give either tasks or a workflow', path: ['tasks']})
-	.refine(({workflow}) => workflow === undefined || findInvalidDependency(workflow.steps) === undefined, {message: 'a step may depend on earlier steps only', path: ['workflow', 'steps']});
+	.refine(({tasks, workflow}) => (tasks.length > 0) !== (workflow !== undefined), {error: 'give either tasks or a workflow', path: ['tasks']})
+	.refine(({workflow}) => workflow === undefined || findInvalidDependency(workflow.steps) === undefined, {error: 'a step may depend on earlier steps only', path: ['workflow', 'steps']});
 
 export type Job = z.infer<typeof jobSchema>;
 
--- /dev/null
+++ b/src/cluster/workflow-progress.test.ts
@@ -0,0 +1,194 @@
+import test from 'ava';
+import {type ClusterRecord} from './cluster-record.js';
+import {type ClusterState} from './cluster-state.js';
+import {decodeClusterState, encodeClusterState} from './cluster-state-codec.js';
+import {type Step, type Workflow} from './workflow.js';
+import {applyRecord, emptyClusterState} from './reduce-cluster.js';
+
+const decision = {
+	policy: 'test', seed: 1, stateOffset: 0, candidates: [], consideredVms: 1, reason: 'test',
+};
+
+const step = (changes: Partial<Step> = {}): Step => ({
+	count: 1, demand: {processorsMilli: 1000, memoryMb: 100, accelerators: 0}, declaredRunTimeMs: 1000, ...changes,
+});
+
+/** A log that the test writes as one entry. */
+class Log {
+	state: ClusterState = emptyClusterState;
+	#sequence = 0;
+
+	constructor() {
+		this.append({
+			kind: 'entry-registered', entryId: 'e', failureDomain: 'a', operatorAddress: '127.0.0.1:1',
+		});
+		this.registerVm('vm-1', 'w1', 1000);
+	}
+
+	append(record: ClusterRecord): this {
+		this.#sequence++;
+		this.state = applyRecord(this.state, {
+			offset: this.state.offset + 1,
+			envelope: {
+				writer: 'e', incarnation: 'i', sequence: this.#sequence, record,
+			},
+		});
+		return this;
+	}
+
+	registerVm(vmId: string, workerIncarnation: string, workerStartedAtMs: number, runningTasks: ReadonlyArray<Readonly<{taskId: string; attempt: number}>> = []): this {
+		return this.append({
+			kind: 'vm-registered',
+			vmId,
+			agentIncarnation: `${vmId}-${workerIncarnation}`,
+			workerIncarnation,
+			failureDomain: 'a',
+			rack: 'r1',
+			requestAddress: '127.0.0.1:2',
+			capacity: {processorsMilli: 8000, memoryMb: 8000, accelerators: 0},
+			runningTasks,
+			service: 'loaves',
+			labels: ['a', 'r1'],
+			workerStartedAtMs,
+		});
+	}
+
+	submit(steps: readonly Step[], changes: Partial<Workflow> = {}): this {
+		return this.append({
+			kind: 'job-submitted',
+			job: {
+				jobId: 'job',
+				teamId: 'team',
+				workClass: 'batch',
+				priority: 'normal',
+				tasks: [],
+				workflow: {
+					queue: 'queue', service: 'loaves', payload: 'spec', steps, maxFailures: 2, ...changes,
+				},
+			},
+		});
+	}
+
+	claim(taskId: string, vmId = 'vm-1'): this {
+		const task = this.state.tasks.get(taskId)!;
+		return this.append({
+			kind: 'task-claimed', taskId, attempt: task.attempt + 1, vmId, agentIncarnation: this.state.vms.get(vmId)!.agentIncarnation, committed: task.spec.demand, evictTaskIds: [], decision,
+		});
+	}
+
+	end(taskId: string, outcome: 'finished' | 'failed' | 'refused-not-run'): this {
+		const task = this.state.tasks.get(taskId)!;
+		return this.append({
+			kind: 'task-ended', taskId, attempt: task.attempt, agentIncarnation: task.claim!.agentIncarnation, outcome, reason: 'test',
+		});
+	}
+
+	phaseOf(taskId: string): string | undefined {
+		return this.state.tasks.get(taskId)?.phase;
+	}
+}
+
+test('a step does not start before every task of the steps that it depends on has finished', t => {
+	const log = new Log().submit([step({count: 2}), step({dependsOn: [0]})]);
+	log.claim('job.0.0.0').end('job.0.0.0', 'finished');
+	t.is(log.phaseOf('job.0.1.0'), 'blocked');
+	log.claim('job.0.1.0');
+	t.is(log.phaseOf('job.0.1.0'), 'blocked', 'a claim of a blocked task counts for nothing');
+	log.claim('job.0.0.1').end('job.0.0.1', 'finished');
+	t.is(log.phaseOf('job.0.1.0'), 'queued');
+	log.claim('job.0.1.0').end('job.0.1.0', 'finished');
+	t.is(log.state.finishedWorkflows.get('job')?.phase, 'completed');
+	t.is(log.state.tasks.size, 0, 'a finished job leaves no tasks behind');
+	t.is(log.state.vms.get('vm-1')?.committed.processorsMilli, 0);
+});
+
+test('a job fails after the allowed attempts of one task, and its other tasks do not start', t => {
+	const log = new Log().submit([step({count: 2})]);
+	log.claim('job.0.0.0').end('job.0.0.0', 'failed');
+	t.is(log.phaseOf('job.0.0.0'), 'queued');
+	log.claim('job.0.0.0').end('job.0.0.0', 'failed');
+	t.is(log.state.finishedWorkflows.get('job')?.phase, 'failed');
+	t.true([...log.state.queued.values()].every(queue => queue.isEmpty()));
+});
+
+test('a refusal counts as no attempt of the task that was refused', t => {
+	const log = new Log().submit([step()]);
+	for (let index = 0; index < 5; index++) {
+		log.claim('job.0.0.0').end('job.0.0.0', 'refused-not-run');
+	}
+
+	t.is(log.phaseOf('job.0.0.0'), 'queued');
+	t.is(log.state.tasks.get('job.0.0.0')?.failures, 0);
+});
+
+test('a cancelled job is not shown as completed while an attempt stops, and nothing of it starts again', t => {
+	const log = new Log().submit([step({count: 2})]);
+	log.claim('job.0.0.0').append({kind: 'job-cancelled', jobId: 'job'});
+	t.is(log.state.workflows.get('job')?.phase, 'cancelled');
+	t.is(log.phaseOf('job.0.0.0'), 'cancelling');
+	log.end('job.0.0.0', 'refused-not-run');
+	t.is(log.state.finishedWorkflows.get('job')?.phase, 'cancelled');
+	log.submit([step()]);
+	t.false(log.state.workflows.has('job'), 'a late repeat of the submission does not start the job again');
+});
+
+test('a long-running task starts again however often it fails', t => {
+	const log = new Log().submit([step({longRunning: true})]);
+	for (let index = 0; index < 6; index++) {
+		log.claim('job.0.0.0').end('job.0.0.0', index % 2 === 0 ? 'failed' : 'finished');
+	}
+
+	t.is(log.phaseOf('job.0.0.0'), 'queued');
+	t.is(log.state.workflows.get('job')?.phase, 'queued');
+});
+
+test('two entries that place for one step cannot exceed its bound for one VM', t => {
+	const log = new Log().submit([step({count: 2, maxTasksPerVm: 1})]);
+	log.claim('job.0.0.0').claim('job.0.0.1');
+	t.is(log.phaseOf('job.0.0.0'), 'claimed');
+	t.is(log.phaseOf('job.0.0.1'), 'queued');
+});
+
+test('a task is claimed only for a VM of its service and with its label', t => {
+	const log = new Log().submit([step({requiredLabel: 'b'})]).claim('job.0.0.0');
+	t.is(log.phaseOf('job.0.0.0'), 'queued');
+	const other = new Log().submit([step()], {service: 'tanks'}).claim('job.0.0.0');
+	t.is(other.phaseOf('job.0.0.0'), 'queued');
+});
+
+test('the tasks of a worker that started anew are free at once, those of an unknown one only when its lease has lapsed', t => {
+	const log = new Log().submit([step()]).claim('job.0.0.0').registerVm('vm-1', 'w2', 2000);
+	t.is(log.phaseOf('job.0.0.0'), 'queued');
+	const unknown = new Log().submit([step()]).claim('job.0.0.0').registerVm('vm-1', 'w0', 0);
+	t.is(unknown.phaseOf('job.0.0.0'), 'claimed');
+	t.is(unknown.state.vms.get('vm-1')?.phase, 'revoked');
+});
+
+test('a leaving worker takes no claims and gives back what can resume elsewhere', t => {
+	const log = new Log().submit([step({checkpoints: true}), step()]);
+	log.claim('job.0.0.0');
+	log.append({kind: 'vm-leaving', vmId: 'vm-1', agentIncarnation: 'vm-1-w1'});
+	t.is(log.phaseOf('job.0.0.0'), 'evicting');
+	log.claim('job.0.1.0');
+	t.is(log.phaseOf('job.0.1.0'), 'queued');
+});
+
+test('occurrences of a schedule are made once and in order, and the job ends after the last one', t => {
+	const log = new Log().submit([step()], {schedule: {firstAtMs: 0, intervalMs: 1000, times: 2}});
+	t.is(log.state.tasks.size, 0);
+	log.append({kind: 'occurrence-due', jobId: 'job', occurrence: 1});
+	t.is(log.state.tasks.size, 0, 'the second occurrence does not come first');
+	log.append({kind: 'occurrence-due', jobId: 'job', occurrence: 0}).append({kind: 'occurrence-due', jobId: 'job', occurrence: 0});
+	t.is(log.state.tasks.size, 1);
+	log.claim('job.0.0.0').end('job.0.0.0', 'finished');
+	t.true(log.state.workflows.has('job'));
+	log.append({kind: 'occurrence-due', jobId: 'job', occurrence: 1}).claim('job.1.0.0').end('job.1.0.0', 'finished');
+	t.is(log.state.finishedWorkflows.get('job')?.phase, 'completed');
+});
+
+test('a snapshot keeps jobs of steps as they are', t => {
+	const log = new Log().submit([step({count: 2}), step({dependsOn: [0]})]).claim('job.0.0.0').end('job.0.0.0', 'finished');
+	const encoded: unknown = JSON.parse(JSON.stringify(encodeClusterState(log.state)));
+	const decoded = decodeClusterState(encoded);
+	t.deepEqual(decoded.isOk && encodeClusterState(decoded.value), encodeClusterState(log.state));
+});
--- a/src/cluster/workflow-progress.ts
+++ b/src/cluster/workflow-progress.ts
@@ -117,7 +117,11 @@
 		const dependsOn = step.dependsOn ?? [];
 		const isUnblocked = dependsOn.includes(finished.stepIndex)
 			&& dependsOn.every(dependency => (unfinishedByStep.get(stepKeyOf({occurrence, stepIndex: dependency})) ?? 0) === 0);
-		for (let index = 0; isUnblocked && index < step.count; index++) {
+		if (!isUnblocked) {
+			continue;
+		}
+
+		for (let index = 0; index < step.count; index++) {
 			const task = next.tasks.get(taskIdOf(jobId, {occurrence, stepIndex}, index));
 			if (task?.phase === 'blocked') {
 				next = enqueue(next, {...task, reason: 'waits for a placement'});
--- a/src/entry/deferred-answers.ts
+++ b/src/entry/deferred-answers.ts
@@ -11,9 +11,6 @@
 
 export const noDeferredAnswers: DeferredAnswers = Map();
 
-/** Time after which the answer is `unknown`; asking again with the same id is safe. */
-const deferredTimeoutMs = 5000;
-
 /**
 Takes a question: answers at once when the state already holds the decision or the log is out of reach, and otherwise
 appends the record that the log decides on.
@@ -59,7 +56,7 @@
 	const effects: ControlEffect[] = [];
 	let next = state;
 	for (const [replyId, {subject, askedAtMs}] of state) {
-		const hasTimedOut = context.nowMs - askedAtMs > deferredTimeoutMs;
+		const hasTimedOut = context.nowMs - askedAtMs > context.settings.timings.decisionTimeoutMs;
 		const answer = decisionOf(subject, context.cluster) ?? (hasTimedOut ? timedOut(context) : undefined);
 		if (answer) {
 			next = next.delete(replyId);
--- a/src/entry/entry-process.ts
+++ b/src/entry/entry-process.ts
@@ -138,7 +138,9 @@
 			: {isReady: true, reason: ''};
 	};
 
-	const jobs = createJobInterface({state: loop.state, ask, nowMs: () => performance.now(), logFreshnessMs: settings.timings.logFreshnessMs});
+	const jobs = createJobInterface({
+		state: loop.state, ask, nowMs: () => performance.now(), logFreshnessMs: settings.timings.logFreshnessMs,
+	});
 
 	const callers = createCallerServer({
 		settings,
@@ -158,25 +160,27 @@
 
 	await logConnection.start(incarnation);
 	await agents.listen();
-	const operators = token.value === undefined ? undefined : await startOperatorServer({
-		address: settings.operatorAddress,
-		token: token.value,
-		eventLog,
-		backend: createOperatorBackend({
-			settings,
-			state: loop.state,
-			ask,
-			logService,
-			snapshots,
-			timeline,
-			requestHistory,
-			metrics,
-			nowMs: () => performance.now(),
-			computePlan: intent => computePlan(loop.state().cluster, intent, {
-				planId: randomUUID(), nowMs: Date.now(), expiresInMs: planExpiresInMs,
+	const operators = token.value === undefined
+		? undefined
+		: await startOperatorServer({
+			address: settings.operatorAddress,
+			token: token.value,
+			eventLog,
+			backend: createOperatorBackend({
+				settings,
+				state: loop.state,
+				ask,
+				logService,
+				snapshots,
+				timeline,
+				requestHistory,
+				metrics,
+				nowMs: () => performance.now(),
+				computePlan: intent => computePlan(loop.state().cluster, intent, {
+					planId: randomUUID(), nowMs: Date.now(), expiresInMs: planExpiresInMs,
+				}),
 			}),
-		}),
-	});
+		});
 	await callers.listen();
 	await platform?.open({jobs, readiness});
 	const ticker = setInterval(() => {
--- a/src/entry/log-connection.ts
+++ b/src/entry/log-connection.ts
@@ -1,4 +1,5 @@
 import {randomUUID} from 'node:crypto';
+import {setTimeout as delay} from 'node:timers/promises';
 import {type ClusterRecord} from '../cluster/cluster-record.js';
 import {type ClusterState} from '../cluster/cluster-state.js';
 import {decodeClusterState, encodeClusterState} from '../cluster/cluster-state-codec.js';
@@ -9,6 +10,7 @@
 import {type EntrySettings} from '../settings/entry-settings.js';
 import {type EventLog} from '../telemetry/event-log.js';
 import {type Metrics} from '../telemetry/metrics.js';
+import {ownsPlacement} from '../placement/placement-owner.js';
 import {type EntryEvent} from './entry-event.js';
 import {type EntryState} from './entry-state.js';
 import {fetchPeerState} from './fetch-peer-state.js';
@@ -29,6 +31,12 @@
 
 const maxBatchRecords = 1000;
 
+/** Tells whether somebody waits for what this entry reads next: a caller for a decision, or the tasks that it places. */
+function isAwaited({cluster, deferred, incarnation}: EntryState): boolean {
+	return !deferred.isEmpty()
+		|| ownsPlacement(cluster, incarnation);
+}
+
 /**
 Creates the connection; `start` must be called before anything else.
 
@@ -59,6 +67,7 @@
 			incarnation,
 			appendIntervalMs: settings.timings.appendIntervalMs,
 			maxBatchRecords,
+			closeTimeoutMs: settings.timings.logCloseTimeoutMs,
 			onStatus(status) {
 				if (status.kind === 'appended') {
 					metrics.timingMs('log.append', status.durationMs);
@@ -75,6 +84,7 @@
 			service: logService,
 			stream: settings.logStream,
 			fromOffset: state().cluster.offset + 1,
+			pauseMs: () => isAwaited(state()) ? settings.timings.pagePauseMs : settings.timings.idlePagePauseMs,
 			onPage({records, readSentAtMs, reachedTail}) {
 				dispatch({
 					kind: 'log-page', records, readSentAtMs, reachedTail,
@@ -96,7 +106,7 @@
 		// Without the log a peer's state is the newest that can be had.
 		const cluster = loaded.isOk
 			? decodeSnapshot(loaded.value)
-			: token === undefined ? undefined : await fetchPeerState({addresses: settings.peerOperatorAddresses, token});
+			: (token === undefined ? undefined : await fetchPeerState({addresses: settings.peerOperatorAddresses, token}));
 		if (cluster) {
 			eventLog.info('state-loaded', {offset: cluster.offset, from: loaded.isOk ? 'snapshot' : 'peer'});
 			dispatch({kind: 'snapshot-loaded', cluster});
@@ -158,7 +168,8 @@
 			await writer?.close();
 		},
 		async close() {
-			await reader?.close();
+			// An open read ends by itself; during an outage of the log it would hold up the stop.
+			await Promise.race([reader?.close(), delay(settings.timings.logCloseTimeoutMs, undefined, {ref: false})]);
 		},
 	};
 }
--- a/src/log/log-reader.ts
+++ b/src/log/log-reader.ts
@@ -35,6 +35,8 @@
 	pageLimit?: number;
 	/** How long one read waits for a first value, in milliseconds; it bounds the age of the newest read of the tail. */
 	waitMs?: number;
+	/** Pause after a page with records, in milliseconds, so that the next page holds more of them and fewer calls are made. */
+	pauseMs?: () => number;
 	clock?: Clock;
 	random?: () => number;
 }>;
@@ -75,7 +77,7 @@
 export function createLogReader(options: LogReaderOptions): LogReader {
 	const {
 		service, stream, onPage, onError = () => undefined, onRetentionPassed,
-		pageLimit = 1000, waitMs = 500, clock = systemClock, random = Math.random,
+		pageLimit = 1000, waitMs = 500, pauseMs = () => 0, clock = systemClock, random = Math.random,
 	} = options;
 	const closed = new AbortController();
 	let position = options.fromOffset;
@@ -126,6 +128,10 @@
 			} else {
 				failures = 0;
 				deliver(result.value, readSentAtMs);
+				const pause = result.value.values.length > 0 ? pauseMs() : 0;
+				if (pause > 0) {
+					await clock.sleep(pause, closed.signal);
+				}
 			}
 		}
 	}
--- a/src/placement/filling-work.ts
+++ b/src/placement/filling-work.ts
@@ -12,7 +12,7 @@
 }>;
 
 /** Part of its processors that a serving task leaves idle even when its load swings up; its users' load averages below half. */
-const servingIdleShare = 0.4;
+const servingIdleShare = 0;
 
 // Keyed by the VM's set of tasks, which is replaced whenever a task comes or goes.
 const loadsByTaskSet = new WeakMap<Vm['taskIds'], FillingLoad>();
--- a/src/placement/place-queued-tasks.ts
+++ b/src/placement/place-queued-tasks.ts
@@ -3,7 +3,6 @@
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {type ClusterState, type Task, type Vm} from '../cluster/cluster-state.js';
 import {type PriorityClass} from '../cluster/intent.js';
-import {ownerByRendezvous} from '../cluster/rendezvous.js';
 import {
 	addResources, fitsInto, noResources, type Resources,
 } from '../cluster/resources.js';
@@ -19,6 +18,7 @@
 	addPendingClaim, noPendingClaims, type PendingClaims, settlePendingClaims, siblingsKeyOf,
 } from './pending-claims.js';
 import {placementPolicies} from './placement-policies.js';
+import {placementOwnerOf, placementSubjectOf} from './placement-owner.js';
 import {orderQueue} from './queue-order.js';
 import {chooseVictims} from './choose-victims.js';
 import {noVmHistory, type VmHistory} from './observe-usage.js';
@@ -50,8 +50,6 @@
 	/** Demands that found no room in this pass: a larger one finds none either. */
 	readonly withoutRoom: Resources[];
 	readonly claims: ControlEffect[];
-	/** Entry that places the tasks of a service or of a job. */
-	readonly owners: Map<string, string>;
 	state: PlacementState;
 };
 
@@ -76,7 +74,6 @@
 		vms: [...context.cluster.vms.values()].filter(vm => takesNewTasks(vm, context.cluster)),
 		withoutRoom: [],
 		claims: [],
-		owners: new Map(),
 		state: settled,
 	};
 	for (const priority of classesInTurn(context.seed, context.cluster.configuration.requestLimits.floorMilliByClass)) {
@@ -93,26 +90,23 @@
 		pass.withoutRoom.length = 0;
 	}
 
-	// Every class may scan its share, so that a flood of one leaves the others their turn.
-	let scannedOfClass = 0;
-	for (const taskId of orderQueue(cluster.queued.get(priority)?.keys() ?? [], cluster, pass.context.wallTimeMs)) {
-		if (scannedOfClass >= maxScannedTasks || pass.state.pending.byTask.size >= maxPendingClaims) {
+	const own = [...cluster.queued.get(priority)?.keys() ?? []].filter(taskId => {
+		const task = cluster.tasks.get(taskId);
+		return task && !pass.state.pending.byTask.has(taskId) && isOwnTurn(pass, task);
+	});
+	// Every class may place its share, so that a flood of one leaves the others their turn.
+	for (const taskId of orderQueue(own, cluster, pass.context.wallTimeMs).slice(0, maxScannedTasks)) {
+		if (pass.state.pending.byTask.size >= maxPendingClaims) {
 			return;
 		}
 
-		scannedOfClass++;
-		const task = cluster.tasks.get(taskId);
-		if (task && !pass.state.pending.byTask.has(taskId) && isOwnTurn(pass, task)) {
-			placeTask(pass, task);
-		}
+		placeTask(pass, cluster.tasks.get(taskId)!);
 	}
 }
 
 function isOwnTurn(pass: Pass, task: Task): boolean {
 	const {cluster, settings, incarnation, nowMs} = pass.context;
-	// One entry places everything of a service, so that it weighs all of its tasks against each other.
-	const subject = cluster.workflows.get(task.jobId)?.workflow.service ?? task.jobId;
-	const owner = ownerOf(pass, subject);
+	const owner = placementOwnerOf(placementSubjectOf(task, cluster), cluster);
 	if (owner === undefined || owner === incarnation) {
 		return true;
 	}
@@ -127,20 +121,6 @@
 	return nowMs - sinceMs >= settings.timings.placementTakeoverMs;
 }
 
-function ownerOf(pass: Pass, subject: string): string | undefined {
-	const known = pass.owners.get(subject);
-	if (known !== undefined) {
-		return known;
-	}
-
-	const owner = ownerByRendezvous(pass.context.cluster.entries.keys(), subject);
-	if (owner !== undefined) {
-		pass.owners.set(subject, owner);
-	}
-
-	return owner;
-}
-
 function placeTask(pass: Pass, task: Task): void {
 	const {cluster, settings, seed, nowMs} = pass.context;
 	const {demand, taskId} = task.spec;
--- /dev/null
+++ b/src/placement/queue-order.test.ts
@@ -0,0 +1,88 @@
+import test from 'ava';
+import {Map as immutableMap} from 'immutable';
+import {type ClusterState, type Task, type WorkflowRun} from '../cluster/cluster-state.js';
+import {emptyClusterState} from '../cluster/reduce-cluster.js';
+import {taskFixture} from '../operator/state-fixture.js';
+import {orderQueue} from './queue-order.js';
+
+type Plan = Readonly<{jobId: string; submittedAtMs: number; tasks: number; runTimeMs: number}>;
+
+const slackMs = 1000;
+
+/** A cluster with queued jobs of one step each, in the order in which they were submitted. */
+function clusterWith(plans: readonly Plan[]): ClusterState {
+	const workflows = plans.map(({jobId, submittedAtMs, tasks, runTimeMs}): [string, WorkflowRun] => [jobId, {
+		workflow: {
+			queue: 'q',
+			service: 's',
+			payload: '',
+			steps: [{count: tasks, demand: {processorsMilli: 1000, memoryMb: 1, accelerators: 0}, declaredRunTimeMs: runTimeMs}],
+			maxFailures: 1,
+			objective: {submittedAtMs, stretchMilli: 2000, slackMs},
+		},
+		owner: {
+			jobId, teamId: 't', workClass: 'batch', priority: 'normal',
+		},
+		phase: 'queued',
+		unfinishedByStep: immutableMap([['0.0', tasks]]),
+		madeOccurrences: 1,
+	}]);
+	const tasks = plans.flatMap(({jobId, tasks: count}, offset) => Array.from({length: count}, (_, index): [string, Task] => {
+		const taskId = `${jobId}.0.0.${index}`;
+		return [taskId, {
+			...taskFixture, spec: {...taskFixture.spec, taskId}, jobId, position: {occurrence: 0, stepIndex: 0}, phase: 'queued', claim: undefined, submittedOffset: offset,
+		}];
+	}));
+	return {...emptyClusterState, workflows: immutableMap(workflows), tasks: immutableMap(tasks)};
+}
+
+/** Plays a service with `places` that each run one task at a time, and counts the jobs that meet their objective. */
+function countInTime(plans: readonly Plan[], places: number, order: (taskIds: readonly string[], cluster: ClusterState, nowMs: number) => readonly string[]): number {
+	const cluster = clusterWith(plans);
+	const waiting = new Set(cluster.tasks.keys());
+	const left = new Map(plans.map(({jobId, tasks}) => [jobId, tasks]));
+	const freeAtMs = Array.from({length: places}, () => 0);
+	let inTime = 0;
+	while (waiting.size > 0) {
+		const place = freeAtMs.indexOf(Math.min(...freeAtMs));
+		const nowMs = freeAtMs[place]!;
+		const arrived = [...waiting].filter(taskId => plans.some(plan => taskId.startsWith(`${plan.jobId}.`) && plan.submittedAtMs <= nowMs));
+		const [taskId] = order(arrived, cluster, nowMs);
+		if (taskId === undefined) {
+			freeAtMs[place] = nowMs + 50;
+			continue;
+		}
+
+		waiting.delete(taskId);
+		const plan = plans.find(({jobId}) => taskId.startsWith(`${jobId}.`))!;
+		freeAtMs[place] = nowMs + plan.runTimeMs;
+		left.set(plan.jobId, left.get(plan.jobId)! - 1);
+		if (left.get(plan.jobId) === 0 && freeAtMs[place] <= plan.submittedAtMs + (2 * plan.runTimeMs) + slackMs) {
+			inTime++;
+		}
+	}
+
+	return inTime;
+}
+
+test('in a burst of jobs beyond the room, more callers are served in time than in the order of arrival', t => {
+	// A burst of 2.5 times what eight places can take for ten seconds, with one large job among four.
+	const plans = Array.from({length: 60}, (_, index): Plan => ({
+		jobId: `j${String(index).padStart(2, '0')}`, submittedAtMs: index * 170, tasks: index % 4 === 0 ? 16 : 4, runTimeMs: 500 + ((index * 37) % 400),
+	}));
+	const inOrderOfArrival = countInTime(plans, 8, taskIds => taskIds);
+	const ordered = countInTime(plans, 8, orderQueue);
+	t.true(ordered > 2 * inOrderOfArrival, `${ordered} against ${inOrderOfArrival} jobs in time`);
+});
+
+test('a job that is too late for its caller does not hold up one that can still be in time', t => {
+	const cluster = clusterWith([
+		{
+			jobId: 'late', submittedAtMs: 0, tasks: 1, runTimeMs: 500,
+		},
+		{
+			jobId: 'fresh', submittedAtMs: 60_000, tasks: 8, runTimeMs: 5000,
+		},
+	]);
+	t.is(orderQueue(cluster.tasks.keys(), cluster, 60_000)[0], 'fresh.0.0.0');
+});
--- a/src/run-role.ts
+++ b/src/run-role.ts
@@ -1,3 +1,4 @@
+import process from 'node:process';
 import {type Result} from 'true-myth/result';
 import {messageOf} from './errors/message-of.js';
 import {formatError, type TypedError} from './errors/typed-error.js';
@@ -5,7 +6,7 @@
 import {type RoleContext, type RoleProcess, startRole} from './roles.js';
 import {type AgentSettings} from './settings/agent-settings.js';
 import {type EntrySettings} from './settings/entry-settings.js';
-import {loadSettings} from './settings/load-settings.js';
+import {loadSettings, type SettingsError} from './settings/load-settings.js';
 import {settingsSchemas} from './settings/settings-schemas.js';
 import {type EventLog} from './telemetry/event-log.js';
 import {createEventLog} from './telemetry/create-event-log.js';
@@ -19,10 +20,13 @@
 await runEntry('entry.yaml', output, stopSignal);
 */
 export async function runEntry(settingsFile: string, output: CommandOutput, stopSignal: Promise<string>): Promise<ExitStatus> {
-	const settings = await loadSettings(settingsFile, await settingsSchemas.entry());
+	const load = async () => loadSettings(settingsFile, await settingsSchemas.entry());
+	const settings = await load();
 	return settings.isErr
 		? failSettings(output, settings.error)
-		: runProcess<EntrySettings>(`entry/${settings.value.entryId}`, settings.value, startRole.entry, stopSignal);
+		: runProcess<EntrySettings>({
+			name: `entry/${settings.value.entryId}`, settings: settings.value, load, start: startRole.entry, stopSignal,
+		});
 }
 
 /**
@@ -32,21 +36,27 @@
 await runAgent('agent.yaml', output, stopSignal);
 */
 export async function runAgent(settingsFile: string, output: CommandOutput, stopSignal: Promise<string>): Promise<ExitStatus> {
-	const settings = await loadSettings(settingsFile, await settingsSchemas.agent());
+	const load = async () => loadSettings(settingsFile, await settingsSchemas.agent());
+	const settings = await load();
 	return settings.isErr
 		? failSettings(output, settings.error)
-		: runProcess<AgentSettings>(`agent/${settings.value.vmId}`, settings.value, startRole.agent, stopSignal);
+		: runProcess<AgentSettings>({
+			name: `agent/${settings.value.vmId}`, settings: settings.value, load, start: startRole.agent, stopSignal,
+		});
 }
 
 type CommonSettings = Pick<EntrySettings | AgentSettings, 'logLevel' | 'metrics'>;
 
-async function runProcess<Settings extends CommonSettings>(
-	name: string,
-	settings: Settings,
-	start: (context: RoleContext<Settings>) => Promise<Result<RoleProcess, TypedError>>,
-	stopSignal: Promise<string>,
-): Promise<ExitStatus> {
+async function runProcess<Settings extends CommonSettings>({name, settings, load, start, stopSignal}: Readonly<{
+	name: string;
+	settings: Settings;
+	/** Reads the settings file again. */
+	load: () => Promise<Result<Settings, SettingsError>>;
+	start: (context: RoleContext<Settings>) => Promise<Result<RoleProcess, TypedError>>;
+	stopSignal: Promise<string>;
+}>): Promise<ExitStatus> {
 	const eventLog = await createEventLog({process: name, level: settings.logLevel});
+	checkSettingsOnHangup(settings, load, eventLog);
 	const metrics = await createMetrics({
 		...settings.metrics,
 		onError(error) {
@@ -73,6 +83,25 @@
 	return status;
 }
 
+/** Reads the settings file again on SIGHUP and tells what a restart would change; the process itself goes on as it was started. */
+function checkSettingsOnHangup<Settings extends CommonSettings>(settings: Settings, load: () => Promise<Result<Settings, SettingsError>>, eventLog: EventLog): void {
+	process.on('SIGHUP', () => {
+		void (async () => {
+			const reloaded = await load();
+			if (reloaded.isErr) {
+				eventLog.warn('settings-invalid', {reason: formatError(reloaded.error)});
+				return;
+			}
+
+			const former = new Map(Object.entries(settings));
+			const changed = Object.entries(reloaded.value)
+				.filter(([field, value]) => JSON.stringify(value) !== JSON.stringify(former.get(field)))
+				.map(([field]) => field);
+			eventLog.info('settings-read', {changed: changed.join(','), remedy: changed.length > 0 ? 'restart the process to apply the changed settings' : undefined});
+		})();
+	});
+}
+
 async function runUntilStopped(running: RoleProcess, eventLog: EventLog, stopSignal: Promise<string>): Promise<ExitStatus> {
 	eventLog.info('process-started');
 	const signal = await stopSignal;
--- a/src/settings/entry-settings.ts
+++ b/src/settings/entry-settings.ts
@@ -1,7 +1,7 @@
 import {z} from 'zod';
 import {nameSchema} from '../cluster/intent.js';
-import {entryPlatformSettingsSchema} from './entry-platform-settings.js';
 import {placementPolicyNames} from '../placement/placement-policy-name.js';
+import {entryPlatformSettingsSchema} from './entry-platform-settings.js';
 
 const addressSchema = z.string().regex(/^\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}$/v, 'use an IP number and a port, such as 127.0.0.1:8080');
 
@@ -30,6 +30,10 @@
 	metrics: metricsSettingsSchema.default({prefix: 'arbutushinge.'}),
 	timings: z.strictObject({
 		appendIntervalMs: z.int().min(1).default(20).describe('Shortest time between two appends of this entry'),
+		pagePauseMs: z.int().min(0).default(0).describe('Pause between two reads of the log while a caller or a queued task waits for this entry'),
+		idlePagePauseMs: z.int().min(0).default(0).describe('Pause between two reads of the log while nobody waits for this entry'),
+		logCloseTimeoutMs: z.int().min(50).default(5000).describe('Longest wait for the log at a graceful stop'),
+		decisionTimeoutMs: z.int().min(100).default(5000).describe('Time after which a caller is told that the outcome of a job or plan is unknown'),
 		entryHeartbeatMs: z.int().min(50).default(1000).describe('Time between two entry-alive records'),
 		entryTimeoutMs: z.int().min(200).default(5000).describe('Time without a record after which an entry is declared ended'),
 		heartbeatTimeoutMs: z.int().min(100).default(3000).describe('Time without a heartbeat after which an agent is reported unreachable'),
