Do not answer a submission of unknown outcome as a job that is not known

A submission that the log had not confirmed in time had the error kind job-unknown, which the platform's interface answers with 410, as if nothing would run. The kind is now job-outcome-unknown, answered 504. Ruled out: a 503 after an append (the writer never drops a record that it took).

--- a/src/agent/entry-session.ts
+++ b/src/agent/entry-session.ts
@@ -102,7 +102,7 @@
 
 			const current = new Outbox();
 			stream = new AbortController();
-			const client = createClient(AgentSession, createGrpcTransport({baseUrl: url, sessionManager}));
+			const client = createClient(AgentSession, createGrpcTransport({baseUrl: url, sessionManager, acceptCompression: []}));
 			const {signal} = stream;
 			silenceTimer = setTimeout(() => {
 				reason = 'the entry does not answer heartbeats';
--- a/src/entry/agent-stream-server.ts
+++ b/src/entry/agent-stream-server.ts
@@ -20,6 +20,9 @@
 	close: () => Promise<void>;
 }>;
 
+/** Messages are a few hundred bytes; compressing them took a third of the entry's processor time. */
+const uncompressed: [] = [];
+
 /** Commands that may wait for a slow agent; beyond that the stream is closed and the agent connects anew. */
 const maxQueuedCommands = 4096;
 
@@ -105,7 +108,7 @@
 		router.service(AgentSession, {connect});
 	}
 
-	const server: Http2Server = createServer(connectNodeAdapter({routes}));
+	const server: Http2Server = createServer(connectNodeAdapter({routes, acceptCompression: uncompressed}));
 	server.on('session', session => {
 		sessions.add(session);
 		session.on('close', () => {
--- /dev/null
+++ b/src/entry/job-interface.test.ts
@@ -0,0 +1,42 @@
+import test from 'ava';
+import {type DeferredAnswer} from './control-effect.js';
+import {initialEntryState, type EntryState} from './entry-state.js';
+import {createJobInterface, type JobInterface} from './job-interface.js';
+
+const job = {
+	jobId: 'job',
+	teamId: 'team',
+	workClass: 'batch',
+	priority: 'normal',
+	tasks: [{
+		taskId: 'task', demand: {processorsMilli: 1, memoryMb: 1, accelerators: 0}, declaredRunTimeMs: 1, payload: '',
+	}],
+};
+
+const initialState = initialEntryState('i');
+
+function jobsThatAnswer(answer: DeferredAnswer, state: EntryState = initialState): JobInterface {
+	return createJobInterface({
+		state: () => state, ask: async () => answer, nowMs: () => 10_000, logFreshnessMs: 2000,
+	});
+}
+
+test('a job whose outcome is unknown is neither refused nor said not to exist', async t => {
+	const submitted = await jobsThatAnswer({result: 'unknown', offset: 0, reason: 'the log has not confirmed the record yet'}).submit(job);
+	t.like(submitted.isErr && submitted.error, {status: 504, error: {kind: 'job-outcome-unknown'}});
+});
+
+test('a caller that an entry without the log turns away is told when to come back', async t => {
+	const submitted = await jobsThatAnswer({result: 'rejected', offset: 0, reason: 'the log service is out of reach'}).submit(job);
+	t.like(submitted.isErr && submitted.error, {status: 503, retryAfterMs: 1000});
+});
+
+test('an entry whose state is old does not deny a job that it does not hold', async t => {
+	const answer: DeferredAnswer = {result: 'accepted', offset: 0, reason: ''};
+	const stale = await jobsThatAnswer(answer).find('job');
+	t.is(stale.isErr && stale.error.status, 503);
+	t.true(jobsThatAnswer(answer).countPending('q').isErr);
+	const fresh: EntryState = {...initialState, log: {tailConfirmedSentAtMs: 9000, reachable: true}};
+	const missing = await jobsThatAnswer(answer, fresh).find('job');
+	t.like(missing.isErr && missing.error, {status: 404, error: {kind: 'job-unknown'}});
+});
--- a/src/entry/job-interface.ts
+++ b/src/entry/job-interface.ts
@@ -18,7 +18,11 @@
 	countPending: (queue: string) => Result<number, CallerJobError>;
 }>;
 
-const statusByResult: Readonly<Record<DeferredAnswer['result'], number>> = {accepted: 202, rejected: 409, unknown: 504};
+const refusals: Readonly<Record<Exclude<DeferredAnswer['result'], 'accepted'>, Readonly<{status: number; kind: string}>>> = {
+	rejected: {status: 409, kind: 'job-rejected'},
+	// The job may run: neither a refusal nor a job that is not known.
+	unknown: {status: 504, kind: 'job-outcome-unknown'},
+};
 
 /** When a caller may try again that met an entry without the log; the log's outages last seconds, and other entries may reach it. */
 const logRetryAfterMs = 1000;
@@ -89,10 +93,11 @@
 	}
 
 	const isLogAway = answer.reason.startsWith('the log service');
+	const {status, kind} = refusals[answer.result];
 	return err({
-		status: isLogAway ? 503 : statusByResult[answer.result],
+		status: isLogAway ? 503 : status,
 		error: {
-			kind: `job-${answer.result}`,
+			kind,
 			message: answer.reason,
 			remedy: 'send the same job again with the same job id; a job that is already known is not submitted twice',
 		},
--- /dev/null
+++ b/stand-ins/store-stand-in.ts
@@ -0,0 +1,158 @@
+import {Buffer} from 'node:buffer';
+import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
+import {buffer} from 'node:stream/consumers';
+import {type AddressInfo} from 'node:net';
+import {once} from 'node:events';
+
+/** What the stand-in does wrong; each applies until it is changed. */
+export type StoreFaults = Readonly<{
+	/** Status that every call is answered with, without doing anything. */
+	refuseWith?: 429 | 503;
+	/** Appends are done and not answered. */
+	losesAnswers?: boolean;
+	/** Calls are neither done nor answered. */
+	isSilent?: boolean;
+}>;
+
+/** The platform's store, as far as one partition for each topic goes. */
+export type StoreStandIn = Readonly<{
+	address: string;
+	setFaults: (faults: StoreFaults) => void;
+	/** Drops a topic's records before an offset, as their time to live would. */
+	expire: (topic: string, beforeOffset: number) => void;
+	/** Writes a key as the operator does. */
+	putKey: (topic: string, key: string, value: string) => void;
+	close: () => Promise<void>;
+}>;
+
+type Topic = {first: number; records: Buffer[]};
+
+/** Time between two looks for new records while a read waits. */
+const pollMs = 5;
+
+function frame(record: Buffer): Buffer {
+	const length = Buffer.alloc(4);
+	length.writeUInt32BE(record.length);
+	return Buffer.concat([length, record]);
+}
+
+function unframe(body: Buffer): Buffer[] {
+	const records: Buffer[] = [];
+	for (let position = 0; position < body.length;) {
+		const length = body.readUInt32BE(position);
+		records.push(body.subarray(position + 4, position + 4 + length));
+		position += 4 + length;
+	}
+
+	return records;
+}
+
+/**
+Starts a stand-in of the platform's store on a free port of the loopback interface.
+
+@example
+const store = await createStoreStandIn();
+store.setFaults({losesAnswers: true});
+await store.close();
+*/
+export async function createStoreStandIn(): Promise<StoreStandIn> {
+	const topics = new Map<string, Topic>();
+	let faults: StoreFaults = {};
+
+	function topicOf(name: string): Topic {
+		const known = topics.get(name) ?? {first: 0, records: []};
+		topics.set(name, known);
+		return known;
+	}
+
+	const endOf = ({first, records}: Topic): number => first + records.length;
+
+	function sendJson(response: ServerResponse, status: number, body: unknown): void {
+		response.writeHead(status, {'content-type': 'application/json'});
+		response.end(JSON.stringify(body));
+	}
+
+	const handlers: Readonly<Record<string, (query: URLSearchParams, request: IncomingMessage, response: ServerResponse) => Promise<void>>> = {
+		async '/arbutushinge/log-append'(query, request, response) {
+			const topic = topicOf(query.get('topic')!);
+			const records = unframe(await buffer(request));
+			const offset = endOf(topic);
+			topic.records.push(...records);
+			if (!faults.losesAnswers) {
+				sendJson(response, 200, {offset, end: endOf(topic)});
+			}
+		},
+		async '/arbutushinge/log-read'(query, _request, response) {
+			const topic = topicOf(query.get('topic')!);
+			const from = Number(query.get('from'));
+			const untilMs = performance.now() + Number(query.get('waitMs') ?? 0);
+			if (from < topic.first) {
+				sendJson(response, 410, {first: topic.first});
+				return;
+			}
+
+			while (endOf(topic) <= from && performance.now() < untilMs) {
+				await new Promise(resolve => {
+					setTimeout(resolve, pollMs);
+				});
+			}
+
+			const head = Buffer.alloc(16);
+			head.writeBigUInt64BE(BigInt(endOf(topic)), 0);
+			head.writeBigUInt64BE(BigInt(topic.first), 8);
+			response.end(Buffer.concat([head, ...topic.records.slice(Math.max(0, from - topic.first)).map(record => frame(record))]));
+		},
+		async '/arbutushinge/log-newest'(query, _request, response) {
+			const topic = topicOf(query.get('topic')!);
+			const newest = new Map<string, Readonly<{key: string; value: string; offset: number}>>();
+			for (const [index, record] of topic.records.entries()) {
+				const keyEnd = 1 + record[0]!;
+				const key = record.subarray(1, keyEnd).toString();
+				newest.set(key, {key, value: record.subarray(keyEnd).toString('base64'), offset: topic.first + index});
+			}
+
+			// Small pages, so that readers must ask for the next one.
+			const items = [...newest.values()].toSorted((left, right) => left.key < right.key ? -1 : 1).filter(({key}) => key > (query.get('dependsOn') ?? ''));
+			sendJson(response, 200, {items: items.slice(0, 2), hasMore: items.length > 2, end: endOf(topic)});
+		},
+	};
+
+	const server = createServer((request, response) => {
+		void (async () => {
+			const url = new URL(request.url ?? '/', 'http://store');
+			if (faults.isSilent) {
+				return;
+			}
+
+			if (faults.refuseWith !== undefined) {
+				request.resume();
+				sendJson(response, faults.refuseWith, {});
+				return;
+			}
+
+			await handlers[url.pathname]!(url.searchParams, request, response);
+		})();
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const {port} = server.address() as AddressInfo;
+	return {
+		address: `127.0.0.1:${port}`,
+		setFaults(next) {
+			faults = next;
+		},
+		expire(name, beforeOffset) {
+			const topic = topicOf(name);
+			topic.records.splice(0, Math.max(0, beforeOffset - topic.first));
+			topic.first = Math.max(topic.first, beforeOffset);
+		},
+		putKey(name, key, value) {
+			topicOf(name).records.push(Buffer.concat([Buffer.from([key.length]), Buffer.from(key), Buffer.from(value)]));
+		},
+		async close() {
+			server.closeAllConnections();
+			server.close();
+			await once(server, 'close');
+		},
+	};
+}
