--- a/src/settings/agent-platform-settings.ts
+++ b/src/settings/agent-platform-settings.ts
@@ -10,7 +10,6 @@
 	controlAddress: addressSchema.check(z.describe('Where the worker announces itself to the agent')),
 	workerAddress: addressSchema.check(z.describe('Where the worker takes orders')),
 	service: z.string().check(z.minLength(1), z.describe('Service that the worker belongs to')),
-	metricsAddress: z.optional(addressSchema).check(z.describe('Where counters and histograms are served as text')),
 }));
 
 export type AgentPlatformSettings = z.infer<typeof agentPlatformSettingsSchema>;
--- a/src/settings/agent-settings.ts
+++ b/src/settings/agent-settings.ts
@@ -17,6 +17,7 @@
 	logLevel: z._default(z.enum(['debug', 'info', 'warn', 'error']), 'info').check(z.describe('Least severe level that is logged')),
 	metrics: z._default(z.readonly(z.strictObject({
 		statsdAddress: z.optional(addressSchema).check(z.describe('Where StatsD metrics go; none are sent without it')),
+		textAddress: z.optional(addressSchema).check(z.describe('Where metrics are served as text at `/metrics`; none are without it')),
 		prefix: z._default(z.string(), 'arbutushinge.').check(z.describe('Prefix of every metric name')),
 	})), {prefix: 'arbutushinge.'}),
 	timings: z.prefault(z.readonly(z.strictObject({
--- a/src/settings/entry-platform-settings.ts
+++ b/src/settings/entry-platform-settings.ts
@@ -12,7 +12,6 @@
 	readinessAddress: addressSchema.describe('Where the balancer asks whether the entry is ready'),
 	adviceAddress: optionalAddressSchema.describe('Service that says which VMs may run a step; empty where there is none'),
 	machinesAddress: optionalAddressSchema.describe('Service that lists machines and takes orders for their upkeep; empty where there is none'),
-	metricsAddress: addressSchema.optional().describe('Where counters and histograms are served as text'),
 }).readonly();
 
 export type EntryPlatformSettings = z.infer<typeof entryPlatformSettingsSchema>;
--- a/src/settings/entry-settings.ts
+++ b/src/settings/entry-settings.ts
@@ -8,6 +8,7 @@
 /** Metrics settings of both roles. */
 export const metricsSettingsSchema = z.strictObject({
 	statsdAddress: addressSchema.optional().describe('Where StatsD metrics go; none are sent without it'),
+	textAddress: addressSchema.optional().describe('Where metrics are served as text at `/metrics`; none are without it'),
 	prefix: z.string().default('arbutushinge.').describe('Prefix of every metric name'),
 }).readonly();
 
--- a/src/settings/load-settings.test.ts
+++ b/src/settings/load-settings.test.ts
@@ -32,7 +32,7 @@
 	[
 		'an unknown field that is like no other lists the known ones',
 		`${valid}metrics:\n  colour: red\n`,
-		'agent.yaml:10: metrics.colour: expected a known field; remedy: remove it; known fields here: statsdAddress, prefix',
+		'agent.yaml:10: metrics.colour: expected a known field; remedy: remove it; known fields here: statsdAddress, textAddress, prefix',
 	],
 	[
 		'a missing field',
--- a/src/telemetry/create-metrics.ts
+++ b/src/telemetry/create-metrics.ts
@@ -3,6 +3,8 @@
 export type MetricsOptions = Readonly<{
 	/** Where StatsD metrics go, as `IP:PORT`; none are sent without it. */
 	statsdAddress?: string | undefined;
+	/** Where metrics are served as text, as `IP:PORT`; none are without it. */
+	textAddress?: string | undefined;
 	prefix: string;
 	/** Called for an error of the socket; metrics never fail their caller. */
 	onError?: (error: Error) => void;
@@ -21,28 +23,63 @@
 };
 
 /**
-Makes the StatsD client of a process. The client library is loaded only when an address is set.
+Makes the metrics of a process: to a StatsD receiver, as text, both or neither. Libraries are loaded only when they are needed.
 
 @example
 const metrics = await createMetrics({statsdAddress: '127.0.0.1:8125', prefix: 'arbutushinge.'});
 metrics.increment('requests', 1, {service: 'loaf-ordering'});
 */
 export async function createMetrics(options: MetricsOptions): Promise<Metrics> {
-	if (options.statsdAddress === undefined) {
-		return noMetrics;
+	const {statsdAddress, textAddress, prefix, onError = doNothing} = options;
+	const targets: Metrics[] = [];
+	if (textAddress !== undefined) {
+		const {createTextMetrics} = await import('./create-text-metrics.js');
+		targets.push(await createTextMetrics({address: textAddress, prefix, onError}));
 	}
 
+	if (statsdAddress !== undefined) {
+		targets.push(await createStatsdMetrics({statsdAddress, prefix, onError}));
+	}
+
+	const [only] = targets;
+	return targets.length < 2 ? only ?? noMetrics : joinMetrics(targets);
+}
+
+function joinMetrics(targets: readonly Metrics[]): Metrics {
+	return {
+		increment(name, count, tags) {
+			for (const target of targets) {
+				target.increment(name, count, tags);
+			}
+		},
+		gauge(name, value, tags) {
+			for (const target of targets) {
+				target.gauge(name, value, tags);
+			}
+		},
+		timingMs(name, durationMs, tags) {
+			for (const target of targets) {
+				target.timingMs(name, durationMs, tags);
+			}
+		},
+		async close() {
+			await Promise.all(targets.map(async target => target.close()));
+		},
+	};
+}
+
+async function createStatsdMetrics({statsdAddress, prefix, onError}: Readonly<{statsdAddress: string; prefix: string; onError: (error: Error) => void}>): Promise<Metrics> {
 	const {StatsD} = await import('hot-shots');
-	const [host, port] = options.statsdAddress.split(':');
+	const [host, port] = statsdAddress.split(':');
 	const client = new StatsD({
 		host,
 		port: Number(port),
-		prefix: options.prefix,
+		prefix,
 		// Metrics are sent in datagrams that fit one frame.
 		maxBufferSize: 1400,
 		bufferFlushInterval: 1000,
 		includeDataDogTags: false,
-		errorHandler: options.onError ?? doNothing,
+		errorHandler: onError,
 	});
 	return {
 		increment(name: string, count = 1, tags: MetricTags = {}) {
--- /dev/null
+++ b/src/telemetry/create-text-metrics.ts
@@ -0,0 +1,67 @@
+import {createServer} from 'node:http';
+import {once} from 'node:events';
+import type {Counter, Gauge, Histogram} from 'prom-client';
+import type {MetricTags, Metrics} from './metrics.js';
+
+/** Upper bounds of the latency histograms in milliseconds: from one answer of the log to a caller's longest wait. */
+const bucketsMs = [5, 10, 25, 50, 100, 250, 500, 1000, 2500, 5000];
+
+/**
+Serves the metrics of a process as text at `/metrics` of an address. A metric's labels are those of its first use.
+
+@example
+const metrics = await createTextMetrics({address: '127.0.0.1:9464', prefix: 'arbutushinge.'});
+metrics.timingMs('log.append', 4);
+*/
+export async function createTextMetrics({address, prefix, onError}: Readonly<{
+	address: string;
+	prefix: string;
+	onError: (error: Error) => void;
+}>): Promise<Metrics> {
+	const client = await import('prom-client');
+	const registry = new client.Registry();
+	const counters = new Map<string, Counter>();
+	const gauges = new Map<string, Gauge>();
+	const histograms = new Map<string, Histogram>();
+
+	function known<Metric>(metrics: Map<string, Metric>, name: string, tags: MetricTags, create: (options: Readonly<{name: string; help: string; labelNames: string[]; registers: [typeof registry]}>) => Metric): Metric {
+		const found = metrics.get(name) ?? create({
+			name: `${prefix}${name}`.replaceAll(/\W/gv, '_'), help: `${name}, see docs/OPERATIONS.md`, labelNames: Object.keys(tags), registers: [registry],
+		});
+		metrics.set(name, found);
+		return found;
+	}
+
+	const server = createServer((request, response) => {
+		void (async () => {
+			if (request.url !== '/metrics') {
+				response.writeHead(404).end();
+				return;
+			}
+
+			response.setHeader('content-type', registry.contentType);
+			response.end(await registry.metrics());
+		})();
+	});
+	server.on('error', onError);
+	const [host, port] = address.split(':');
+	server.listen(Number(port), host);
+
+	return {
+		increment(name, count = 1, tags = {}) {
+			known(counters, name, tags, options => new client.Counter(options)).inc({...tags}, count);
+		},
+		gauge(name, value, tags = {}) {
+			known(gauges, name, tags, options => new client.Gauge(options)).set({...tags}, value);
+		},
+		timingMs(name, durationMs, tags = {}) {
+			known(histograms, name, tags, options => new client.Histogram({...options, buckets: bucketsMs})).observe({...tags}, durationMs);
+		},
+		async close() {
+			const closed = once(server, 'close');
+			server.close();
+			server.closeAllConnections();
+			await closed;
+		},
+	};
+}
--- a/src/telemetry/operations-page.test.ts
+++ b/src/telemetry/operations-page.test.ts
@@ -5,9 +5,12 @@
 const root = path.join(import.meta.dirname, '../..');
 
 async function readSources(): Promise<string> {
-	const names = await readdir(path.join(root, 'src'), {recursive: true});
-	const files = names.filter(name => name.endsWith('.ts') && !name.endsWith('.test.ts') && !name.includes('generated')).toSorted();
-	const texts = await Promise.all(files.map(async name => readFile(path.join(root, 'src', name), 'utf8')));
+	const names = await Promise.all(['src', 'platform'].map(async folder => {
+		const inFolder = await readdir(path.join(root, folder), {recursive: true});
+		return inFolder.map(name => path.join(folder, name));
+	}));
+	const files = names.flat().filter(name => name.endsWith('.ts') && !name.endsWith('.test.ts') && !name.includes('generated')).toSorted();
+	const texts = await Promise.all(files.map(async name => readFile(path.join(root, name), 'utf8')));
 	// Examples in doc comments are no events.
 	return texts.join('\n').replaceAll(/\/\*\*.*?\*\//gsv, '');
 }
@@ -33,7 +36,7 @@
 		/metric: ['`](?<name>[\w.\-]+)/gv,
 		/'(?<name>(?:claims|leases|plans)\.[\w.]+|evictions|quarantines)',\n/gv,
 	)].map(name => name.endsWith('.') ? `${name}KIND` : name));
-	const listed = namesInTable(await readFile(path.join(root, 'docs/operations.md'), 'utf8'), 'Metrics');
+	const listed = namesInTable(await readFile(path.join(root, 'docs/OPERATIONS.md'), 'utf8'), 'Metrics');
 	t.true(emitted.size > 15);
 	t.deepEqual(difference(emitted, listed), []);
 	t.deepEqual([...listed].filter(name => !sources.includes(name.replace(/KIND$/v, ''))), []);
@@ -49,7 +52,7 @@
 		/event: '(?<name>[^']+)'/gv,
 		/lifecycleLog\('(?<name>[^']+)'/gv,
 	);
-	const listed = namesInTable(await readFile(path.join(root, 'docs/operations.md'), 'utf8'), 'Log events');
+	const listed = namesInTable(await readFile(path.join(root, 'docs/OPERATIONS.md'), 'utf8'), 'Log events');
 	const logged = new Set([...called, ...records].filter(name => !quiet.has(name)));
 	t.true(records.size > 20);
 	t.deepEqual(difference(logged, listed), []);
