Leave tasks that wait for room to the entry that places them

A queued task passed to every entry after 300 ms, also when its owner had found no room for it, so that four entries with different views of what is under way placed at once.

Ruled out: a dead owner (every entry wrote records all the while).

Log lines of refused requests carry the reason, those of jobs their id.

--- a/src/entry/record-timeline.ts
+++ b/src/entry/record-timeline.ts
@@ -50,7 +50,7 @@
 				},
 				{
 					kind: 'log-event', level: 'info', event: record.kind, fields: {
-						offset, taskId, vmId, reason: detail,
+						offset, jobId: jobIdOf(record), taskId, vmId, reason: detail,
 					},
 				},
 			] satisfies ControlEffect[];
@@ -58,6 +58,15 @@
 	return [...counts, ...events];
 }
 
+/** Callers know a job by its id, also where the record names no task. */
+function jobIdOf(record: ClusterRecord): string | undefined {
+	if ('jobId' in record) {
+		return record.jobId;
+	}
+
+	return record.kind === 'job-submitted' ? record.job.jobId : undefined;
+}
+
 /** The record may have ended the claim, so the state before it counts too. */
 function vmOfTask(taskId: string | undefined, before: ClusterState, after: ClusterState): string | undefined {
 	if (taskId === undefined) {
--- /dev/null
+++ b/src/placement/place-queued-tasks.test.ts
@@ -0,0 +1,56 @@
+import test from 'ava';
+import {Map as immutableMap, OrderedMap as orderedMap} from 'immutable';
+import {type ClusterState, type EntryMember} from '../cluster/cluster-state.js';
+import {type PriorityClass} from '../cluster/intent.js';
+import {ownerByRendezvous} from '../cluster/rendezvous.js';
+import {type EntryContext} from '../entry/entry-context.js';
+import {emptyStateFixture, taskFixture, vmFixture} from '../operator/state-fixture.js';
+import {entrySettingsSchema} from '../settings/entry-settings.js';
+import {initialPlacement, placeQueuedTasks, type PlacementState} from './place-queued-tasks.js';
+
+const settings = entrySettingsSchema.parse({
+	role: 'entry', entryId: 'e1', failureDomain: 'a', callerAddress: '127.0.0.1:1', operatorAddress: '127.0.0.1:2', agentAddress: '127.0.0.1:3',
+});
+
+const {taskId} = taskFixture.spec;
+const owner = ownerByRendezvous(['i1', 'i2'], taskFixture.jobId)!;
+const other = owner === 'i1' ? 'i2' : 'i1';
+
+function contextAt(nowMs: number, ownerOffset: number): EntryContext {
+	const member = (incarnation: string, lastOffset: number): [string, EntryMember] => [incarnation, {
+		entryId: incarnation, incarnation, failureDomain: 'a', operatorAddress: '', lastOffset, appliedOffset: 0,
+	}];
+	const cluster: ClusterState = {
+		...emptyStateFixture,
+		entries: immutableMap([member(owner, ownerOffset), member(other, 1)]),
+		vms: emptyStateFixture.vms.set(vmFixture.vmId, {...vmFixture, phase: 'live', draining: false, quarantined: false}),
+		tasks: immutableMap([[taskId, {...taskFixture, phase: 'queued' as const, claim: undefined}]]),
+		queued: immutableMap<PriorityClass, ReturnType<typeof orderedMap<string, true>>>([[taskFixture.priority, orderedMap([[taskId, true as const]])]]),
+	};
+	return {
+		cluster, settings, incarnation: other, nowMs, wallTimeMs: nowMs, tailConfirmedSentAtMs: nowMs, pendingAppends: 0, seed: 999,
+	};
+}
+
+/** Looks at the queue every 100 ms as the entry that does not own the task, and returns when it first claims it. */
+function firstClaimMs(ownerOffsetAt: (nowMs: number) => number): number | undefined {
+	let state: PlacementState = initialPlacement;
+	for (let nowMs = 0; nowMs <= 5000; nowMs += 100) {
+		const step = placeQueuedTasks(state, contextAt(nowMs, ownerOffsetAt(nowMs)));
+		state = step.state;
+		if (step.effects.length > 0) {
+			return nowMs;
+		}
+	}
+
+	return undefined;
+}
+
+test('a task that waits for room is left to its owner while that one writes records', t => {
+	t.is(firstClaimMs(nowMs => Math.floor(nowMs / 300)), undefined);
+});
+
+test('the tasks of an owner that died are placed within a second of its last record', t => {
+	const claimedMs = firstClaimMs(nowMs => Math.min(7, Math.floor(nowMs / 300)));
+	t.true(claimedMs !== undefined && claimedMs > 2100 && claimedMs <= 3100, String(claimedMs));
+});
--- a/src/placement/place-queued-tasks.ts
+++ b/src/placement/place-queued-tasks.ts
@@ -27,14 +27,14 @@
 /** What placement keeps between two passes; lost with the process without harm. */
 export type PlacementState = Readonly<{
 	pending: PendingClaims;
-	/** When this entry first saw a queued task that belongs to another entry. */
-	foreignSince: ImmutableMap<string, number>;
+	/** When this entry last saw another record of each entry that places tasks. */
+	ownersSeen: ImmutableMap<string, Readonly<{lastOffset: number; atMs: number}>>;
 	interference: InterferenceEstimates;
 	history: VmHistory;
 }>;
 
 export const initialPlacement: PlacementState = {
-	pending: noPendingClaims, foreignSince: immutableMap(), interference: noInterferenceEstimates, history: noVmHistory,
+	pending: noPendingClaims, ownersSeen: immutableMap(), interference: noInterferenceEstimates, history: noVmHistory,
 };
 
 /** VMs that are looked at first for one task; a full scan follows only when none of them has room. */
@@ -63,7 +63,7 @@
 	const settled: PlacementState = {
 		...state,
 		pending: settlePendingClaims(state.pending, context.cluster, context.nowMs),
-		foreignSince: state.foreignSince.filter((_sinceMs, taskId) => context.cluster.tasks.get(taskId)?.phase === 'queued'),
+		ownersSeen: state.ownersSeen.filter((_seen, incarnation) => context.cluster.entries.has(incarnation)),
 	};
 	if (!isLogFresh(context) || context.cluster.queued.every(tasks => tasks.isEmpty())) {
 		return {state: settled, effects: []};
@@ -111,14 +111,15 @@
 		return true;
 	}
 
-	const {taskId} = task.spec;
-	const sinceMs = pass.state.foreignSince.get(taskId);
-	if (sinceMs === undefined) {
-		pass.state = {...pass.state, foreignSince: pass.state.foreignSince.set(taskId, nowMs)};
+	// A task may wait for room for long; only an owner that writes nothing any more has to be replaced.
+	const lastOffset = cluster.entries.get(owner)?.lastOffset ?? -1;
+	const seen = pass.state.ownersSeen.get(owner);
+	if (seen?.lastOffset !== lastOffset) {
+		pass.state = {...pass.state, ownersSeen: pass.state.ownersSeen.set(owner, {lastOffset, atMs: nowMs})};
 		return false;
 	}
 
-	return nowMs - sinceMs >= settings.timings.placementTakeoverMs;
+	return nowMs - seen.atMs >= settings.timings.placementTakeoverMs;
 }
 
 function placeTask(pass: Pass, task: Task): void {
