Send a start only to the worker process that it was accepted for

The executor of side-accra-b-3 crashed; its agent repeated 30 starts that met a refused connection, and the next life of the executor, under its id and address, carried them out after the agent had registered without them, so that the tasks were placed elsewhere as well.

A start now names the worker process that it was accepted for, and the adapter sends it to no other. The new test fails without the check.

--- a/src/agent/agent-effect.ts
+++ b/src/agent/agent-effect.ts
@@ -11,7 +11,8 @@
 /** What the shell does for the reducer, by kind. */
 export type AgentEffectPayloads = Readonly<{
 	send: Readonly<{entryAddress: string; message: AgentMessageBody}>;
-	'start-task': Readonly<{taskId: string; request: StartTaskRequest}>;
+	/** `workerIncarnation` is the worker process that the attempt was accepted for. */
+	'start-task': Readonly<{taskId: string; request: StartTaskRequest; workerIncarnation: string}>;
 	'checkpoint-task': Readonly<{taskId: string}>;
 	'stop-task': Readonly<{taskId: string}>;
 	'delete-task': Readonly<{taskId: string}>;
--- a/src/agent/task-handlers.ts
+++ b/src/agent/task-handlers.ts
@@ -78,7 +78,7 @@
 	return task.start === undefined
 		? []
 		: [{
-			kind: 'start-task', taskId: task.taskId, request: {
+			kind: 'start-task', taskId: task.taskId, workerIncarnation: state.worker.incarnation, request: {
 				attempt: task.attempt,
 				limit: task.limit,
 				payload: task.start.payload,
--- /dev/null
+++ b/src/agent/worker-driver.test.ts
@@ -0,0 +1,51 @@
+import test from 'ava';
+import {Result} from 'true-myth';
+import type {EventLog} from '../telemetry/event-log.js';
+import type {AgentEvent} from './agent-event.js';
+import {createWorkerDriver} from './worker-driver.js';
+import type {Worker} from './worker.js';
+
+const ignore = (): void => undefined;
+
+const silentLog: EventLog = {
+	debug: ignore, info: ignore, warn: ignore, error: ignore,
+};
+
+test('a start that was accepted for one worker process is not sent to the next one at its address', async t => {
+	const started: string[] = [];
+	const events: AgentEvent[] = [];
+	const done = async () => Result.ok(undefined);
+	const worker: Worker = {
+		isCurrent: workerIncarnation => workerIncarnation === 'w2',
+		async startTask(taskId) {
+			started.push(taskId);
+			return Result.ok(undefined);
+		},
+		deleteTask: done,
+		setLease: done,
+		checkpointTask: done,
+		throttleTask: done,
+		stopTask: done,
+		listTasks: async () => Result.ok({workerIncarnation: 'w2', capacity: {processorsMilli: 1, memoryMb: 1, accelerators: 0}, tasks: []}),
+		readUsage: async () => Result.ok({
+			measuredAtMonotonicMs: 0, processorsUsedMilli: 0, memoryUsedMb: 0, tasks: [],
+		}),
+	};
+	const driver = createWorkerDriver({
+		worker, eventLog: silentLog, nowMs: () => 0, dispatch(event) {
+			events.push(event);
+		},
+	});
+	const request = {
+		attempt: 1, limit: {processorsMilli: 1, memoryMb: 1, accelerators: 0}, payload: '', checkpoint: '', latencyCritical: false, leaseDeadlineMonotonicMs: 1000,
+	};
+	for (const workerIncarnation of ['w1', 'w2']) {
+		driver.execute({
+			kind: 'start-task', taskId: `for-${workerIncarnation}`, request, workerIncarnation,
+		});
+	}
+
+	await driver.poll();
+	t.deepEqual(started, ['for-w2']);
+	t.like(events.find(event => event.kind === 'start-answered' && event.taskId === 'for-w1'), {result: 'unknown'});
+});
--- a/src/agent/worker-driver.ts
+++ b/src/agent/worker-driver.ts
@@ -60,7 +60,7 @@
 		});
 	}
 
-	async function start({taskId, request}: AgentEffectOf<'start-task'>): Promise<void> {
+	async function start({taskId, request, workerIncarnation}: AgentEffectOf<'start-task'>): Promise<void> {
 		const {attempt} = request;
 		if (nowMs() >= request.leaseDeadlineMonotonicMs) {
 			// Nothing is sent, but an earlier try may have reached the worker, so its list decides.
@@ -70,6 +70,14 @@
 			return;
 		}
 
+		if (worker.isCurrent?.(workerIncarnation) === false) {
+			// The claim ends with the process that it was accepted for; a start on the next one would run the task twice.
+			dispatch({
+				kind: 'start-answered', nowMs: nowMs(), taskId, attempt, result: 'unknown', reason: 'another worker process took the place of the one that was meant',
+			});
+			return;
+		}
+
 		const result = await worker.startTask(taskId, request);
 		if (result.isErr) {
 			warn('start-task', taskId, result.error);
