Let one task of a job that is far too late run where nothing is idle

A bulk job that was beyond three times its objective came last in every pass, and filling work of jobs that could still be in time took every idle processor for 64 s, so that none of its 26 tasks was ever claimed. Ruled out: a lost submission (its record and phase were there at the end).

One task at a time of such a job is now placed without idle processors. The test fails without it: nothing is placed.

--- a/src/placement/place-queued-tasks.test.ts
+++ b/src/placement/place-queued-tasks.test.ts
@@ -1,6 +1,8 @@
 import test from 'ava';
-import {Map as immutableMap, OrderedMap as orderedMap} from 'immutable';
-import {type ClusterState, type EntryMember} from '../cluster/cluster-state.js';
+import {Map as immutableMap, OrderedMap as orderedMap, Set as immutableSet} from 'immutable';
+import {
+	type ClusterState, type EntryMember, type Task, type WorkflowRun,
+} from '../cluster/cluster-state.js';
 import {type PriorityClass} from '../cluster/intent.js';
 import {ownerByRendezvous} from '../cluster/rendezvous.js';
 import {type EntryContext} from '../entry/entry-context.js';
@@ -56,3 +58,52 @@
 	const claimedMs = firstClaimMs(nowMs => Math.min(7, Math.floor(nowMs / 300)));
 	t.true(claimedMs !== undefined && claimedMs > 2100 && claimedMs <= 3100, `claimed at ${claimedMs ?? 'no time'}`);
 });
+
+/** One VM whose processors are all in use by filling work, and a queued filling task of a job of one step. */
+function crowdedContext(nowMs: number): EntryContext {
+	const context = contextAt(nowMs, 1);
+	const {cluster} = context;
+	const step = {
+		count: 2, demand: {processorsMilli: vmFixture.capacity.processorsMilli, memoryMb: 1, accelerators: 0}, declaredRunTimeMs: 1000, fillsIdle: true,
+	};
+	const run = (jobId: string): WorkflowRun => ({
+		workflow: {
+			queue: 'q', service: 's', payload: '', steps: [step], maxFailures: 1, objective: {submittedAtMs: 0, stretchMilli: 1000, slackMs: 1000},
+		},
+		owner: {
+			jobId, teamId: 't', workClass: 'batch', priority: taskFixture.priority,
+		},
+		phase: 'queued',
+		unfinishedByStep: immutableMap([['0.0', 2]]),
+		madeOccurrences: 1,
+	});
+	const task = (jobId: string, index: number): Task => ({
+		...taskFixture,
+		jobId,
+		position: {occurrence: 0, stepIndex: 0},
+		spec: {...taskFixture.spec, taskId: `${jobId}.0.0.${index}`, demand: {processorsMilli: 0, memoryMb: 1, accelerators: 0}},
+		phase: 'queued',
+		claim: undefined,
+	});
+	const running = {...task('other', 0), phase: 'running' as const, claim: taskFixture.claim};
+	const waiting = [task('late', 0), task('late', 1)];
+	return {
+		...context,
+		incarnation: ownerByRendezvous(['i1', 'i2'], 's')!,
+		cluster: {
+			...cluster,
+			workflows: immutableMap([['other', run('other')], ['late', run('late')]]),
+			jobs: immutableMap([['late', waiting.map(each => each.spec.taskId)]]),
+			tasks: immutableMap([running, ...waiting].map(each => [each.spec.taskId, each])),
+			queued: immutableMap<PriorityClass, ReturnType<typeof orderedMap<string, true>>>([[taskFixture.priority, orderedMap(waiting.map(each => [each.spec.taskId, true as const]))]]),
+			vms: cluster.vms.map(vm => ({...vm, service: 's', taskIds: immutableSet([running.spec.taskId])})),
+		},
+	};
+}
+
+test('a job of filling work waits for idle processors while it can be in time, and one task of it runs when it is far too late', t => {
+	t.is(placeQueuedTasks(initialPlacement, crowdedContext(1000)).effects.length, 0);
+	const late = placeQueuedTasks(initialPlacement, crowdedContext(60_000));
+	t.is(late.effects.length, 1);
+	t.is(placeQueuedTasks(late.state, crowdedContext(60_000)).effects.length, 0, 'its other task waits for idle processors');
+});
--- a/src/placement/place-queued-tasks.ts
+++ b/src/placement/place-queued-tasks.ts
@@ -19,7 +19,7 @@
 } from './pending-claims.js';
 import {placementPolicies} from './placement-policies.js';
 import {placementOwnerOf, placementSubjectOf} from './placement-owner.js';
-import {orderQueue} from './queue-order.js';
+import {isBeyondObjective, orderQueue} from './queue-order.js';
 import {chooseVictims} from './choose-victims.js';
 import {noVmHistory, type VmHistory} from './observe-usage.js';
 import {harmOfPlacement, type InterferenceEstimates, noInterferenceEstimates} from './interference-estimates.js';
@@ -216,10 +216,11 @@
 	const {cluster} = pass.context;
 	const found: FeasibleVm[] = [];
 	const fillingMilli = fillingDemandMilli(task, cluster);
+	const needsIdleMilli = fillingMilli > 0 && !isStarved(pass, task) ? fillingMilli : 0;
 	for (const vm of vms) {
 		const room = roomOf(vm, pass.state.pending.committedByVm.get(vm.vmId, noResources));
 		const offered = fillingMilli === 0 ? room : {...room, processorsMilli: idleMilliOf(pass, vm, room)};
-		if (fitsInto(task.spec.demand, room) && offered.processorsMilli >= fillingMilli && isAllowed(pass, task, vm)) {
+		if (fitsInto(task.spec.demand, room) && offered.processorsMilli >= needsIdleMilli && isAllowed(pass, task, vm)) {
 			found.push({vm, candidate: toCandidate(pass, task, vm, {room: offered, evictions: 0}), evictTaskIds: []});
 		}
 	}
@@ -228,6 +229,21 @@
 	return withSiblings(found, task, cluster);
 }
 
+/**
+Tells whether a task's job is far beyond its objective and has nothing running or under way. One task of such a job may share
+processors that are not idle: jobs that can still be in time always go first, and would otherwise keep it from ever ending.
+*/
+function isStarved(pass: Pass, task: Task): boolean {
+	const {cluster, wallTimeMs} = pass.context;
+	const run = cluster.workflows.get(task.jobId);
+	return run !== undefined
+		&& isBeyondObjective(run, wallTimeMs)
+		&& !(cluster.jobs.get(task.jobId) ?? []).some(taskId => {
+			const sibling = cluster.tasks.get(taskId);
+			return sibling?.claim !== undefined || pass.state.pending.byTask.has(taskId);
+		});
+}
+
 /** Processors of a VM that neither committed tasks nor filling ones use, claims under way included. */
 function idleMilliOf(pass: Pass, vm: Vm, room: Resources): number {
 	const {fillingMilli, servingIdleMilli} = fillingLoadOf(vm, pass.context.cluster);
