Start a bulk job that has waited 10 s with one task, whatever it declares

The job declares run times so long that it never counts as late, and has the most work left, so that it came last for 64 s. The time that a job has waited decides now, not its objective. The test declares two minutes and fails with the former rule.

--- a/src/placement/place-queued-tasks.test.ts
+++ b/src/placement/place-queued-tasks.test.ts
@@ -64,7 +64,7 @@
 	const context = contextAt(nowMs, 1);
 	const {cluster} = context;
 	const step = {
-		count: 2, demand: {processorsMilli: vmFixture.capacity.processorsMilli, memoryMb: 1, accelerators: 0}, declaredRunTimeMs: 1000, fillsIdle: true,
+		count: 2, demand: {processorsMilli: vmFixture.capacity.processorsMilli, memoryMb: 1, accelerators: 0}, declaredRunTimeMs: 120_000, fillsIdle: true,
 	};
 	const run = (jobId: string): WorkflowRun => ({
 		workflow: {
@@ -101,7 +101,7 @@
 	};
 }
 
-test('a job of filling work waits for idle processors while it can be in time, and one task of it runs when it is far too late', t => {
+test('a job of filling work waits for idle processors, but one task of it runs when it has waited long, however long its declared time is', t => {
 	t.is(placeQueuedTasks(initialPlacement, crowdedContext(1000)).effects.length, 0);
 	const late = placeQueuedTasks(initialPlacement, crowdedContext(60_000));
 	t.is(late.effects.length, 1);
--- a/src/placement/place-queued-tasks.ts
+++ b/src/placement/place-queued-tasks.ts
@@ -19,7 +19,7 @@
 } from './pending-claims.js';
 import {placementPolicies} from './placement-policies.js';
 import {placementOwnerOf, placementSubjectOf} from './placement-owner.js';
-import {isBeyondObjective, orderQueue} from './queue-order.js';
+import {orderQueue} from './queue-order.js';
 import {chooseVictims} from './choose-victims.js';
 import {noVmHistory, type VmHistory} from './observe-usage.js';
 import {harmOfPlacement, type InterferenceEstimates, noInterferenceEstimates} from './interference-estimates.js';
@@ -229,15 +229,18 @@
 	return withSiblings(found, task, cluster);
 }
 
+/** Time after which a job with nothing running starts its first task beside others; the longest chains take about as long. */
+const starvedAfterMs = 10_000;
+
 /**
-Tells whether a task's job is far beyond its objective and has nothing running or under way. One task of such a job may share
-processors that are not idle: jobs that can still be in time always go first, and would otherwise keep it from ever ending.
+Tells whether a task's job has waited long and has nothing running or under way. One task of such a job may share processors that
+are not idle: small jobs and those that can still be in time always go first, and would otherwise keep a large one from starting.
 */
 function isStarved(pass: Pass, task: Task): boolean {
 	const {cluster, wallTimeMs} = pass.context;
-	const run = cluster.workflows.get(task.jobId);
-	return run !== undefined
-		&& isBeyondObjective(run, wallTimeMs)
+	const objective = cluster.workflows.get(task.jobId)?.workflow.objective;
+	return objective !== undefined
+		&& wallTimeMs - objective.submittedAtMs > starvedAfterMs
 		&& !(cluster.jobs.get(task.jobId) ?? []).some(taskId => {
 			const sibling = cluster.tasks.get(taskId);
 			return sibling?.claim !== undefined || pass.state.pending.byTask.has(taskId);
--- a/src/placement/queue-order.ts
+++ b/src/placement/queue-order.ts
@@ -44,16 +44,6 @@
 	return {lateness, workLeft, submittedOffset};
 }
 
-/**
-Tells whether a job is so late that its caller counts it as given up. Such a job goes last, but it must go on.
-
-@example
-isBeyondObjective(run, Date.now()); // => false
-*/
-export function isBeyondObjective(run: WorkflowRun, wallTimeMs: number): boolean {
-	return rankOf(run, 0, wallTimeMs).lateness === 2;
-}
-
 /**
 Orders the queued tasks of one class for placement. Tasks of one job keep their order; jobs without a workflow go in the order of
 their submission, before all others of their class.
