--- a/src/cluster/workflow-progress.ts
+++ b/src/cluster/workflow-progress.ts
@@ -172,7 +172,7 @@
 	}
 
 	const finishedWorkflows = state.finishedWorkflows.set(jobId, {
-		queue: run.workflow.queue, phase: isStopping(run) && run.phase !== 'queued' && run.phase !== 'running' ? run.phase : 'completed',
+		queue: run.workflow.queue, phase: run.phase === 'failed' || run.phase === 'cancelled' ? run.phase : 'completed',
 	});
 	const oldest: string | undefined = finishedWorkflows.keySeq().first();
 	return forgetEntity({
--- a/src/placement/filling-work.ts
+++ b/src/placement/filling-work.ts
@@ -5,15 +5,10 @@
 export type FillingLoad = Readonly<{
 	/** Processors that the filling tasks there would use, in thousandths. */
 	fillingMilli: number;
-	/** Processors that serving tasks there commit and usually leave idle, in thousandths. */
-	servingIdleMilli: number;
 	/** Tasks there that serve users and bear neighbours badly. */
 	servingTasks: number;
 }>;
 
-/** Part of its processors that a serving task leaves idle even when its load swings up; its users' load averages below half. */
-const servingIdleShare = 0;
-
 // Keyed by the VM's set of tasks, which is replaced whenever a task comes or goes.
 const loadsByTaskSet = new WeakMap<Vm['taskIds'], FillingLoad>();
 
@@ -21,7 +16,7 @@
 Sums the filling work and counts the serving tasks on a VM.
 
 @example
-fillingLoadOf(vm, cluster); // => {fillingMilli: 3600, servingIdleMilli: 2560, servingTasks: 2}
+fillingLoadOf(vm, cluster); // => {fillingMilli: 3600, servingTasks: 2}
 */
 export function fillingLoadOf(vm: Vm, cluster: ClusterState): FillingLoad {
 	const cached = loadsByTaskSet.get(vm.taskIds);
@@ -30,19 +25,15 @@
 	}
 
 	let fillingMilli = 0;
-	let servingIdleMilli = 0;
 	let servingTasks = 0;
 	for (const taskId of vm.taskIds) {
 		const task = cluster.tasks.get(taskId);
 		const step = task && stepOf(cluster, task);
 		fillingMilli += step?.fillsIdle ? step.demand.processorsMilli : 0;
-		if (step?.latencyTargetMs !== undefined) {
-			servingIdleMilli += step.demand.processorsMilli * servingIdleShare;
-			servingTasks++;
-		}
+		servingTasks += step?.latencyTargetMs === undefined ? 0 : 1;
 	}
 
-	const load = {fillingMilli, servingIdleMilli, servingTasks};
+	const load = {fillingMilli, servingTasks};
 	loadsByTaskSet.set(vm.taskIds, load);
 	return load;
 }
--- a/src/placement/place-queued-tasks.ts
+++ b/src/placement/place-queued-tasks.ts
@@ -249,8 +249,8 @@
 
 /** Processors of a VM that neither committed tasks nor filling ones use, claims under way included. */
 function idleMilliOf(pass: Pass, vm: Vm, room: Resources): number {
-	const {fillingMilli, servingIdleMilli} = fillingLoadOf(vm, pass.context.cluster);
-	return Math.max(0, room.processorsMilli + servingIdleMilli - fillingMilli - pass.state.pending.fillingByVm.get(vm.vmId, 0));
+	const {fillingMilli} = fillingLoadOf(vm, pass.context.cluster);
+	return Math.max(0, room.processorsMilli - fillingMilli - pass.state.pending.fillingByVm.get(vm.vmId, 0));
 }
 
 /** Expected harm of a filling task to one serving neighbour before anything is known of the pair, in thousandths of its speed. */
--- a/src/worker/worker-answers.ts
+++ b/src/worker/worker-answers.ts
@@ -54,8 +54,6 @@
 		relativeSpeedMilli: z.int().check(z.minimum(0)),
 		/** Tail of the response times of a task that serves users, in milliseconds. */
 		latencyTailMs: z.optional(z.number()),
-		/** Share of its processors at which the task may work. */
-		paceShareMilli: z.optional(z.number()),
 	})))),
 }));
 
