Hand a task back that the worker no longer lists, without a failed attempt

Cause: the agent reported a running task that is missing in the worker's list as failed. Where a workflow allows two failed attempts, one real failure and one such report end the job as failed, which the caller sees as a lost job.

Ruled out: a second run of the task; the list says that it runs nowhere.

The task is reported as cancelled without a request, which queues it again and counts no failure. The new test fails before the change.

--- a/src/agent/reduce-agent.test.ts
+++ b/src/agent/reduce-agent.test.ts
@@ -107,6 +107,11 @@
 		}
 	}
 
+	/** The worker loses a task, such as by a fault of its own, and lists no end of it. */
+	lose(taskId: string): void {
+		this.#tasks.delete(taskId);
+	}
+
 	/** A worker that starts an attempt at most once while it lists it, and none whose deadline has passed. */
 	#startTask({taskId, request: {attempt, limit, leaseDeadlineMonotonicMs}}: AgentEffectOf<'start-task'>): void {
 		const isKnown = this.#tasks.get(taskId)?.attempt === attempt;
@@ -246,6 +251,17 @@
 	t.is(fixture.state.lease.deadlineMs, 1000 + leaseMs);
 });
 
+/** Guards against a job that is shown as failed because a worker lost its task, which is no failure of the task. */
+test('a task that the worker no longer lists is handed back, not reported as failed', t => {
+	const fixture = new Fixture().activate();
+	fixture.start('t1', 1);
+	fixture.nowMs += 10;
+	fixture.lose('t1');
+	fixture.list();
+	const outcomes = [...fixture.state.events.pending.values()].map(({outcome}) => outcome.case === 'ended' ? outcome.value.outcome : undefined);
+	t.deepEqual(outcomes.filter(outcome => outcome !== undefined), [TaskOutcome.CANCELLED]);
+});
+
 /** Guards against a start before the agent knows what the worker runs. */
 test('a new agent counts the worker\'s tasks before it registers', t => {
 	const fixture = new Fixture();
--- a/src/agent/task-handlers.ts
+++ b/src/agent/task-handlers.ts
@@ -459,7 +459,8 @@
 		}
 
 		if (task.phase === 'running') {
-			return endTask(state, task, ended(TaskOutcome.FAILED, 'the worker no longer lists the task'), nowMs);
+			// A fault of the worker is no failed attempt of the task; it runs nowhere, so that it may start again.
+			return endTask(state, task, ended(TaskOutcome.CANCELLED, 'the worker no longer lists the task'), nowMs);
 		}
 
 		// The worker refuses starts whose deadline has passed, so a start that it does not list after that never runs.
