Place filling work where it presses least on serving tasks

Cause: placement counted every serving task of a VM as equally sensitive to every image of filling work, although agents measure how much each pair disturbs.

Agents now report their estimates with their heartbeats, only those that changed by a step; entries merge them and add them to the expected harm.

--- a/src/agent/agent-state.ts
+++ b/src/agent/agent-state.ts
@@ -60,11 +60,13 @@
 	usageSentAtMs: number;
 	/** End of the window of the last usage report that was sent. */
 	usageMeasuredAtMs: number;
+	/** Estimates of the press of filling work that were sent on this stream. */
+	reportedPress: ImmutableMap<string, number>;
 }>;
 
 /** A link that is not connected. */
 export const closedLink: EntryLink = {
-	connected: false, reported: immutableMap(), usageSentAtMs: Number.NEGATIVE_INFINITY, usageMeasuredAtMs: Number.NEGATIVE_INFINITY,
+	connected: false, reported: immutableMap(), usageSentAtMs: Number.NEGATIVE_INFINITY, usageMeasuredAtMs: Number.NEGATIVE_INFINITY, reportedPress: immutableMap(),
 };
 
 /** The part of the configuration in force that concerns this VM. */
--- a/src/agent/press-estimates.ts
+++ b/src/agent/press-estimates.ts
@@ -86,6 +86,66 @@
 	return {ownShares: immutableMap(ownShares), pressByPair};
 }
 
+/** An estimate as agents report it to entries. */
+export type PressReport = Readonly<{servingImage: string; fillingImage: string; press: number}>;
+
+/** Step to which reported estimates are rounded, so that noise is not sent with every heartbeat. */
+const reportedStep = 0.05;
+
+/**
+Lists the estimates that differ from those reported before by a step or more, and what is reported with them.
+
+@example
+const {reports, reported} = changedPress(estimates, immutableMap());
+*/
+export function changedPress(
+	{pressByPair}: PressEstimates,
+	before: ImmutableMap<string, number>,
+): Readonly<{reports: readonly PressReport[]; reported: ImmutableMap<string, number>}> {
+	const reports: PressReport[] = [];
+	const reported = before.withMutations(sent => {
+		for (const [key, press] of pressByPair) {
+			const rounded = Math.round(press / reportedStep) * reportedStep;
+			if (sent.get(key) !== rounded) {
+				sent.set(key, rounded);
+				const [servingImage = '', fillingImage = ''] = key.split(pairSeparator);
+				reports.push({servingImage, fillingImage, press: rounded});
+			}
+		}
+	});
+	return {reports, reported};
+}
+
+/** Weight of a VM's report against what other VMs reported of the same pair. */
+const reportWeight = 0.5;
+
+/**
+Takes the reports of one VM into the estimates of an entry, which hold for all VMs.
+
+@example
+const next = mergePress(noPressEstimates, [{servingImage: 'order-lookup', fillingImage: 'stress-run', press: 0.75}]);
+*/
+export function mergePress(estimates: PressEstimates, reports: readonly PressReport[]): PressEstimates {
+	if (reports.length === 0) {
+		return estimates;
+	}
+
+	const known = estimates.pressByPair.size > maxPairs ? immutableMap<string, number>() : estimates.pressByPair;
+	return {
+		...estimates,
+		pressByPair: known.withMutations(pairs => {
+			for (const {servingImage, fillingImage, press} of reports) {
+				const key = pairKey(servingImage, fillingImage);
+				const before = pairs.get(key) ?? press;
+				pairs.set(key, before + (reportWeight * (press - before)));
+			}
+		}),
+	};
+}
+
+/** Cannot be part of an image's name on the wire of any user; a name that holds it only shares its estimates with another one. */
+const pairSeparator = '\n';
+
 function pairKey(servingImage: string, fillingImage: string): string {
-	return `${servingImage}|${fillingImage}`;
+	return `${servingImage}${pairSeparator}${fillingImage}`;
 }
--- a/src/entry/reduce-agent-event.ts
+++ b/src/entry/reduce-agent-event.ts
@@ -1,4 +1,5 @@
 import {Map} from 'immutable';
+import {mergePress} from '../agent/press-estimates.js';
 import {pushConfiguration} from '../dispatch/agent-configuration.js';
 import {cancelUnclaimedTasks, reconcileCommands, sendClaimedTraits} from '../dispatch/agent-commands.js';
 import {type AgentLink} from '../dispatch/agent-link.js';
@@ -138,7 +139,9 @@
 	const observed = observeUsage({estimates: state.placement.interference, history: state.placement.history}, {
 		vmId: link.vmId, usage: heartbeat.usage, backendServers: heartbeat.backendServers, receivedAtMs: context.nowMs,
 	}, context.cluster);
-	const placement = {...state.placement, interference: observed.estimates, history: observed.history};
+	const placement = {
+		...state.placement, interference: observed.estimates, history: observed.history, press: mergePress(state.placement.press, heartbeat.usage?.presses ?? []),
+	};
 	const refreshed = refreshLink({...withLink(state, heard), vmLiveness, placement}, heard, context);
 	const answers = answerHeartbeat(
 		{vmId: link.vmId, agentIncarnation: link.agentIncarnation, sequence: heartbeat.sequence},
--- a/src/placement/place-queued-tasks.test.ts
+++ b/src/placement/place-queued-tasks.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import {Map as immutableMap, OrderedMap as orderedMap, Set as immutableSet} from 'immutable';
+import {mergePress, noPressEstimates} from '../agent/press-estimates.js';
 import {
 	type ClusterState, type EntryMember, type Task, type WorkflowRun,
 } from '../cluster/cluster-state.js';
@@ -107,3 +108,49 @@
 	t.is(late.effects.length, 1);
 	t.is(placeQueuedTasks(late.state, crowdedContext(60_000)).effects.length, 0, 'its other task waits for idle processors');
 });
+
+/** Two empty VMs with a serving task each, of images that bear a queued filling task differently. */
+function pressedContext(): EntryContext {
+	const context = crowdedContext(1000);
+	const {cluster} = context;
+	const late = cluster.workflows.get('late')!;
+	const servingRun = (image: string): WorkflowRun => ({
+		...late, workflow: {
+			...late.workflow, steps: [{
+				count: 1, demand: {processorsMilli: 100, memoryMb: 1, accelerators: 0}, declaredRunTimeMs: 0, longRunning: true, latencyTargetMs: 45, image,
+			}],
+		},
+	});
+	const waiting = cluster.tasks.get('late.0.0.0')!;
+	const serving = (jobId: string): Task => ({
+		...waiting, jobId, phase: 'running', claim: taskFixture.claim, spec: {...waiting.spec, taskId: `${jobId}.0.0.0`},
+	});
+	const vmOf = (vmId: string, jobId: string) => ({
+		...cluster.vms.first()!, vmId, agentIncarnation: `a-${vmId}`, taskIds: immutableSet([`${jobId}.0.0.0`]),
+	});
+	const step = {...late.workflow.steps[0]!, image: 'stress', demand: {processorsMilli: 1000, memoryMb: 1, accelerators: 0}};
+	return {
+		...context,
+		cluster: {
+			...cluster,
+			workflows: immutableMap([
+				['sensitive', servingRun('lookup')], ['robust', servingRun('watch')], ['late', {...late, workflow: {...late.workflow, steps: [step]}}],
+			]),
+			tasks: immutableMap([serving('sensitive'), serving('robust'), waiting].map(each => [each.spec.taskId, each])),
+			queued: immutableMap<PriorityClass, ReturnType<typeof orderedMap<string, true>>>([[taskFixture.priority, orderedMap([[waiting.spec.taskId, true as const]])]]),
+			vms: immutableMap([['vm-1', vmOf('vm-1', 'sensitive')], ['vm-2', vmOf('vm-2', 'robust')]]),
+		},
+	};
+}
+
+/** Guards against filling work that is placed beside a serving task it is known to harm while another VM is as idle. */
+test('filling work goes where it presses least on serving tasks', t => {
+	const chosen = (servingImage: string): unknown => {
+		const press = mergePress(noPressEstimates, [{servingImage, fillingImage: 'stress', press: 0.8}]);
+		const [claim] = placeQueuedTasks({...initialPlacement, press}, pressedContext()).effects;
+		return claim?.kind === 'append-record' && claim.record.kind === 'task-claimed' ? claim.record.vmId : undefined;
+	};
+
+	t.is(chosen('lookup'), 'vm-2');
+	t.is(chosen('watch'), 'vm-1');
+});
--- a/src/placement/place-queued-tasks.ts
+++ b/src/placement/place-queued-tasks.ts
@@ -1,6 +1,7 @@
 import {Map as immutableMap, type Map as ImmutableMap} from 'immutable';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
+import {noPressEstimates, type PressEstimates} from '../agent/press-estimates.js';
 import {type ClusterState, type Task, type Vm} from '../cluster/cluster-state.js';
 import {type PriorityClass} from '../cluster/intent.js';
 import {
@@ -12,7 +13,7 @@
 import {type EntryContext, isLogFresh} from '../entry/entry-context.js';
 import {classesInTurn} from './classes-in-turn.js';
 import {chooseVm, type PlacementCandidate} from './choose-vm.js';
-import {fillingDemandMilli, fillingLoadOf} from './filling-work.js';
+import {fillingDemandMilli, fillingLoadOf, pressOfPlacementMilli} from './filling-work.js';
 import {lackingForever, roomOf, takesNewTasks} from './feasibility.js';
 import {
 	addPendingClaim, noPendingClaims, type PendingClaims, settlePendingClaims, siblingsKeyOf,
@@ -31,10 +32,12 @@
 	ownersSeen: ImmutableMap<string, Readonly<{lastOffset: number; atMs: number}>>;
 	interference: InterferenceEstimates;
 	history: VmHistory;
+	/** What filling work was found to do to serving tasks, from the reports of all agents. */
+	press: PressEstimates;
 }>;
 
 export const initialPlacement: PlacementState = {
-	pending: noPendingClaims, ownersSeen: immutableMap(), interference: noInterferenceEstimates, history: noVmHistory,
+	pending: noPendingClaims, ownersSeen: immutableMap(), interference: noInterferenceEstimates, history: noVmHistory, press: noPressEstimates,
 };
 
 /** VMs that are looked at first for one task; a full scan follows only when none of them has room. */
@@ -253,9 +256,6 @@
 	return Math.max(0, room.processorsMilli - fillingMilli - pass.state.pending.fillingByVm.get(vm.vmId, 0));
 }
 
-/** Expected harm of a filling task to one serving neighbour before anything is known of the pair, in thousandths of its speed. */
-const fillingHarmMilli = 400;
-
 /** VMs on which evictions are weighed for one urgent task. */
 const sampledVmsForEviction = 64;
 
@@ -285,13 +285,12 @@
 	const {cluster} = pass.context;
 	const harm = harmOfPlacement(pass.state.interference, task, vm, cluster);
 	const step = stepOf(cluster, task);
-	const servingNeighbours = step?.fillsIdle ? fillingLoadOf(vm, cluster).servingTasks : 0;
 	return {
 		vmId: vm.vmId,
 		capacity: vm.capacity,
 		...facts,
 		...harm,
-		serviceHarmMilli: harm.serviceHarmMilli + (fillingHarmMilli * servingNeighbours),
+		serviceHarmMilli: harm.serviceHarmMilli + pressOfPlacementMilli(pass.state.press, task, vm, cluster),
 		// Serving tasks share few VMs, so that filling work finds others without them.
 		packs: step?.latencyTargetMs !== undefined,
 		siblingsInRack: 0,
