Bound the opening of an agent's stream, and end it with the agent

An agent that got SIGTERM ended its four streams within 30 ms and never finished its stop: it was still opening a stream to the address of a machine that had been replaced, which the operating system tries for minutes.

Ruled out: unacknowledged task events (the stop waits 3 s for them, and its streams had ended); the request server.

Opening is bounded by 2 s and ends when the agent closes.

--- a/src/agent/entry-session.ts
+++ b/src/agent/entry-session.ts
@@ -7,6 +7,7 @@
 	AgentMessageSchema, AgentSession, type AgentMessage, type EntryMessage,
 } from '../generated/arbutushinge/v1/agent_pb.js';
 import type {AgentMessageBody} from './agent-effect.js';
+import {connectWithin} from './connect-within.js';
 
 /** Messages that may wait for a slow entry; beyond it the stream is opened anew instead of growing. */
 const longestBacklog = 256;
@@ -15,6 +16,9 @@
 
 const longestBackoffMs = 3000;
 
+/** Entries are a few milliseconds away; a lost opening packet is sent again after one second. */
+const connectTimeoutMs = 2000;
+
 /**
 Heartbeats that an entry may leave unanswered before its stream is opened anew; finds entries that are frozen or cut off
 without a reset. The client library's own pings are not used: their time-out ended the process with an unhandled error.
@@ -96,7 +100,7 @@
 		const sessionManager = new Http2SessionManager(url);
 		let silenceTimer: NodeJS.Timeout | undefined;
 		try {
-			if (await sessionManager.connect() === 'error') {
+			if (await connectWithin(sessionManager.connect(), {timeoutMs: connectTimeoutMs, signal: closing.signal}) === 'error') {
 				return false;
 			}
 
