Grant an agent its lease with its registration

Tasks are placed on a VM as soon as the log registers it, and the lease came only with the answer to the next heartbeat, up to a second later; after a loss of power one task was refused five times in a row and the first VM that was back took most of the queue.

Ruled out: leases that lapse; every refusal follows a registration.

An agent sends a heartbeat with its registration, and an entry answers the newest one anew when it reads the registration back. The lease still counts from the sending of that heartbeat, and the log must be as fresh as ever.

--- a/src/agent/reduce-agent.test.ts
+++ b/src/agent/reduce-agent.test.ts
@@ -262,6 +262,15 @@
 	t.deepEqual(outcomes.filter(outcome => outcome !== undefined), [TaskOutcome.CANCELLED]);
 });
 
+/** Guards against tasks that are placed on a VM up to a second before its agent has the lease to start them. */
+test('an agent that asks to be registered sends the heartbeat that its lease will echo', t => {
+	const fixture = new Fixture();
+	fixture.send('entry-connected', {entryAddress: '127.0.0.1:2'});
+	fixture.list();
+	const sent = fixture.effects.flatMap(effect => effect.kind === 'send' ? [effect.message.case] : []);
+	t.deepEqual(sent, ['hello', 'heartbeat']);
+});
+
 /** Guards against a start before the agent knows what the worker runs. */
 test('a new agent counts the worker\'s tasks before it registers', t => {
 	const fixture = new Fixture();
--- a/src/agent/reduce-agent.ts
+++ b/src/agent/reduce-agent.ts
@@ -87,6 +87,11 @@
 	);
 }
 
+/** Asks to be registered. The heartbeat lets entries grant a lease with the registration, before they place tasks here. */
+function register(state: AgentState, nowMs: number): Transition {
+	return chain(state, sendHello, sendHeartbeats(nowMs));
+}
+
 function sendHeartbeats(nowMs: number): Step {
 	return state => {
 		if (state.phase === 'counting' || state.entries.every(link => !link.connected)) {
@@ -308,7 +313,7 @@
 		current => applyWorkerTasks(current, event),
 		settleBackendServers,
 		current => current.phase === 'counting'
-			? sendHello({...current, phase: 'active'})
+			? register({...current, phase: 'active'}, event.nowMs)
 			: transition(current),
 		current => current.phase === 'ending' && event.requestedAtMs > current.endingSinceMs && !hasRunOnceTasks(current)
 			? transition(current, {kind: 'create-incarnation'})
@@ -352,9 +357,9 @@
 	'start-answered': startAnswered,
 	'stop-answered': stopAnswered,
 	'incarnation-created': (state, event) => state.phase === 'ending'
-		? sendHello({
+		? register({
 			...state, phase: 'active', incarnation: event.incarnation, lease: noLease,
-		})
+		}, event.nowMs)
 		: transition(state),
 	'backend-server-announced': (state, event) => backendServerAnnounced(state, event.announcement, event.nowMs),
 	'backend-server-leaving': (state, event) => backendServerLeaving(state, event.backendServerId),
--- a/src/dispatch/agent-link.ts
+++ b/src/dispatch/agent-link.ts
@@ -9,6 +9,8 @@
 	hello: Hello;
 	/** Whether the tasks that the hello lists were compared with the claims. */
 	isHelloChecked: boolean;
+	/** The newest heartbeat of the incarnation, which a grant echoes; missing before the first. */
+	heartbeatSequence: bigint | undefined;
 	appliedConfigurationOffset: number;
 	/** Digest of the configuration that was sent last on this stream. */
 	sentConfiguration: string;
--- a/src/entry/reduce-agent-event.ts
+++ b/src/entry/reduce-agent-event.ts
@@ -114,6 +114,7 @@
 		agentIncarnation: hello.agentIncarnation,
 		hello,
 		isHelloChecked: false,
+		heartbeatSequence: undefined,
 		appliedConfigurationOffset: -1,
 		sentConfiguration: '',
 		backendServers: Map(),
@@ -130,6 +131,7 @@
 function hearHeartbeat(state: EntryState, link: AgentLink, heartbeat: Heartbeat, context: EntryContext): ControlStep {
 	const heard: AgentLink = {
 		...link,
+		heartbeatSequence: heartbeat.sequence,
 		appliedConfigurationOffset: Number(heartbeat.appliedConfigurationOffset),
 		leaving: heartbeat.leaving,
 		workerLeaving: heartbeat.workerLeaving,
@@ -207,7 +209,12 @@
 	const isRegistered = context.cluster.vms.get(link.vmId)?.agentIncarnation === link.agentIncarnation;
 	return link.isHelloChecked || !isRegistered
 		? {link, effects: []}
-		: {link: {...link, isHelloChecked: true}, effects: [...cancelUnclaimedTasks(link, context), ...sendClaimedTraits(link, context)]};
+		: {link: {...link, isHelloChecked: true}, effects: [...grantFirstLease(link, context), ...cancelUnclaimedTasks(link, context), ...sendClaimedTraits(link, context)]};
+}
+
+/** Answers the last heartbeat anew: it got no lease before the registration, and tasks may be placed on the VM from now on. */
+function grantFirstLease({vmId, agentIncarnation, heartbeatSequence}: AgentLink, context: EntryContext): readonly ControlEffect[] {
+	return heartbeatSequence === undefined ? [] : answerHeartbeat({vmId, agentIncarnation, sequence: heartbeatSequence}, context);
 }
 
 function reportLeavingWorker(state: EntryState, link: AgentLink, context: EntryContext): ControlStep {
--- a/src/entry/reduce-entry.test.ts
+++ b/src/entry/reduce-entry.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import {create} from '@bufbuild/protobuf';
 import {type ClusterRecord} from '../cluster/cluster-record.js';
-import {HelloSchema} from '../generated/arbutushinge/v1/agent_pb.js';
+import {HeartbeatSchema, HelloSchema} from '../generated/arbutushinge/v1/agent_pb.js';
 import {entrySettingsSchema} from '../settings/entry-settings.js';
 import {type EntryEvent} from './entry-event.js';
 import {initialEntryState} from './entry-state.js';
@@ -98,3 +98,28 @@
 	t.deepEqual(startedTasks(entry.dispatch({kind: 'tick'}, 100 + commandTakeoverMs + 300)), ['task-1']);
 	t.deepEqual(startedTasks(entry.dispatch({kind: 'tick'}, 100 + commandTakeoverMs + 600)), []);
 });
+
+// Tasks are placed on a VM as soon as it is registered; an agent without a lease refuses every one of them.
+test('an agent gets its lease with its registration, not with the next heartbeat', t => {
+	const entry = createEntry();
+	entry.dispatch({kind: 'agent-hello', sessionId: 'session-1', hello: create(HelloSchema, {vmId: 'vm-1', agentIncarnation: 'agent-1'})}, 0);
+	entry.dispatch({kind: 'agent-heartbeat', sessionId: 'session-1', heartbeat: create(HeartbeatSchema, {sequence: 3n})}, 10);
+	const registered = entry.read('other', [
+		{
+			kind: 'entry-registered', entryId: 'entry-2', failureDomain: 'domain-1', operatorAddress: '127.0.0.1:5',
+		},
+		{
+			kind: 'vm-registered',
+			vmId: 'vm-1',
+			agentIncarnation: 'agent-1',
+			workerIncarnation: 'worker-1',
+			failureDomain: 'domain-1',
+			rack: 'rack-1',
+			requestAddress: '127.0.0.1:6',
+			capacity,
+			runningTasks: [],
+		},
+	], 100);
+	const grants = registered.effects.flatMap(effect => effect.kind === 'send-to-agent' && effect.command.case === 'leaseGrant' ? [effect.command.value] : []);
+	t.deepEqual(grants.map(({heartbeatSequence, durationMs}) => ({heartbeatSequence, durationMs})), [{heartbeatSequence: 3n, durationMs: settings.timings.leaseDurationMs}]);
+});
