Correct an example, and name a record that two tests share

The example of stepPace gave the share of an earlier learning rate; run, it gives 100. The registration in the tests of the entry stood twice. No behaviour changes, and the tests keep their assertions.

--- a/src/agent/pace-control.ts
+++ b/src/agent/pace-control.ts
@@ -81,7 +81,7 @@
 
 @example
 const next = stepPace(restingPace, {serving: [{taskId: 't1', image: 'order-lookup', tailShare: 2.2}], filling: new Map([['stress-run', 4]])}, 5000);
-shareOf(next, 'stress-run'); // => 318
+shareOf(next, 'stress-run'); // => 100
 */
 export function stepPace(pace: PaceControl, measure: PaceMeasure, nowMs: number): PaceControl {
 	const learned: PaceControl = {...pace, press: learnPress(pace.press, measure.serving, measure.filling)};
--- a/src/entry/reduce-entry.test.ts
+++ b/src/entry/reduce-entry.test.ts
@@ -21,6 +21,18 @@
 const capacity = {processorsMilli: 16_000, memoryMb: 60_000, accelerators: 0};
 const demand = {processorsMilli: 1000, memoryMb: 512, accelerators: 0};
 
+const vmRegistered: ClusterRecord = {
+	kind: 'vm-registered',
+	vmId: 'vm-1',
+	agentIncarnation: 'agent-1',
+	workerIncarnation: 'worker-1',
+	failureDomain: 'domain-1',
+	rack: 'rack-1',
+	requestAddress: '127.0.0.1:6',
+	capacity,
+	runningTasks: [],
+};
+
 /** An entry whose log holds the records of another entry as well. */
 function createEntry() {
 	let state = initialEntryState('own');
@@ -67,17 +79,7 @@
 		{
 			kind: 'entry-registered', entryId: 'entry-2', failureDomain: 'domain-1', operatorAddress: '127.0.0.1:5',
 		},
-		{
-			kind: 'vm-registered',
-			vmId: 'vm-1',
-			agentIncarnation: 'agent-1',
-			workerIncarnation: 'worker-1',
-			failureDomain: 'domain-1',
-			rack: 'rack-1',
-			requestAddress: '127.0.0.1:6',
-			capacity,
-			runningTasks: [],
-		},
+		vmRegistered,
 		{
 			kind: 'job-submitted', job: {
 				jobId: 'job-1', teamId: 'team-1', workClass: 'batch', priority: 'normal', tasks: [{
@@ -108,17 +110,7 @@
 		{
 			kind: 'entry-registered', entryId: 'entry-2', failureDomain: 'domain-1', operatorAddress: '127.0.0.1:5',
 		},
-		{
-			kind: 'vm-registered',
-			vmId: 'vm-1',
-			agentIncarnation: 'agent-1',
-			workerIncarnation: 'worker-1',
-			failureDomain: 'domain-1',
-			rack: 'rack-1',
-			requestAddress: '127.0.0.1:6',
-			capacity,
-			runningTasks: [],
-		},
+		vmRegistered,
 	], 100);
 	const grants = registered.effects.flatMap(effect => effect.kind === 'send-to-agent' && effect.command.case === 'leaseGrant' ? [effect.command.value] : []);
 	t.deepEqual(grants.map(({heartbeatSequence, durationMs}) => ({heartbeatSequence, durationMs})), [{heartbeatSequence: 3n, durationMs: settings.timings.leaseDurationMs}]);
