--- a/src/cluster/cluster-record.ts
+++ b/src/cluster/cluster-record.ts
@@ -43,6 +43,8 @@
 export const clusterRecordSchema = z.discriminatedUnion('kind', [
 	z.strictObject({
 		kind: z.literal('entry-registered'), entryId: nameSchema, failureDomain: nameSchema, operatorAddress: z.string(),
+		/** Processors of the entry's VM in thousandths; left out by versions that did not record it. */
+		processorsMilli: z.int().positive().optional(),
 	}),
 	/** A heartbeat; the writer had applied all records through `appliedOffset`. */
 	z.strictObject({kind: z.literal('entry-alive'), appliedOffset: z.int().min(-1)}),
--- a/src/cluster/cluster-state-codec.ts
+++ b/src/cluster/cluster-state-codec.ts
@@ -90,7 +90,7 @@
 	version: z.literal(VERSION),
 	offset: z.number(),
 	entries: z.array(z.object({
-		entryId: z.string(), incarnation: z.string(), failureDomain: z.string(), operatorAddress: z.string(), lastOffset: z.number(), appliedOffset: z.number(),
+		entryId: z.string(), incarnation: z.string(), failureDomain: z.string(), operatorAddress: z.string(), processorsMilli: z.number(), lastOffset: z.number(), appliedOffset: z.number(),
 	})),
 	endedIncarnations: strings,
 	sequences: z.array(z.tuple([z.string(), z.number()])),
--- a/src/cluster/cluster-state.ts
+++ b/src/cluster/cluster-state.ts
@@ -14,6 +14,8 @@
 	incarnation: string;
 	failureDomain: string;
 	operatorAddress: string;
+	/** Processors of its VM, in thousandths. */
+	processorsMilli: number;
 	/** Offset of the newest record of this incarnation. */
 	lastOffset: number;
 	/** Offset through which this entry reported to have applied the log. */
--- a/src/cluster/entry-handlers.ts
+++ b/src/cluster/entry-handlers.ts
@@ -2,7 +2,10 @@
 import {type RecordHandlers} from './record-handler.js';
 import {MAX_ENDED_INCARNATIONS} from './state-limits.js';
 
-/** Forgets a writer's incarnation, so that its later records and its reports of unreachable VMs no longer count. */
+/** Processors of an entry that did not record them, in thousandths. */
+const unknownProcessorsMilli = 1000;
+
+/** Forgets a writer's incarnation, so that its later records and its reports of the agents that it hears no longer count. */
 function endIncarnation(state: ClusterState, incarnation: string): ClusterState {
 	const ended = state.endedIncarnations.add(incarnation);
 	return {
@@ -42,6 +45,7 @@
 				incarnation: writerIncarnation,
 				failureDomain: record.failureDomain,
 				operatorAddress: record.operatorAddress,
+				processorsMilli: record.processorsMilli ?? unknownProcessorsMilli,
 				lastOffset: offset,
 				appliedOffset: offset - 1,
 			}),
--- a/src/entry/reduce-entry.ts
+++ b/src/entry/reduce-entry.ts
@@ -1,6 +1,6 @@
 import {type ClusterState} from '../cluster/cluster-state.js';
 import {applyRecord} from '../cluster/reduce-cluster.js';
-import {ownerByRendezvous} from '../cluster/rendezvous.js';
+import {rankEntries} from '../cluster/rank-entries.js';
 import {BackendServerPhase} from '../generated/arbutushinge/v1/agent_pb.js';
 import {type LoggedRecord} from '../log/log-envelope.js';
 import {tickEntryLiveness, resetEntryObservation} from '../membership/entry-liveness.js';
@@ -219,8 +219,7 @@
 	const isEncodable = nowMs - snapshot.writtenAtMs >= settings.timings.minSnapshotIntervalMs;
 	const isDue = (isEncodable && newRecords >= settings.snapshotEveryRecords)
 		|| (newRecords > 0 && nowMs - snapshot.writtenAtMs >= settings.timings.snapshotEveryMs);
-	const owner = ownerByRendezvous([...cluster.entries.keys()], 'snapshot');
-	if (snapshot.isWriting || !isDue || owner !== state.incarnation || !state.log.reachable) {
+	if (snapshot.isWriting || !isDue || !state.log.reachable || rankEntries(cluster.entries.values(), 'snapshot')[0]?.incarnation !== state.incarnation) {
 		return {state: snapshot, effects: []};
 	}
 
--- a/src/membership/entry-liveness.ts
+++ b/src/membership/entry-liveness.ts
@@ -1,4 +1,5 @@
 import {Map} from 'immutable';
+import {processorsMilliOf} from '../settings/processors-milli.js';
 import {type ControlEffect, type Step} from '../entry/control-effect.js';
 import {type EntryContext, isLogFresh} from '../entry/entry-context.js';
 import {
@@ -60,6 +61,7 @@
 				entryId: settings.entryId,
 				failureDomain: settings.failureDomain,
 				operatorAddress: settings.operatorAddress,
+				processorsMilli: processorsMilliOf(settings),
 			},
 		}],
 	};
--- a/src/operator/build-status.test.ts
+++ b/src/operator/build-status.test.ts
@@ -17,7 +17,7 @@
 	...emptyStateFixture,
 	offset: 40,
 	entries: emptyStateFixture.entries.set('entry-1', {
-		entryId: 'entry-1', incarnation: 'i1', failureDomain: 'Kambalda', operatorAddress: '127.0.0.1:7001', lastOffset: 39, appliedOffset: 39,
+		entryId: 'entry-1', incarnation: 'i1', failureDomain: 'Kambalda', operatorAddress: '127.0.0.1:7001', processorsMilli: 1000, lastOffset: 39, appliedOffset: 39,
 	}),
 	vms: emptyStateFixture.vms
 		.set('vm-1', vmFixture)
--- a/src/placement/place-queued-tasks.test.ts
+++ b/src/placement/place-queued-tasks.test.ts
@@ -21,7 +21,7 @@
 
 function contextAt(nowMs: number, ownerOffset: number): EntryContext {
 	const member = (incarnation: string, lastOffset: number): [string, EntryMember] => [incarnation, {
-		entryId: incarnation, incarnation, failureDomain: 'a', operatorAddress: '', lastOffset, appliedOffset: 0,
+		entryId: incarnation, incarnation, failureDomain: 'a', operatorAddress: '', processorsMilli: 1000, lastOffset, appliedOffset: 0,
 	}];
 	const cluster: ClusterState = {
 		...emptyStateFixture,
--- a/src/placement/placement-owner.ts
+++ b/src/placement/placement-owner.ts
@@ -1,5 +1,5 @@
 import {type ClusterState, type Task} from '../cluster/cluster-state.js';
-import {ownerByRendezvous} from '../cluster/rendezvous.js';
+import {rankEntries} from '../cluster/rank-entries.js';
 
 /**
 Names what one entry places together: everything of a service, so that all of its tasks are weighed against each other, or else
@@ -25,7 +25,7 @@
 	const owners = ownersByEntries.get(entries) ?? new Map<string, string | undefined>();
 	ownersByEntries.set(entries, owners);
 	if (!owners.has(subject)) {
-		owners.set(subject, ownerByRendezvous(entries.keys(), subject));
+		owners.set(subject, rankEntries(entries.values(), subject)[0]?.incarnation);
 	}
 
 	return owners.get(subject);
--- a/src/settings/entry-settings.ts
+++ b/src/settings/entry-settings.ts
@@ -18,6 +18,8 @@
 	entryId: nameSchema.describe('Name of this entry, unique in the deployment'),
 	failureDomain: nameSchema.describe('Failure domain that this VM is in'),
 	region: nameSchema.default('default').describe('Region that this VM is in'),
+	processors: z.number().positive().default(1).describe('Processors of this VM; entries on large VMs place tasks and keep the agents\' streams'),
+	processorShare: z.number().positive().default(1).describe('Share of each processor that this process may use'),
 	callerAddress: addressSchema.describe('Where callers and the balancer\'s health check connect'),
 	operatorAddress: addressSchema.describe('Where operator commands connect'),
 	agentAddress: addressSchema.describe('Where agents open their stream'),
--- /dev/null
+++ b/src/settings/processors-milli.ts
@@ -0,0 +1,9 @@
+/**
+Says how many processors a VM gives the process, in thousandths.
+
+@example
+processorsMilliOf({processors: 2, processorShare: 0.675}); // => 1350
+*/
+export function processorsMilliOf({processors, processorShare}: Readonly<{processors: number; processorShare: number}>): number {
+	return Math.max(1, Math.round(1000 * processors * processorShare));
+}
