Let an agent keep streams to the few entries that it needs

Cause: every agent kept a stream with every entry: 580 streams with 10 entries and 58 agents, 1,064 with 14 and 76. Each carries a heartbeat and a grant a second, and each entry did for each VM what only one has to do: commands, registrations (446 vm-registered records for 58 VMs), usage. The work of the fleet grew with the product of both.

Change: an agent keeps streams to the best `entryStreams` entries by the order of the owners of its service's placement. An entry that it cannot reach, or that grants no lease because it does not reach the log, is replaced by the next one until it is back; when none grants one the streams double and no more. An entry reports the agents that it hears; a VM is revoked when nobody hears it, so entries without a stream have nothing to report. Without the setting all entries get a stream as before.

Ruled out: a slow store (its reads were answered within 10 ms on large entries), and placement (the owner was a large entry).

--- a/src/agent/agent-process.ts
+++ b/src/agent/agent-process.ts
@@ -11,7 +11,8 @@
 import type {AgentEvent} from './agent-event.js';
 import {initialAgentState, type AgentState} from './agent-state.js';
 import {createBackendServerClient} from './backend-server-client.js';
-import {openEntrySession, type EntrySession} from './entry-session.js';
+import {openEntrySession} from './entry-session.js';
+import {createEntrySessions} from './entry-sessions.js';
 import {reduceAgent} from './reduce-agent.js';
 import {openRequestServer, type RequestServer} from './request-server.js';
 import {createWorkerDriver} from './worker-driver.js';
@@ -24,7 +25,7 @@
 	metrics: Metrics;
 	timeline: Timeline;
 	worker: Worker;
-	/** Tells the agent which entries there are when the settings cannot; called with the addresses of all of them. */
+	/** Tells the agent which entries there are when the settings cannot; called with the addresses of all of them, best first. */
 	watchEntries?: (onEntries: (entryAddresses: readonly string[]) => void) => Readonly<{close: () => void}>;
 }>;
 
@@ -44,7 +45,6 @@
 }
 */
 export async function startAgent({settings, eventLog, metrics, timeline, worker, watchEntries}: AgentParts): Promise<Result<RunningAgent, TypedError>> {
-	const sessions = new Map<string, EntrySession>();
 	let finishStop: (() => void) | undefined;
 	const stopped = new Promise<void>(resolve => {
 		finishStop = resolve;
@@ -70,7 +70,7 @@
 
 	const executors: Readonly<{[Kind in AgentEffectKind]: (effect: AgentEffectOf<Kind>) => void}> = {
 		send({entryAddress, message}) {
-			sessions.get(entryAddress)?.send(message);
+			sessions.send(entryAddress, message);
 		},
 		'start-task': driver.execute,
 		'checkpoint-task': driver.execute,
@@ -133,47 +133,40 @@
 	}
 
 	ports.requestServer = opened.value;
-	function openSession(entryAddress: string): EntrySession {
-		return openEntrySession(entryAddress, {
+	const sessions = createEntrySessions({
+		count: settings.entryStreams,
+		nowMs: monotonicMs,
+		eventLog,
+		onChange(entryAddresses) {
+			dispatch({kind: 'entries-discovered', nowMs: monotonicMs(), entryAddresses});
+		},
+		open: (entryAddress, {connected, disconnected}) => openEntrySession(entryAddress, {
 			connected() {
+				connected();
 				eventLog.info('entry-connected', {entryAddress});
 				dispatch({kind: 'entry-connected', nowMs: monotonicMs(), entryAddress});
 			},
 			disconnected(reason) {
+				disconnected(reason);
 				eventLog.warn('entry-disconnected', {entryAddress, reason});
 				dispatch({kind: 'entry-disconnected', nowMs: monotonicMs(), entryAddress});
 			},
 			message(message) {
+				if (message.case === 'leaseGrant' && message.value.durationMs > 0) {
+					sessions.noteGrant(entryAddress);
+				}
+
 				dispatch({
 					kind: 'entry-message', nowMs: monotonicMs(), entryAddress, message,
 				});
 			},
-		}, {random: Math.random, heartbeatMs: settings.timings.heartbeatMs});
-	}
-
-	/** Keeps a stream to each of the given entries and ends those to all others. */
-	function keepSessions(entryAddresses: readonly string[]): void {
-		const wanted = new Set(entryAddresses);
-		for (const [entryAddress, session] of sessions) {
-			if (!wanted.has(entryAddress)) {
-				eventLog.info('entry-forgotten', {entryAddress});
-				sessions.delete(entryAddress);
-				void session.close();
-			}
-		}
-
-		dispatch({kind: 'entries-discovered', nowMs: monotonicMs(), entryAddresses});
-		for (const entryAddress of wanted) {
-			if (!sessions.has(entryAddress)) {
-				sessions.set(entryAddress, openSession(entryAddress));
-			}
-		}
-	}
-
-	keepSessions(settings.entryAddresses);
-	const entriesWatch = watchEntries?.(keepSessions);
+		}, {random: Math.random, heartbeatMs: settings.timings.heartbeatMs}),
+	});
+	sessions.rank(settings.entryAddresses);
+	const entriesWatch = watchEntries?.(sessions.rank);
 	const heartbeatTimer = setInterval(() => {
 		dispatch({kind: 'tick', nowMs: monotonicMs(), latencies: client.latencies()});
+		sessions.review(loop.state().phase === 'active');
 	}, settings.timings.heartbeatMs);
 	const pollTimer = setInterval(() => {
 		void driver.poll();
@@ -188,7 +181,7 @@
 			clearInterval(heartbeatTimer);
 			clearInterval(pollTimer);
 			entriesWatch?.close();
-			await Promise.all([...sessions.values()].map(async session => session.close()));
+			await sessions.close();
 			await opened.value.close();
 			await client.close();
 			eventLog.info('agent-stopped', {vmId: settings.vmId});
--- /dev/null
+++ b/src/agent/entry-sessions.test.ts
@@ -0,0 +1,96 @@
+import test from 'ava';
+import type {EntrySessionHandlers} from './entry-session.js';
+import {createEntrySessions} from './entry-sessions.js';
+
+/** Sessions whose streams are up while their entry is in `reachable` and are granted leases while it is in `granting`. */
+function startSessions(addresses: readonly string[], count: number) {
+	let nowMs = 0;
+	const open = new Map<string, Pick<EntrySessionHandlers, 'connected' | 'disconnected'>>();
+	const reachable = new Set(addresses);
+	const granting = new Set(addresses);
+	const nothing = (): void => undefined;
+	const sessions = createEntrySessions({
+		count,
+		nowMs: () => nowMs,
+		onChange: nothing,
+		eventLog: {
+			debug: nothing, info: nothing, warn: nothing, error: nothing,
+		},
+		open(entryAddress, handlers) {
+			open.set(entryAddress, handlers);
+			return {
+				send: nothing,
+				async close() {
+					open.delete(entryAddress);
+				},
+			};
+		},
+	});
+	const connected = new Set<string>();
+	sessions.rank(addresses);
+	return {
+		reachable,
+		granting,
+		/** Lets seconds pass, each with a heartbeat to every entry. */
+		pass(seconds: number): readonly string[] {
+			for (let second = 0; second < seconds; second++) {
+				nowMs += 1000;
+				for (const [address, handlers] of open) {
+					if (reachable.has(address) && !connected.has(address)) {
+						connected.add(address);
+						handlers.connected();
+					} else if (!reachable.has(address) && connected.has(address)) {
+						connected.delete(address);
+						handlers.disconnected('lost');
+					}
+
+					if (connected.has(address) && granting.has(address)) {
+						sessions.noteGrant(address);
+					}
+				}
+
+				sessions.review(true);
+			}
+
+			return [...open.keys()].toSorted();
+		},
+	};
+}
+
+const all = ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h'];
+
+test('an agent whose entries all lose power has leases from others, and comes back to the best ones', t => {
+	const {reachable, pass} = startSessions(all, 3);
+	t.deepEqual(pass(3), ['a', 'b', 'c']);
+	for (const address of ['a', 'b', 'c']) {
+		reachable.delete(address);
+	}
+
+	t.deepEqual(pass(4), ['a', 'b', 'c', 'd', 'e', 'f']);
+	reachable.add('b');
+	t.deepEqual(pass(5), ['a', 'b', 'c', 'd', 'e']);
+	reachable.add('a');
+	reachable.add('c');
+	t.deepEqual(pass(5), ['a', 'b', 'c']);
+});
+
+test('an agent whose entries are all turned away by the log gets its lease from another entry', t => {
+	const {granting, pass} = startSessions(all, 3);
+	pass(3);
+	for (const address of ['a', 'b', 'c']) {
+		granting.delete(address);
+	}
+
+	t.deepEqual(pass(6), ['a', 'b', 'c', 'd', 'e']);
+	granting.add('a');
+	granting.add('b');
+	granting.add('c');
+	t.deepEqual(pass(6), ['a', 'b', 'c']);
+});
+
+test('an outage of the log for everybody does not open streams to the whole fleet of entries', t => {
+	const {granting, pass} = startSessions(all, 3);
+	pass(3);
+	granting.clear();
+	t.is(pass(20).length, 6);
+});
--- a/src/cluster/cluster-state.ts
+++ b/src/cluster/cluster-state.ts
@@ -49,8 +49,8 @@
 	labels: readonly string[];
 	/** Start of the worker process in Unix time; 0 when it is not known. */
 	workerStartedAtMs: number;
-	/** Incarnations of the entries that report the agent unreachable. */
-	unreachableFrom: Set<string>;
+	/** Incarnations of the entries that hear the agent. */
+	heardBy: Set<string>;
 	/** Tasks whose current attempt is claimed for this VM and has not ended. */
 	taskIds: Set<string>;
 	backendServerIds: Set<string>;
--- a/src/cluster/entry-handlers.ts
+++ b/src/cluster/entry-handlers.ts
@@ -15,8 +15,8 @@
 		endedIncarnations: ended.size > MAX_ENDED_INCARNATIONS ? ended.delete(ended.first()!) : ended,
 		vms: state.vms.withMutations(vms => {
 			for (const vm of state.vms.values()) {
-				if (vm.unreachableFrom.has(incarnation)) {
-					vms.set(vm.vmId, {...vm, unreachableFrom: vm.unreachableFrom.delete(incarnation)});
+				if (vm.heardBy.has(incarnation)) {
+					vms.set(vm.vmId, {...vm, heardBy: vm.heardBy.delete(incarnation)});
 				}
 			}
 		}),
--- a/src/cluster/vm-handlers.ts
+++ b/src/cluster/vm-handlers.ts
@@ -4,7 +4,7 @@
 import {type ClusterState, type Task, type Vm} from './cluster-state.js';
 import {isVmDrained} from './draining.js';
 import {entityName, forgetEntity, markChanged} from './entity-offsets.js';
-import {type RecordHandlers} from './record-handler.js';
+import {type RecordContext, type RecordHandlers} from './record-handler.js';
 import {addResources, fitsInto, noResources} from './resources.js';
 import {MAX_EXPIRED_VMS, MAX_FORMER_INCARNATIONS} from './state-limits.js';
 import {evictTask, loseTask} from './task-transitions.js';
@@ -87,7 +87,12 @@
 }
 
 /** Takes in an agent's new incarnation: what the worker no longer runs is lost, what it still runs continues. */
-function registerIncarnation(state: ClusterState, record: ClusterRecordOf<'vm-registered'>, former: Vm | undefined, offset: number): ClusterState {
+function registerIncarnation(
+	state: ClusterState,
+	record: ClusterRecordOf<'vm-registered'>,
+	former: Vm | undefined,
+	{offset, writerIncarnation}: RecordContext,
+): ClusterState {
 	const running = new Map(record.runningTasks.map(({taskId, attempt}) => [taskId, attempt]));
 	const reason = `VM ${record.vmId} registered again without the task`;
 	const settled = former
@@ -116,7 +121,7 @@
 		service: record.service ?? '',
 		labels: record.labels ?? [],
 		workerStartedAtMs: record.workerStartedAtMs ?? 0,
-		unreachableFrom: immutableSet(),
+		heardBy: immutableSet([writerIncarnation]),
 		taskIds: settled.vms.get(record.vmId)?.taskIds ?? immutableSet(),
 		backendServerIds: immutableSet(),
 		waitingTaskIds: [],
@@ -175,7 +180,8 @@
 export const vmHandlers: RecordHandlers<
 	'vm-registered' | 'vm-leaving' | 'vm-unreachable' | 'vm-reachable' | 'vm-revoked' | 'vm-lease-expired' | 'vm-quarantined' | 'vm-unquarantined'
 > = {
-	'vm-registered'(state, record, {offset}) {
+	'vm-registered'(state, record, context) {
+		const {offset} = context;
 		const former = state.vms.get(record.vmId);
 		// Several entries register the same incarnation, and a slow one may name an incarnation that was replaced or revoked.
 		if (former && (former.agentIncarnation === record.agentIncarnation || former.formerAgentIncarnations.includes(record.agentIncarnation))) {
@@ -184,7 +190,7 @@
 
 		return former && mayStillRunTasks(state, former, record)
 			? revokeVm(state, former, 'another worker registered under the name of the VM', offset)
-			: registerIncarnation(state, record, former, offset);
+			: registerIncarnation(state, record, former, context);
 	},
 	'vm-leaving'(state, record, {offset}) {
 		const vm = current(state, record);
@@ -207,28 +213,18 @@
 	'vm-unreachable'(state, record, {writerIncarnation}) {
 		const vm = current(state, record);
 		return vm
-			? {...state, vms: state.vms.set(vm.vmId, {...vm, unreachableFrom: vm.unreachableFrom.add(writerIncarnation)})}
+			? {...state, vms: state.vms.set(vm.vmId, {...vm, heardBy: vm.heardBy.delete(writerIncarnation)})}
 			: state;
 	},
 	'vm-reachable'(state, record, {writerIncarnation}) {
 		const vm = current(state, record);
 		return vm
-			? {...state, vms: state.vms.set(vm.vmId, {...vm, unreachableFrom: vm.unreachableFrom.delete(writerIncarnation)})}
+			? {...state, vms: state.vms.set(vm.vmId, {...vm, heardBy: vm.heardBy.add(writerIncarnation)})}
 			: state;
 	},
 	'vm-revoked'(state, record, {offset}) {
 		const vm = current(state, record);
-		if (vm?.phase !== 'live') {
-			return state;
-		}
-
-		for (const incarnation of state.entries.keys()) {
-			if (!vm.unreachableFrom.has(incarnation)) {
-				return state;
-			}
-		}
-
-		return revokeVm(state, vm, record.reason, offset);
+		return vm?.phase === 'live' && vm.heardBy.isEmpty() ? revokeVm(state, vm, record.reason, offset) : state;
 	},
 	'vm-lease-expired'(state, record, {offset}) {
 		const vm = current(state, record);
--- a/src/membership/vm-liveness.ts
+++ b/src/membership/vm-liveness.ts
@@ -1,22 +1,28 @@
 import {Map} from 'immutable';
 import {type Vm} from '../cluster/cluster-state.js';
-import {liveEntryIncarnations} from '../cluster/liveness.js';
 import {
 	type AppendGuard, emptyAppendGuard, mayAppend, pruneAppendGuard,
 } from '../entry/append-guard.js';
 import {type ControlEffect, type Step} from '../entry/control-effect.js';
 import {type EntryContext, isLogFresh} from '../entry/entry-context.js';
 
+/** Time for entries that hear an agent to report it, after the reports show that none does; an agent opens another stream within it. */
+const settleMs = 2000;
+
 /** What this entry observes of the agents, on its own clock. */
 export type VmLivenessState = Readonly<{
-	/** When each agent incarnation was last heard; starts when this entry first knows of it. */
+	/** When this entry last heard each agent incarnation; missing for agents that keep no stream to it. */
 	heard: Map<string, Readonly<{agentIncarnation: string; atMs: number}>>;
+	/** Since when this entry has seen that no entry hears an agent incarnation. */
+	unheard: Map<string, Readonly<{agentIncarnation: string; sinceMs: number}>>;
 	/** When this entry read the revocation of each agent incarnation. */
 	revoked: Map<string, Readonly<{agentIncarnation: string; readAtMs: number}>>;
 	guard: AppendGuard;
 }>;
 
-export const initialVmLiveness: VmLivenessState = {heard: Map(), revoked: Map(), guard: emptyAppendGuard};
+export const initialVmLiveness: VmLivenessState = {
+	heard: Map(), unheard: Map(), revoked: Map(), guard: emptyAppendGuard,
+};
 
 /**
 Notes a message of an agent.
@@ -31,7 +37,7 @@
 type Observation = Readonly<{state: VmLivenessState; effects: ControlEffect[]}>;
 
 /**
-Reports agents that became unreachable or reachable, revokes those that no entry reaches, and declares their leases
+Reports which agents this entry hears, revokes those that no entry hears, and declares their leases
 expired after F + D + margin counted from reading the revocation.
 
 @example
@@ -57,34 +63,36 @@
 
 function observeLiveVm(observation: Observation, vm: Vm, context: EntryContext): Observation {
 	const {state} = observation;
+	const {nowMs, incarnation, settings: {timings: {heartbeatTimeoutMs}}} = context;
+	const subject = {vmId: vm.vmId, agentIncarnation: vm.agentIncarnation};
 	const heard = state.heard.get(vm.vmId);
-	if (heard?.agentIncarnation !== vm.agentIncarnation) {
-		return {...observation, state: noteVmHeard(state, vm.vmId, vm.agentIncarnation, context.nowMs)};
+	const isReportedHeard = vm.heardBy.has(incarnation);
+	if (heard?.agentIncarnation !== vm.agentIncarnation && isReportedHeard) {
+		// The registration says that this entry hears the agent; its stream gets the usual time to show it.
+		return {...observation, state: noteVmHeard(state, vm.vmId, vm.agentIncarnation, nowMs)};
 	}
 
-	const isReachable = context.nowMs - heard.atMs <= context.settings.timings.heartbeatTimeoutMs;
-	const isReportedUnreachable = vm.unreachableFrom.has(context.incarnation);
-	const subject = {vmId: vm.vmId, agentIncarnation: vm.agentIncarnation};
-	if (isReachable && isReportedUnreachable) {
-		return append(observation, context, {kind: 'append-record', record: {kind: 'vm-reachable', ...subject}});
+	const isHeard = heard?.agentIncarnation === vm.agentIncarnation && nowMs - heard.atMs <= heartbeatTimeoutMs;
+	if (isHeard !== isReportedHeard) {
+		return append(observation, context, {kind: 'append-record', record: {kind: isHeard ? 'vm-reachable' : 'vm-unreachable', ...subject}});
+	}
+
+	if (!vm.heardBy.isEmpty()) {
+		return {...observation, state: {...state, unheard: state.unheard.delete(vm.vmId)}};
 	}
 
-	if (!isReachable && !isReportedUnreachable) {
-		return append(observation, context, {kind: 'append-record', record: {kind: 'vm-unreachable', ...subject}});
+	const unheard = state.unheard.get(vm.vmId);
+	if (unheard?.agentIncarnation !== vm.agentIncarnation) {
+		return {...observation, state: {...state, unheard: state.unheard.set(vm.vmId, {agentIncarnation: vm.agentIncarnation, sinceMs: nowMs})}};
 	}
 
-	if (!isReachable && isUnreachableFromAll(vm, context)) {
-		return append(observation, context, {
+	// The last entry that heard the agent may have ended; another one that has its stream says so within a tick.
+	return nowMs - unheard.sinceMs < settleMs
+		? observation
+		: append(observation, context, {
 			kind: 'append-record',
 			record: {kind: 'vm-revoked', ...subject, reason: 'no entry hears the agent'},
 		});
-	}
-
-	return observation;
-}
-
-function isUnreachableFromAll(vm: Vm, context: EntryContext): boolean {
-	return liveEntryIncarnations(context.cluster).every(incarnation => vm.unreachableFrom.has(incarnation));
 }
 
 function observeRevokedVm(observation: Observation, vm: Vm, context: EntryContext): Observation {
--- a/src/operator/build-status.test.ts
+++ b/src/operator/build-status.test.ts
@@ -22,7 +22,7 @@
 	vms: emptyStateFixture.vms
 		.set('vm-1', vmFixture)
 		.set('vm-2', {
-			...vmFixture, vmId: 'vm-2', agentIncarnation: 'agent-2', draining: true, unreachableFrom: vmFixture.taskIds,
+			...vmFixture, vmId: 'vm-2', agentIncarnation: 'agent-2', draining: true, heardBy: vmFixture.heardBy.clear(),
 		})
 		.set('vm-3', {...vmFixture, vmId: 'vm-3', phase: 'expired'}),
 	backendServers: emptyStateFixture.backendServers
--- a/src/operator/build-status.ts
+++ b/src/operator/build-status.ts
@@ -73,7 +73,7 @@
 		vm.phase,
 		vm.draining ? 'draining' : '',
 		vm.quarantined ? 'quarantined' : '',
-		vm.unreachableFrom.isEmpty() ? '' : 'unreachable',
+		vm.heardBy.isEmpty() ? 'unreachable' : '',
 	].filter(word => word !== '').join(', ');
 }
 
--- a/src/operator/state-fixture.ts
+++ b/src/operator/state-fixture.ts
@@ -29,7 +29,7 @@
 	service: '',
 	labels: [],
 	workerStartedAtMs: 0,
-	unreachableFrom: ImmutableSet(),
+	heardBy: ImmutableSet(['entry-1']),
 	taskIds: ImmutableSet(['task-1']),
 	backendServerIds: ImmutableSet(),
 	waitingTaskIds: [],
--- a/src/requests/request-fixture.ts
+++ b/src/requests/request-fixture.ts
@@ -33,7 +33,7 @@
 		service: '',
 		labels: [],
 		workerStartedAtMs: 0,
-		unreachableFrom: immutableSet(),
+		heardBy: immutableSet(['entry-1']),
 		taskIds: immutableSet(),
 		backendServerIds: immutableSet(),
 		waitingTaskIds: [],
--- a/src/roles.ts
+++ b/src/roles.ts
@@ -24,12 +24,12 @@
 			return startEntry(context);
 		}
 
-		const {openEntryPlatform} = await import('../platform/open-entry-platform.js');
+		const [{openEntryPlatform}, {processorsMilliOf}] = await Promise.all([import('../platform/open-entry-platform.js'), import('./settings/processors-milli.js')]);
 		const {entryId, agentAddress} = settings;
 		return startEntry({
 			...context,
 			platform: openEntryPlatform({
-				settings: settings.platform, entryId, agentAddress, eventLog, metrics,
+				settings: settings.platform, entryId, agentAddress, processorsMilli: processorsMilliOf(settings), eventLog, metrics,
 			}),
 		});
 	},
--- a/src/settings/agent-settings.ts
+++ b/src/settings/agent-settings.ts
@@ -12,6 +12,7 @@
 	rack: nameSchema.check(z.describe('Rack that this VM is in')),
 	requestAddress: addressSchema.check(z.describe('Where entries send requests and backend servers announce themselves')),
 	entryAddresses: z._default(z.readonly(z.array(addressSchema)), []).check(z.describe('Agent addresses of the entries of this region; needed without `platform`')),
+	entryStreams: z.optional(z.int().check(z.minimum(1))).check(z.describe('Entries that the agent keeps a stream to at once; without it, all of them')),
 	workerUrl: z.optional(z.url()).check(z.describe('Address of the platform\'s worker on this VM; not used beside `platform`')),
 	platform: z.optional(agentPlatformSettingsSchema).check(z.describe('Addresses of the users\' platform, when the agent runs on it')),
 	logLevel: z._default(z.enum(['debug', 'info', 'warn', 'error']), 'info').check(z.describe('Least severe level that is logged')),
