Spread the task events of a fleet over the entries

What callers saw: on the grown loaf site tasks that ran counted as not started for seconds, later steps waited, and jobs came late.

Cause: an agent sends a new event to the first connected entry in the order of an immutable map of addresses, which is the same for all agents. So one entry wrote the starts and ends of the whole fleet. When that entry had not acknowledged them after 2 s, each agent sent them to all entries, and each wrote them: the more the entry was behind, the more records there were for all to apply.

Change: the first receiver is chosen by rendezvous hash of the VM among the connected entries. Test: the events of 60 agents spread over three entries; before, one of them got all 60.

--- /dev/null
+++ b/src/agent/entry-messages.test.ts
@@ -0,0 +1,28 @@
+import test from 'ava';
+import {Map as immutableMap} from 'immutable';
+import {agentSettingsSchema} from '../settings/agent-settings.js';
+import {closedLink, initialAgentState} from './agent-state.js';
+import {sendDueTaskEvents} from './entry-messages.js';
+import {addTaskEvent} from './task-events.js';
+
+test('the task events of a fleet are spread over the entries', t => {
+	const addresses = ['127.0.0.1:2', '127.0.0.1:3', '127.0.0.1:4'];
+	const firstReceivers = Array.from({length: 60}, (_, index) => {
+		const initial = initialAgentState(agentSettingsSchema.parse({
+			role: 'agent', vmId: `vm-${index}`, failureDomain: 'a', rack: 'r1', requestAddress: '127.0.0.1:1',
+		}), 'i1');
+		const {effects} = sendDueTaskEvents(5)({
+			...initial,
+			phase: 'active',
+			entries: immutableMap(addresses.map(address => [address, {...closedLink, connected: true}])),
+			events: addTaskEvent(initial.events, {taskId: 't1', attempt: 1, outcome: {case: 'started', value: {}}}),
+		});
+		return effects.flatMap(effect => effect.kind === 'send' ? [effect.entryAddress] : []);
+	});
+	for (const address of addresses) {
+		const count = firstReceivers.filter(([first]) => first === address).length;
+		t.true(count > 10 && count < 30, `${address} gets the events of ${count} of 60 agents`);
+	}
+
+	t.true(firstReceivers.every(receivers => receivers.length === 1));
+});
--- a/src/agent/entry-messages.ts
+++ b/src/agent/entry-messages.ts
@@ -1,4 +1,5 @@
 import {BackendServerPhase, type Resources as WireResources} from '../generated/arbutushinge/v1/agent_pb.js';
+import {ownerByRendezvous} from '../cluster/rendezvous.js';
 import type {Resources} from '../cluster/resources.js';
 import {changedPress, type PressReport} from './press-estimates.js';
 import type {AgentEffect, AgentMessageBody} from './agent-effect.js';
@@ -125,7 +126,8 @@
 }
 
 /**
-Sends the task events that are due: new ones to the first connected entry, unacknowledged ones to all.
+Sends the task events that are due: new ones to one connected entry, which differs from VM to VM so that no entry writes the events of
+the whole fleet, unacknowledged ones to all.
 
 @example
 chain(state, sendDueTaskEvents(nowMs));
@@ -138,6 +140,7 @@
 		}
 
 		const {events, toOne, toAll} = takeDueTaskEvents(state.events, nowMs);
-		return transition({...state, events}, ...connected.flatMap((address, index) => taskEventsEffect(address, index === 0 ? [...toAll, ...toOne] : toAll)));
+		const relay = ownerByRendezvous(connected, state.settings.vmId);
+		return transition({...state, events}, ...connected.flatMap(address => taskEventsEffect(address, address === relay ? [...toAll, ...toOne] : toAll)));
 	};
 }
