Take only a read of the log as evidence that an entry is silent

What callers saw: several entries placed the same tasks; tasks waited for claims that lost against each other.

An entry that is behind, or was paused, has not read what the other wrote meanwhile: its own lag counted as the silence of the other.

Change: silence is measured from the last record to the sending of the newest read that reached the tail. Tests: an entry that is behind places nothing of another one's, and one that was paused ends nobody before it has read; both failed before.

--- /dev/null
+++ b/src/membership/entry-liveness.test.ts
@@ -0,0 +1,32 @@
+import test from 'ava';
+import {Map as immutableMap} from 'immutable';
+import {type EntryMember} from '../cluster/cluster-state.js';
+import {type EntryContext} from '../entry/entry-context.js';
+import {emptyStateFixture} from '../operator/state-fixture.js';
+import {entrySettingsSchema} from '../settings/entry-settings.js';
+import {initialEntryLiveness, tickEntryLiveness} from './entry-liveness.js';
+
+const settings = entrySettingsSchema.parse({
+	role: 'entry', entryId: 'own', failureDomain: 'a', callerAddress: '127.0.0.1:1', operatorAddress: '127.0.0.1:2', agentAddress: '127.0.0.1:3',
+});
+const {entryTimeoutMs, logFreshnessMs} = settings.timings;
+
+function contextAt(nowMs: number, tailConfirmedSentAtMs: number): EntryContext {
+	const member = (incarnation: string): [string, EntryMember] => [incarnation, {
+		entryId: incarnation, incarnation, failureDomain: 'a', operatorAddress: '', processorsMilli: 1000, lastOffset: 1, appliedOffset: 0,
+	}];
+	return {
+		cluster: {...emptyStateFixture, entries: immutableMap(['own', 'other'].map(incarnation => member(incarnation)))},
+		settings, incarnation: 'own', nowMs, wallTimeMs: nowMs, tailConfirmedSentAtMs, pendingAppends: 0, seed: 1,
+	};
+}
+
+const endsIn = (context: EntryContext, state = initialEntryLiveness) => tickEntryLiveness(state, context).effects
+	.flatMap(effect => effect.kind === 'append-record' && effect.record.kind === 'entry-ended' ? [effect.record.incarnation] : []);
+
+test('an entry that was paused does not declare the others ended before it has read what they wrote meanwhile', t => {
+	const {state} = tickEntryLiveness(initialEntryLiveness, contextAt(1000, 1000));
+	const resumedMs = 1000 + entryTimeoutMs + 1;
+	t.deepEqual(endsIn(contextAt(resumedMs, resumedMs - logFreshnessMs), state), []);
+	t.deepEqual(endsIn(contextAt(resumedMs, resumedMs), state), ['other']);
+});
--- a/src/membership/entry-liveness.ts
+++ b/src/membership/entry-liveness.ts
@@ -92,8 +92,8 @@
 		}
 
 		const subject = `entry-ended/${entry.incarnation}`;
-		const isSilent = context.nowMs - last.atMs > context.settings.timings.entryTimeoutMs;
-		// Silence while the log itself is out of reach says nothing about the other entry.
+		// Only a read of the whole log shows silence, not the time in which this entry read nothing.
+		const isSilent = context.tailConfirmedSentAtMs - last.atMs > context.settings.timings.entryTimeoutMs;
 		if (entry.incarnation !== context.incarnation && isSilent && isLogFresh(context) && mayAppend(guard, subject, context.nowMs)) {
 			guard = guard.set(subject, context.nowMs);
 			effects.push({
--- a/src/placement/place-queued-tasks.test.ts
+++ b/src/placement/place-queued-tasks.test.ts
@@ -60,6 +60,17 @@
 	t.true(claimedMs !== undefined && claimedMs > 2100 && claimedMs <= 3100, `claimed at ${claimedMs ?? 'no time'}`);
 });
 
+test('an entry that is behind with the log does not place the tasks of an owner whose records it has not read', t => {
+	const seen = placeQueuedTasks(initialPlacement, contextAt(1000, 1));
+	const {logFreshnessMs, placementTakeoverMs} = settings.timings;
+	for (let nowMs = 1000; nowMs < 1000 + logFreshnessMs; nowMs += 100) {
+		t.deepEqual(placeQueuedTasks(seen.state, {...contextAt(nowMs, 1), tailConfirmedSentAtMs: 1000}).effects, []);
+	}
+
+	const readAgain = {...contextAt(1100 + placementTakeoverMs, 1), tailConfirmedSentAtMs: 1000 + placementTakeoverMs};
+	t.is(placeQueuedTasks(seen.state, readAgain).effects.length, 1);
+});
+
 /** One VM whose processors are all in use by filling work, and a queued filling task of a job of one step. */
 function crowdedContext(nowMs: number): EntryContext {
 	const context = contextAt(nowMs, 1);
--- a/src/placement/place-queued-tasks.ts
+++ b/src/placement/place-queued-tasks.ts
@@ -108,7 +108,7 @@
 }
 
 function isOwnTurn(pass: Pass, task: Task): boolean {
-	const {cluster, settings, incarnation, nowMs} = pass.context;
+	const {cluster, settings, incarnation, nowMs, tailConfirmedSentAtMs} = pass.context;
 	const owner = placementOwnerOf(placementSubjectOf(task, cluster), cluster);
 	if (owner === undefined || owner === incarnation) {
 		return true;
@@ -122,7 +122,8 @@
 		return false;
 	}
 
-	return nowMs - seen.atMs >= settings.timings.placementTakeoverMs;
+	// Only a read of the whole log shows silence: an entry that is behind has not read what the owner wrote.
+	return tailConfirmedSentAtMs - seen.atMs >= settings.timings.placementTakeoverMs;
 }
 
 function placeTask(pass: Pass, task: Task): void {
