Renew the hold of a worker once for the grants of all entries

Cause: the hold is bounded by workerHoldMs from now, so that each grant of each entry moved it by a few milliseconds, and each move was a call to the worker: eleven a second with ten entries.

Change: a renewal that gains less than 500 ms is left out. Test: ten entries that grant for one heartbeat cause one call; before, ten.

--- a/src/agent/worker-view.test.ts
+++ b/src/agent/worker-view.test.ts
@@ -19,3 +19,20 @@
 	t.false(hasLapsed(worker, {nowMs: 18_100, ...timings}));
 	t.true(hasLapsed(worker, {nowMs: 18_161, ...timings}));
 });
+
+test('the grants of several entries for one heartbeat renew the hold of the worker once, not once each', t => {
+	let worker = {...unknownWorker, heardAtMs: 0};
+	let renewals = 0;
+	for (let nowMs = 0; nowMs < 10_000; nowMs += 1000) {
+		for (let entry = 0; entry < 10; entry++) {
+			const grantedMs = nowMs + (4 * entry);
+			const deadlineMs = nextHoldDeadline({...worker, heardAtMs: grantedMs}, {leaseDeadlineMs: nowMs + 30_000, nowMs: grantedMs, ...timings});
+			if (deadlineMs !== undefined) {
+				worker = {...worker, holdDeadlineMs: deadlineMs};
+				renewals++;
+			}
+		}
+	}
+
+	t.is(renewals, 10);
+});
--- a/src/agent/worker-view.ts
+++ b/src/agent/worker-view.ts
@@ -36,9 +36,13 @@
 	};
 }
 
+/** A renewal by less would cost a call to the worker for the grant of every entry; heartbeats are a second apart. */
+const leastRenewalMs = 500;
+
 /**
 Says until when the worker may be told to run tasks: the lease bounds it, and so does `workerHoldMs`, so that the tasks of a
-worker that stays silent are known to have stopped soon. Undefined when the worker is too silent for a longer hold.
+worker that stays silent are known to have stopped soon. Undefined when the worker is too silent for a
+longer hold, or when the gain is not worth a call.
 
 @example
 nextHoldDeadline(worker, {leaseDeadlineMs: 20_000, nowMs: 5000, workerHoldMs: 6000, workerTimeoutMs: 1500}); // => 11_000
@@ -54,7 +58,7 @@
 	}
 
 	const deadlineMs = Math.min(leaseDeadlineMs, nowMs + workerHoldMs);
-	return deadlineMs > worker.holdDeadlineMs ? deadlineMs : undefined;
+	return deadlineMs - worker.holdDeadlineMs >= leastRenewalMs ? deadlineMs : undefined;
 }
 
 /** Part of the time by which the worker's clock may run slow; its deadlines then come that much later. */
