Log once why a job failed

The entry whose record is the one after which the job cannot complete writes job-failed, with the task, its attempts and failures, the limit, the last reason and the VMs. It compares the states around each of its own task-ended and task-unplaceable records, so that a failure that several entries report has one line. A cancelled job keeps its job-cancelled line.

--- /dev/null
+++ b/src/entry/log-failed-job.ts
@@ -0,0 +1,60 @@
+import {type ClusterRecord} from '../cluster/cluster-record.js';
+import {type ClusterState, type Task} from '../cluster/cluster-state.js';
+import {MAX_TASK_FAILURES} from '../cluster/state-limits.js';
+import {type LoggedRecord} from '../log/log-envelope.js';
+import {type ControlEffect} from './control-effect.js';
+
+/** Records that can fail a job; a cancelled one is logged as `job-cancelled`. */
+const failingKinds: ReadonlySet<ClusterRecord['kind']> = new Set(['task-ended', 'task-unplaceable']);
+
+/**
+Logs `job-failed` when an own record is the one after which a job cannot complete any more, so that over all entries each failed
+job has one line. `before` and `after` are the states around this one record.
+
+@example
+logFailedJob(logged, before, after, incarnation); // => [{kind: 'log-event', event: 'job-failed', …}]
+*/
+export function logFailedJob({offset, envelope}: LoggedRecord, before: ClusterState, after: ClusterState, incarnation: string): readonly ControlEffect[] {
+	const {record} = envelope;
+	if (envelope.incarnation !== incarnation || !failingKinds.has(record.kind) || !('taskId' in record)) {
+		return [];
+	}
+
+	const task = before.tasks.get(record.taskId);
+	if (!task || hasFailed(before, task) || !hasFailed(after, task)) {
+		return [];
+	}
+
+	const run = before.workflows.get(task.jobId);
+	const vmId = task.claim?.vmId;
+	return [{
+		kind: 'log-event',
+		level: 'warn',
+		event: 'job-failed',
+		fields: {
+			offset,
+			jobId: task.jobId,
+			queue: run?.workflow.queue,
+			taskId: record.taskId,
+			decidedBy: record.kind,
+			reason: reasonOf(record),
+			vmId,
+			attempts: task.attempt,
+			failures: task.failures + (record.kind === 'task-ended' ? 1 : 0),
+			maxFailures: run?.workflow.maxFailures ?? MAX_TASK_FAILURES,
+			evictions: task.evictions,
+			formerVmIds: task.failedOnVmIds.join(','),
+		},
+	}];
+}
+
+function reasonOf(record: ClusterRecord): string | undefined {
+	return record.kind === 'task-unplaceable' ? record.lacks : ('reason' in record ? record.reason : undefined);
+}
+
+/** Tells whether a task's job is failed: by its outcome, or, without a workflow, by a task of it that ended so. */
+function hasFailed(state: ClusterState, {jobId, position}: Task): boolean {
+	return position === undefined
+		? (state.jobs.get(jobId) ?? []).some(taskId => ['failed', 'unplaceable'].includes(state.tasks.get(taskId)?.phase ?? ''))
+		: state.workflows.get(jobId)?.phase === 'failed' || state.finishedWorkflows.get(jobId)?.phase === 'failed';
+}
--- a/src/entry/reduce-entry.ts
+++ b/src/entry/reduce-entry.ts
@@ -18,6 +18,7 @@
 import {type EntryEvent, type EventInputs} from './entry-event.js';
 import {type EntryState} from './entry-state.js';
 import {tickKeyExpiry} from './key-expiry.js';
+import {logFailedJob} from './log-failed-job.js';
 import {recordTimeline} from './record-timeline.js';
 import {touchedVmIds} from './touched-vms.js';
 
@@ -108,8 +109,11 @@
 ): EntryStep {
 	const before = state.cluster;
 	let cluster: ClusterState = before;
+	const failedJobs: EntryEffect[] = [];
 	for (const record of event.records) {
-		cluster = applyRecord(cluster, record);
+		const next = applyRecord(cluster, record);
+		failedJobs.push(...logFailedJob(record, cluster, next, state.incarnation));
+		cluster = next;
 	}
 
 	const log = {
@@ -127,7 +131,7 @@
 			entryLiveness,
 			failureBlame: noteAttempts(state.failureBlame, event.records, before),
 		},
-		effects: recordTimeline(event.records, before, cluster, state.incarnation),
+		effects: [...recordTimeline(event.records, before, cluster, state.incarnation), ...failedJobs],
 	};
 	if (event.records.length > 0) {
 		step = continueWith(step, refreshLinks(step.state, touchedVmIds(recordsForAgents(event.records), before, cluster), inputs, settings));
