Say why queued tasks wait on the entry that places

The queue could be long because the VMs are full or because the placement lags behind; the log showed neither. Once a second the entry that places follows the queued tasks (at most 4,096) and, when one has waited for 3 s, checks the eight oldest of each class against every VM: one placement-waiting line with their number, the oldest wait and the count of each reason. The passes of the placement are left as they are.

--- /dev/null
+++ b/src/placement/placement-waiting.test.ts
@@ -0,0 +1,101 @@
+import test from 'ava';
+import {Map as immutableMap, OrderedMap as orderedMap, Set as immutableSet} from 'immutable';
+import {type ClusterState, type Task, type WorkflowRun} from '../cluster/cluster-state.js';
+import {type PriorityClass} from '../cluster/intent.js';
+import {committedByStep, type Step} from '../cluster/workflow.js';
+import {type ControlEffect} from '../entry/control-effect.js';
+import {emptyStateFixture, taskFixture, vmFixture} from '../operator/state-fixture.js';
+import {addPendingClaim, noPendingClaims} from './pending-claims.js';
+import {initialPlacementWait, lookAtWaitingTasks} from './placement-waiting.js';
+
+type Fields = Extract<ControlEffect, {kind: 'log-event'}>['fields'];
+
+const small: Step = {count: 1, demand: {processorsMilli: 1000, memoryMb: 64, accelerators: 0}, declaredRunTimeMs: 100};
+
+/** A cluster of one VM with 12 free processors and one queued job for each step. */
+function clusterOf(steps: readonly Step[]): ClusterState {
+	const tasks = steps.map((step, index): Task => ({
+		...taskFixture,
+		spec: {...taskFixture.spec, taskId: `j${index}.0.0.0`, demand: committedByStep(step)},
+		jobId: `j${index}`,
+		position: {occurrence: 0, stepIndex: 0},
+		phase: 'queued',
+		claim: undefined,
+		attempt: 0,
+	}));
+	const runs = steps.map((step, index): [string, WorkflowRun] => [`j${index}`, {
+		workflow: {
+			queue: 'q', service: 'loaf-orders', payload: '', steps: [step], maxFailures: 3,
+		},
+		owner: {
+			jobId: `j${index}`, teamId: 't', workClass: 'batch', priority: 'background',
+		},
+		phase: 'queued',
+		unfinishedByStep: immutableMap([['0.0', 1]]),
+		madeOccurrences: 1,
+	}]);
+	return {
+		...emptyStateFixture,
+		vms: immutableMap([[vmFixture.vmId, {...vmFixture, service: 'loaf-orders', taskIds: immutableSet<string>()}]]),
+		tasks: immutableMap(tasks.map(task => [task.spec.taskId, task])),
+		workflows: immutableMap(runs),
+		queued: immutableMap<PriorityClass, ReturnType<typeof orderedMap<string, true>>>([
+			['background', orderedMap(tasks.map(task => [task.spec.taskId, true as const]))],
+		]),
+	};
+}
+
+/** Looks once a second for as long as given and returns the lines. */
+function linesOf(cluster: ClusterState, {seconds, isOwner = true, pending = noPendingClaims, stepMs = 1000}: Readonly<{
+	seconds: number; isOwner?: boolean; pending?: typeof noPendingClaims; stepMs?: number;
+}>): readonly Fields[] {
+	let state = initialPlacementWait;
+	const lines: Fields[] = [];
+	for (let nowMs = 0; nowMs <= seconds * 1000; nowMs += stepMs) {
+		const look = lookAtWaitingTasks(state, {
+			cluster, pending, isOwner, nowMs, longestPassMs: 7,
+		});
+		state = look.state;
+		lines.push(...look.effects.filter(effect => effect.kind === 'log-event').map(({fields}) => fields));
+	}
+
+	return lines;
+}
+
+test('a line tells tasks without room, without idle processors and those that their step keeps off every VM apart', t => {
+	const [line] = linesOf(clusterOf([
+		{...small, demand: {...small.demand, memoryMb: 900_000}},
+		{...small, demand: {...small.demand, processorsMilli: 13_000}, fillsIdle: true},
+		{...small, requiredLabel: 'oven'},
+		small,
+	]), {seconds: 3});
+	t.like(line, {
+		background: 4, oldestWaitMs: 3000, reasons: 'noRoom:1,noIdleProcessors:1,notAllowed:1,passedOver:1', longestPassMs: 7, vms: 1,
+	});
+});
+
+test('a task whose claim is under way is not taken for one that finds no room', t => {
+	const pending = addPendingClaim(noPendingClaims, 'j0.0.0.0', {
+		vmId: 'vm-1', attempt: 1, committed: small.demand, appendedAtMs: 0, siblingsKey: 'k', fillingMilli: 0,
+	});
+	const [line] = linesOf(clusterOf([small]), {seconds: 3, pending});
+	t.like(line, {reasons: 'claimPending:1', pendingClaims: 1});
+});
+
+test('a long queue writes at most one line a second, and only on the entry that places', t => {
+	const cluster = clusterOf(Array.from({length: 200}, () => small));
+	t.is(linesOf(cluster, {seconds: 10, stepMs: 100}).length, 8);
+	t.is(linesOf(cluster, {seconds: 10, isOwner: false}).length, 0);
+});
+
+test('an entry that takes the placement over does not report waits that it has not seen', t => {
+	const cluster = clusterOf([small]);
+	const passed = lookAtWaitingTasks({seenAtMs: new Map([['j0.0.0.0', 0]]), lastLineMs: 0}, {
+		cluster, pending: noPendingClaims, isOwner: false, nowMs: 60_000, longestPassMs: 0,
+	});
+	const taken = lookAtWaitingTasks(passed.state, {
+		cluster, pending: noPendingClaims, isOwner: true, nowMs: 61_000, longestPassMs: 0,
+	});
+	t.deepEqual(taken.effects, []);
+	t.is(taken.oldestWaitMs, 0);
+});
--- /dev/null
+++ b/src/placement/placement-waiting.ts
@@ -0,0 +1,135 @@
+import {type ClusterState, type Task, type Vm} from '../cluster/cluster-state.js';
+import {type PriorityClass} from '../cluster/intent.js';
+import {fitsInto, noResources} from '../cluster/resources.js';
+import {isAllowedOn} from '../cluster/step-constraints.js';
+import {type ControlEffect} from '../entry/control-effect.js';
+import {roomOf, takesNewTasks} from './feasibility.js';
+import {fillingDemandMilli, fillingLoadOf} from './filling-work.js';
+import {type PendingClaims, siblingsKeyOf} from './pending-claims.js';
+
+/** When the entry first saw each task that is queued now. */
+export type PlacementWaitState = Readonly<{
+	seenAtMs: ReadonlyMap<string, number>;
+	lastLineMs: number;
+}>;
+
+export const initialPlacementWait: PlacementWaitState = {seenAtMs: new Map(), lastLineMs: Number.NEGATIVE_INFINITY};
+
+/** What keeps a task from a claim, from the check that the fewest VMs pass. */
+export type WaitReason = 'claimPending' | 'noVm' | 'noRoom' | 'noIdleProcessors' | 'notAllowed' | 'passedOver';
+
+/** A wait that an on-call engineer is told of. */
+const longWaitMs = 3000;
+/** Time between two lines. */
+const lineIntervalMs = 1000;
+/** Queued tasks that are followed; the queue beyond them is only counted. */
+const maxFollowedTasks = 4096;
+/** Tasks of each class that have waited longest and are checked against every VM. */
+const explainedTasksByClass = 8;
+
+type Waiting = Readonly<{taskId: string; priority: PriorityClass; waitMs: number}>;
+
+/**
+Looks at the queues of an entry that places tasks and, when a task has waited for long, logs `placement-waiting`: how many tasks wait, how
+long the oldest one has, and what keeps those that have waited longest from a claim. Meant to be called once a second; the cost is
+bounded whatever the length of the queues. Waits of an owner that took over count from its own first look.
+
+@example
+const {state, effects} = lookAtWaitingTasks(initialPlacementWait, {cluster, pending, isOwner: true, nowMs, longestPassMs: 12});
+*/
+export function lookAtWaitingTasks(state: PlacementWaitState, {cluster, pending, isOwner, nowMs, longestPassMs}: Readonly<{
+	cluster: ClusterState;
+	pending: PendingClaims;
+	isOwner: boolean;
+	nowMs: number;
+	/** Longest pass of the placement since the last look. */
+	longestPassMs: number;
+}>): Readonly<{state: PlacementWaitState; effects: readonly ControlEffect[]; oldestWaitMs: number}> {
+	if (!isOwner) {
+		return {state: state.seenAtMs.size === 0 ? state : {...state, seenAtMs: new Map()}, effects: [], oldestWaitMs: 0};
+	}
+
+	const {seenAtMs, longest} = followQueues(state, cluster, nowMs);
+	const oldest = longest.toSorted((left, right) => right.waitMs - left.waitMs)[0];
+	const oldestWaitMs = Math.round(oldest?.waitMs ?? 0);
+	if (oldest === undefined || oldestWaitMs < longWaitMs || nowMs - state.lastLineMs < lineIntervalMs) {
+		return {state: {...state, seenAtMs}, effects: [], oldestWaitMs};
+	}
+
+	const vms = [...cluster.vms.values()].filter(vm => takesNewTasks(vm, cluster));
+	const counts = new Map<WaitReason, number>();
+	for (const {taskId} of longest.filter(({waitMs}) => waitMs >= longWaitMs)) {
+		const reason = reasonOf(cluster.tasks.get(taskId)!, {cluster, pending, vms});
+		counts.set(reason, (counts.get(reason) ?? 0) + 1);
+	}
+
+	return {
+		state: {seenAtMs, lastLineMs: nowMs},
+		effects: [{
+			kind: 'log-event', level: 'info', event: 'placement-waiting', fields: {
+				urgent: cluster.queued.get('urgent')?.size ?? 0,
+				normal: cluster.queued.get('normal')?.size ?? 0,
+				background: cluster.queued.get('background')?.size ?? 0,
+				oldestTaskId: oldest.taskId,
+				oldestWaitMs,
+				reasons: [...counts].map(([reason, count]) => `${reason}:${count}`).join(','),
+				pendingClaims: pending.byTask.size,
+				vms: vms.length,
+				longestPassMs: Math.round(longestPassMs),
+			},
+		}],
+		oldestWaitMs,
+	};
+}
+
+/** Notes new tasks, forgets those that are queued no longer, and returns the first ones of each class, which were queued first. */
+function followQueues(state: PlacementWaitState, cluster: ClusterState, nowMs: number): Readonly<{seenAtMs: ReadonlyMap<string, number>; longest: readonly Waiting[]}> {
+	const seenAtMs = new Map<string, number>();
+	const longest: Waiting[] = [];
+	for (const [priority, queue] of cluster.queued) {
+		let explained = 0;
+		for (const taskId of queue.keys()) {
+			if (seenAtMs.size >= maxFollowedTasks) {
+				break;
+			}
+
+			const sinceMs = state.seenAtMs.get(taskId) ?? nowMs;
+			seenAtMs.set(taskId, sinceMs);
+			if (explained < explainedTasksByClass) {
+				explained++;
+				longest.push({taskId, priority, waitMs: nowMs - sinceMs});
+			}
+		}
+	}
+
+	return {seenAtMs, longest};
+}
+
+function reasonOf(task: Task, {cluster, pending, vms}: Readonly<{cluster: ClusterState; pending: PendingClaims; vms: readonly Vm[]}>): WaitReason {
+	if (pending.byTask.has(task.spec.taskId)) {
+		return 'claimPending';
+	}
+
+	const fillingMilli = fillingDemandMilli(task, cluster);
+	let reason: WaitReason = vms.length === 0 ? 'noVm' : 'notAllowed';
+	for (const vm of vms) {
+		if (!isAllowedOn(cluster, task, vm, pending.siblings.get(siblingsKeyOf(task, vm.vmId), 0))) {
+			continue;
+		}
+
+		const room = roomOf(vm, pending.committedByVm.get(vm.vmId, noResources));
+		if (!fitsInto(task.spec.demand, room)) {
+			reason = reason === 'noIdleProcessors' ? reason : 'noRoom';
+			continue;
+		}
+
+		const idleMilli = room.processorsMilli - fillingLoadOf(vm, cluster).fillingMilli - pending.fillingByVm.get(vm.vmId, 0);
+		if (idleMilli >= fillingMilli) {
+			return 'passedOver';
+		}
+
+		reason = 'noIdleProcessors';
+	}
+
+	return reason;
+}
