Say when an entry is behind, and by what

The log could not tell a late event loop from a log that does not answer, nor from a long step or a long queue of appends.

Each entry now notes the lateness of its ticks, the tail that each page names, the size of the pages and the time of each step; that is a comparison each time. The time of the passes of the placement and the oldest wait are metrics too.

--- a/src/entry/entry-event.ts
+++ b/src/entry/entry-event.ts
@@ -3,6 +3,7 @@
 import {type Heartbeat, type Hello, type TaskEvent} from '../generated/arbutushinge/v1/agent_pb.js';
 import {type LoggedRecord} from '../log/log-envelope.js';
 import {type RequestEvent} from '../requests/request-event.js';
+import {type MeasurePart} from './entry-monitor.js';
 
 /** What an operator or a submitter asks for and the log decides. */
 export type DeferredSubject
@@ -33,4 +34,6 @@
 	wallTimeMs: number;
 	seed: number;
 	pendingAppends: number;
+	/** Times a part of the step for the metrics; the step does not depend on it. */
+	measurePart?: MeasurePart;
 }>;
--- /dev/null
+++ b/src/entry/entry-monitor.ts
@@ -0,0 +1,132 @@
+import {type EntrySettings} from '../settings/entry-settings.js';
+import {ownsPlacement} from '../placement/placement-owner.js';
+import {initialPlacementWait, lookAtWaitingTasks} from '../placement/placement-waiting.js';
+import {type Metrics} from '../telemetry/metrics.js';
+import {type ControlEffect} from './control-effect.js';
+import {initialLag, judgeLag, type LagSample} from './entry-lag.js';
+import {type EntryState} from './entry-state.js';
+
+/** Parts of a step of the reducer that are timed on their own. */
+export type MeasuredPart = 'placement';
+
+/** Runs a part of a step and notes how long it took. */
+export type MeasurePart = <Result>(part: MeasuredPart, run: () => Result) => Result;
+
+/** Measures how far an entry is behind. Each note costs a comparison; everything else happens in `report`, once a second. */
+export type EntryMonitor = Readonly<{
+	noteTick: () => void;
+	notePage: (page: Readonly<{tailOffset: number; recordCount: number}>) => void;
+	/** Runs a step of the reducer and notes how long it took. */
+	measureStep: <Result>(event: string, run: () => Result) => Result;
+	measurePart: MeasurePart;
+	report: (inputs: Readonly<{state: EntryState; pendingAppends: number}>) => void;
+}>;
+
+/**
+Creates the monitor of an entry. `tickMs` is the time between two calls of `noteTick` on an idle event loop.
+
+@example
+const monitor = createEntryMonitor({tickMs: 50, settings, metrics, execute, nowMs: () => performance.now()});
+monitor.noteTick();
+*/
+export function createEntryMonitor({tickMs, settings, metrics, execute, nowMs}: Readonly<{
+	tickMs: number;
+	settings: EntrySettings;
+	metrics: Metrics;
+	execute: (effect: ControlEffect) => void;
+	nowMs: () => number;
+}>): EntryMonitor {
+	let lag = initialLag;
+	let placementWait = initialPlacementWait;
+	let lastTickMs: number | undefined;
+	let tailOffset = 0;
+	let eventLoopDelayMs = 0;
+	let largestPageRecords = 0;
+	let longestStepMs = 0;
+	let longestStepEvent = '';
+	let longestPassMs = 0;
+
+	function sampleOf(state: EntryState, pendingAppends: number): LagSample {
+		const atMs = nowMs();
+		return {
+			nowMs: atMs,
+			// A tick that has not come yet is late as well.
+			eventLoopDelayMs: Math.max(eventLoopDelayMs, lastTickMs === undefined ? 0 : atMs - lastTickMs - tickMs),
+			ageOfNewestReadMs: atMs - state.log.tailConfirmedSentAtMs,
+			recordsBehind: Math.max(0, tailOffset - state.cluster.offset - 1),
+			pendingAppends,
+			largestPageRecords,
+			longestStepMs,
+			longestStepEvent,
+			ownsPlacement: ownsPlacement(state.cluster, state.incarnation),
+		};
+	}
+
+	function reportGauges(sample: LagSample): void {
+		metrics.gauge('loop.delay', Math.round(sample.eventLoopDelayMs));
+		metrics.gauge('loop.longest-step', Math.round(sample.longestStepMs));
+		metrics.gauge('log.records-behind', sample.recordsBehind);
+		metrics.gauge('log.largest-page', sample.largestPageRecords);
+		metrics.gauge('placement.owner', sample.ownsPlacement ? 1 : 0);
+	}
+
+	return {
+		noteTick() {
+			const atMs = nowMs();
+			if (lastTickMs !== undefined) {
+				const delayMs = Math.max(0, atMs - lastTickMs - tickMs);
+				metrics.timingMs('loop.tick-delay', delayMs);
+				eventLoopDelayMs = Math.max(eventLoopDelayMs, delayMs);
+			}
+
+			lastTickMs = atMs;
+		},
+		notePage(page) {
+			tailOffset = Math.max(tailOffset, page.tailOffset);
+			largestPageRecords = Math.max(largestPageRecords, page.recordCount);
+		},
+		measureStep(event, run) {
+			const startMs = nowMs();
+			const result = run();
+			const stepMs = nowMs() - startMs;
+			if (stepMs > longestStepMs) {
+				longestStepMs = stepMs;
+				longestStepEvent = event;
+			}
+
+			return result;
+		},
+		measurePart(part, run) {
+			const startMs = nowMs();
+			const result = run();
+			const passMs = nowMs() - startMs;
+			metrics.timingMs('placement.pass', passMs);
+			longestPassMs = Math.max(longestPassMs, passMs);
+			return result;
+		},
+		report({state, pendingAppends}) {
+			const sample = sampleOf(state, pendingAppends);
+			reportGauges(sample);
+			const judged = judgeLag(lag, sample, settings.timings);
+			lag = judged.state;
+			const waiting = lookAtWaitingTasks(placementWait, {
+				cluster: state.cluster,
+				pending: state.placement.pending,
+				isOwner: sample.ownsPlacement,
+				nowMs: sample.nowMs,
+				longestPassMs,
+			});
+			placementWait = waiting.state;
+			for (const effect of [...judged.effects, ...waiting.effects]) {
+				execute(effect);
+			}
+
+			metrics.gauge('placement.oldest-wait', waiting.oldestWaitMs);
+			eventLoopDelayMs = 0;
+			largestPageRecords = 0;
+			longestStepMs = 0;
+			longestStepEvent = '';
+			longestPassMs = 0;
+		},
+	};
+}
--- a/src/entry/entry-process.ts
+++ b/src/entry/entry-process.ts
@@ -21,6 +21,7 @@
 import {createDeferredReplies} from './deferred-replies.js';
 import {type EntryEffect} from './entry-effect.js';
 import {createEntryEffectExecutor} from './entry-effect-executor.js';
+import {createEntryMonitor} from './entry-monitor.js';
 import {type EntryEvent} from './entry-event.js';
 import {type EntryPlatform} from './entry-platform.js';
 import {type EntryState, initialEntryState} from './entry-state.js';
@@ -79,14 +80,25 @@
 	const exchanges: CallerExchanges = new Map();
 	const deferredReplies = createDeferredReplies();
 
+	const monitor = createEntryMonitor({
+		tickMs,
+		settings,
+		metrics,
+		execute(effect) {
+			execute(effect);
+		},
+		nowMs: () => performance.now(),
+	});
+
 	const loop = createEventLoop<EntryState, EntryEvent, EntryEffect>({
 		initialState: initialEntryState(incarnation),
-		reduce: (state, event) => reduceEntry(state, event, {
+		reduce: (state, event) => monitor.measureStep(event.kind, () => reduceEntry(state, event, {
 			nowMs: performance.now(),
 			wallTimeMs: Date.now(),
 			seed: randomInt(0x7F_FF_FF_FF),
 			pendingAppends: logConnection.pendingAppends(),
-		}, settings),
+			measurePart: monitor.measurePart,
+		}, settings)),
 		execute(effect) {
 			execute(effect);
 		},
@@ -105,7 +117,7 @@
 	}
 
 	const logConnection = createLogConnection({
-		settings, token: token.value, logService, snapshots, eventLog, metrics, dispatch, state: loop.state,
+		settings, token: token.value, logService, snapshots, eventLog, metrics, dispatch, state: loop.state, notePage: monitor.notePage,
 	});
 	const agents = createAgentStreamServer({address: settings.agentAddress, dispatch, eventLog});
 	const forwarder = createRequestForwarder({
@@ -184,12 +196,15 @@
 	await callers.listen();
 	await platform?.open({jobs, readiness});
 	const ticker = setInterval(() => {
+		monitor.noteTick();
 		dispatch({kind: 'tick'});
 	}, tickMs);
 	let knownVms: EntryState['cluster']['vms'] | undefined;
 	const reporter = setInterval(() => {
 		const state = loop.state();
-		reportGauges(state, {metrics, nowMs: performance.now(), pendingAppends: logConnection.pendingAppends()});
+		const pendingAppends = logConnection.pendingAppends();
+		reportGauges(state, {metrics, nowMs: performance.now(), pendingAppends});
+		monitor.report({state, pendingAppends});
 		if (state.cluster.vms !== knownVms) {
 			knownVms = state.cluster.vms;
 			forwarder.keepOnly(new Set(knownVms.valueSeq().filter(vm => vm.phase !== 'expired').map(vm => vm.requestAddress)));
--- a/src/entry/log-connection.ts
+++ b/src/entry/log-connection.ts
@@ -12,6 +12,7 @@
 import {type Metrics} from '../telemetry/metrics.js';
 import {ownsPlacement} from '../placement/placement-owner.js';
 import {type EntryEvent} from './entry-event.js';
+import {type EntryMonitor} from './entry-monitor.js';
 import {type EntryState} from './entry-state.js';
 import {fetchPeerState} from './fetch-peer-state.js';
 
@@ -41,10 +42,10 @@
 Creates the connection; `start` must be called before anything else.
 
 @example
-const connection = createLogConnection({settings, token, logService, snapshots, eventLog, metrics, dispatch, state});
+const connection = createLogConnection({settings, token, logService, snapshots, eventLog, metrics, dispatch, state, notePage: monitor.notePage});
 await connection.start(incarnation);
 */
-export function createLogConnection({settings, token, logService, snapshots, eventLog, metrics, dispatch, state}: Readonly<{
+export function createLogConnection({settings, token, logService, snapshots, eventLog, metrics, dispatch, state, notePage}: Readonly<{
 	settings: EntrySettings;
 	/** Token for the peers; without it no peer is asked for its state. */
 	token: string | undefined;
@@ -54,6 +55,7 @@
 	metrics: Metrics;
 	dispatch: (event: EntryEvent) => void;
 	state: () => EntryState;
+	notePage: EntryMonitor['notePage'];
 }>): LogConnection {
 	let writer: LogWriter | undefined;
 	let reader: LogReader | undefined;
@@ -85,7 +87,8 @@
 			stream: settings.logStream,
 			fromOffset: state().cluster.offset + 1,
 			pauseMs: () => isAwaited(state()) ? settings.timings.pagePauseMs : settings.timings.idlePagePauseMs,
-			onPage({records, readSentAtMs, reachedTail}) {
+			onPage({records, readSentAtMs, reachedTail, tailOffset}) {
+				notePage({tailOffset, recordCount: records.length});
 				dispatch({
 					kind: 'log-page', records, readSentAtMs, reachedTail,
 				});
--- a/src/entry/reduce-entry.ts
+++ b/src/entry/reduce-entry.ts
@@ -232,7 +232,9 @@
 }
 
 function place(state: EntryState, inputs: EventInputs, settings: EntrySettings): EntryStep {
-	const step = placeQueuedTasks(state.placement, contextOf(state, inputs, settings));
+	const context = contextOf(state, inputs, settings);
+	const pass = (): ReturnType<typeof placeQueuedTasks> => placeQueuedTasks(state.placement, context);
+	const step = inputs.measurePart ? inputs.measurePart('placement', pass) : pass();
 	return {state: {...state, placement: step.state}, effects: step.effects};
 }
 
--- a/src/log/log-reader.ts
+++ b/src/log/log-reader.ts
@@ -18,6 +18,8 @@
 	reachedTail: boolean;
 	/** Where the reader stands after this page. */
 	nextOffset: number;
+	/** The tail as of this read's answer. */
+	tailOffset: number;
 }>;
 
 /** A read of the tail that was sent after it was asked for, with all its records delivered. */
@@ -101,7 +103,7 @@
 
 		position = Math.max(position, page.nextOffset);
 		onPage({
-			records, readSentAtMs, reachedTail: position >= page.tailOffset, nextOffset: position,
+			records, readSentAtMs, reachedTail: position >= page.tailOffset, nextOffset: position, tailOffset: page.tailOffset,
 		});
 	}
 
