--- a/src/entry/reduce-entry.ts
+++ b/src/entry/reduce-entry.ts
@@ -18,6 +18,7 @@
 import {type EntryEvent, type EventInputs} from './entry-event.js';
 import {type EntryState} from './entry-state.js';
 import {tickKeyExpiry} from './key-expiry.js';
+import {logFailedJob} from './log-failed-job.js';
 import {recordTimeline} from './record-timeline.js';
 import {touchedVmIds} from './touched-vms.js';
 
@@ -108,8 +109,11 @@
 ): EntryStep {
 	const before = state.cluster;
 	let cluster: ClusterState = before;
+	const failedJobs: EntryEffect[] = [];
 	for (const record of event.records) {
-		cluster = applyRecord(cluster, record);
+		const next = applyRecord(cluster, record);
+		failedJobs.push(...logFailedJob(record, cluster, next, state.incarnation));
+		cluster = next;
 	}
 
 	const log = {
@@ -127,7 +131,7 @@
 			entryLiveness,
 			failureBlame: noteAttempts(state.failureBlame, event.records, before),
 		},
-		effects: recordTimeline(event.records, before, cluster, state.incarnation),
+		effects: [...recordTimeline(event.records, before, cluster, state.incarnation), ...failedJobs],
 	};
 	if (event.records.length > 0) {
 		step = continueWith(step, refreshLinks(step.state, touchedVmIds(recordsForAgents(event.records), before, cluster), inputs, settings));
@@ -227,7 +231,9 @@
 }
 
 function place(state: EntryState, inputs: EventInputs, settings: EntrySettings): EntryStep {
-	const step = placeQueuedTasks(state.placement, contextOf(state, inputs, settings));
+	const context = contextOf(state, inputs, settings);
+	const pass = (): ReturnType<typeof placeQueuedTasks> => placeQueuedTasks(state.placement, context);
+	const step = inputs.measurePart ? inputs.measurePart('placement', pass) : pass();
 	return {state: {...state, placement: step.state}, effects: step.effects};
 }
 
