Let only the next entry take over from a silent owner

What callers saw: on the grown loaf site jobs waited for claims that lost against each other while the log grew by thousands of records a second.

Cause: when the owner of the placement had written nothing for 800 ms, every other entry took over at the same moment, each with up to 512 claims. Nine of ten lost, and all entries had to apply them, so the owner fell further behind.

Change: an entry takes over when all entries before it in the order are silent, not when the first one is. Test: of four entries only the second places after the first died; before, all three others did.

--- a/src/placement/place-queued-tasks.test.ts
+++ b/src/placement/place-queued-tasks.test.ts
@@ -5,7 +5,7 @@
 	type ClusterState, type EntryMember, type Task, type WorkflowRun,
 } from '../cluster/cluster-state.js';
 import {type PriorityClass} from '../cluster/intent.js';
-import {ownerByRendezvous} from '../cluster/rendezvous.js';
+import {ownerByRendezvous, rankByRendezvous} from '../cluster/rendezvous.js';
 import {type EntryContext} from '../entry/entry-context.js';
 import {emptyStateFixture, taskFixture, vmFixture} from '../operator/state-fixture.js';
 import {entrySettingsSchema} from '../settings/entry-settings.js';
@@ -71,6 +71,33 @@
 	t.is(placeQueuedTasks(seen.state, readAgain).effects.length, 1);
 });
 
+test('of several entries only the next one takes over from an owner that died, so that no claims are lost against each other', t => {
+	const entryIds = ['i1', 'i2', 'i3', 'i4'];
+	const ranked = rankByRendezvous(entryIds, taskFixture.jobId);
+	const contextOf = (incarnation: string, nowMs: number): EntryContext => {
+		const context = contextAt(nowMs, 1);
+		const [, member] = [...context.cluster.entries][0]!;
+		const entries = immutableMap(entryIds.map(entryId => [entryId, {
+			...member, entryId, incarnation: entryId, lastOffset: entryId === ranked[0] ? 7 : Math.floor(nowMs / 300),
+		}]));
+		return {...context, incarnation, cluster: {...context.cluster, entries}};
+	};
+
+	const claimants = ranked.filter(incarnation => {
+		let state: PlacementState = initialPlacement;
+		for (let nowMs = 0; nowMs <= 3000; nowMs += 100) {
+			const step = placeQueuedTasks(state, contextOf(incarnation, nowMs));
+			state = step.state;
+			if (step.effects.length > 0) {
+				return true;
+			}
+		}
+
+		return false;
+	});
+	t.deepEqual(claimants, ranked.slice(0, 2));
+});
+
 /** One VM whose processors are all in use by filling work, and a queued filling task of a job of one step. */
 function crowdedContext(nowMs: number): EntryContext {
 	const context = contextAt(nowMs, 1);
--- a/src/placement/place-queued-tasks.ts
+++ b/src/placement/place-queued-tasks.ts
@@ -19,7 +19,7 @@
 	addPendingClaim, noPendingClaims, type PendingClaims, settlePendingClaims, siblingsKeyOf,
 } from './pending-claims.js';
 import {placementPolicies} from './placement-policies.js';
-import {placementOwnerOf, placementSubjectOf} from './placement-owner.js';
+import {placementRankOf, placementSubjectOf} from './placement-owner.js';
 import {orderQueue} from './queue-order.js';
 import {chooseVictims} from './choose-victims.js';
 import {noVmHistory, type VmHistory} from './observe-usage.js';
@@ -108,17 +108,20 @@
 }
 
 function isOwnTurn(pass: Pass, task: Task): boolean {
-	const {cluster, settings, incarnation, nowMs, tailConfirmedSentAtMs} = pass.context;
-	const owner = placementOwnerOf(placementSubjectOf(task, cluster), cluster);
-	if (owner === undefined || owner === incarnation) {
-		return true;
-	}
+	const {cluster, incarnation} = pass.context;
+	const ranked = placementRankOf(placementSubjectOf(task, cluster), cluster);
+	const ownRank = ranked.indexOf(incarnation);
+	// Only the next entry takes over: claims of several at once would be lost against each other.
+	return ownRank === -1 ? ranked.length === 0 : ranked.slice(0, ownRank).every(better => isSilent(pass, better));
+}
 
+function isSilent(pass: Pass, incarnation: string): boolean {
+	const {cluster, settings, nowMs, tailConfirmedSentAtMs} = pass.context;
 	// A task may wait for room for long; only an owner that writes nothing any more has to be replaced.
-	const lastOffset = cluster.entries.get(owner)?.lastOffset ?? -1;
-	const seen = pass.state.ownersSeen.get(owner);
+	const lastOffset = cluster.entries.get(incarnation)?.lastOffset ?? -1;
+	const seen = pass.state.ownersSeen.get(incarnation);
 	if (seen?.lastOffset !== lastOffset) {
-		pass.state = {...pass.state, ownersSeen: pass.state.ownersSeen.set(owner, {lastOffset, atMs: nowMs})};
+		pass.state = {...pass.state, ownersSeen: pass.state.ownersSeen.set(incarnation, {lastOffset, atMs: nowMs})};
 		return false;
 	}
 
--- a/src/placement/placement-owner.ts
+++ b/src/placement/placement-owner.ts
@@ -13,22 +13,25 @@
 }
 
 // Keyed by the entries, which change seldom.
-const ownersByEntries = new WeakMap<ClusterState['entries'], Map<string, string | undefined>>();
+const ranksByEntries = new WeakMap<ClusterState['entries'], Map<string, readonly string[]>>();
 
 /**
-Names the incarnation of the entry that places a subject; undefined without entries.
+Ranks the incarnations of the entries for placing a subject: the first one does, and each other one when those before it are silent.
 
 @example
-placementOwnerOf('loaf-orders', cluster); // => 'a81f…'
+placementRankOf('loaf-orders', cluster); // => ['a81f…', 'c02e…']
 */
-export function placementOwnerOf(subject: string, {entries}: ClusterState): string | undefined {
-	const owners = ownersByEntries.get(entries) ?? new Map<string, string | undefined>();
-	ownersByEntries.set(entries, owners);
-	if (!owners.has(subject)) {
-		owners.set(subject, rankEntries(entries.values(), subject)[0]?.incarnation);
+export function placementRankOf(subject: string, {entries}: ClusterState): readonly string[] {
+	const ranks = ranksByEntries.get(entries) ?? new Map<string, readonly string[]>();
+	ranksByEntries.set(entries, ranks);
+	const known = ranks.get(subject);
+	if (known) {
+		return known;
 	}
 
-	return owners.get(subject);
+	const rank = rankEntries(entries.values(), subject).map(({incarnation}) => incarnation);
+	ranks.set(subject, rank);
+	return rank;
 }
 
 /**
@@ -43,5 +46,5 @@
 		services.add(vm.service);
 	}
 
-	return [...services].some(service => service === '' || placementOwnerOf(service, cluster) === incarnation);
+	return [...services].some(service => service === '' || placementRankOf(service, cluster)[0] === incarnation);
 }
