Look only at the tasks of a page that can need a command

A synthetic load over the reducer (10 entries, 58 VMs, 170 task starts a second) shows that each page refreshed the link of every VM that a record names: all tasks of the VM were compared with the commands sent, the configuration was written as JSON to compare it, and registration, worker and backend servers were looked at. Nearly all records are claims, starts and ends, which change none of that.

A page now refreshes the VMs of the other kinds of records, of claims with evictions and of failures, which change further tasks. For the rest, the entry sends the starts of what it claimed itself and acknowledges task events. A command without result is repeated at the agent's next heartbeat instead of at the next record of its VM; an acknowledgement waits for no record of the same VM any more. The configuration is compared by the parts of the state that it is made of. A command is built only when it is due.

The set of records with their VMs and the final states are the same; claims of one page are sent in the order of the log instead of the order of the VM's set.

--- a/src/dispatch/agent-commands.ts
+++ b/src/dispatch/agent-commands.ts
@@ -1,4 +1,6 @@
-import {type ClusterState, type Task, type Vm} from '../cluster/cluster-state.js';
+import {
+	type ClusterState, type Task, type TaskPhase, type Vm,
+} from '../cluster/cluster-state.js';
 import {isLiveAgent} from '../cluster/liveness.js';
 import {stepOf} from '../cluster/workflow-progress.js';
 import {type AgentCommand, type ControlEffect} from '../entry/control-effect.js';
@@ -11,42 +13,66 @@
 /** When this entry read each claim, so that it can take over commands of a writer that died. */
 export type ClaimReadTimes = Readonly<{get: (key: string) => number | undefined}>;
 
+type CommandStep = Readonly<{link: AgentLink; effects: readonly ControlEffect[]}>;
+
 /**
 Compares the claims for a VM with what was sent on the agent's stream and sends the missing commands.
 
 @example
 const {link, effects} = reconcileCommands(link, claimReadTimes, context);
 */
-export function reconcileCommands(
+export function reconcileCommands(link: AgentLink, claimReadTimes: ClaimReadTimes, context: EntryContext): CommandStep {
+	const vm = context.cluster.vms.get(link.vmId);
+	if (!vm || !isLiveAgent(context.cluster, link.vmId, link.agentIncarnation)) {
+		return {link, effects: []};
+	}
+
+	const sentCommands = link.sentCommands.isEmpty()
+		? link.sentCommands
+		: link.sentCommands.filter((_sentAtMs, key) => vm.taskIds.has(taskIdOf(key)));
+	return sendCommands({...link, sentCommands}, vm.taskIds, claimReadTimes, context);
+}
+
+/**
+Sends the missing commands for some of a VM's tasks; the others are compared when the agent is heard next.
+
+@example
+const {link, effects} = sendCommands(link, ['task-1'], claimReadTimes, context);
+*/
+export function sendCommands(
 	link: AgentLink,
+	taskIds: Iterable<string>,
 	claimReadTimes: ClaimReadTimes,
 	context: EntryContext,
-): Readonly<{link: AgentLink; effects: readonly ControlEffect[]}> {
+): CommandStep {
 	const vm = context.cluster.vms.get(link.vmId);
 	if (!vm || !isLiveAgent(context.cluster, link.vmId, link.agentIncarnation)) {
 		return {link, effects: []};
 	}
 
 	const effects: ControlEffect[] = [];
-	let sentCommands = link.sentCommands.filter((_sentAtMs, key) => vm.taskIds.has(taskIdOf(key)));
-	for (const taskId of vm.taskIds) {
+	let {sentCommands} = link;
+	for (const taskId of taskIds) {
 		const task = context.cluster.tasks.get(taskId);
-		const command = task && commandFor(task, vm, context.cluster);
-		if (!task || !command || !isTurnOf(task, claimReadTimes, context)) {
+		const commandCase = task && commandCaseByPhase[task.phase];
+		if (!task || !commandCase || !isTurnOf(task, claimReadTimes, context)) {
 			continue;
 		}
 
-		const key = commandKey(task, command);
+		const key = `${taskId}/${task.attempt}/${commandCase}`;
 		const sentAtMs = sentCommands.get(key);
 		if (sentAtMs !== undefined && context.nowMs - sentAtMs < commandRepeatMs) {
 			continue;
 		}
 
-		sentCommands = sentCommands.set(key, context.nowMs);
-		effects.push({kind: 'send-to-agent', vmId: link.vmId, command});
+		const command = commandFor(task, vm, context.cluster);
+		if (command) {
+			sentCommands = sentCommands.set(key, context.nowMs);
+			effects.push({kind: 'send-to-agent', vmId: link.vmId, command});
+		}
 	}
 
-	return {link: {...link, sentCommands}, effects};
+	return {link: sentCommands === link.sentCommands ? link : {...link, sentCommands}, effects};
 }
 
 /**
@@ -69,6 +95,11 @@
 		}));
 }
 
+/** What an agent is told about a task in each phase that needs a command. */
+const commandCaseByPhase: Readonly<Partial<Record<TaskPhase, AgentCommand['case']>>> = {
+	claimed: 'startTask', evicting: 'evictTask', cancelling: 'cancelTask',
+};
+
 function commandFor(task: Task, vm: Vm, cluster: ClusterState): AgentCommand | undefined {
 	const {claim, attempt} = task;
 	const {taskId} = task.spec;
@@ -154,10 +185,6 @@
 	return readAtMs === undefined || context.nowMs - readAtMs >= context.settings.timings.commandTakeoverMs;
 }
 
-function commandKey(task: Task, command: AgentCommand): string {
-	return `${task.spec.taskId}/${task.attempt}/${command.case ?? ''}`;
-}
-
 function taskIdOf(key: string): string {
 	return key.slice(0, key.indexOf('/'));
 }
--- a/src/dispatch/agent-configuration.ts
+++ b/src/dispatch/agent-configuration.ts
@@ -1,6 +1,6 @@
 import {type ControlEffect} from '../entry/control-effect.js';
 import {type EntryContext} from '../entry/entry-context.js';
-import {type AgentLink} from './agent-link.js';
+import {type AgentLink, type ConfigurationSource} from './agent-link.js';
 
 /**
 Sends the part of the configuration that concerns the VM when it differs from what was sent last on the stream.
@@ -18,6 +18,13 @@
 		return {link, effects: []};
 	}
 
+	const configuredFrom: ConfigurationSource = {
+		configuration, backendServers, backendServerIds: vm.backendServerIds, vmDraining: vm.draining,
+	};
+	if (link.configuredFrom && isSameSource(link.configuredFrom, configuredFrom)) {
+		return {link, effects: []};
+	}
+
 	const onVm = [...vm.backendServerIds].map(id => backendServers.get(id)).filter(found => found !== undefined);
 	const serviceNames = [...new Set(onVm.map(({service}) => service))].toSorted();
 	const services = serviceNames
@@ -31,11 +38,11 @@
 	const value = {services, drainingBackendServers, vmDraining: vm.draining};
 	const sentConfiguration = JSON.stringify([configuration.offset, value]);
 	if (sentConfiguration === link.sentConfiguration) {
-		return {link, effects: []};
+		return {link: {...link, configuredFrom}, effects: []};
 	}
 
 	return {
-		link: {...link, sentConfiguration},
+		link: {...link, sentConfiguration, configuredFrom},
 		effects: [{
 			kind: 'send-to-agent',
 			vmId: link.vmId,
@@ -43,3 +50,10 @@
 		}],
 	};
 }
+
+function isSameSource(left: ConfigurationSource, right: ConfigurationSource): boolean {
+	return left.configuration === right.configuration
+		&& left.backendServers === right.backendServers
+		&& left.backendServerIds === right.backendServerIds
+		&& left.vmDraining === right.vmDraining;
+}
--- a/src/entry/context-of.ts
+++ b/src/entry/context-of.ts
@@ -11,7 +11,10 @@
 */
 export function contextOf(state: EntryState, inputs: EventInputs, settings: EntrySettings): EntryContext {
 	return {
-		...inputs,
+		nowMs: inputs.nowMs,
+		wallTimeMs: inputs.wallTimeMs,
+		seed: inputs.seed,
+		pendingAppends: inputs.pendingAppends,
 		cluster: state.cluster,
 		settings,
 		incarnation: state.incarnation,
--- a/src/entry/reduce-agent-event.ts
+++ b/src/entry/reduce-agent-event.ts
@@ -1,7 +1,9 @@
 import {Map} from 'immutable';
 import {mergePress} from '../agent/press-estimates.js';
 import {pushConfiguration} from '../dispatch/agent-configuration.js';
-import {cancelUnclaimedTasks, reconcileCommands, sendClaimedTraits} from '../dispatch/agent-commands.js';
+import {
+	cancelUnclaimedTasks, reconcileCommands, sendClaimedTraits, sendCommands,
+} from '../dispatch/agent-commands.js';
 import {type AgentLink} from '../dispatch/agent-link.js';
 import {recordsForBackendServers} from '../dispatch/backend-server-relay.js';
 import {acknowledgeTaskEvents, relayTaskEvents} from '../dispatch/task-event-relay.js';
@@ -91,6 +93,44 @@
 	return {state: next, effects};
 }
 
+/**
+Sends the starts of what this entry claimed, by VM, and acknowledges the task events that the cluster state reflects by now. Enough
+after a page that only claimed, started or ended attempts.
+
+@example
+advanceLinks(state, new Map([['vm-1', ['task-1']]]), inputs, settings);
+*/
+export function advanceLinks(
+	state: EntryState,
+	claimedByVm: ReadonlyMap<string, readonly string[]>,
+	inputs: EventInputs,
+	settings: EntrySettings,
+): ControlStep {
+	const context = contextOf(state, inputs, settings);
+	const effects: ControlEffect[] = [];
+	const advanced: AgentLink[] = [];
+	for (const link of state.links.values()) {
+		const claimedTaskIds = claimedByVm.get(link.vmId) ?? [];
+		if (claimedTaskIds.length === 0 && link.pendingTaskEvents.isEmpty()) {
+			continue;
+		}
+
+		const commanded = sendCommands(link, claimedTaskIds, state.claimReadAtMs, context);
+		const acknowledged = acknowledgeTaskEvents(commanded.link, context);
+		effects.push(...commanded.effects, ...acknowledged.effects);
+		if (acknowledged.link !== link) {
+			advanced.push(acknowledged.link);
+		}
+	}
+
+	const links = state.links.withMutations(known => {
+		for (const link of advanced) {
+			known.set(link.vmId, link);
+		}
+	});
+	return {state: {...state, links}, effects};
+}
+
 /**
 Finds the link of an open stream; undefined when another stream of the same VM took its place.
 
@@ -117,6 +157,7 @@
 		heartbeatSequence: undefined,
 		appliedConfigurationOffset: -1,
 		sentConfiguration: '',
+		configuredFrom: undefined,
 		backendServers: Map(),
 		sentCommands: Map(),
 		pendingTaskEvents: Map(),
--- a/src/entry/reduce-entry.test.ts
+++ b/src/entry/reduce-entry.test.ts
@@ -115,3 +115,77 @@
 	const grants = registered.effects.flatMap(effect => effect.kind === 'send-to-agent' && effect.command.case === 'leaseGrant' ? [effect.command.value] : []);
 	t.deepEqual(grants.map(({heartbeatSequence, durationMs}) => ({heartbeatSequence, durationMs})), [{heartbeatSequence: 3n, durationMs: settings.timings.leaseDurationMs}]);
 });
+
+const decision = {
+	policy: 'test', seed: 1, stateOffset: 0, candidates: [], consideredVms: 1, reason: '',
+};
+
+/** Half of a VM. */
+const filling = {processorsMilli: 8000, memoryMb: 512, accelerators: 0};
+
+const claimOf = (taskId: string, evictTaskIds: readonly string[] = []): ClusterRecord => ({
+	kind: 'task-claimed', taskId, attempt: 1, vmId: 'vm-1', agentIncarnation: 'agent-1', committed: filling, evictTaskIds, decision,
+});
+
+/** An entry that is linked with the agent of a VM whose room one urgent and two background tasks use up. */
+function createLinkedEntry() {
+	const entry = createEntry();
+	entry.read('own', [
+		{
+			kind: 'entry-registered', entryId: 'entry-1', failureDomain: 'domain-1', operatorAddress: '127.0.0.1:2',
+		},
+		vmRegistered,
+		{
+			kind: 'job-submitted', job: {
+				jobId: 'job-1', teamId: 'team-1', workClass: 'batch', priority: 'urgent', tasks: [{
+					taskId: 'urgent-1', demand: filling, declaredRunTimeMs: 1000, payload: '',
+				}],
+			},
+		},
+		{
+			kind: 'job-submitted', job: {
+				jobId: 'job-2', teamId: 'team-1', workClass: 'batch', priority: 'background', tasks: [], workflow: {
+					queue: 'queue-1', service: '', payload: '', maxFailures: 1, steps: [{count: 2, demand: filling, declaredRunTimeMs: 1000}],
+				},
+			},
+		},
+	], 0);
+	entry.dispatch({kind: 'agent-hello', sessionId: 'session-1', hello: create(HelloSchema, {vmId: 'vm-1', agentIncarnation: 'agent-1'})}, 0);
+	const claimed = entry.read('own', [claimOf('job-2.0.0.0'), claimOf('job-2.0.0.1')], 100);
+	entry.read('own', ['job-2.0.0.0', 'job-2.0.0.1'].map(taskId => ({
+		kind: 'task-started', taskId, attempt: 1, agentIncarnation: 'agent-1',
+	})), 200);
+	return {entry, claimed};
+}
+
+const commandsTo = ({effects}: EntryStep): readonly string[] => effects.flatMap(effect =>
+	effect.kind === 'send-to-agent' && effect.command.case !== undefined && 'taskId' in effect.command.value
+		? [`${effect.command.case} ${effect.command.value.taskId}`]
+		: []);
+
+// A page that only moves attempts on looks at the tasks that it names; a claim that evicts names others too.
+test('a claim that evicts tasks sends their evictions with the page that holds it', t => {
+	const {entry, claimed} = createLinkedEntry();
+	t.deepEqual(commandsTo(claimed), ['startTask job-2.0.0.0', 'startTask job-2.0.0.1']);
+	const evicting = entry.read('own', [claimOf('urgent-1', ['job-2.0.0.0'])], 300);
+	t.deepEqual(commandsTo(evicting).toSorted(), ['evictTask job-2.0.0.0', 'startTask urgent-1']);
+});
+
+test('a failure that ends a job cancels its other tasks on the VM with the page that holds it', t => {
+	const {entry} = createLinkedEntry();
+	const failed = entry.read('own', [{
+		kind: 'task-ended', taskId: 'job-2.0.0.0', attempt: 1, agentIncarnation: 'agent-1', outcome: 'failed', reason: 'exit code 1',
+	}], 300);
+	t.deepEqual(commandsTo(failed), ['cancelTask job-2.0.0.1']);
+});
+
+test('a drain reaches an agent that was sent a configuration before', t => {
+	const {entry} = createLinkedEntry();
+	const drained = entry.read('own', [{
+		kind: 'plan-confirmed', plan: {
+			planId: 'plan-1', intent: {kind: 'drain-vm', vmId: 'vm-1'}, baseOffset: 6, touches: ['vm/vm-1'], summary: [], createdAtMs: 0, expiresAtMs: 60_000,
+		},
+	}], 300);
+	const configurations = drained.effects.flatMap(effect => effect.kind === 'send-to-agent' && effect.command.case === 'configuration' ? [effect.command.value] : []);
+	t.deepEqual(configurations.map(({vmDraining}) => vmDraining), [true]);
+});
--- a/src/entry/reduce-entry.ts
+++ b/src/entry/reduce-entry.ts
@@ -10,7 +10,9 @@
 import {type RequestEvent} from '../requests/request-event.js';
 import {reduceRequests} from '../requests/reduce-requests.js';
 import {type EntrySettings} from '../settings/entry-settings.js';
-import {linkOf, reduceAgentEvent, refreshLinks} from './reduce-agent-event.js';
+import {
+	advanceLinks, linkOf, reduceAgentEvent, refreshLinks,
+} from './reduce-agent-event.js';
 import {askDeferred, settleDeferred} from './deferred-answers.js';
 import {type EntryContext} from './entry-context.js';
 import {contextOf} from './context-of.js';
@@ -19,7 +21,7 @@
 import {type EntryState} from './entry-state.js';
 import {tickKeyExpiry} from './key-expiry.js';
 import {recordTimeline} from './record-timeline.js';
-import {touchedVmIds} from './touched-vms.js';
+import {touchedVms} from './touched-vms.js';
 
 /** A new state of the entry with the effects of the step. */
 export type EntryStep = Readonly<{state: EntryState; effects: readonly EntryEffect[]}>;
@@ -111,7 +113,6 @@
 	for (const record of event.records) {
 		cluster = applyRecord(cluster, record);
 	}
-
 	const log = {
 		tailConfirmedSentAtMs: event.reachedTail
 			? Math.max(state.log.tailConfirmedSentAtMs, event.readSentAtMs)
@@ -130,7 +131,12 @@
 		effects: recordTimeline(event.records, before, cluster, state.incarnation),
 	};
 	if (event.records.length > 0) {
-		step = continueWith(step, refreshLinks(step.state, touchedVmIds(recordsForAgents(event.records), before, cluster), inputs, settings));
+		const touched = touchedVms(recordsForAgents(event.records), {before, after: cluster}, state.incarnation);
+		if (touched.refreshed?.size !== 0) {
+			step = continueWith(step, refreshLinks(step.state, touched.refreshed, inputs, settings));
+		}
+
+		step = continueWith(step, advanceLinks(step.state, touched.claimed, inputs, settings));
 		step = continueWith(step, settleAnswers(step.state, inputs, settings));
 		step = continueWithRequest(step, {kind: 'cluster-advanced', readBackKeyHashes: ownKeyHashes(event, state.incarnation)}, inputs, settings);
 		step = continueWith(step, place(step.state, inputs, settings));
