Place without a look at the whole queue for every task

Each page and each tick made every entry walk all queued tasks, also an entry that places none of them, and the owner scanned all VMs twice for each filling task that finds no room. The owners were hashed again for every page, because each record replaces the entries that the cache was keyed by.

- Owners are remembered while the members are the same, whatever their offsets are.
The number of remembered subjects is bounded.
- An entry that owns neither the oldest queued task nor the subject of any unfinished job looks no further.
It notes the silence of owners also for jobs that have no queued task at the moment.
- What finds no room in a pass is remembered by step and by what decides the room that a task finds; room only shrinks during a pass.
- Harm is computed once a pass for tasks alike, what is left of a job once for each of its states, and the search for a VM that could ever hold a task stops at the first one.

--- a/src/placement/feasibility.ts
+++ b/src/placement/feasibility.ts
@@ -1,7 +1,9 @@
 import {type ClusterState, type Task, type Vm} from '../cluster/cluster-state.js';
 import {lackingResources} from '../cluster/lacking-resources.js';
 import {stepOf} from '../cluster/workflow-progress.js';
-import {addResources, type Resources, subtractResources} from '../cluster/resources.js';
+import {
+	addResources, fitsInto, type Resources, subtractResources,
+} from '../cluster/resources.js';
 
 /**
 Tells how much a VM has left when claims that are not in the log yet are counted too.
@@ -36,12 +38,19 @@
 export function lackingForever(task: Task, cluster: ClusterState): string | undefined {
 	// An expired VM may come back, so only what no known VM could hold is given up.
 	const run = cluster.workflows.get(task.jobId);
+	const label = stepOf(cluster, task)?.requiredLabel;
+	const isHolder = (vm: Vm) => (run === undefined || vm.service === run.workflow.service)
+		&& (label === undefined || vm.labels.includes(label))
+		&& fitsInto(task.spec.demand, vm.capacity);
+	if (cluster.vms.some(vm => isHolder(vm))) {
+		return undefined;
+	}
+
 	const vms = run ? cluster.vms.filter(vm => vm.service === run.workflow.service) : cluster.vms;
 	if (vms.isEmpty()) {
 		return undefined;
 	}
 
-	const label = stepOf(cluster, task)?.requiredLabel;
 	const labelled = label === undefined ? vms : vms.filter(vm => vm.labels.includes(label));
 	return labelled.isEmpty() ? `needs label ${label ?? ''}, which no VM has` : lackingResources(labelled.values(), task.spec.demand);
 }
--- a/src/placement/place-queued-tasks.test.ts
+++ b/src/placement/place-queued-tasks.test.ts
@@ -154,3 +154,51 @@
 	t.is(chosen('lookup'), 'vm-2');
 	t.is(chosen('watch'), 'vm-1');
 });
+
+// What is remembered of a step that found no room must not hold for a step that finds it elsewhere.
+test('a job that waits for idle processors does not keep one that has waited long from its first task', t => {
+	const context = crowdedContext(60_000);
+	const {cluster} = context;
+	const late = cluster.workflows.get('late')!;
+	const early = {
+		...late,
+		owner: {...late.owner, jobId: 'early'},
+		workflow: {...late.workflow, objective: {submittedAtMs: 60_000, stretchMilli: 2000, slackMs: 1000}},
+	};
+	const waiting = [0, 1].map(index => {
+		const task = cluster.tasks.get(`late.0.0.${index}`)!;
+		return {...task, jobId: 'early', spec: {...task.spec, taskId: `early.0.0.${index}`}};
+	});
+	const queued = cluster.queued.get(taskFixture.priority)!.mapKeys(key => key.replace('late', 'early')).merge(cluster.queued.get(taskFixture.priority)!);
+	const step = placeQueuedTasks(initialPlacement, {
+		...context,
+		cluster: {
+			...cluster,
+			workflows: cluster.workflows.set('early', early),
+			jobs: cluster.jobs.set('early', waiting.map(each => each.spec.taskId)),
+			tasks: cluster.tasks.merge(waiting.map((each): [string, Task] => [each.spec.taskId, each])),
+			queued: cluster.queued.set(taskFixture.priority, queued),
+		},
+	});
+	t.deepEqual(step.effects.map(effect => effect.kind === 'append-record' && effect.record.kind === 'task-claimed' ? effect.record.taskId : ''), ['late.0.0.0']);
+});
+
+test('a task of another service is placed by its owner behind the tasks of an entry that lives', t => {
+	const context = contextAt(0, 1);
+	const {cluster} = context;
+	const own = Array.from({length: 50}, (_, index) => `job-${index}`).find(jobId => ownerByRendezvous(['i1', 'i2'], jobId) === other)!;
+	const task: Task = {
+		...taskFixture, jobId: own, spec: {...taskFixture.spec, taskId: 'task-own'}, phase: 'queued', claim: undefined,
+	};
+	const step = placeQueuedTasks(initialPlacement, {
+		...context,
+		cluster: {
+			...cluster,
+			jobs: immutableMap([[taskFixture.jobId, [taskId]], [own, ['task-own']]]),
+			unfinishedTasksByJob: immutableMap([[taskFixture.jobId, 1], [own, 1]]),
+			tasks: cluster.tasks.set('task-own', task),
+			queued: cluster.queued.update(taskFixture.priority, orderedMap<string, true>(), tasks => tasks.set('task-own', true)),
+		},
+	});
+	t.deepEqual(step.effects.map(effect => effect.kind === 'append-record' && effect.record.kind === 'task-claimed' ? effect.record.taskId : ''), ['task-own']);
+});
--- a/src/placement/place-queued-tasks.ts
+++ b/src/placement/place-queued-tasks.ts
@@ -8,6 +8,7 @@
 	addResources, fitsInto, noResources, type Resources,
 } from '../cluster/resources.js';
 import {isAllowedOn} from '../cluster/step-constraints.js';
+import {stepKeyOf} from '../cluster/workflow.js';
 import {stepOf} from '../cluster/workflow-progress.js';
 import {type ControlEffect, type Step} from '../entry/control-effect.js';
 import {type EntryContext, isLogFresh} from '../entry/entry-context.js';
@@ -19,11 +20,14 @@
 	addPendingClaim, noPendingClaims, type PendingClaims, settlePendingClaims, siblingsKeyOf,
 } from './pending-claims.js';
 import {placementPolicies} from './placement-policies.js';
-import {placementOwnerOf, placementSubjectOf} from './placement-owner.js';
+import {placementOwnerOf, placementSubjectOf, unfinishedSubjects} from './placement-owner.js';
 import {orderQueue} from './queue-order.js';
 import {chooseVictims} from './choose-victims.js';
 import {noVmHistory, type VmHistory} from './observe-usage.js';
-import {harmOfPlacement, type InterferenceEstimates, noInterferenceEstimates} from './interference-estimates.js';
+import {
+	type ExpectedHarm, harmOfPlacement, type InterferenceEstimates, noInterferenceEstimates,
+} from './interference-estimates.js';
+import {taskKindName} from './work-kind.js';
 
 /** What placement keeps between two passes; lost with the process without harm. */
 export type PlacementState = Readonly<{
@@ -49,9 +53,17 @@
 
 type Pass = {
 	readonly context: EntryContext;
-	readonly vms: readonly Vm[];
+	vms: readonly Vm[];
 	/** Demands that found no room in this pass: a larger one finds none either. */
 	readonly withoutRoom: Resources[];
+	/** Steps that found no room in this pass: their other tasks find none either, since room only shrinks during a pass. */
+	readonly stepsWithoutRoom: Set<string>;
+	/** What several jobs have in common when one finds room exactly where the other does, for those that found none in this pass. */
+	readonly needsWithoutRoom: Set<string>;
+	/** Whether it is this entry's turn to place a subject. */
+	readonly turns: Map<string, boolean>;
+	/** Harm of placing a task by what it depends on beside the VM, and then by VM. */
+	readonly harms: Map<string, Map<string, ExpectedHarm>>;
 	readonly claims: ControlEffect[];
 	state: PlacementState;
 };
@@ -74,11 +86,20 @@
 
 	const pass: Pass = {
 		context,
-		vms: [...context.cluster.vms.values()].filter(vm => takesNewTasks(vm, context.cluster)),
+		vms: [],
 		withoutRoom: [],
+		stepsWithoutRoom: new Set(),
+		needsWithoutRoom: new Set(),
+		turns: new Map(),
+		harms: new Map(),
 		claims: [],
 		state: settled,
 	};
+	if (!mayHaveTurn(pass)) {
+		return {state: pass.state, effects: []};
+	}
+
+	pass.vms = [...context.cluster.vms.values()].filter(vm => takesNewTasks(vm, context.cluster));
 	for (const priority of classesInTurn(context.seed, context.cluster.configuration.requestLimits.floorMilliByClass)) {
 		placeClass(pass, priority);
 	}
@@ -95,7 +116,7 @@
 
 	const own = [...cluster.queued.get(priority)?.keys() ?? []].filter(taskId => {
 		const task = cluster.tasks.get(taskId);
-		return task && !pass.state.pending.byTask.has(taskId) && isOwnTurn(pass, task);
+		return task && !pass.state.pending.byTask.has(taskId) && isOwnTurn(pass, placementSubjectOf(task, cluster));
 	});
 	// Every class may place its share, so that a flood of one leaves the others their turn.
 	for (const taskId of orderQueue(own, cluster, pass.context.wallTimeMs).slice(0, maxScannedTasks)) {
@@ -107,9 +128,40 @@
 	}
 }
 
-function isOwnTurn(pass: Pass, task: Task): boolean {
+/** Tells whether any queued task may be this entry's to place, without a look at all of them. */
+function mayHaveTurn(pass: Pass): boolean {
+	const {cluster} = pass.context;
+	for (const taskIds of cluster.queued.values()) {
+		const oldestId: string | undefined = taskIds.keySeq().first();
+		const oldest = oldestId === undefined ? undefined : cluster.tasks.get(oldestId);
+		if (oldest && isOwnTurn(pass, placementSubjectOf(oldest, cluster))) {
+			return true;
+		}
+	}
+
+	// All subjects are looked at, so that the silence of each owner is noted.
+	let hasTurn = false;
+	for (const subject of unfinishedSubjects(cluster)) {
+		hasTurn = isOwnTurn(pass, subject) || hasTurn;
+	}
+
+	return hasTurn;
+}
+
+function isOwnTurn(pass: Pass, subject: string): boolean {
+	const known = pass.turns.get(subject);
+	if (known !== undefined) {
+		return known;
+	}
+
+	const isOwn = decideTurn(pass, subject);
+	pass.turns.set(subject, isOwn);
+	return isOwn;
+}
+
+function decideTurn(pass: Pass, subject: string): boolean {
 	const {cluster, settings, incarnation, nowMs} = pass.context;
-	const owner = placementOwnerOf(placementSubjectOf(task, cluster), cluster);
+	const owner = placementOwnerOf(subject, cluster);
 	if (owner === undefined || owner === incarnation) {
 		return true;
 	}
@@ -132,6 +184,16 @@
 		return;
 	}
 
+	const stepName = stepNameOf(task);
+	if (stepName !== undefined && pass.stepsWithoutRoom.has(stepName)) {
+		return;
+	}
+
+	const needs = needsOf(pass, task);
+	if (pass.needsWithoutRoom.has(needs)) {
+		return;
+	}
+
 	const lacks = lackingForever(task, cluster);
 	if (lacks !== undefined) {
 		pass.claims.push({kind: 'append-record', record: {kind: 'task-unplaceable', taskId, lacks}});
@@ -161,6 +223,11 @@
 		},
 	);
 	if (!choice) {
+		pass.needsWithoutRoom.add(needs);
+		if (stepName !== undefined) {
+			pass.stepsWithoutRoom.add(stepName);
+		}
+
 		// A task that its step keeps off VMs says nothing about the room that other tasks find.
 		if (!isConstrained(cluster, task) && fillingDemandMilli(task, cluster) === 0) {
 			pass.withoutRoom.push(demand);
@@ -192,6 +259,24 @@
 	};
 }
 
+/** Names the step of one occurrence that a task belongs to; undefined for a task without a workflow. */
+function stepNameOf({jobId, position}: Task): string | undefined {
+	return position && `${jobId}/${stepKeyOf(position)}`;
+}
+
+/** Names everything that decides where a task finds room, beside the VMs and the claims under way. */
+function needsOf(pass: Pass, task: Task): string {
+	const {cluster} = pass.context;
+	const {processorsMilli, memoryMb, accelerators} = task.spec.demand;
+	const step = stepOf(cluster, task);
+	const service = cluster.workflows.get(task.jobId)?.workflow.service;
+	// A limit for one VM counts the tasks of one step.
+	const limited = step?.maxTasksPerVm === undefined ? undefined : stepNameOf(task);
+	return JSON.stringify([
+		task.workClass, task.priority, processorsMilli, memoryMb, accelerators, needsIdleMilliOf(pass, task), service, step?.requiredLabel, limited,
+	]);
+}
+
 function isConstrained(cluster: ClusterState, task: Task): boolean {
 	const step = stepOf(cluster, task);
 	return step?.requiredLabel !== undefined || step?.maxTasksPerVm !== undefined;
@@ -199,7 +284,9 @@
 
 /** Tells whether a task's step allows it on a VM, claims under way included. */
 function isAllowed(pass: Pass, task: Task, vm: Vm): boolean {
-	return isAllowedOn(pass.context.cluster, task, vm, pass.state.pending.siblings.get(siblingsKeyOf(task, vm.vmId), 0));
+	const {cluster} = pass.context;
+	const isLimited = stepOf(cluster, task)?.maxTasksPerVm !== undefined;
+	return isAllowedOn(cluster, task, vm, isLimited ? pass.state.pending.siblings.get(siblingsKeyOf(task, vm.vmId), 0) : 0);
 }
 
 function exceedsQuota(pass: Pass, task: Task): boolean {
@@ -219,7 +306,7 @@
 	const {cluster} = pass.context;
 	const found: FeasibleVm[] = [];
 	const fillingMilli = fillingDemandMilli(task, cluster);
-	const needsIdleMilli = fillingMilli > 0 && !isStarved(pass, task) ? fillingMilli : 0;
+	const needsIdleMilli = needsIdleMilliOf(pass, task);
 	for (const vm of vms) {
 		const room = roomOf(vm, pass.state.pending.committedByVm.get(vm.vmId, noResources));
 		const offered = fillingMilli === 0 ? room : {...room, processorsMilli: idleMilliOf(pass, vm, room)};
@@ -232,6 +319,12 @@
 	return withSiblings(found, task, cluster);
 }
 
+/** Idle processors that a VM must have for a task. */
+function needsIdleMilliOf(pass: Pass, task: Task): number {
+	const fillingMilli = fillingDemandMilli(task, pass.context.cluster);
+	return fillingMilli > 0 && !isStarved(pass, task) ? fillingMilli : 0;
+}
+
 /** Time after which a job with nothing running starts its first task beside others; the longest chains take about as long. */
 const starvedAfterMs = 10_000;
 
@@ -283,7 +376,7 @@
 
 function toCandidate(pass: Pass, task: Task, vm: Vm, facts: Readonly<{room: Resources; evictions: number}>): PlacementCandidate {
 	const {cluster} = pass.context;
-	const harm = harmOfPlacement(pass.state.interference, task, vm, cluster);
+	const harm = harmOn(pass, task, vm);
 	const step = stepOf(cluster, task);
 	return {
 		vmId: vm.vmId,
@@ -300,6 +393,16 @@
 	};
 }
 
+/** The expected harm on a VM, computed once in a pass for all tasks alike. */
+function harmOn(pass: Pass, task: Task, vm: Vm): ExpectedHarm {
+	const kind = `${taskKindName(task)} ${task.workClass} ${task.spec.demand.processorsMilli}`;
+	const byVm = pass.harms.get(kind) ?? new Map<string, ExpectedHarm>();
+	pass.harms.set(kind, byVm);
+	const harm = byVm.get(vm.vmId) ?? harmOfPlacement(pass.state.interference, task, vm, pass.context.cluster);
+	byVm.set(vm.vmId, harm);
+	return harm;
+}
+
 function withSiblings(found: readonly FeasibleVm[], task: Task, cluster: ClusterState): readonly FeasibleVm[] {
 	if (task.workClass === 'batch') {
 		return found;
--- a/src/placement/placement-owner.ts
+++ b/src/placement/placement-owner.ts
@@ -9,11 +9,37 @@
 placementSubjectOf(task, cluster); // => 'loaf-orders'
 */
 export function placementSubjectOf(task: Task, cluster: ClusterState): string {
-	return cluster.workflows.get(task.jobId)?.workflow.service ?? task.jobId;
+	return subjectOfJob(task.jobId, cluster);
 }
 
-// Keyed by the entries, which change seldom.
-const ownersByEntries = new WeakMap<ClusterState['entries'], Map<string, string | undefined>>();
+function subjectOfJob(jobId: string, cluster: ClusterState): string {
+	return cluster.workflows.get(jobId)?.workflow.service ?? jobId;
+}
+
+/** Owners that are remembered; without services every job is a subject of its own. */
+const maxRememberedOwners = 4096;
+
+type Owners = Readonly<{incarnations: ReadonlySet<string>; bySubject: Map<string, string | undefined>}>;
+
+// Every record replaces the entries, whose members change seldom; owners depend on the members alone.
+const ownersByEntries = new WeakMap<ClusterState['entries'], Owners>();
+let newestOwners: Owners = {incarnations: new Set(), bySubject: new Map()};
+
+function ownersAmong(entries: ClusterState['entries']): Owners {
+	const known = ownersByEntries.get(entries);
+	if (known) {
+		return known;
+	}
+
+	const {incarnations} = newestOwners;
+	const hasSameMembers = incarnations.size === entries.size && [...incarnations].every(incarnation => entries.has(incarnation));
+	if (!hasSameMembers) {
+		newestOwners = {incarnations: new Set(entries.keys()), bySubject: new Map()};
+	}
+
+	ownersByEntries.set(entries, newestOwners);
+	return newestOwners;
+}
 
 /**
 Names the incarnation of the entry that places a subject; undefined without entries.
@@ -22,13 +48,40 @@
 placementOwnerOf('loaf-orders', cluster); // => 'a81f…'
 */
 export function placementOwnerOf(subject: string, {entries}: ClusterState): string | undefined {
-	const owners = ownersByEntries.get(entries) ?? new Map<string, string | undefined>();
-	ownersByEntries.set(entries, owners);
-	if (!owners.has(subject)) {
-		owners.set(subject, ownerByRendezvous(entries.keys(), subject));
+	const {bySubject} = ownersAmong(entries);
+	if (!bySubject.has(subject)) {
+		if (bySubject.size >= maxRememberedOwners) {
+			bySubject.clear();
+		}
+
+		bySubject.set(subject, ownerByRendezvous(entries.keys(), subject));
+	}
+
+	return bySubject.get(subject);
+}
+
+// Keyed by the jobs, which are replaced when a job comes, goes or gets more tasks.
+const subjectsByJobs = new WeakMap<ClusterState['jobs'], ReadonlySet<string>>();
+
+/**
+Lists the subjects of all unfinished jobs.
+
+@example
+unfinishedSubjects(cluster); // => new Set(['loaf-orders'])
+*/
+export function unfinishedSubjects(cluster: ClusterState): ReadonlySet<string> {
+	const known = subjectsByJobs.get(cluster.jobs);
+	if (known) {
+		return known;
+	}
+
+	const subjects = new Set<string>();
+	for (const jobId of cluster.unfinishedTasksByJob.keys()) {
+		subjects.add(subjectOfJob(jobId, cluster));
 	}
 
-	return owners.get(subject);
+	subjectsByJobs.set(cluster.jobs, subjects);
+	return subjects;
 }
 
 /**
--- a/src/placement/queue-order.ts
+++ b/src/placement/queue-order.ts
@@ -15,11 +15,22 @@
 /** Processors that a task without any, such as one that only needs memory, counts with. */
 const leastProcessorsMilli = 1;
 
-function rankOf(run: WorkflowRun, submittedOffset: number, wallTimeMs: number): JobRank {
+/** What is left of a job, and the longest chains of declared run times of the whole job and of what is left of it. */
+type WorkLeft = Readonly<{workLeft: number; wholeMs: number; leftMs: number}>;
+
+// Keyed by the run, which is replaced whenever one of its tasks finishes.
+const workLeftByRun = new WeakMap<WorkflowRun, WorkLeft>();
+
+function workLeftOf(run: WorkflowRun): WorkLeft {
+	const known = workLeftByRun.get(run);
+	if (known) {
+		return known;
+	}
+
 	const {workflow, unfinishedByStep, madeOccurrences} = run;
 	const occurrence = Math.max(0, madeOccurrences - 1);
 	let workLeft = 0;
-	/** Longest chain of declared run times that ends with each step: of the whole job and of what is left of it. */
+	/** The longest chains that end with each step. */
 	const chains: Array<Readonly<{wholeMs: number; leftMs: number}>> = [];
 	for (const [stepIndex, step] of workflow.steps.entries()) {
 		const unfinished = unfinishedByStep.get(stepKeyOf({occurrence, stepIndex})) ?? 0;
@@ -31,14 +42,23 @@
 		});
 	}
 
-	const {objective} = workflow;
+	const left: WorkLeft = {
+		workLeft,
+		wholeMs: Math.max(...chains.map(({wholeMs}) => wholeMs)),
+		leftMs: Math.max(...chains.map(({leftMs}) => leftMs)),
+	};
+	workLeftByRun.set(run, left);
+	return left;
+}
+
+function rankOf(run: WorkflowRun, submittedOffset: number, wallTimeMs: number): JobRank {
+	const {objective} = run.workflow;
 	if (!objective) {
 		return {lateness: 0, workLeft: 0, submittedOffset};
 	}
 
-	const chainMs = Math.max(...chains.map(({wholeMs}) => wholeMs));
-	const leftMs = Math.max(...chains.map(({leftMs: each}) => each));
-	const allowedMs = (chainMs * objective.stretchMilli / 1000) + objective.slackMs;
+	const {workLeft, wholeMs, leftMs} = workLeftOf(run);
+	const allowedMs = (wholeMs * objective.stretchMilli / 1000) + objective.slackMs;
 	const expectedMs = wallTimeMs - objective.submittedAtMs + leftMs;
 	const lateness = expectedMs <= allowedMs ? 0 : (expectedMs <= lateFactor * allowedMs ? 1 : 2);
 	return {lateness, workLeft, submittedOffset};
