Store the records of task starts as tuples

The log now holds these three kinds as tuples; the usual reason is stored as its number of feasible VMs. What replay and explain read of a decision is kept in full, so replay works out the same choice. A value that is not valid is skipped with the same error as before. An older version skips the new form: the entries have to be replaced together, or quickly one after the other while nothing is placed.

--- a/src/cluster/intent.ts
+++ b/src/cluster/intent.ts
@@ -3,7 +3,10 @@
 import {findInvalidDependency, workflowSchema} from './workflow.js';
 
 /** Names of services, jobs, teams, VMs and other entities: what fits into a URL path segment unescaped. */
-export const nameSchema = z.string().regex(/^[\w.:\-]{1,128}$/v, 'use 1 to 128 letters, digits, dots, colons, hyphens or underscores');
+export const namePattern = /^[\w.:\-]{1,128}$/v;
+
+/** A name; see {@link namePattern}. */
+export const nameSchema = z.string().regex(namePattern, 'use 1 to 128 letters, digits, dots, colons, hyphens or underscores');
 
 /** The classes that share the fleet; each keeps its floor in a flood of the others. */
 export const priorityClassSchema = z.enum(['urgent', 'normal', 'background']);
--- a/src/entry/operator-backend.ts
+++ b/src/entry/operator-backend.ts
@@ -5,7 +5,7 @@
 import {encodeClusterState} from '../cluster/cluster-state-codec.js';
 import {type Intent, type Plan} from '../cluster/intent.js';
 import {type TypedError} from '../errors/typed-error.js';
-import {logEnvelopeSchema} from '../log/log-envelope.js';
+import {decodeLogValue} from '../log/log-value.js';
 import {type LogService, type StreamValue} from '../log/log-service.js';
 import {type RecordsPage} from '../operator/operator-api.js';
 import {type SnapshotStore} from '../log/snapshot-store.js';
@@ -89,15 +89,7 @@
 
 /** A value that is no record is skipped, as readers of the log skip it. */
 function readRecord({offset, value}: StreamValue): RecordsPage['records'] {
-	let content: unknown;
-	try {
-		content = JSON.parse(value);
-	} catch {
-		return [];
-	}
-
-	const envelope = logEnvelopeSchema.safeParse(content);
-	return envelope.success ? [{offset, envelope: envelope.data}] : [];
+	return decodeLogValue(value).match({Ok: envelope => [{offset, envelope}], Err: () => []});
 }
 
 const agentTimelineSchema = z.object({events: z.array(timelineEventSchema)});
--- a/src/log/log-reader.ts
+++ b/src/log/log-reader.ts
@@ -2,7 +2,8 @@
 import {type TypedError} from '../errors/typed-error.js';
 import {backoffMs} from './backoff.js';
 import {systemClock, type Clock} from './clock.js';
-import {logEnvelopeSchema, type LoggedRecord} from './log-envelope.js';
+import {type LoggedRecord} from './log-envelope.js';
+import {decodeLogValue} from './log-value.js';
 import {
 	type LogError, type LogService, type StreamPage, type StreamValue,
 } from './log-service.js';
@@ -55,15 +56,13 @@
 type Waiter = (result: Result<TailConfirmation, LogReaderError>) => void;
 
 function parse({offset, value}: StreamValue): Result<LoggedRecord, LogReaderError> {
-	try {
-		return ok({offset, envelope: logEnvelopeSchema.parse(JSON.parse(value))});
-	} catch (error) {
-		return err({
+	return decodeLogValue(value)
+		.map(envelope => ({offset, envelope}))
+		.mapErr(reason => ({
 			kind: 'log-record-unreadable',
-			message: `the value at offset ${offset} is no record that this version knows: ${String(error).slice(0, 300)}`,
+			message: `the value at offset ${offset} is no record that this version knows: ${reason.slice(0, 300)}`,
 			remedy: 'check which program and version wrote it; it is skipped',
-		});
-	}
+		}));
 }
 
 /**
--- a/src/log/log-writer.ts
+++ b/src/log/log-writer.ts
@@ -5,6 +5,7 @@
 import {backoffMs} from './backoff.js';
 import {systemClock, type Clock} from './clock.js';
 import {type LogEnvelope} from './log-envelope.js';
+import {encodeLogValue} from './log-value.js';
 import {type LogError, type LogService} from './log-service.js';
 
 export type LogWriterError = TypedError<'log-writer-full' | 'log-writer-closed'>;
@@ -99,7 +100,7 @@
 		waiting = waiting.slice(batch.length);
 		if (batch.length > 0 && !abandoned.signal.aborted) {
 			inFlightCount = batch.length;
-			await appendBatch(batch.map(envelope => JSON.stringify(envelope)));
+			await appendBatch(batch.map(envelope => encodeLogValue(envelope)));
 			inFlightCount = 0;
 			queueFlush();
 		}
--- a/src/placement/choose-vm.ts
+++ b/src/placement/choose-vm.ts
@@ -1,5 +1,6 @@
 import {type PlacementDecision, type ScoreInputs} from '../cluster/cluster-record.js';
 import {type Weights} from '../cluster/intent.js';
+import {placementReason} from '../cluster/placement-reason.js';
 import {type Resources} from '../cluster/resources.js';
 import {type PlacementPolicyName} from './placement-policy-name.js';
 
@@ -84,7 +85,7 @@
 				room: entry.candidate.room,
 				inputs: packInputs(entry.candidate),
 			})),
-			reason: `best score of ${candidates.length} feasible VMs among ${inputs.consideredVms} considered`,
+			reason: placementReason(candidates.length, inputs.consideredVms),
 		},
 	};
 }
