Build no collection that a pass does not need

What remained in the profile of the synthetic load: the oldest finished job was searched on each end of a job and used only beyond the limit of 5,000; the owners seen, the append guard and the claims that came due were filtered into new maps on every pass or tick; claims without filling work were counted as 0 for their VM; and the step of a task was looked up up to five times for every VM that was scored.

--- a/src/cluster/workflow-progress.ts
+++ b/src/cluster/workflow-progress.ts
@@ -174,13 +174,13 @@
 	const finishedWorkflows = state.finishedWorkflows.set(jobId, {
 		queue: run.workflow.queue, phase: run.phase === 'failed' || run.phase === 'cancelled' ? run.phase : 'completed',
 	});
-	const oldest: string | undefined = finishedWorkflows.keySeq().first();
+	const oldest: string | undefined = finishedWorkflows.size > MAX_FINISHED_WORKFLOWS ? finishedWorkflows.keySeq().first() : undefined;
 	return forgetEntity({
 		...state,
 		tasks,
 		jobs: state.jobs.delete(jobId),
 		workflows: state.workflows.delete(jobId),
-		finishedWorkflows: finishedWorkflows.size > MAX_FINISHED_WORKFLOWS && oldest !== undefined ? finishedWorkflows.delete(oldest) : finishedWorkflows,
+		finishedWorkflows: oldest === undefined ? finishedWorkflows : finishedWorkflows.delete(oldest),
 	}, entityName('job', jobId));
 }
 
--- a/src/entry/append-guard.ts
+++ b/src/entry/append-guard.ts
@@ -27,5 +27,5 @@
 pruneAppendGuard(guard, 20_000);
 */
 export function pruneAppendGuard(guard: AppendGuard, nowMs: number): AppendGuard {
-	return guard.filter(appendedAtMs => nowMs - appendedAtMs < repeatAfterMs);
+	return guard.isEmpty() ? guard : guard.filter(appendedAtMs => nowMs - appendedAtMs < repeatAfterMs);
 }
--- a/src/entry/reduce-entry.ts
+++ b/src/entry/reduce-entry.ts
@@ -184,7 +184,13 @@
 	const failureBlame = tickFailureBlame(state.failureBlame, context);
 	const keyExpiry = tickKeyExpiry(state.keyExpiry, context);
 	const snapshot = tickSnapshot(state, context);
-	const dueClaims = state.claimReadAtMs.filter(readAtMs => inputs.nowMs - readAtMs >= settings.timings.commandTakeoverMs);
+	const dueClaims: string[] = [];
+	for (const [key, readAtMs] of state.claimReadAtMs) {
+		if (inputs.nowMs - readAtMs >= settings.timings.commandTakeoverMs) {
+			dueClaims.push(key);
+		}
+	}
+
 	const next: EntryStep = {
 		state: {
 			...state,
@@ -193,12 +199,12 @@
 			failureBlame: failureBlame.state,
 			keyExpiry: keyExpiry.state,
 			snapshot: snapshot.state,
-			claimReadAtMs: state.claimReadAtMs.deleteAll(dueClaims.keys()),
+			claimReadAtMs: state.claimReadAtMs.deleteAll(dueClaims),
 		},
 		effects: [...entryLiveness.effects, ...vmLiveness.effects, ...failureBlame.effects, ...keyExpiry.effects, ...snapshot.effects],
 	};
 	// Everything else that depends on time alone is sent with the answer to a heartbeat, once a second.
-	const refreshed = continueWith(next, refreshLinks(next.state, vmIdsOfClaims(dueClaims.keys(), state.cluster), inputs, settings));
+	const refreshed = continueWith(next, refreshLinks(next.state, vmIdsOfClaims(dueClaims, state.cluster), inputs, settings));
 	return continueWith(refreshed, settleAnswers(refreshed.state, inputs, settings));
 }
 
--- a/src/placement/pending-claims.ts
+++ b/src/placement/pending-claims.ts
@@ -48,7 +48,7 @@
 		byTask: pending.byTask.set(taskId, claim),
 		committedByVm: pending.committedByVm.update(claim.vmId, noResources, sum => addResources(sum, claim.committed)),
 		siblings: pending.siblings.update(claim.siblingsKey, 0, count => count + 1),
-		fillingByVm: pending.fillingByVm.update(claim.vmId, 0, sum => sum + claim.fillingMilli),
+		fillingByVm: claim.fillingMilli === 0 ? pending.fillingByVm : pending.fillingByVm.update(claim.vmId, 0, sum => sum + claim.fillingMilli),
 	};
 }
 
@@ -67,8 +67,11 @@
 			byTask = byTask.delete(taskId);
 			const left = subtractResources(committedByVm.get(claim.vmId, noResources), claim.committed);
 			committedByVm = isEmpty(left) ? committedByVm.delete(claim.vmId) : committedByVm.set(claim.vmId, left);
-			const filling = fillingByVm.get(claim.vmId, 0) - claim.fillingMilli;
-			fillingByVm = filling === 0 ? fillingByVm.delete(claim.vmId) : fillingByVm.set(claim.vmId, filling);
+			if (claim.fillingMilli !== 0) {
+				const filling = fillingByVm.get(claim.vmId, 0) - claim.fillingMilli;
+				fillingByVm = filling === 0 ? fillingByVm.delete(claim.vmId) : fillingByVm.set(claim.vmId, filling);
+			}
+
 			const count = siblings.get(claim.siblingsKey, 1) - 1;
 			siblings = count === 0 ? siblings.delete(claim.siblingsKey) : siblings.set(claim.siblingsKey, count);
 		}
--- a/src/placement/place-queued-tasks.ts
+++ b/src/placement/place-queued-tasks.ts
@@ -8,7 +8,7 @@
 	addResources, fitsInto, noResources, type Resources,
 } from '../cluster/resources.js';
 import {isAllowedOn} from '../cluster/step-constraints.js';
-import {stepKeyOf} from '../cluster/workflow.js';
+import {type Step as WorkflowStep, stepKeyOf} from '../cluster/workflow.js';
 import {stepOf} from '../cluster/workflow-progress.js';
 import {type ControlEffect, type Step} from '../entry/control-effect.js';
 import {type EntryContext, isLogFresh} from '../entry/entry-context.js';
@@ -78,7 +78,7 @@
 	const settled: PlacementState = {
 		...state,
 		pending: settlePendingClaims(state.pending, context.cluster, context.nowMs),
-		ownersSeen: state.ownersSeen.filter((_seen, incarnation) => context.cluster.entries.has(incarnation)),
+		ownersSeen: withoutEnded(state.ownersSeen, context.cluster),
 	};
 	if (!isLogFresh(context) || context.cluster.queued.every(tasks => tasks.isEmpty())) {
 		return {state: settled, effects: []};
@@ -107,6 +107,12 @@
 	return {state: pass.state, effects: pass.claims};
 }
 
+function withoutEnded(ownersSeen: PlacementState['ownersSeen'], {entries}: ClusterState): PlacementState['ownersSeen'] {
+	return ownersSeen.every((_seen, incarnation) => entries.has(incarnation))
+		? ownersSeen
+		: ownersSeen.filter((_seen, incarnation) => entries.has(incarnation));
+}
+
 function placeClass(pass: Pass, priority: PriorityClass): void {
 	const {cluster} = pass.context;
 	if (priority === 'urgent') {
@@ -283,10 +289,9 @@
 }
 
 /** Tells whether a task's step allows it on a VM, claims under way included. */
-function isAllowed(pass: Pass, task: Task, vm: Vm): boolean {
-	const {cluster} = pass.context;
-	const isLimited = stepOf(cluster, task)?.maxTasksPerVm !== undefined;
-	return isAllowedOn(cluster, task, vm, isLimited ? pass.state.pending.siblings.get(siblingsKeyOf(task, vm.vmId), 0) : 0);
+function isAllowed(pass: Pass, task: Task, step: WorkflowStep | undefined, vm: Vm): boolean {
+	const pendingSiblings = step?.maxTasksPerVm === undefined ? 0 : pass.state.pending.siblings.get(siblingsKeyOf(task, vm.vmId), 0);
+	return isAllowedOn(pass.context.cluster, task, vm, pendingSiblings);
 }
 
 function exceedsQuota(pass: Pass, task: Task): boolean {
@@ -307,11 +312,12 @@
 	const found: FeasibleVm[] = [];
 	const fillingMilli = fillingDemandMilli(task, cluster);
 	const needsIdleMilli = needsIdleMilliOf(pass, task);
+	const step = stepOf(cluster, task);
 	for (const vm of vms) {
 		const room = roomOf(vm, pass.state.pending.committedByVm.get(vm.vmId, noResources));
 		const offered = fillingMilli === 0 ? room : {...room, processorsMilli: idleMilliOf(pass, vm, room)};
-		if (fitsInto(task.spec.demand, room) && offered.processorsMilli >= needsIdleMilli && isAllowed(pass, task, vm)) {
-			found.push({vm, candidate: toCandidate(pass, task, vm, {room: offered, evictions: 0}), evictTaskIds: []});
+		if (fitsInto(task.spec.demand, room) && offered.processorsMilli >= needsIdleMilli && isAllowed(pass, task, step, vm)) {
+			found.push({vm, candidate: toCandidate(pass, task, vm, {room: offered, evictions: 0, step}), evictTaskIds: []});
 		}
 	}
 
@@ -354,10 +360,11 @@
 
 function candidatesWithEvictions(pass: Pass, task: Task): readonly FeasibleVm[] {
 	const {cluster} = pass.context;
+	const step = stepOf(cluster, task);
 	const found: FeasibleVm[] = [];
 	for (const vm of pass.vms.slice(0, sampledVmsForEviction)) {
 		// A VM with a claim under way is left alone: its victims may already be promised.
-		if (pass.state.pending.committedByVm.has(vm.vmId) || !isAllowed(pass, task, vm)) {
+		if (pass.state.pending.committedByVm.has(vm.vmId) || !isAllowed(pass, task, step, vm)) {
 			continue;
 		}
 
@@ -365,7 +372,7 @@
 		if (victims) {
 			found.push({
 				vm,
-				candidate: toCandidate(pass, task, vm, {room: victims.roomAfterEviction, evictions: victims.taskIds.length}),
+				candidate: toCandidate(pass, task, vm, {room: victims.roomAfterEviction, evictions: victims.taskIds.length, step}),
 				evictTaskIds: victims.taskIds,
 			});
 		}
@@ -374,16 +381,17 @@
 	return found;
 }
 
-function toCandidate(pass: Pass, task: Task, vm: Vm, facts: Readonly<{room: Resources; evictions: number}>): PlacementCandidate {
+function toCandidate(pass: Pass, task: Task, vm: Vm, facts: Readonly<{room: Resources; evictions: number; step: WorkflowStep | undefined}>): PlacementCandidate {
 	const {cluster} = pass.context;
-	const harm = harmOn(pass, task, vm);
-	const step = stepOf(cluster, task);
+	const {room, evictions, step} = facts;
+	const {serviceHarmMilli, batchHarmMilli} = harmOn(pass, task, vm);
 	return {
 		vmId: vm.vmId,
 		capacity: vm.capacity,
-		...facts,
-		...harm,
-		serviceHarmMilli: harm.serviceHarmMilli + pressOfPlacementMilli(pass.state.press, task, vm, cluster),
+		room,
+		evictions,
+		serviceHarmMilli: step?.fillsIdle ? serviceHarmMilli + pressOfPlacementMilli(pass.state.press, task, vm, cluster) : serviceHarmMilli,
+		batchHarmMilli,
 		// Serving tasks share few VMs, so that filling work finds others without them.
 		packs: step?.latencyTargetMs !== undefined,
 		siblingsInRack: 0,
