--- a/src/entry/log-failed-job.ts
+++ b/src/entry/log-failed-job.ts
@@ -9,7 +9,7 @@
 
 /**
 Logs `job-failed` when an own record is the one after which a job cannot complete any more, so that over all entries each failed
-job has one line. `before` and `after` are the states around this one record.
+job has one line. `before` and `after` are the states around the record, or around the page that holds it.
 
 @example
 logFailedJob(logged, before, after, incarnation); // => [{kind: 'log-event', event: 'job-failed', …}]
@@ -48,6 +48,29 @@
 	}];
 }
 
+/**
+Logs the jobs that own records of a page failed, each once.
+
+@example
+logFailedJobs(records, {before, after}, incarnation); // => [{kind: 'log-event', event: 'job-failed', …}]
+*/
+export function logFailedJobs(
+	records: readonly LoggedRecord[],
+	{before, after}: Readonly<{before: ClusterState; after: ClusterState}>,
+	incarnation: string,
+): readonly ControlEffect[] {
+	const effects = new Map<string, readonly ControlEffect[]>();
+	for (const record of records) {
+		const found = logFailedJob(record, before, after, incarnation);
+		const jobId = found.length > 0 && 'taskId' in record.envelope.record ? before.tasks.get(record.envelope.record.taskId)?.jobId : undefined;
+		if (jobId !== undefined && !effects.has(jobId)) {
+			effects.set(jobId, found);
+		}
+	}
+
+	return [...effects.values()].flat();
+}
+
 function reasonOf(record: ClusterRecord): string | undefined {
 	return record.kind === 'task-unplaceable' ? record.lacks : ('reason' in record ? record.reason : undefined);
 }
--- a/src/entry/reduce-entry.ts
+++ b/src/entry/reduce-entry.ts
@@ -1,6 +1,6 @@
 import {type ClusterState} from '../cluster/cluster-state.js';
-import {applyRecord} from '../cluster/reduce-cluster.js';
 import {rankEntries} from '../cluster/rank-entries.js';
+import {applyRecords} from '../cluster/reduce-cluster.js';
 import {BackendServerPhase} from '../generated/arbutushinge/v1/agent_pb.js';
 import {type LoggedRecord} from '../log/log-envelope.js';
 import {tickEntryLiveness, resetEntryObservation} from '../membership/entry-liveness.js';
@@ -10,7 +10,9 @@
 import {type RequestEvent} from '../requests/request-event.js';
 import {reduceRequests} from '../requests/reduce-requests.js';
 import {type EntrySettings} from '../settings/entry-settings.js';
-import {linkOf, reduceAgentEvent, refreshLinks} from './reduce-agent-event.js';
+import {
+	advanceLinks, linkOf, reduceAgentEvent, refreshLinks,
+} from './reduce-agent-event.js';
 import {askDeferred, settleDeferred} from './deferred-answers.js';
 import {type EntryContext} from './entry-context.js';
 import {contextOf} from './context-of.js';
@@ -18,9 +20,9 @@
 import {type EntryEvent, type EventInputs} from './entry-event.js';
 import {type EntryState} from './entry-state.js';
 import {tickKeyExpiry} from './key-expiry.js';
-import {logFailedJob} from './log-failed-job.js';
+import {logFailedJobs} from './log-failed-job.js';
 import {recordTimeline} from './record-timeline.js';
-import {touchedVmIds} from './touched-vms.js';
+import {touchedVms} from './touched-vms.js';
 
 /** A new state of the entry with the effects of the step. */
 export type EntryStep = Readonly<{state: EntryState; effects: readonly EntryEffect[]}>;
@@ -108,14 +110,7 @@
 	settings: EntrySettings,
 ): EntryStep {
 	const before = state.cluster;
-	let cluster: ClusterState = before;
-	const failedJobs: EntryEffect[] = [];
-	for (const record of event.records) {
-		const next = applyRecord(cluster, record);
-		failedJobs.push(...logFailedJob(record, cluster, next, state.incarnation));
-		cluster = next;
-	}
-
+	const cluster = applyRecords(before, event.records);
 	const log = {
 		tailConfirmedSentAtMs: event.reachedTail
 			? Math.max(state.log.tailConfirmedSentAtMs, event.readSentAtMs)
@@ -131,10 +126,15 @@
 			entryLiveness,
 			failureBlame: noteAttempts(state.failureBlame, event.records, before),
 		},
-		effects: [...recordTimeline(event.records, before, cluster, state.incarnation), ...failedJobs],
+		effects: [...recordTimeline(event.records, before, cluster, state.incarnation), ...logFailedJobs(event.records, {before, after: cluster}, state.incarnation)],
 	};
 	if (event.records.length > 0) {
-		step = continueWith(step, refreshLinks(step.state, touchedVmIds(recordsForAgents(event.records), before, cluster), inputs, settings));
+		const touched = touchedVms(recordsForAgents(event.records), {before, after: cluster}, state.incarnation);
+		if (touched.refreshed?.size !== 0) {
+			step = continueWith(step, refreshLinks(step.state, touched.refreshed, inputs, settings));
+		}
+
+		step = continueWith(step, advanceLinks(step.state, touched.claimed, inputs, settings));
 		step = continueWith(step, settleAnswers(step.state, inputs, settings));
 		step = continueWithRequest(step, {kind: 'cluster-advanced', readBackKeyHashes: ownKeyHashes(event, state.incarnation)}, inputs, settings);
 		step = continueWith(step, place(step.state, inputs, settings));
@@ -185,7 +185,13 @@
 	const failureBlame = tickFailureBlame(state.failureBlame, context);
 	const keyExpiry = tickKeyExpiry(state.keyExpiry, context);
 	const snapshot = tickSnapshot(state, context);
-	const dueClaims = state.claimReadAtMs.filter(readAtMs => inputs.nowMs - readAtMs >= settings.timings.commandTakeoverMs);
+	const dueClaims: string[] = [];
+	for (const [key, readAtMs] of state.claimReadAtMs) {
+		if (inputs.nowMs - readAtMs >= settings.timings.commandTakeoverMs) {
+			dueClaims.push(key);
+		}
+	}
+
 	const next: EntryStep = {
 		state: {
 			...state,
@@ -194,12 +200,12 @@
 			failureBlame: failureBlame.state,
 			keyExpiry: keyExpiry.state,
 			snapshot: snapshot.state,
-			claimReadAtMs: state.claimReadAtMs.deleteAll(dueClaims.keys()),
+			claimReadAtMs: state.claimReadAtMs.deleteAll(dueClaims),
 		},
 		effects: [...entryLiveness.effects, ...vmLiveness.effects, ...failureBlame.effects, ...keyExpiry.effects, ...snapshot.effects],
 	};
 	// Everything else that depends on time alone is sent with the answer to a heartbeat, once a second.
-	const refreshed = continueWith(next, refreshLinks(next.state, vmIdsOfClaims(dueClaims.keys(), state.cluster), inputs, settings));
+	const refreshed = continueWith(next, refreshLinks(next.state, vmIdsOfClaims(dueClaims, state.cluster), inputs, settings));
 	return continueWith(refreshed, settleAnswers(refreshed.state, inputs, settings));
 }
 
