Repeat a record only when the log was read and does not show it

Cause: an entry that had not read back a registration, an end or another record for 3 s by its own clock wrote it again, for each VM and each repeat of an agent. The more an entry was behind, the more it wrote.

Change: the 3 s count up to the sending of the newest read that reached the tail.

--- a/src/dispatch/task-event-relay.ts
+++ b/src/dispatch/task-event-relay.ts
@@ -18,7 +18,7 @@
 	[TaskOutcome.CANCELLED]: 'cancelled',
 };
 
-/** Time after which a repeated event whose record was not read back is written again; its writer may have been replaced. */
+/** A repeated event is written again when reads of the whole log did not show its record for this long; its writer may have been replaced. */
 const repeatAfterMs = 3000;
 
 /**
@@ -37,7 +37,7 @@
 	for (const event of events) {
 		const known = pendingTaskEvents.get(event.eventId);
 		const record = toRecord(event, link.agentIncarnation);
-		const isDue = known === undefined || context.nowMs - known.appendedAtMs >= repeatAfterMs;
+		const isDue = known === undefined || context.tailConfirmedSentAtMs - known.appendedAtMs >= repeatAfterMs;
 		const isAppended = isDue && record !== undefined && !(isReadAttempt(context.cluster, event) && isReflected(context.cluster, event, link));
 		pendingTaskEvents = pendingTaskEvents.set(event.eventId, {
 			event,
--- a/src/entry/append-guard.ts
+++ b/src/entry/append-guard.ts
@@ -6,18 +6,20 @@
 /** A guard that remembers nothing. */
 export const emptyAppendGuard: AppendGuard = Map<string, number>();
 
-/** Time after which a record that was not read back may be appended again; the writer itself resends lost appends. */
+/** A record may be appended again when reads of the whole log did not show it for this long; the writer itself resends lost appends. */
 const repeatAfterMs = 3000;
 
 /**
 Tells whether the subject's record may be appended now.
 
+@param readSentAtMs when the newest read that reached the log's tail was sent: the time in which an entry read nothing is no reason to repeat.
+
 @example
 mayAppend(guard, 'vm-unreachable/vm-1', 12_000); // => true
 */
-export function mayAppend(guard: AppendGuard, subject: string, nowMs: number): boolean {
+export function mayAppend(guard: AppendGuard, subject: string, readSentAtMs: number): boolean {
 	const appendedAtMs = guard.get(subject);
-	return appendedAtMs === undefined || nowMs - appendedAtMs >= repeatAfterMs;
+	return appendedAtMs === undefined || readSentAtMs - appendedAtMs >= repeatAfterMs;
 }
 
 /**
@@ -26,6 +28,6 @@
 @example
 pruneAppendGuard(guard, 20_000);
 */
-export function pruneAppendGuard(guard: AppendGuard, nowMs: number): AppendGuard {
-	return guard.isEmpty() ? guard : guard.filter(appendedAtMs => nowMs - appendedAtMs < repeatAfterMs);
+export function pruneAppendGuard(guard: AppendGuard, readSentAtMs: number): AppendGuard {
+	return guard.isEmpty() ? guard : guard.filter(appendedAtMs => readSentAtMs - appendedAtMs < repeatAfterMs);
 }
--- a/src/entry/reduce-agent-event.ts
+++ b/src/entry/reduce-agent-event.ts
@@ -79,7 +79,7 @@
 	settings: EntrySettings,
 ): ControlStep {
 	const context = contextOf(state, inputs, settings);
-	let next: EntryState = {...state, guard: pruneAppendGuard(state.guard, inputs.nowMs)};
+	let next: EntryState = {...state, guard: pruneAppendGuard(state.guard, context.tailConfirmedSentAtMs)};
 	const effects: ControlEffect[] = [];
 	for (const vmId of vmIds ?? state.links.keys()) {
 		const link = next.links.get(vmId);
@@ -221,7 +221,7 @@
 	const vm = context.cluster.vms.get(link.vmId);
 	const isKnown = vm?.agentIncarnation === hello.agentIncarnation
 		|| (vm?.formerAgentIncarnations.includes(hello.agentIncarnation) ?? false);
-	if (isKnown || !mayAppend(state.guard, subject, context.nowMs)) {
+	if (isKnown || !mayAppend(state.guard, subject, context.tailConfirmedSentAtMs)) {
 		return {state, effects: []};
 	}
 
@@ -262,7 +262,7 @@
 	const {vmId, agentIncarnation} = link;
 	const subject = `vm-leaving/${agentIncarnation}`;
 	const vm = context.cluster.vms.get(vmId);
-	if (!link.workerLeaving || vm?.agentIncarnation !== agentIncarnation || vm.leaving || !mayAppend(state.guard, subject, context.nowMs)) {
+	if (!link.workerLeaving || vm?.agentIncarnation !== agentIncarnation || vm.leaving || !mayAppend(state.guard, subject, context.tailConfirmedSentAtMs)) {
 		return {state, effects: []};
 	}
 
@@ -277,7 +277,7 @@
 	let {guard} = state;
 	for (const record of recordsForBackendServers(link, context)) {
 		const subject = `${record.kind}/${link.vmId}/${'backendServerId' in record ? record.backendServerId : ''}`;
-		if (mayAppend(guard, subject, context.nowMs)) {
+		if (mayAppend(guard, subject, context.tailConfirmedSentAtMs)) {
 			guard = guard.set(subject, context.nowMs);
 			effects.push({kind: 'append-record', record});
 		}
--- a/src/membership/entry-liveness.ts
+++ b/src/membership/entry-liveness.ts
@@ -83,7 +83,7 @@
 function declareSilentEntriesEnded(state: EntryLivenessState, context: EntryContext): Step<EntryLivenessState> {
 	const effects: ControlEffect[] = [];
 	let {seen} = state;
-	let guard = pruneAppendGuard(state.guard, context.nowMs);
+	let guard = pruneAppendGuard(state.guard, context.tailConfirmedSentAtMs);
 	for (const entry of context.cluster.entries.values()) {
 		const last = seen.get(entry.incarnation);
 		if (last?.offset !== entry.lastOffset) {
@@ -94,7 +94,7 @@
 		const subject = `entry-ended/${entry.incarnation}`;
 		// Only a read of the whole log shows silence, not the time in which this entry read nothing.
 		const isSilent = context.tailConfirmedSentAtMs - last.atMs > context.settings.timings.entryTimeoutMs;
-		if (entry.incarnation !== context.incarnation && isSilent && isLogFresh(context) && mayAppend(guard, subject, context.nowMs)) {
+		if (entry.incarnation !== context.incarnation && isSilent && isLogFresh(context) && mayAppend(guard, subject, context.tailConfirmedSentAtMs)) {
 			guard = guard.set(subject, context.nowMs);
 			effects.push({
 				kind: 'append-record',
--- a/src/membership/vm-liveness.ts
+++ b/src/membership/vm-liveness.ts
@@ -45,7 +45,7 @@
 */
 export function tickVmLiveness(state: VmLivenessState, context: EntryContext): Step<VmLivenessState> {
 	let observation: Observation = {
-		state: {...state, guard: pruneAppendGuard(state.guard, context.nowMs)},
+		state: {...state, guard: pruneAppendGuard(state.guard, context.tailConfirmedSentAtMs)},
 		effects: [],
 	};
 	for (const vm of context.cluster.vms.values()) {
@@ -122,7 +122,7 @@
 	const vmId = 'vmId' in effect.record ? effect.record.vmId : '';
 	const subject = `${effect.record.kind}/${vmId}`;
 	// Without the log nothing can be decided, and records written late would describe the past.
-	if (!isLogFresh(context) || !mayAppend(observation.state.guard, subject, context.nowMs)) {
+	if (!isLogFresh(context) || !mayAppend(observation.state.guard, subject, context.tailConfirmedSentAtMs)) {
 		return observation;
 	}
 
--- a/src/placement/failure-blame.ts
+++ b/src/placement/failure-blame.ts
@@ -75,14 +75,14 @@
 		return {state, effects: []};
 	}
 
-	let next: FailureBlameState = {...state, guard: pruneAppendGuard(state.guard, context.nowMs)};
+	let next: FailureBlameState = {...state, guard: pruneAppendGuard(state.guard, context.tailConfirmedSentAtMs)};
 	const effects: ControlEffect[] = [];
 	for (const vm of context.cluster.vms.values()) {
 		const verdict = judge(next, vm.vmId, vm.quarantined, context.nowMs);
 		next = verdict.state;
 		const subject = `${verdict.kind ?? ''}/${vm.vmId}`;
 		const isOwnTurn = verdict.kind !== undefined && ownerByRendezvous(context.cluster.entries.keys(), vm.vmId) === context.incarnation;
-		if (verdict.kind && isOwnTurn && vm.phase === 'live' && mayAppend(next.guard, subject, context.nowMs)) {
+		if (verdict.kind && isOwnTurn && vm.phase === 'live' && mayAppend(next.guard, subject, context.tailConfirmedSentAtMs)) {
 			next = {...next, guard: next.guard.set(subject, context.nowMs)};
 			effects.push({
 				kind: 'append-record',
