Count an entry that was lost as of use when it grants a lease

What callers saw: nothing yet; found in a review of the few streams.

Cause: a frozen entry's kernel takes streams. The agent counted the entry as good when its stream opened and again when it was given up 5 s later, closed the stream to the entry that stood in, and opened it again 2.5 s later, every 8 s or so. With all agents of a service on the same entries, each turn registers streams and writes a vm-reachable and a vm-unreachable record for each VM. An entry that has restarted and still reads the log also displaced the stand-in before it could grant a lease.

Change: a new stream proves nothing, a granted lease does; the loss of a stream starts the patience only when the entry was of use. Test: the stand-in of a frozen entry stays; before, it was closed.

--- a/src/agent/entry-sessions.test.ts
+++ b/src/agent/entry-sessions.test.ts
@@ -27,15 +27,34 @@
 		},
 	});
 	const connected = new Set<string>();
+	/** Entries whose kernel takes streams that are given up after 5 s without an answer. */
+	const frozen = new Map<string, number>();
 	sessions.rank(addresses);
 	return {
 		reachable,
 		granting,
+		freeze(address: string): void {
+			granting.delete(address);
+			frozen.set(address, 0);
+		},
 		/** Lets seconds pass, each with a heartbeat to every entry. */
 		pass(seconds: number): readonly string[] {
 			for (let second = 0; second < seconds; second++) {
 				nowMs += 1000;
 				for (const [address, handlers] of open) {
+					const frozenSeconds = frozen.get(address);
+					if (frozenSeconds !== undefined) {
+						frozen.set(address, frozenSeconds + 1);
+						const isGivenUp = frozenSeconds % 7 === 5;
+						if (isGivenUp) {
+							handlers.disconnected('the entry does not answer heartbeats');
+						} else if (frozenSeconds % 7 === 0 && frozenSeconds > 0) {
+							handlers.connected();
+						}
+
+						continue;
+					}
+
 					if (reachable.has(address) && !connected.has(address)) {
 						connected.add(address);
 						handlers.connected();
@@ -94,3 +113,13 @@
 	granting.clear();
 	t.is(pass(20).length, 6);
 });
+
+test('the entry that stands in for a frozen one stays while the frozen one takes new streams', t => {
+	const {freeze, pass} = startSessions(all, 3);
+	pass(3);
+	freeze('a');
+	pass(4);
+	for (let second = 0; second < 30; second++) {
+		t.true(pass(1).includes('d'), `second ${second}`);
+	}
+});
--- a/src/agent/entry-sessions.ts
+++ b/src/agent/entry-sessions.ts
@@ -14,7 +14,7 @@
 type Member = {
 	readonly session: EntrySession;
 	isConnected: boolean;
-	/** When the stream was opened, connected or lost, or a lease was granted on it last. */
+	/** When the session was begun, or a stream of use was lost, or a lease was granted last; that an entry takes a stream proves nothing. */
 	provenAtMs: number;
 };
 
@@ -64,11 +64,12 @@
 		return sinceProvenMs > connectPatienceMs ? 0 : 1;
 	}
 
-	function note(entryAddress: string, isConnected: boolean): void {
+	function noteConnection(entryAddress: string, isConnected: boolean): void {
 		const member = members.get(entryAddress);
 		if (member) {
+			const isOfUse = useOf(entryAddress) === 1;
 			member.isConnected = isConnected;
-			member.provenAtMs = nowMs();
+			member.provenAtMs = isOfUse && !isConnected ? nowMs() : member.provenAtMs;
 		}
 	}
 
@@ -92,10 +93,10 @@
 			if (!members.has(entryAddress)) {
 				const session = open(entryAddress, {
 					connected() {
-						note(entryAddress, true);
+						noteConnection(entryAddress, true);
 					},
 					disconnected() {
-						note(entryAddress, false);
+						noteConnection(entryAddress, false);
 					},
 				});
 				members.set(entryAddress, {session, isConnected: false, provenAtMs: nowMs()});
@@ -118,7 +119,10 @@
 			keep();
 		},
 		noteGrant(entryAddress) {
-			note(entryAddress, true);
+			const member = members.get(entryAddress);
+			if (member) {
+				member.provenAtMs = nowMs();
+			}
 		},
 		send(entryAddress, message) {
 			members.get(entryAddress)?.session.send(message);
