Send unacknowledged task events to an entry as soon as it has a stream

What callers saw: nothing yet; found in a review of the few streams.

Cause: an event goes to all connected entries after 2, 6, 14 and 30 s. When every agent had a stream to every entry, each of these reached all of them. Now an entry that stands in for lost ones connects between two repeats, and the next step of a job waits for the next one, up to 16 s.

Change: a new stream carries the events that were sent and not acknowledged. Test: such an event reaches a new entry at once; before, it did not.

--- a/src/agent/entry-messages.test.ts
+++ b/src/agent/entry-messages.test.ts
@@ -1,8 +1,9 @@
 import test from 'ava';
 import {Map as immutableMap} from 'immutable';
 import {agentSettingsSchema} from '../settings/agent-settings.js';
-import {closedLink, initialAgentState} from './agent-state.js';
+import {closedLink, initialAgentState, type AgentState} from './agent-state.js';
 import {sendDueTaskEvents} from './entry-messages.js';
+import {reduceAgent} from './reduce-agent.js';
 import {addTaskEvent} from './task-events.js';
 
 test('the task events of a fleet are spread over the entries', t => {
@@ -26,3 +27,20 @@
 
 	t.true(firstReceivers.every(receivers => receivers.length === 1));
 });
+
+test('an entry that stands in for lost ones gets the task events that they did not acknowledge, without the wait for the next repeat', t => {
+	const initial = initialAgentState(agentSettingsSchema.parse({
+		role: 'agent', vmId: 'vm-1', failureDomain: 'a', rack: 'r1', requestAddress: '127.0.0.1:1',
+	}), 'i1');
+	const reporting: AgentState = {
+		...initial,
+		phase: 'active',
+		entries: immutableMap([['127.0.0.1:2', {...closedLink, connected: true}]]),
+		events: addTaskEvent(initial.events, {taskId: 't1', attempt: 1, outcome: {case: 'started', value: {}}}),
+	};
+	const silentMs = [0, 2000, 6000];
+	const sent = silentMs.reduce((state, nowMs) => sendDueTaskEvents(nowMs)(state).state, reporting);
+	const {effects} = reduceAgent(sent, {kind: 'entry-connected', nowMs: 6500, entryAddress: '127.0.0.1:3'});
+	const receivers = effects.flatMap(effect => effect.kind === 'send' && effect.message.case === 'taskEvents' ? [effect.entryAddress] : []);
+	t.deepEqual(receivers, ['127.0.0.1:3']);
+});
--- a/src/agent/entry-messages.ts
+++ b/src/agent/entry-messages.ts
@@ -5,7 +5,7 @@
 import type {AgentEffect, AgentMessageBody} from './agent-effect.js';
 import type {AgentState, AgentTask, EntryLink} from './agent-state.js';
 import {phaseOf, type BackendServer, type BackendServerPhase as Phase} from './backend-server-table.js';
-import {takeDueTaskEvents, type PendingTaskEvent} from './task-events.js';
+import {sentTaskEvents, takeDueTaskEvents, type PendingTaskEvent} from './task-events.js';
 import {transition, type Transition} from './transition.js';
 
 /** Time between two usage reports to an entry; 27 tasks with a report each second would exceed 2 KB/s. */
@@ -125,6 +125,16 @@
 		}];
 }
 
+/**
+Sends an entry whose stream opened the task events that others have received and not acknowledged; their next repeat may be 30 s away.
+
+@example
+const effects = repeatTaskEvents(state, '127.0.0.1:7100');
+*/
+export function repeatTaskEvents(state: AgentState, entryAddress: string): readonly AgentEffect[] {
+	return taskEventsEffect(entryAddress, sentTaskEvents(state.events));
+}
+
 /**
 Sends the task events that are due: new ones to one connected entry, which differs from VM to VM so that no entry writes the events of
 the whole fleet, unacknowledged ones to all.
--- a/src/agent/reduce-agent.ts
+++ b/src/agent/reduce-agent.ts
@@ -7,7 +7,9 @@
 import {
 	answerLeaving, backendServerAnnounced, backendServerLeaving, expireBackendServers, settleBackendServers,
 } from './backend-server-handlers.js';
-import {heartbeatMessage, helloMessage, sendDueTaskEvents} from './entry-messages.js';
+import {
+	heartbeatMessage, helloMessage, repeatTaskEvents, sendDueTaskEvents,
+} from './entry-messages.js';
 import {stepGuard} from './guard.js';
 import {forgetOldKeys} from './key-table.js';
 import {
@@ -324,7 +326,9 @@
 function connect(state: AgentState, entryAddress: string): Transition {
 	return transition(
 		{...state, entries: state.entries.set(entryAddress, {...closedLink, connected: true})},
-		...state.phase === 'counting' ? [] : [{kind: 'send', entryAddress, message: helloMessage(state)} satisfies AgentEffect],
+		...state.phase === 'counting'
+			? []
+			: [{kind: 'send', entryAddress, message: helloMessage(state)} satisfies AgentEffect, ...repeatTaskEvents(state, entryAddress)],
 	);
 }
 
--- a/src/agent/task-events.ts
+++ b/src/agent/task-events.ts
@@ -86,3 +86,16 @@
 	});
 	return {events: {...events, pending}, toOne: due.filter(event => !event.toAll), toAll: due.filter(event => event.toAll)};
 }
+
+/**
+Lists the oldest events that were sent and not acknowledged, as many as fit into one message.
+
+@example
+sentTaskEvents(noTaskEvents); // => []
+*/
+export function sentTaskEvents(events: TaskEvents): readonly PendingTaskEvent[] {
+	return [...events.pending.values()]
+		.filter(event => event.toAll)
+		.toSorted((left, right) => left.eventId - right.eventId)
+		.slice(0, eventsPerMessage);
+}
