Leave an entry's own pause out of the silence of agents

What callers saw: nothing yet; found in a review.

Cause: heartbeats that wait in the sockets of an entry whose loop is held up counted as silence, and the wait before a revocation ran by the entry's own clock although the newest read may be F old: F of 1.5 s left 0.5 s of the 2 s in which others can report that they hear the agent.

Change: a pause between two ticks of more than 750 ms is left out, and the wait counts up to the sending of the newest read of the tail. Tests: both cases; both failed before.

--- a/src/membership/vm-liveness.test.ts
+++ b/src/membership/vm-liveness.test.ts
@@ -59,3 +59,30 @@
 	t.deepEqual(recordsOver(1500, []), new Set());
 	t.deepEqual(recordsOver(4000, []), new Set(['vm-revoked']));
 });
+
+test('an entry whose loop was held up does not take the heartbeats that it has not read for silence', t => {
+	const before = tickVmLiveness(hearing, contextAt(1250, ['own', 'other']));
+	// The first tick after 4 s comes before the messages that wait in the sockets.
+	const late = tickVmLiveness(before.state, contextAt(5250, ['own', 'other']));
+	t.deepEqual(late.effects, []);
+	let {state} = late;
+	const kinds = new Set<string>();
+	for (let nowMs = 5500; nowMs <= 5250 + 5000; nowMs += 250) {
+		const step = tickVmLiveness(state, contextAt(nowMs, ['own', 'other']));
+		state = step.state;
+		for (const effect of step.effects) {
+			kinds.add(effect.kind === 'append-record' ? effect.record.kind : effect.kind);
+		}
+	}
+
+	t.deepEqual(kinds, new Set(['vm-unreachable']), 'silence after that counts');
+});
+
+test('an entry that has not read the log since nobody heard a VM does not revoke it', t => {
+	let state = initialVmLiveness;
+	for (let nowMs = 1000; nowMs <= 3250; nowMs += 250) {
+		const step = tickVmLiveness(state, {...contextAt(nowMs, []), tailConfirmedSentAtMs: Math.max(1000, nowMs - settings.timings.logFreshnessMs)});
+		state = step.state;
+		t.deepEqual(step.effects, []);
+	}
+});
--- a/src/membership/vm-liveness.ts
+++ b/src/membership/vm-liveness.ts
@@ -18,12 +18,30 @@
 	/** When this entry read the revocation of each agent incarnation. */
 	revoked: Map<string, Readonly<{agentIncarnation: string; readAtMs: number}>>;
 	guard: AppendGuard;
+	/** Time of the last tick; missing before the first. */
+	tickedAtMs: number | undefined;
 }>;
 
 export const initialVmLiveness: VmLivenessState = {
-	heard: Map(), unheard: Map(), revoked: Map(), guard: emptyAppendGuard,
+	heard: Map(), unheard: Map(), revoked: Map(), guard: emptyAppendGuard, tickedAtMs: undefined,
 };
 
+/** Ticks are 250 ms apart; after a longer pause, messages wait in the sockets that this entry has not read. */
+const longestTickPauseMs = 750;
+
+/** Leaves a pause of this entry out of the silence of the agents. */
+function skipOwnPause(state: VmLivenessState, nowMs: number): VmLivenessState {
+	const pauseMs = nowMs - (state.tickedAtMs ?? nowMs);
+	return pauseMs <= longestTickPauseMs
+		? {...state, tickedAtMs: nowMs}
+		: {
+			...state,
+			tickedAtMs: nowMs,
+			heard: state.heard.map(last => ({...last, atMs: Math.min(nowMs, last.atMs + pauseMs)})),
+			unheard: state.unheard.map(last => ({...last, sinceMs: Math.min(nowMs, last.sinceMs + pauseMs)})),
+		};
+}
+
 /**
 Notes a message of an agent.
 
@@ -45,7 +63,7 @@
 */
 export function tickVmLiveness(state: VmLivenessState, context: EntryContext): Step<VmLivenessState> {
 	let observation: Observation = {
-		state: {...state, guard: pruneAppendGuard(state.guard, context.tailConfirmedSentAtMs)},
+		state: {...skipOwnPause(state, context.nowMs), guard: pruneAppendGuard(state.guard, context.tailConfirmedSentAtMs)},
 		effects: [],
 	};
 	for (const vm of context.cluster.vms.values()) {
@@ -63,7 +81,7 @@
 
 function observeLiveVm(observation: Observation, vm: Vm, context: EntryContext): Observation {
 	const {state} = observation;
-	const {nowMs, incarnation, settings: {timings: {heartbeatTimeoutMs}}} = context;
+	const {nowMs, incarnation, tailConfirmedSentAtMs, settings: {timings: {heartbeatTimeoutMs}}} = context;
 	const subject = {vmId: vm.vmId, agentIncarnation: vm.agentIncarnation};
 	const heard = state.heard.get(vm.vmId);
 	const isReportedHeard = vm.heardBy.has(incarnation);
@@ -86,8 +104,8 @@
 		return {...observation, state: {...state, unheard: state.unheard.set(vm.vmId, {agentIncarnation: vm.agentIncarnation, sinceMs: nowMs})}};
 	}
 
-	// The last entry that heard the agent may have ended; another one that has its stream says so within a tick.
-	return nowMs - unheard.sinceMs < settleMs
+	// The last entry that heard the agent may have ended; another one that has its stream says so within a tick. Only a read shows that none did.
+	return tailConfirmedSentAtMs - unheard.sinceMs < settleMs
 		? observation
 		: append(observation, context, {
 			kind: 'append-record',
