Grant leases only while the log knows the entry

What callers saw: nothing yet; found in a review of the few streams.

Cause: an entry whose appends are refused while its reads are served is declared ended by the others and cannot register again, but went on to grant leases. An agent whose entries are all like that has no reason to open another stream, nobody can report that it is heard, and its VM is revoked although it holds a lease. The leases are waited for, so nothing runs twice; its tasks are lost and started elsewhere.

Change: a grant needs the registration of the entry's incarnation. Test: an entry that the log does not know grants no time; before, it did. The set-up of the test on a lease with the registration now registers the entry first, as every entry that runs does.

--- a/src/dispatch/task-event-relay.test.ts
+++ b/src/dispatch/task-event-relay.test.ts
@@ -25,6 +25,7 @@
 	heartbeatSequence: undefined,
 	appliedConfigurationOffset: -1,
 	sentConfiguration: '',
+	configuredFrom: undefined,
 	backendServers: immutableMap(),
 	sentCommands: immutableMap(),
 	pendingTaskEvents: immutableMap(),
--- a/src/entry/reduce-entry.test.ts
+++ b/src/entry/reduce-entry.test.ts
@@ -104,6 +104,9 @@
 // Tasks are placed on a VM as soon as it is registered; an agent without a lease refuses every one of them.
 test('an agent gets its lease with its registration, not with the next heartbeat', t => {
 	const entry = createEntry();
+	entry.read('own', [{
+		kind: 'entry-registered', entryId: 'entry-1', failureDomain: 'domain-1', operatorAddress: '127.0.0.1:2',
+	}], 0);
 	entry.dispatch({kind: 'agent-hello', sessionId: 'session-1', hello: create(HelloSchema, {vmId: 'vm-1', agentIncarnation: 'agent-1'})}, 0);
 	entry.dispatch({kind: 'agent-heartbeat', sessionId: 'session-1', heartbeat: create(HeartbeatSchema, {sequence: 3n})}, 10);
 	const registered = entry.read('other', [
--- a/src/membership/lease-grant.ts
+++ b/src/membership/lease-grant.ts
@@ -18,7 +18,9 @@
 		return [{kind: 'send-to-agent', vmId, command: {case: 'revoked', value: {agentIncarnation}}}];
 	}
 
-	const mayGrant = isLogFresh(context) && isLiveAgent(context.cluster, vmId, agentIncarnation);
+	// An entry that the log does not know cannot report that it hears the agent, so that the VM may be revoked.
+	const isRegistered = context.cluster.entries.has(context.incarnation);
+	const mayGrant = isRegistered && isLogFresh(context) && isLiveAgent(context.cluster, vmId, agentIncarnation);
 	return [{
 		kind: 'send-to-agent',
 		vmId,
