Keep late bulk jobs from sharing busy processors during a flood

Cause: a job with nothing running that has waited 10 s starts one task on processors that are not idle. During a flood every waiting job does so, one task after the other. They also press on the serving tasks of VMs whose processors are not idle.

Ruled out: time from claim to start (at most 0.2 s), time between steps (0.1 to 0.2 s when there is room), leases that lapse (none), refusals (0 to 0.5% of the requests).

Such a job now shares busy processors only while committed work leaves more than half of the service's processors free, which is when a user can expect it to run.

--- a/src/placement/place-queued-tasks.ts
+++ b/src/placement/place-queued-tasks.ts
@@ -52,6 +52,8 @@
 	readonly vms: readonly Vm[];
 	/** Demands that found no room in this pass: a larger one finds none either. */
 	readonly withoutRoom: Resources[];
+	/** Whether committed work leaves most processors of a service free, by service. */
+	readonly isSpareByService: Map<string, boolean>;
 	readonly claims: ControlEffect[];
 	state: PlacementState;
 };
@@ -76,6 +78,7 @@
 		context,
 		vms: [...context.cluster.vms.values()].filter(vm => takesNewTasks(vm, context.cluster)),
 		withoutRoom: [],
+		isSpareByService: new Map(),
 		claims: [],
 		state: settled,
 	};
@@ -238,18 +241,40 @@
 /**
 Tells whether a task's job has waited long and has nothing running or under way. One task of such a job may share processors that
 are not idle: small jobs and those that can still be in time always go first, and would otherwise keep a large one from starting.
+It may not while committed work takes most of the service's processors: during a flood every job that waits would take a share of
+the few that are left, and keep the jobs that can still be in time from it.
 */
 function isStarved(pass: Pass, task: Task): boolean {
 	const {cluster, wallTimeMs} = pass.context;
-	const objective = cluster.workflows.get(task.jobId)?.workflow.objective;
-	return objective !== undefined
-		&& wallTimeMs - objective.submittedAtMs > starvedAfterMs
+	const workflow = cluster.workflows.get(task.jobId)?.workflow;
+	return workflow?.objective !== undefined
+		&& wallTimeMs - workflow.objective.submittedAtMs > starvedAfterMs
+		&& isSpare(pass, workflow.service)
 		&& !(cluster.jobs.get(task.jobId) ?? []).some(taskId => {
 			const sibling = cluster.tasks.get(taskId);
 			return sibling?.claim !== undefined || pass.state.pending.byTask.has(taskId);
 		});
 }
 
+/** Tells whether committed work, claims under way included, leaves more than half of a service's processors free. */
+function isSpare(pass: Pass, service: string): boolean {
+	const known = pass.isSpareByService.get(service);
+	if (known !== undefined) {
+		return known;
+	}
+
+	let capacityMilli = 0;
+	let roomMilli = 0;
+	for (const vm of pass.vms.filter(each => each.service === service)) {
+		capacityMilli += vm.capacity.processorsMilli;
+		roomMilli += roomOf(vm, pass.state.pending.committedByVm.get(vm.vmId, noResources)).processorsMilli;
+	}
+
+	const spare = 2 * roomMilli > capacityMilli;
+	pass.isSpareByService.set(service, spare);
+	return spare;
+}
+
 /** Processors of a VM that neither committed tasks nor filling ones use, claims under way included. */
 function idleMilliOf(pass: Pass, vm: Vm, room: Resources): number {
 	const {fillingMilli} = fillingLoadOf(vm, pass.context.cluster);
