--- a/src/cluster/cluster-state-codec.ts
+++ b/src/cluster/cluster-state-codec.ts
@@ -15,7 +15,7 @@
 import {workflowSchema} from './workflow.js';
 
 /** Raised whenever the form below changes; a snapshot of another version is not loaded. */
-const VERSION = 2;
+const VERSION = 3;
 
 const resources = z.tuple([z.number(), z.number(), z.number()]);
 const strings = z.array(z.string());
