Declare entries ended only while the log takes writes

What callers saw: nothing yet; found in a review.

Cause: while the store refuses appends of everybody and serves reads, each entry sees no record of any other for 5 s and declares all others ended. When the log takes writes again, up to n x (n - 1) such records end entries that live, void what they had queued and empty what is known of the agents that they hear.

Change: the silence of another entry counts up to the newest of the own records that was read back, which shows that the log took writes. Test: entries that see no new record at all end nobody; before, they did.

--- a/src/membership/entry-liveness.ts
+++ b/src/membership/entry-liveness.ts
@@ -83,6 +83,8 @@
 function declareSilentEntriesEnded(state: EntryLivenessState, context: EntryContext): Step<EntryLivenessState> {
 	const effects: ControlEffect[] = [];
 	let {seen} = state;
+	// Only a read of the whole log shows silence, and only while the log takes writes: an own record in it shows that it does.
+	const shownSilentAtMs = Math.min(context.tailConfirmedSentAtMs, seen.get(context.incarnation)?.atMs ?? Number.NEGATIVE_INFINITY);
 	let guard = pruneAppendGuard(state.guard, context.tailConfirmedSentAtMs);
 	for (const entry of context.cluster.entries.values()) {
 		const last = seen.get(entry.incarnation);
@@ -92,8 +94,7 @@
 		}
 
 		const subject = `entry-ended/${entry.incarnation}`;
-		// Only a read of the whole log shows silence, not the time in which this entry read nothing.
-		const isSilent = context.tailConfirmedSentAtMs - last.atMs > context.settings.timings.entryTimeoutMs;
+		const isSilent = shownSilentAtMs - last.atMs > context.settings.timings.entryTimeoutMs;
 		if (entry.incarnation !== context.incarnation && isSilent && isLogFresh(context) && mayAppend(guard, subject, context.tailConfirmedSentAtMs)) {
 			guard = guard.set(subject, context.nowMs);
 			effects.push({
