--- a/src/agent/entry-messages.test.ts
+++ b/src/agent/entry-messages.test.ts
@@ -38,8 +38,11 @@
 		entries: immutableMap([['127.0.0.1:2', {...closedLink, connected: true}]]),
 		events: addTaskEvent(initial.events, {taskId: 't1', attempt: 1, outcome: {case: 'started', value: {}}}),
 	};
-	const silentMs = [0, 2000, 6000];
-	const sent = silentMs.reduce((state, nowMs) => sendDueTaskEvents(nowMs)(state).state, reporting);
+	let sent = reporting;
+	for (const nowMs of [0, 2000, 6000]) {
+		sent = sendDueTaskEvents(nowMs)(sent).state;
+	}
+
 	const {effects} = reduceAgent(sent, {kind: 'entry-connected', nowMs: 6500, entryAddress: '127.0.0.1:3'});
 	const receivers = effects.flatMap(effect => effect.kind === 'send' && effect.message.case === 'taskEvents' ? [effect.entryAddress] : []);
 	t.deepEqual(receivers, ['127.0.0.1:3']);
