Judge serving tasks by their slack, and lend what they leave unused

So the slack, which is the target divided by the tail, is what neighbours take from, and what the estimates now describe. The shares of all images are planned from it, those that press least first. Each agent learned the pairs alone; entries now tell what all VMs know with the start of a task, and agents report with every heartbeat. Filling work is offered 45% of what serving tasks commit. Work that would not finish at its share is checkpointed and placed elsewhere.

--- a/src/agent/entry-messages.ts
+++ b/src/agent/entry-messages.ts
@@ -1,7 +1,7 @@
 import {BackendServerPhase, type Resources as WireResources} from '../generated/arbutushinge/v1/agent_pb.js';
 import {ownerByRendezvous} from '../cluster/rendezvous.js';
 import type {Resources} from '../cluster/resources.js';
-import {changedPress, type PressReport} from './press-estimates.js';
+import {changedPress} from './press-estimates.js';
 import type {AgentEffect, AgentMessageBody} from './agent-effect.js';
 import type {AgentState, AgentTask, EntryLink} from './agent-state.js';
 import {phaseOf, type BackendServer, type BackendServerPhase as Phase} from './backend-server-table.js';
@@ -67,13 +67,12 @@
 	};
 }
 
-function usageReport(state: AgentState, nowMs: number, presses: readonly PressReport[]) {
+function usageReport(state: AgentState, nowMs: number) {
 	return state.usage && {
 		measuredAgeMs: Math.max(0, Math.round(nowMs - state.usage.measuredAtMonotonicMs)),
 		processorsUsedMilli: state.usage.processorsUsedMilli,
 		memoryUsedMb: state.usage.memoryUsedMb,
 		tasks: state.usage.tasks.map(task => ({...task})),
-		presses: presses.map(report => ({...report})),
 	};
 }
 
@@ -89,16 +88,17 @@
 	const isUsageDue = state.usage !== undefined
 		&& state.usage.measuredAtMonotonicMs > link.usageMeasuredAtMs
 		&& nowMs - link.usageSentAtMs >= usageIntervalMs;
-	const press = isUsageDue ? changedPress(state.pace.press, link.reportedPress) : undefined;
+	const {reports: presses, reported: reportedPress} = changedPress(state.pace.press, link.reportedPress);
 	return {
 		message: {
 			case: 'heartbeat', value: {
 				sequence: BigInt(state.heartbeatSequence),
 				appliedConfigurationOffset: BigInt(state.configuration.offset),
 				backendServers: changed,
-				usage: isUsageDue ? usageReport(state, nowMs, press?.reports ?? []) : undefined,
+				usage: isUsageDue ? usageReport(state, nowMs) : undefined,
 				leaving: state.stop !== undefined,
 				workerLeaving: state.worker.leaving,
+				presses: presses.map(report => ({...report})),
 			},
 		},
 		link: {
@@ -106,7 +106,7 @@
 			reported: link.reported.filter((_, id) => state.backendServers.has(id)).merge(changed.map(report => [report.backendServerId, JSON.stringify(report)])),
 			usageSentAtMs: isUsageDue ? nowMs : link.usageSentAtMs,
 			usageMeasuredAtMs: isUsageDue ? state.usage.measuredAtMonotonicMs : link.usageMeasuredAtMs,
-			reportedPress: press?.reported ?? link.reportedPress,
+			reportedPress,
 		},
 	};
 }
--- /dev/null
+++ b/src/agent/filling-handlers.ts
@@ -0,0 +1,112 @@
+import type {AgentEffect} from './agent-effect.js';
+import type {AgentEventOf} from './agent-event.js';
+import type {AgentState, AgentTask} from './agent-state.js';
+import {
+	fullPaceMilli, planShares, shareOf, type FillingSample, type PacedTasks, type PaceMeasure,
+} from './pace-control.js';
+import type {ServingSample} from './press-estimates.js';
+import {chain, transition, type Transition} from './transition.js';
+
+/** Differs from every pace, so that the worker is told the one in force. */
+const unknownPaceMilli = -1;
+
+const isServing = (task: AgentTask): boolean => task.phase === 'running' && task.latencyTargetMs > 0;
+
+const isFilling = (task: AgentTask): boolean => task.phase === 'running' && task.fillsIdle;
+
+/**
+Lists the tasks between which processors are shared out.
+
+@example
+pacedTasksOf(state).fillingCounts; // => new Map([['stress-run', 2]])
+*/
+export function pacedTasksOf({tasks}: AgentState): PacedTasks {
+	const serving: Array<Readonly<{taskId: string; image: string}>> = [];
+	const fillingCounts = new Map<string, number>();
+	for (const task of tasks.values()) {
+		if (isServing(task)) {
+			serving.push({taskId: task.taskId, image: task.image});
+		} else if (isFilling(task)) {
+			fillingCounts.set(task.image, (fillingCounts.get(task.image) ?? 0) + 1);
+		}
+	}
+
+	return {serving, fillingCounts};
+}
+
+/**
+Reads what a usage report says of serving and filling tasks.
+
+@example
+paceMeasureOf(state, usage).serving; // => [{taskId: 't1', image: 'order-lookup', slack: 2.2}]
+*/
+export function paceMeasureOf(state: AgentState, usage: AgentEventOf<'worker-usage'>['usage']): PaceMeasure {
+	const serving: ServingSample[] = [];
+	const filling: FillingSample[] = [];
+	for (const {taskId, latencyTailMs, processorsUsedMilli} of usage.tasks) {
+		const task = state.tasks.get(taskId);
+		if (task && isFilling(task)) {
+			filling.push({image: task.image, paceMilli: task.paceMilli, processors: processorsUsedMilli / 1000});
+		} else if (task && isServing(task) && latencyTailMs !== undefined && latencyTailMs > 0) {
+			serving.push({taskId, image: task.image, slack: task.latencyTargetMs / latencyTailMs});
+		}
+	}
+
+	return {serving, filling};
+}
+
+/**
+Tells the worker the pace of the filling tasks that do not have it yet; a task starts at full pace.
+
+@example
+applyPace(state).effects; // => [{kind: 'throttle-task', taskId: 't1', shareMilli: 400}]
+*/
+export function applyPace(state: AgentState): Transition {
+	const paced = [...state.tasks.values()]
+		.filter(task => task.phase === 'running' && task.fillsIdle)
+		.map(task => ({task, shareMilli: shareOf(state.pace, task.image)}))
+		.filter(({task, shareMilli}) => task.paceMilli !== shareMilli);
+	return transition(
+		{
+			...state, tasks: state.tasks.withMutations(tasks => {
+				for (const {task, shareMilli} of paced) {
+					tasks.set(task.taskId, {...task, paceMilli: shareMilli});
+				}
+			}),
+		},
+		...paced.map(({task: {taskId}, shareMilli}): AgentEffect => ({kind: 'throttle-task', taskId, shareMilli})),
+	);
+}
+
+/**
+Plans the pace for the tasks that run now, before a measure shows what they do to each other, and tells it to the worker.
+
+@example
+chain(state, applyPlannedPace);
+*/
+export function applyPlannedPace(state: AgentState): Transition {
+	return applyPace({...state, pace: planShares(state.pace, pacedTasksOf(state), {isBeyond: false, mayRise: false})});
+}
+
+/**
+Takes over the traits of the tasks that the agent found running when it started.
+
+@example
+applyTraits(state, [{taskId: 't1', latencyTargetMs: 18, fillsIdle: false, image: 'order-lookup'}]);
+*/
+export function applyTraits(state: AgentState, claims: ReadonlyArray<Readonly<{taskId: string; latencyTargetMs: number; fillsIdle: boolean; image: string}>>): Transition {
+	return applyPlannedPace({
+		...state, tasks: state.tasks.withMutations(tasks => {
+			for (const {taskId, latencyTargetMs, fillsIdle, image} of claims) {
+				const task = tasks.get(taskId);
+				if (task) {
+					// The pace that an earlier agent told the worker is not known, so that it is told anew.
+					tasks.set(taskId, {
+						...task, latencyTargetMs, fillsIdle, image, paceMilli: fillsIdle ? unknownPaceMilli : task.paceMilli,
+					});
+				}
+			}
+		}),
+	});
+}
+
--- a/src/agent/pace-control.ts
+++ b/src/agent/pace-control.ts
@@ -1,6 +1,6 @@
 import {Map as immutableMap, type Map as ImmutableMap} from 'immutable';
 import {
-	type FillingUse, learnPress, noPressEstimates, type PressEstimates, pressOf, type ServingSample,
+	learnPress, noPressEstimates, ownSlackOf, type PressEstimates, pressOf, type ServingSample,
 } from './press-estimates.js';
 
 /** Share of its processors of a task that is not slowed. */
@@ -10,59 +10,67 @@
 export type PaceControl = Readonly<{
 	/** Share at which the filling tasks of an image work, in thousandths. */
 	shareByImage: ImmutableMap<string, number>;
-	/** Share of an image that has none of its own. */
-	defaultShareMilli: number;
 	press: PressEstimates;
-	/** Since when a serving task has been close to its target or beyond it. */
-	beyondSinceMs: number | undefined;
-	/** No step before this time: the measures do not show the effect of the last one yet. */
-	waitUntilMs: number;
+	/** Processors that one task of an image uses at full pace. */
+	useByImage: ImmutableMap<string, number>;
+	/** When the newest measure was learned from. */
+	learnedAtMs: number;
+	/** Since when each image has been too slow to finish here. */
+	slowSinceMs: ImmutableMap<string, number>;
 }>;
 
 /** Nothing is slowed. */
 export const restingPace: PaceControl = {
-	shareByImage: immutableMap(), defaultShareMilli: fullPaceMilli, press: noPressEstimates, beyondSinceMs: undefined, waitUntilMs: 0,
+	shareByImage: immutableMap(), press: noPressEstimates, useByImage: immutableMap(), learnedAtMs: Number.NEGATIVE_INFINITY, slowSinceMs: immutableMap(),
 };
 
-/** Pace of an agent that finds tasks running: full pace beside serving tasks that it has not measured would harm them. */
-export const cautiousPace: PaceControl = {...restingPace, defaultShareMilli: 300};
+/** A filling task that runs, with the share it was told and the processors that it used of late. */
+export type FillingSample = Readonly<{image: string; paceMilli: number; processors: number}>;
 
-/** What the worker measured: serving tasks, and the processors that the filling tasks of each image use. */
-export type PaceMeasure = Readonly<{serving: readonly ServingSample[]; filling: FillingUse}>;
+/** What the worker measured: the slack of serving tasks, and the processors that filling tasks use. */
+export type PaceMeasure = Readonly<{serving: readonly ServingSample[]; filling: readonly FillingSample[]}>;
 
-/** The measure covers half a second, and a new pace takes a tenth of one to act. */
-const settleMs = 600;
+/** What runs on the VM now, measured or not. */
+export type PacedTasks = Readonly<{
+	serving: ReadonlyArray<Readonly<{taskId: string; image: string}>>;
+	/** Number of filling tasks by image. */
+	fillingCounts: ReadonlyMap<string, number>;
+}>;
+
+/** The worker measures over half a second; a sooner look shows mostly the same. */
+const measureIntervalMs = 450;
 
-/** Part of the target above which the tail is too close to it. */
-const highTailShare = 0.9;
+/** Slack that a serving task keeps: its target, and what its load may grow by until the next measure acts. */
+const keptSlack = 1.25;
 
-/** Part of the target that a step down aims at. */
-const aimedTailShare = 0.7;
+/** Slack that filling work may take of a task that has none to spare, so that harmless images are not stopped by its own peaks. */
+const toleratedSlack = 0.05;
 
-/** Part of the target up to which images that are known to press little are given more. */
-const fullTailShare = 0.85;
+/** Standard errors by which a press is taken to be larger than estimated. */
+const cautionDeviations = 0.75;
 
-/** Part of the target below which every image is given more, so that an estimate that is too high is corrected. */
-const lowTailShare = 0.7;
+/** Processors that a task uses at full pace, before its image was measured. */
+const unknownUse = 2;
 
-/** Factors of the weakest and the strongest step down of an image that is blamed. */
-const gentleDecrease = 0.7;
-const strongestDecrease = 0.1;
+/** Weight of the newest measure of an image's use. */
+const useWeight = 0.3;
 
-/** Factor of the strongest step down of all images, when the estimates do not explain the tail. */
-const strongestCommonDecrease = 0.25;
+/** Shares below this say nothing about the use at full pace. */
+const leastMeasuredShareMilli = 200;
 
-/** Time that the estimates get to bring a tail back; then everything is slowed. The tail must be back in four seconds. */
-const blameMs = 1300;
+/** Shares are told in steps of this size. */
+const shareStepMilli = 50;
 
-/** Factor and least amount of a step up, and of one that only tries an image that is known to press. */
+/** Share that keeps an image measured while all serving tasks are within their targets. */
+const leastShareMilli = 50;
+
+/** Largest step up: a factor, and an amount for images that are nearly stopped. */
 const increase = 2;
-const leastIncreaseMilli = 40;
-const trialIncrease = 1.15;
-const leastTrialIncreaseMilli = 10;
+const increaseMilli = 100;
 
-/** Shares below this stop the filling work: it would cost memory and bring nothing. */
-const leastShareMilli = 20;
+/** Images below this share for this long should run on another VM. */
+const tooSlowShareMilli = 300;
+const tooSlowAfterMs = 1500;
 
 /**
 Tells the share at which the filling tasks of an image work, in thousandths.
@@ -70,103 +78,100 @@
 @example
 shareOf(restingPace, 'stress-run'); // => 1000
 */
-export function shareOf({shareByImage, defaultShareMilli}: PaceControl, image: string): number {
-	return shareByImage.get(image) ?? defaultShareMilli;
+export function shareOf({shareByImage}: PaceControl, image: string): number {
+	return shareByImage.get(image) ?? fullPaceMilli;
 }
 
 /**
-Learns from a measure and takes one step. While a serving task is close to its target, the images that press most on it are
-slowed until the estimates say that it is well within; what the estimates do not explain, or do not mend soon, slows all. While
-there is room, the images that press least get their share back first.
+Learns from a measure and plans the shares anew; a look that comes too early for a new measure changes nothing.
 
 @example
-const next = stepPace(restingPace, {serving: [{taskId: 't1', image: 'order-lookup', tailShare: 2.2}], filling: new Map([['stress-run', 4]])}, 5000);
+const next = stepPace(restingPace, measure, {serving: [{taskId: 't1', image: 'order-lookup'}], fillingCounts: new Map([['stress-run', 2]])}, 5000);
 shareOf(next, 'stress-run'); // => 100
 */
-export function stepPace(pace: PaceControl, measure: PaceMeasure, nowMs: number): PaceControl {
-	const learned: PaceControl = {...pace, press: learnPress(pace.press, measure.serving, measure.filling)};
-	if (nowMs < pace.waitUntilMs) {
-		return learned;
+export function stepPace(pace: PaceControl, measure: PaceMeasure, tasks: PacedTasks, nowMs: number): PaceControl {
+	if (nowMs - pace.learnedAtMs < measureIntervalMs) {
+		return pace;
 	}
 
-	const worstShare = Math.max(0, ...measure.serving.map(({tailShare}) => tailShare));
-	if (worstShare <= highTailShare) {
-		return speedUp({...learned, beyondSinceMs: undefined}, measure, {worstShare, nowMs});
+	const use = new Map<string, number>();
+	for (const {image, processors} of measure.filling) {
+		use.set(image, (use.get(image) ?? 0) + processors);
 	}
 
-	const beyondSinceMs = pace.beyondSinceMs ?? nowMs;
-	return slowDown({...learned, beyondSinceMs}, measure, {worstShare, nowMs, mayBlame: nowMs - beyondSinceMs < blameMs});
+	const learned: PaceControl = {
+		...pace,
+		press: learnPress(pace.press, measure.serving, use),
+		useByImage: learnUse(pace.useByImage, measure.filling),
+		learnedAtMs: nowMs,
+	};
+	const isBeyond = measure.serving.some(({slack}) => slack < 1);
+	return noteSlowImages(planShares(learned, tasks, {isBeyond, mayRise: true}), tasks, nowMs);
 }
 
-function withShares(pace: PaceControl, shares: ReadonlyMap<string, number>, nowMs: number): PaceControl {
-	// An image that no task runs any more starts anew with the share that is left to unknown ones.
-	return {...pace, shareByImage: immutableMap(shares), waitUntilMs: nowMs + settleMs};
-}
+/**
+Plans the shares for the tasks that run now. The images that press least on the serving tasks get their share first, up to the slack
+that these can spare; the others share what is left of it.
 
-function slowDown(
+@example
+const next = planShares(pace, {serving: [{taskId: 't1', image: 'order-lookup'}], fillingCounts: new Map([['stress-run', 3]])}, {isBeyond: false, mayRise: false});
+*/
+export function planShares(
 	pace: PaceControl,
-	{serving, filling}: PaceMeasure,
-	{worstShare, nowMs, mayBlame}: Readonly<{worstShare: number; nowMs: number; mayBlame: boolean}>,
+	{serving, fillingCounts}: PacedTasks,
+	{isBeyond, mayRise}: Readonly<{isBeyond: boolean; mayRise: boolean}>,
 ): PaceControl {
-	const factors = new Map<string, number>();
-	let commonFactor = mayBlame ? 1 : strongestCommonDecrease;
-	for (const sample of serving.filter(({tailShare}) => mayBlame && tailShare > highTailShare)) {
-		let excess = sample.tailShare - aimedTailShare;
-		const parts = [...filling]
-			.map(([image, processors]) => ({image, part: processors * pressOf(pace.press, sample.image, image)}))
-			.toSorted((left, right) => right.part - left.part);
-		for (const {image, part} of parts) {
-			if (excess <= 0 || part <= 0) {
-				break;
-			}
-
-			const kept = Math.max(strongestDecrease, Math.min(gentleDecrease, 1 - (excess / part)));
-			factors.set(image, Math.min(factors.get(image) ?? 1, kept));
-			excess -= part * (1 - kept);
+	const slacks = new Map(serving.map(({taskId}) => [taskId, toleratedSlack + Math.max(0, ownSlackOf(pace.press, taskId).mean - keptSlack)]));
+	const pressing = [...fillingCounts].map(([image, count]) => {
+		const processors = count * (pace.useByImage.get(image) ?? unknownUse);
+		const losses = serving.map(task => ({taskId: task.taskId, loss: processors * cautiousPressOf(pace.press, task.image, image)}));
+		return {image, losses, worstLoss: Math.max(0, ...losses.map(({loss}) => loss))};
+	}).toSorted((left, right) => left.worstLoss - right.worstLoss);
+	const shares = new Map<string, number>();
+	for (const {image, losses} of pressing) {
+		const before = pace.shareByImage.get(image);
+		const allowed = Math.min(fullPaceMilli, ...losses.map(({taskId, loss}) => fullPaceMilli * slacks.get(taskId)! / Math.max(1e-6, loss)));
+		const reachable = before === undefined ? fullPaceMilli : (mayRise ? (increase * before) + increaseMilli : before);
+		const shareMilli = Math.floor(Math.min(allowed, reachable) / shareStepMilli) * shareStepMilli;
+		const planned = Math.max(shareMilli, isBeyond ? 0 : leastShareMilli);
+		for (const {taskId, loss} of losses) {
+			slacks.set(taskId, Math.max(0, slacks.get(taskId)! - (loss * planned / fullPaceMilli)));
 		}
 
-		if (excess > 0) {
-			commonFactor = Math.min(commonFactor, Math.max(strongestCommonDecrease, Math.min(gentleDecrease, aimedTailShare / worstShare)));
-		}
+		shares.set(image, planned);
 	}
 
-	const shares = new Map([...filling.keys()].map(image => {
-		const shareMilli = Math.floor(shareOf(pace, image) * Math.min(commonFactor, factors.get(image) ?? 1));
-		return [image, shareMilli < leastShareMilli ? 0 : shareMilli];
-	}));
-	return withShares({...pace, defaultShareMilli: Math.max(leastShareMilli, Math.floor(pace.defaultShareMilli * commonFactor))}, shares, nowMs);
+	return {...pace, shareByImage: immutableMap(shares)};
 }
 
-function speedUp(
-	pace: PaceControl,
-	{serving, filling}: PaceMeasure,
-	{worstShare, nowMs}: Readonly<{worstShare: number; nowMs: number}>,
-): PaceControl {
-	const room = new Map(serving.map(({taskId, tailShare}) => [taskId, fullTailShare - tailShare]));
-	const pressing = [...filling]
-		.map(([image, processors]) => ({image, processors, press: Math.max(0, ...serving.map(sample => pressOf(pace.press, sample.image, image)))}))
-		.toSorted((left, right) => left.press - right.press);
-	const shares = new Map<string, number>();
-	let isChanged = false;
-	for (const {image, processors} of pressing) {
-		const shareMilli = shareOf(pace, image);
-		const wanted = Math.min(fullPaceMilli, (increase * shareMilli) + leastIncreaseMilli);
-		// At a share of 0 nothing is measured; one processor is what a task uses at least.
-		const perMilli = shareMilli === 0 ? 1 / fullPaceMilli : processors / shareMilli;
-		const allowed = Math.min(...serving.map(({taskId, image: servingImage}) =>
-			shareMilli + (Math.max(0, room.get(taskId)!) / Math.max(1e-6, perMilli * pressOf(pace.press, servingImage, image)))));
-		const tried = worstShare < lowTailShare ? Math.min(fullPaceMilli, (trialIncrease * shareMilli) + leastTrialIncreaseMilli) : shareMilli;
-		const nextMilli = Math.floor(Math.max(tried, Math.min(wanted, allowed)));
-		for (const {taskId, image: servingImage} of serving) {
-			room.set(taskId, room.get(taskId)! - ((nextMilli - shareMilli) * perMilli * pressOf(pace.press, servingImage, image)));
-		}
+/**
+Lists the images that have been too slow for too long to finish on this VM.
 
-		isChanged ||= nextMilli !== shareMilli;
-		shares.set(image, nextMilli);
-	}
+@example
+hopelessImages(pace, nowMs); // => ['stress-run']
+*/
+export function hopelessImages({slowSinceMs}: PaceControl, nowMs: number): readonly string[] {
+	return [...slowSinceMs].filter(([, sinceMs]) => nowMs - sinceMs >= tooSlowAfterMs).map(([image]) => image);
+}
+
+function cautiousPressOf(press: PressEstimates, servingImage: string, fillingImage: string): number {
+	const {mean, variance} = pressOf(press, servingImage, fillingImage);
+	return mean + (cautionDeviations * Math.sqrt(variance));
+}
+
+function learnUse(useByImage: PaceControl['useByImage'], filling: readonly FillingSample[]): PaceControl['useByImage'] {
+	return useByImage.withMutations(uses => {
+		for (const {image, paceMilli, processors} of filling) {
+			if (paceMilli >= leastMeasuredShareMilli && processors > 0) {
+				const atFullPace = processors * fullPaceMilli / paceMilli;
+				const before = uses.get(image) ?? unknownUse;
+				uses.set(image, before + (useWeight * (atFullPace - before)));
+			}
+		}
+	});
+}
 
-	const defaultShareMilli = worstShare < lowTailShare
-		? Math.min(fullPaceMilli, Math.floor((increase * pace.defaultShareMilli) + leastIncreaseMilli))
-		: pace.defaultShareMilli;
-	return isChanged ? withShares({...pace, defaultShareMilli}, shares, nowMs) : {...pace, defaultShareMilli};
+function noteSlowImages(pace: PaceControl, {fillingCounts}: PacedTasks, nowMs: number): PaceControl {
+	const slow = [...fillingCounts.keys()].filter(image => shareOf(pace, image) < tooSlowShareMilli);
+	return {...pace, slowSinceMs: immutableMap(slow.map(image => [image, pace.slowSinceMs.get(image) ?? nowMs]))};
 }
--- a/src/agent/reduce-agent.ts
+++ b/src/agent/reduce-agent.ts
@@ -15,11 +15,13 @@
 import {
 	grantLease, heartbeatSent, isLeaseExpired, noLease,
 } from './lease.js';
-import {stepPace, type PaceMeasure} from './pace-control.js';
-import {type ServingSample} from './press-estimates.js';
+import {
+	applyPace, applyTraits, pacedTasksOf, paceMeasureOf,
+} from './filling-handlers.js';
+import {hopelessImages, stepPace} from './pace-control.js';
 import {requestArrived, requestSettled} from './request-handlers.js';
 import {
-	acknowledge, applyPace, applyTraits, applyWorkerTasks, cancelAttempt, checkpointAll, dropLiveTasks, evictAttempt, evictTask, hasRunOnceTasks, repeatCalls, settleWaiting, startAnswered, startTask, stopAnswered,
+	acknowledge, applyWorkerTasks, cancelAttempt, checkpointAll, dropLiveTasks, evictAttempt, evictTask, hasRunOnceTasks, repeatCalls, settleWaiting, startAnswered, startTask, stopAnswered,
 } from './task-handlers.js';
 import {chain, transition, type Transition} from './transition.js';
 import {hasLapsed, nextHoldDeadline} from './worker-view.js';
@@ -154,38 +156,44 @@
 	};
 }
 
-/** Takes in a usage report and slows filling work when a serving task is close to its target or beyond it. */
+/** Takes in a usage report, slows filling work that serving tasks cannot bear, and gives up what would not finish here at that pace. */
 function applyUsage(state: AgentState, {usage, nowMs}: AgentEventOf<'worker-usage'>): Transition {
 	const measure = paceMeasureOf(state, usage);
-	if (measure.filling.size === 0 && measure.serving.length === 0) {
+	if (measure.filling.length === 0 && measure.serving.length === 0) {
 		return transition({...state, usage});
 	}
 
-	const pace = stepPace(state.pace, measure, nowMs);
+	const pace = stepPace(state.pace, measure, pacedTasksOf(state), nowMs);
 	const paced: AgentState = {...state, usage, pace};
-	return pace.shareByImage.equals(state.pace.shareByImage)
-		? chain(paced, applyPace)
-		: chain(paced, applyPace, current => transition(current, {
+	if (pace === state.pace) {
+		return transition(paced);
+	}
+
+	return chain(
+		paced,
+		applyPace,
+		current => pace.shareByImage.equals(state.pace.shareByImage) ? transition(current) : transition(current, {
 			kind: 'log', level: 'info', event: 'filling-work-paced', fields: {
 				shares: [...pace.shareByImage].map(([image, shareMilli]) => `${image}:${shareMilli}`).join(','),
-				worstTailShare: Math.round(1000 * Math.max(0, ...measure.serving.map(({tailShare}) => tailShare))) / 1000,
+				leastSlack: Math.round(1000 * Math.min(...measure.serving.map(({slack}) => slack))) / 1000,
 			},
-		}));
+		}),
+		moveHopelessTask(nowMs),
+	);
 }
 
-function paceMeasureOf(state: AgentState, usage: AgentEventOf<'worker-usage'>['usage']): PaceMeasure {
-	const serving: ServingSample[] = [];
-	const filling = new Map<string, number>();
-	for (const {taskId, latencyTailMs, processorsUsedMilli} of usage.tasks) {
-		const task = state.tasks.get(taskId);
-		if (task?.fillsIdle && task.phase === 'running') {
-			filling.set(task.image, (filling.get(task.image) ?? 0) + (processorsUsedMilli / 1000));
-		} else if (task && latencyTailMs !== undefined && task.latencyTargetMs > 0) {
-			serving.push({taskId, image: task.image, tailShare: latencyTailMs / task.latencyTargetMs});
-		}
-	}
+/** Attempts after which a task stays where it is: no VM may be better. */
+const maxMovedAttempts = 3;
 
-	return {serving, filling};
+/** Checkpoints one filling task that is too slow to finish beside the serving tasks of this VM, so that it is placed anew. */
+function moveHopelessTask(nowMs: number): Step {
+	return state => {
+		const hopeless = new Set(hopelessImages(state.pace, nowMs));
+		const task = hopeless.size === 0
+			? undefined
+			: state.tasks.find(({phase, fillsIdle, image, stopping, attempt}) => phase === 'running' && fillsIdle && hopeless.has(image) && stopping === undefined && attempt <= maxMovedAttempts);
+		return task === undefined ? transition(state) : evictTask(state, task.taskId, 'serving tasks leave it too little of the processors here');
+	};
 }
 
 /** Moves a graceful stop along: requests in flight, then run-once tasks, then acknowledgements. */
--- a/src/agent/task-handlers.ts
+++ b/src/agent/task-handlers.ts
@@ -13,18 +13,15 @@
 import {
 	commit, count, emptyLedger, freeResources, release,
 } from './ledger.js';
-import {
-	cautiousPace, fullPaceMilli, restingPace, shareOf,
-} from './pace-control.js';
+import {applyPlannedPace} from './filling-handlers.js';
+import {fullPaceMilli} from './pace-control.js';
+import {mergePress} from './press-estimates.js';
 import {acknowledgeTaskEvents, addTaskEvent, type TaskEventOutcome} from './task-events.js';
 import {chain, transition, type Transition} from './transition.js';
 import {hearWorker} from './worker-view.js';
 
 type Step = (state: AgentState) => Transition;
 
-/** Differs from every pace, so that the worker is told the one in force. */
-const unknownPaceMilli = -1;
-
 const holderOf = (taskId: string): string => `task/${taskId}`;
 
 const plainResources = (resources: Readonly<Resources> | undefined): Resources => resources === undefined
@@ -154,7 +151,9 @@
 		return transition(state);
 	}
 
-	const decided: AgentState = {...state, attempts: rememberAttempt(state.attempts, seen)};
+	const decided: AgentState = {
+		...state, attempts: rememberAttempt(state.attempts, seen), pace: {...state.pace, press: mergePress(state.pace.press, start.presses)},
+	};
 	const reason = reasonAgainst(state, start, nowMs);
 	if (reason !== undefined) {
 		return refuseTask(decided, start, reason);
@@ -291,7 +290,7 @@
 		started: current => chain(
 			{...current, tasks: current.tasks.set(task.taskId, {...answered, phase: 'running', start: undefined})},
 			next => report(next, task, {case: 'started', value: {}}),
-			applyPace,
+			applyPlannedPace,
 		),
 		// An earlier try without an answer may still be carried out after this refusal; a stop keeps it from running.
 		refused: current => task.startUncertain
@@ -342,52 +341,6 @@
 	};
 }
 
-/**
-Tells the worker the pace of the filling tasks that do not have it yet; a task starts at full pace.
-
-@example
-applyPace(state).effects; // => [{kind: 'throttle-task', taskId: 't1', shareMilli: 400}]
-*/
-export function applyPace(state: AgentState): Transition {
-	const paced = [...state.tasks.values()]
-		.filter(task => task.phase === 'running' && task.fillsIdle)
-		.map(task => ({task, shareMilli: shareOf(state.pace, task.image)}))
-		.filter(({task, shareMilli}) => task.paceMilli !== shareMilli);
-	return transition(
-		{
-			...state, tasks: state.tasks.withMutations(tasks => {
-				for (const {task, shareMilli} of paced) {
-					tasks.set(task.taskId, {...task, paceMilli: shareMilli});
-				}
-			}),
-		},
-		...paced.map(({task: {taskId}, shareMilli}): AgentEffect => ({kind: 'throttle-task', taskId, shareMilli})),
-	);
-}
-
-/**
-Takes over the traits of the tasks that the agent found running when it started.
-
-@example
-applyTraits(state, [{taskId: 't1', latencyTargetMs: 18, fillsIdle: false, image: 'order-lookup'}]);
-*/
-export function applyTraits(state: AgentState, claims: ReadonlyArray<Readonly<{taskId: string; latencyTargetMs: number; fillsIdle: boolean; image: string}>>): Transition {
-	const pace = claims.some(({latencyTargetMs}) => latencyTargetMs > 0) && state.pace === restingPace ? cautiousPace : state.pace;
-	return applyPace({
-		...state, pace, tasks: state.tasks.withMutations(tasks => {
-			for (const {taskId, latencyTargetMs, fillsIdle, image} of claims) {
-				const task = tasks.get(taskId);
-				if (task) {
-					// The pace that an earlier agent told the worker is not known, so that it is told anew.
-					tasks.set(taskId, {
-						...task, latencyTargetMs, fillsIdle, image, paceMilli: fillsIdle ? unknownPaceMilli : task.paceMilli,
-					});
-				}
-			}
-		}),
-	});
-}
-
 /** How the end that the worker lists is reported. */
 const outcomesByPhase: Readonly<Record<Exclude<WorkerTask['phase'], 'running'>, (listed: WorkerTask, task: AgentTask) => TaskEventOutcome>> = {
 	finished: listed => ended(TaskOutcome.FINISHED, listed.reason),
--- a/src/dispatch/agent-commands.ts
+++ b/src/dispatch/agent-commands.ts
@@ -5,6 +5,8 @@
 import {stepOf} from '../cluster/workflow-progress.js';
 import {type AgentCommand, type ControlEffect} from '../entry/control-effect.js';
 import {type EntryContext} from '../entry/entry-context.js';
+import {type PressEstimates, type PressReport, pressReports} from '../agent/press-estimates.js';
+import {fillingLoadOf} from '../placement/filling-work.js';
 import {type AgentLink} from './agent-link.js';
 
 /** Time after which a command that shows no result is sent again. */
@@ -13,15 +15,18 @@
 /** When this entry read each claim, so that it can take over commands of a writer that died. */
 export type ClaimReadTimes = Readonly<{get: (key: string) => number | undefined}>;
 
+/** What commands are made of beside the cluster's state. */
+export type CommandSources = Readonly<{claimReadTimes: ClaimReadTimes; press: PressEstimates}>;
+
 type CommandStep = Readonly<{link: AgentLink; effects: readonly ControlEffect[]}>;
 
 /**
 Compares the claims for a VM with what was sent on the agent's stream and sends the missing commands.
 
 @example
-const {link, effects} = reconcileCommands(link, claimReadTimes, context);
+const {link, effects} = reconcileCommands(link, {claimReadTimes, press}, context);
 */
-export function reconcileCommands(link: AgentLink, claimReadTimes: ClaimReadTimes, context: EntryContext): CommandStep {
+export function reconcileCommands(link: AgentLink, {claimReadTimes, press}: CommandSources, context: EntryContext): CommandStep {
 	const vm = context.cluster.vms.get(link.vmId);
 	if (!vm || !isLiveAgent(context.cluster, link.vmId, link.agentIncarnation)) {
 		return {link, effects: []};
@@ -30,19 +35,19 @@
 	const sentCommands = link.sentCommands.isEmpty()
 		? link.sentCommands
 		: link.sentCommands.filter((_sentAtMs, key) => vm.taskIds.has(taskIdOf(key)));
-	return sendCommands({...link, sentCommands}, vm.taskIds, claimReadTimes, context);
+	return sendCommands({...link, sentCommands}, vm.taskIds, {claimReadTimes, press}, context);
 }
 
 /**
 Sends the missing commands for some of a VM's tasks; the others are compared when the agent is heard next.
 
 @example
-const {link, effects} = sendCommands(link, ['task-1'], claimReadTimes, context);
+const {link, effects} = sendCommands(link, ['task-1'], {claimReadTimes, press}, context);
 */
 export function sendCommands(
 	link: AgentLink,
 	taskIds: Iterable<string>,
-	claimReadTimes: ClaimReadTimes,
+	{claimReadTimes, press}: CommandSources,
 	context: EntryContext,
 ): CommandStep {
 	const vm = context.cluster.vms.get(link.vmId);
@@ -65,7 +70,7 @@
 			continue;
 		}
 
-		const command = commandFor(task, vm, context.cluster);
+		const command = commandFor(task, vm, press, context.cluster);
 		if (command) {
 			sentCommands = sentCommands.set(key, context.nowMs);
 			effects.push({kind: 'send-to-agent', vmId: link.vmId, command});
@@ -100,7 +105,7 @@
 	claimed: 'startTask', evicting: 'evictTask', cancelling: 'cancelTask',
 };
 
-function commandFor(task: Task, vm: Vm, cluster: ClusterState): AgentCommand | undefined {
+function commandFor(task: Task, vm: Vm, press: PressEstimates, cluster: ClusterState): AgentCommand | undefined {
 	const {claim, attempt} = task;
 	const {taskId} = task.spec;
 	const {agentIncarnation} = vm;
@@ -124,6 +129,7 @@
 					checkpoint: task.checkpoint,
 					evictTaskIds: [...claim.evictTaskIds],
 					traits: traitsOf(task, cluster),
+					presses: pressesOf(task, vm, press, cluster).map(report => ({...report})),
 				},
 			};
 		}
@@ -161,6 +167,18 @@
 	return {latencyTargetMs: step?.latencyTargetMs ?? 0, fillsIdle: step?.fillsIdle ?? false, image: step?.image ?? ''};
 }
 
+/** What all VMs together know of the pairs that a task makes with its neighbours. */
+function pressesOf(task: Task, vm: Vm, press: PressEstimates, cluster: ClusterState): readonly PressReport[] {
+	const step = stepOf(cluster, task);
+	const {servingByImage, fillingByImage} = fillingLoadOf(vm, cluster);
+	const image = step?.image ?? '';
+	if (step?.fillsIdle) {
+		return pressReports(press, servingByImage.keys(), [image]);
+	}
+
+	return step?.latencyTargetMs === undefined ? [] : pressReports(press, [image], [...fillingByImage.keys()]);
+}
+
 /**
 Tells an agent the traits of the tasks that its hello lists and that are claimed for its VM; the worker's list does not hold them.
 
--- a/src/entry/reduce-agent-event.ts
+++ b/src/entry/reduce-agent-event.ts
@@ -115,7 +115,7 @@
 			continue;
 		}
 
-		const commanded = sendCommands(link, claimedTaskIds, state.claimReadAtMs, context);
+		const commanded = sendCommands(link, claimedTaskIds, {claimReadTimes: state.claimReadAtMs, press: state.placement.press}, context);
 		const acknowledged = acknowledgeTaskEvents(commanded.link, context);
 		effects.push(...commanded.effects, ...acknowledged.effects);
 		if (acknowledged.link !== link) {
@@ -183,7 +183,7 @@
 		vmId: link.vmId, usage: heartbeat.usage, backendServers: heartbeat.backendServers, receivedAtMs: context.nowMs,
 	}, context.cluster);
 	const placement = {
-		...state.placement, interference: observed.estimates, history: observed.history, press: mergePress(state.placement.press, heartbeat.usage?.presses ?? []),
+		...state.placement, interference: observed.estimates, history: observed.history, press: mergePress(state.placement.press, heartbeat.presses),
 	};
 	const refreshed = refreshLink({...withLink(state, heard), vmLiveness, placement}, heard, context);
 	const answers = answerHeartbeat(
@@ -197,7 +197,7 @@
 	const registration = registerVm(state, link, context);
 	const checked = checkHello(link, context);
 	const configured = pushConfiguration(checked.link, context);
-	const commanded = reconcileCommands(configured.link, state.claimReadAtMs, context);
+	const commanded = reconcileCommands(configured.link, {claimReadTimes: state.claimReadAtMs, press: state.placement.press}, context);
 	const acknowledged = acknowledgeTaskEvents(commanded.link, context);
 	const left = reportLeavingWorker(registration.state, acknowledged.link, context);
 	const reported = reportBackendServers(left.state, acknowledged.link, context);
--- a/src/placement/filling-work.ts
+++ b/src/placement/filling-work.ts
@@ -1,5 +1,6 @@
 import {type ClusterState, type Task, type Vm} from '../cluster/cluster-state.js';
 import {pressOf, type PressEstimates} from '../agent/press-estimates.js';
+import {type Resources} from '../cluster/resources.js';
 import {stepOf} from '../cluster/workflow-progress.js';
 
 /** What the tasks of a VM mean for one more task that fills idle processors. */
@@ -8,6 +9,10 @@
 	fillingMilli: number;
 	/** Number of serving tasks there by what they run. */
 	servingByImage: ReadonlyMap<string, number>;
+	/** Processors that the serving tasks there commit, in thousandths. */
+	servingMilli: number;
+	/** Processors that the filling tasks there would use by what they run, in thousandths. */
+	fillingByImage: ReadonlyMap<string, number>;
 }>;
 
 // Keyed by the VM's set of tasks, which is replaced whenever a task comes or goes.
@@ -17,7 +22,7 @@
 Sums the filling work and counts the serving tasks on a VM.
 
 @example
-fillingLoadOf(vm, cluster); // => {fillingMilli: 3600, servingByImage: new Map([['order-lookup', 2]])}
+fillingLoadOf(vm, cluster).servingByImage; // => new Map([['order-lookup', 2]])
 */
 export function fillingLoadOf(vm: Vm, cluster: ClusterState): FillingLoad {
 	const cached = loadsByTaskSet.get(vm.taskIds);
@@ -26,18 +31,27 @@
 	}
 
 	let fillingMilli = 0;
+	let servingMilli = 0;
 	const servingByImage = new Map<string, number>();
+	const fillingByImage = new Map<string, number>();
 	for (const taskId of vm.taskIds) {
 		const task = cluster.tasks.get(taskId);
 		const step = task && stepOf(cluster, task);
-		fillingMilli += step?.fillsIdle ? step.demand.processorsMilli : 0;
+		const image = step?.image ?? '';
+		if (step?.fillsIdle) {
+			fillingMilli += step.demand.processorsMilli;
+			fillingByImage.set(image, (fillingByImage.get(image) ?? 0) + step.demand.processorsMilli);
+		}
+
 		if (step?.latencyTargetMs !== undefined) {
-			const image = step.image ?? '';
+			servingMilli += step.demand.processorsMilli;
 			servingByImage.set(image, (servingByImage.get(image) ?? 0) + 1);
 		}
 	}
 
-	const load = {fillingMilli, servingByImage};
+	const load = {
+		fillingMilli, servingByImage, servingMilli, fillingByImage,
+	};
 	loadsByTaskSet.set(vm.taskIds, load);
 	return load;
 }
@@ -53,12 +67,34 @@
 	return step?.fillsIdle ? step.demand.processorsMilli : 0;
 }
 
-/** Harm of a filling task to each serving neighbour, in thousandths of its target, beside what is known of the pair: any one may turn sensitive. */
-const anyPressMilli = 400;
+/** Part of what serving tasks commit that they use at their peaks. */
+const servingUseMilli = 550;
 
 /**
-Estimates what a filling task would add to the tails of the serving tasks on a VM, summed, in thousandths of their targets; 0 for
-a task that commits what it needs.
+Tells how many processors of a VM neither committed tasks use nor filling ones want, in thousandths. Serving tasks commit what their
+largest load takes and leave much of it unused, which filling work may take; it gives way to them at once.
+
+@example
+idleMilliOf(vm, roomOf(vm, noResources), cluster); // => 6200
+*/
+export function idleMilliOf(vm: Vm, room: Resources, cluster: ClusterState): number {
+	const {fillingMilli, servingMilli} = fillingLoadOf(vm, cluster);
+	return Math.max(0, room.processorsMilli + Math.floor(servingMilli * (1000 - servingUseMilli) / 1000) - fillingMilli);
+}
+
+/** Slack that the serving tasks of a VM can spare for filling work at their peaks. */
+const sparedSlack = 0.45;
+
+/** Harm of a neighbour that a serving task bears without loss, in thousandths, so that VMs with fewer serving tasks are better among equals. */
+const anyPressMilli = 20;
+
+/** Harm of work that would take all the slack that a serving task can spare, in thousandths. */
+const fullPressMilli = 1000;
+const largestPressMilli = 4000;
+
+/**
+Estimates what a filling task would do to the serving tasks on a VM, the filling work there included, in thousandths of the slack that
+the one which suffers most can spare; 0 for a task that commits what it needs.
 
 @example
 pressOfPlacementMilli(press, task, vm, cluster); // => 240
@@ -69,11 +105,19 @@
 		return 0;
 	}
 
+	const {servingByImage, fillingByImage} = fillingLoadOf(vm, cluster);
 	const image = stepOf(cluster, task)?.image ?? '';
-	let sumMilli = 0;
-	for (const [servingImage, count] of fillingLoadOf(vm, cluster).servingByImage) {
-		sumMilli += count * (anyPressMilli + (fillingMilli * pressOf(press, servingImage, image)));
+	let worstLoss = 0;
+	let neighbours = 0;
+	for (const [servingImage, count] of servingByImage) {
+		neighbours += count;
+		let loss = fillingMilli * pressOf(press, servingImage, image).mean / 1000;
+		for (const [otherImage, otherMilli] of fillingByImage) {
+			loss += otherMilli * pressOf(press, servingImage, otherImage).mean / 1000;
+		}
+
+		worstLoss = Math.max(worstLoss, loss);
 	}
 
-	return Math.round(sumMilli);
+	return Math.min(largestPressMilli, Math.round(fullPressMilli * worstLoss / sparedSlack)) + (anyPressMilli * neighbours);
 }
--- a/src/placement/place-queued-tasks.ts
+++ b/src/placement/place-queued-tasks.ts
@@ -14,7 +14,7 @@
 import {type EntryContext, isLogFresh} from '../entry/entry-context.js';
 import {classesInTurn} from './classes-in-turn.js';
 import {chooseVm, type PlacementCandidate} from './choose-vm.js';
-import {fillingDemandMilli, fillingLoadOf, pressOfPlacementMilli} from './filling-work.js';
+import {fillingDemandMilli, idleMilliOf, pressOfPlacementMilli} from './filling-work.js';
 import {lackingForever, roomOf, takesNewTasks} from './feasibility.js';
 import {
 	addPendingClaim, noPendingClaims, type PendingClaims, settlePendingClaims, siblingsKeyOf,
@@ -46,6 +46,7 @@
 
 /** VMs that are looked at first for one task; a full scan follows only when none of them has room. */
 const sampledVms = 24;
+const sampledVmsForFillingWork = 128;
 /** Claims that may be under way at once, which bounds the size of one append. */
 const maxPendingClaims = 512;
 /** Tasks looked at in one pass, which bounds the time of one pass. */
@@ -214,7 +215,8 @@
 	}
 
 	const taskSeed = (seed + task.submittedOffset + task.attempt) % 0x7F_FF_FF_FF;
-	const sample = sampleVms(pass.vms, taskSeed);
+	// What filling work does to others differs widely between VMs, so that a small sample misses the good ones.
+	const sample = sampleVms(pass.vms, taskSeed, fillingDemandMilli(task, cluster) === 0 ? sampledVms : sampledVmsForFillingWork);
 	let considered = sample.length;
 	let candidates = candidatesAmong(pass, task, sample);
 	if (candidates.length === 0 && sample.length < pass.vms.length) {
@@ -322,7 +324,9 @@
 	const step = stepOf(cluster, task);
 	for (const vm of vms) {
 		const room = roomOf(vm, pass.state.pending.committedByVm.get(vm.vmId, noResources));
-		const offered = fillingMilli === 0 ? room : {...room, processorsMilli: idleMilliOf(pass, vm, room)};
+		const offered = fillingMilli === 0 ? room : {
+			...room, processorsMilli: Math.max(0, idleMilliOf(vm, room, cluster) - pass.state.pending.fillingByVm.get(vm.vmId, 0)),
+		};
 		if (fitsInto(task.spec.demand, room) && offered.processorsMilli >= needsIdleMilli && isAllowed(pass, task, step, vm)) {
 			found.push({vm, candidate: toCandidate(pass, task, vm, {room: offered, evictions: 0, step}), evictTaskIds: []});
 		}
@@ -378,12 +382,6 @@
 	return spare;
 }
 
-/** Processors of a VM that neither committed tasks nor filling ones use, claims under way included. */
-function idleMilliOf(pass: Pass, vm: Vm, room: Resources): number {
-	const {fillingMilli} = fillingLoadOf(vm, pass.context.cluster);
-	return Math.max(0, room.processorsMilli - fillingMilli - pass.state.pending.fillingByVm.get(vm.vmId, 0));
-}
-
 /** VMs on which evictions are weighed for one urgent task. */
 const sampledVmsForEviction = 64;
 
@@ -459,14 +457,14 @@
 	}));
 }
 
-function sampleVms(vms: readonly Vm[], seed: number): readonly Vm[] {
-	if (vms.length <= sampledVms) {
+function sampleVms(vms: readonly Vm[], seed: number, size: number): readonly Vm[] {
+	if (vms.length <= size) {
 		return vms;
 	}
 
 	const generator = xoroshiro128plus(seed);
 	const picked = new Set<number>();
-	while (picked.size < sampledVms) {
+	while (picked.size < size) {
 		picked.add(uniformInt(generator, 0, vms.length - 1));
 	}
 
