Offer filling work no more than agents found it to get

Agents now report how many processors filling work can get on a VM where it was short of them, and the test reports it as they do.

--- a/src/agent/agent-state.ts
+++ b/src/agent/agent-state.ts
@@ -44,6 +44,8 @@
 	latencyTargetMs: number;
 	/** Whether it takes only processors that other tasks leave idle. */
 	fillsIdle: boolean;
+	/** Processors that it takes at most when it fills idle ones, in thousandths. */
+	fillingMilli: number;
 	/** What it runs; tasks of the same image disturb others, and are disturbed, alike. */
 	image: string;
 	/** Share of its processors that the worker was last told, in thousandths. */
--- a/src/agent/entry-messages.ts
+++ b/src/agent/entry-messages.ts
@@ -99,6 +99,7 @@
 				leaving: state.stop !== undefined,
 				workerLeaving: state.worker.leaving,
 				presses: presses.map(report => ({...report})),
+				fillingRoomMilli: state.pace.fillingRoomMilli ?? 0,
 			},
 		},
 		link: {
--- a/src/agent/filling-handlers.ts
+++ b/src/agent/filling-handlers.ts
@@ -46,7 +46,9 @@
 	for (const {taskId, latencyTailMs, processorsUsedMilli} of usage.tasks) {
 		const task = state.tasks.get(taskId);
 		if (task && isFilling(task)) {
-			filling.push({image: task.image, paceMilli: task.paceMilli, processors: processorsUsedMilli / 1000});
+			filling.push({
+				image: task.image, paceMilli: task.paceMilli, processors: processorsUsedMilli / 1000, wanted: task.fillingMilli * task.paceMilli / 1000 / fullPaceMilli,
+			});
 		} else if (task && isServing(task) && latencyTailMs !== undefined && latencyTailMs > 0) {
 			serving.push({taskId, image: task.image, slack: task.latencyTargetMs / latencyTailMs});
 		}
@@ -92,17 +94,17 @@
 Takes over the traits of the tasks that the agent found running when it started.
 
 @example
-applyTraits(state, [{taskId: 't1', latencyTargetMs: 18, fillsIdle: false, image: 'order-lookup'}]);
+applyTraits(state, [{taskId: 't1', latencyTargetMs: 18, fillsIdle: false, fillingMilli: 0, image: 'order-lookup'}]);
 */
-export function applyTraits(state: AgentState, claims: ReadonlyArray<Readonly<{taskId: string; latencyTargetMs: number; fillsIdle: boolean; image: string}>>): Transition {
+export function applyTraits(state: AgentState, claims: ReadonlyArray<Pick<AgentTask, 'taskId' | 'latencyTargetMs' | 'fillsIdle' | 'fillingMilli' | 'image'>>): Transition {
 	return applyPlannedPace({
 		...state, tasks: state.tasks.withMutations(tasks => {
-			for (const {taskId, latencyTargetMs, fillsIdle, image} of claims) {
+			for (const {taskId, latencyTargetMs, fillsIdle, fillingMilli, image} of claims) {
 				const task = tasks.get(taskId);
 				if (task) {
 					// The pace that an earlier agent told the worker is not known, so that it is told anew.
 					tasks.set(taskId, {
-						...task, latencyTargetMs, fillsIdle, image, paceMilli: fillsIdle ? unknownPaceMilli : task.paceMilli,
+						...task, latencyTargetMs, fillsIdle, fillingMilli, image, paceMilli: fillsIdle ? unknownPaceMilli : task.paceMilli,
 					});
 				}
 			}
--- /dev/null
+++ b/src/agent/filling-room.ts
@@ -0,0 +1,22 @@
+/** What the filling tasks of a VM used in the window of a measure, and what they may use, in processors. */
+export type FillingSupply = Readonly<{used: number; wanted: number}>;
+
+/** Filling work that gets less than this part of what it may use is short of processors. */
+const shortShare = 0.8;
+
+/** Growth of the room from one measure to the next while filling work is not short: the load of serving tasks falls as it rose. */
+const growth = 1.02;
+
+/**
+Estimates how many processors filling work can get on a VM, in thousandths; undefined as long as it was never short of them.
+
+@example
+nextFillingRoomMilli(undefined, {used: 3.1, wanted: 5.4}); // => 3100
+*/
+export function nextFillingRoomMilli(beforeMilli: number | undefined, {used, wanted}: FillingSupply): number | undefined {
+	if (used < shortShare * wanted) {
+		return Math.round(1000 * used);
+	}
+
+	return beforeMilli === undefined ? undefined : Math.round(Math.max(1000 * used, growth * beforeMilli));
+}
--- a/src/agent/pace-control.test.ts
+++ b/src/agent/pace-control.test.ts
@@ -38,7 +38,7 @@
 		const tasks = {serving: [{taskId: 's1', image: 'lookup'}], fillingCounts: new Map(press.map(([image]) => [image, 2]))};
 		pace = planShares(pace, tasks, {mayRise: false});
 		const current = pace;
-		const filling = press.map(([image]) => ({image, paceMilli: shareOf(current, image), processors: processors * shareOf(current, image) / 1000 / 2}));
+		const filling = press.map(([image]) => ({image, paceMilli: shareOf(current, image), processors: processors * shareOf(current, image) / 1000 / 2, wanted: processors * shareOf(current, image) / 1000 / 2}));
 		const longer = 1 + press.reduce((sum, [image, each]) => sum + (each * processors * shareOf(current, image) / 1000), 0);
 		const slack = Math.max(leastSlack, quietSlack * ((1 / longer) - loadAt(atMs)));
 		pace = stepPace(pace, {serving: [{taskId: 's1', image: 'lookup', slack}], filling: [...filling, ...filling]}, tasks, atMs);
@@ -98,7 +98,7 @@
 
 test('no step is taken before the last one can show in the measures', t => {
 	const tasks = {serving: [{taskId: 's1', image: 'lookup'}], fillingCounts: new Map([['stress', 2]])};
-	const measure = {serving: [{taskId: 's1', image: 'lookup', slack: 0.3}], filling: [{image: 'stress', paceMilli: 1000, processors: 4}]};
+	const measure = {serving: [{taskId: 's1', image: 'lookup', slack: 0.3}], filling: [{image: 'stress', paceMilli: 1000, processors: 4, wanted: 4}]};
 	const first = stepPace(restingPace, measure, tasks, 1000);
 	t.true(shareOf(first, 'stress') < 1000);
 	t.is(stepPace(first, measure, tasks, 1100), first);
--- a/src/agent/pace-control.ts
+++ b/src/agent/pace-control.ts
@@ -1,4 +1,5 @@
 import {Map as immutableMap, type Map as ImmutableMap} from 'immutable';
+import {nextFillingRoomMilli, type FillingSupply} from './filling-room.js';
 import {
 	learnPress, noPressEstimates, ownSlackOf, type PressEstimates, pressOf, type ServingSample,
 } from './press-estimates.js';
@@ -17,17 +18,19 @@
 	beyondSinceMs: number | undefined;
 	/** When the newest measure was learned from. */
 	learnedAtMs: number;
+	/** Processors that filling work can get, in thousandths; undefined while it was never short of them. */
+	fillingRoomMilli: number | undefined;
 	/** Since when each image has been too slow to finish here. */
 	slowSinceMs: ImmutableMap<string, number>;
 }>;
 
 /** Nothing is slowed. */
 export const restingPace: PaceControl = {
-	shareByImage: immutableMap(), press: noPressEstimates, useByImage: immutableMap(), beyondSinceMs: undefined, learnedAtMs: Number.NEGATIVE_INFINITY, slowSinceMs: immutableMap(),
+	shareByImage: immutableMap(), press: noPressEstimates, useByImage: immutableMap(), beyondSinceMs: undefined, learnedAtMs: Number.NEGATIVE_INFINITY, slowSinceMs: immutableMap(), fillingRoomMilli: undefined,
 };
 
-/** A filling task that runs, with the share it was told and the processors that it used of late. */
-export type FillingSample = Readonly<{image: string; paceMilli: number; processors: number}>;
+/** A filling task that runs, with the share it was told, the processors that it used of late, and those that it may use at that share. */
+export type FillingSample = Readonly<{image: string; paceMilli: number; processors: number; wanted: number}>;
 
 /** What the worker measured: the slack of serving tasks, and the processors that filling tasks use. */
 export type PaceMeasure = Readonly<{serving: readonly ServingSample[]; filling: readonly FillingSample[]}>;
@@ -108,6 +111,7 @@
 		press: learnPress(pace.press, measure.serving, use),
 		useByImage: learnUse(pace.useByImage, measure.filling),
 		learnedAtMs: nowMs,
+		fillingRoomMilli: nextFillingRoomMilli(pace.fillingRoomMilli, supplyOf(measure.filling)),
 	};
 	return noteSlowImages(planShares(learned, tasks, {mayRise: true}), tasks, nowMs);
 }
@@ -174,6 +178,18 @@
 	});
 }
 
+function supplyOf(filling: readonly FillingSample[]): FillingSupply {
+	let used = 0;
+	let wanted = 0;
+	// A task that has just started uses nothing yet.
+	for (const sample of filling.filter(({processors}) => processors > 0)) {
+		used += sample.processors;
+		wanted += sample.wanted;
+	}
+
+	return {used, wanted};
+}
+
 function noteSlowImages(pace: PaceControl, {fillingCounts}: PacedTasks, nowMs: number): PaceControl {
 	const slow = [...fillingCounts.keys()].filter(image => shareOf(pace, image) < tooSlowShareMilli);
 	return {...pace, slowSinceMs: immutableMap(slow.map(image => [image, pace.slowSinceMs.get(image) ?? nowMs]))};
--- a/src/agent/reduce-agent.ts
+++ b/src/agent/reduce-agent.ts
@@ -291,7 +291,7 @@
 
 		case 'claimedTraits': {
 			return applyTraits(state, message.value.claims.map(({taskId, traits}) => ({
-				taskId, latencyTargetMs: traits?.latencyTargetMs ?? 0, fillsIdle: traits?.fillsIdle ?? false, image: traits?.image ?? '',
+				taskId, latencyTargetMs: traits?.latencyTargetMs ?? 0, fillsIdle: traits?.fillsIdle ?? false, fillingMilli: traits?.fillingMilli ?? 0, image: traits?.image ?? '',
 			})));
 		}
 
--- a/src/dispatch/agent-commands.ts
+++ b/src/dispatch/agent-commands.ts
@@ -6,7 +6,7 @@
 import {type AgentCommand, type ControlEffect} from '../entry/control-effect.js';
 import {type EntryContext} from '../entry/entry-context.js';
 import {type PressEstimates, type PressReport, pressReports} from '../agent/press-estimates.js';
-import {fillingLoadOf} from '../placement/filling-work.js';
+import {fillingDemandMilli, fillingLoadOf} from '../placement/filling-work.js';
 import {type AgentLink} from './agent-link.js';
 
 /** Time after which a command that shows no result is sent again. */
@@ -162,9 +162,13 @@
 	}
 }
 
-function traitsOf(task: Task, cluster: ClusterState): Readonly<{latencyTargetMs: number; fillsIdle: boolean; image: string}> {
+type TaskTraits = Readonly<{latencyTargetMs: number; fillsIdle: boolean; image: string; fillingMilli: number}>;
+
+function traitsOf(task: Task, cluster: ClusterState): TaskTraits {
 	const step = stepOf(cluster, task);
-	return {latencyTargetMs: step?.latencyTargetMs ?? 0, fillsIdle: step?.fillsIdle ?? false, image: step?.image ?? ''};
+	return {
+		latencyTargetMs: step?.latencyTargetMs ?? 0, fillsIdle: step?.fillsIdle ?? false, image: step?.image ?? '', fillingMilli: fillingDemandMilli(task, cluster),
+	};
 }
 
 /** What all VMs together know of the pairs that a task makes with its neighbours. */
--- a/src/entry/reduce-agent-event.ts
+++ b/src/entry/reduce-agent-event.ts
@@ -184,6 +184,7 @@
 	}, context.cluster);
 	const placement = {
 		...state.placement, interference: observed.estimates, history: observed.history, press: mergePress(state.placement.press, heartbeat.presses),
+		fillingRoomByVm: heartbeat.fillingRoomMilli === 0 ? state.placement.fillingRoomByVm.delete(link.vmId) : state.placement.fillingRoomByVm.set(link.vmId, heartbeat.fillingRoomMilli),
 	};
 	const refreshed = refreshLink({...withLink(state, heard), vmLiveness, placement}, heard, context);
 	const answers = answerHeartbeat(
--- a/src/placement/filling-work.test.ts
+++ b/src/placement/filling-work.test.ts
@@ -1,4 +1,6 @@
 import test from 'ava';
+import {Map as immutableMap} from 'immutable';
+import {nextFillingRoomMilli} from '../agent/filling-room.js';
 import {type ClusterRecord} from '../cluster/cluster-record.js';
 import {applyRecord, emptyClusterState} from '../cluster/reduce-cluster.js';
 import {type ClusterState} from '../cluster/cluster-state.js';
@@ -15,6 +17,7 @@
 const taskMilli = 1800;
 const runTimeMs = 4000;
 const stepMs = 100;
+const measureMs = 500;
 const objective = {stretchMilli: 2000, slackMs: 1000};
 
 type Outcome = Readonly<{submitted: number; inTime: number; finished: number}>;
@@ -53,6 +56,14 @@
 		return filling.map(taskId => ({taskId, vmId, speed}));
 	});
 
+	/** What agents report of the processors that filling tasks can get. */
+	const measureRoom = (before: PlacementState['fillingRoomByVm']) => immutableMap(vmIds.flatMap(vmId => {
+		const own = runningTasks().filter(task => task.vmId === vmId);
+		const wanted = own.length * taskMilli / 1000;
+		const roomMilli = nextFillingRoomMilli(before.get(vmId), {wanted, used: own.reduce((sum, {speed}) => sum + speed, 0) * taskMilli / 1000});
+		return roomMilli === undefined ? [] : [[vmId, roomMilli] as const];
+	}));
+
 	append({
 		kind: 'entry-registered', entryId: 'e', failureDomain: 'a', operatorAddress: '127.0.0.1:1',
 	});
@@ -78,6 +89,10 @@
 			submitted++;
 		}
 
+		if (nowMs % measureMs === 0) {
+			placement = {...placement, fillingRoomByVm: measureRoom(placement.fillingRoomByVm)};
+		}
+
 		const placed = placeQueuedTasks(placement, {
 			cluster, settings, incarnation: 'i', nowMs, wallTimeMs: nowMs, tailConfirmedSentAtMs: nowMs, pendingAppends: 0, seed: 999,
 		});
--- a/src/placement/filling-work.ts
+++ b/src/placement/filling-work.ts
@@ -72,14 +72,16 @@
 
 /**
 Tells how many processors of a VM neither committed tasks use nor filling ones want, in thousandths. Serving tasks commit what their
-largest load takes and leave much of it unused, which filling work may take; it gives way to them at once.
+largest load takes and leave much of it unused, which filling work may take; it gives way to them at once. Where filling work was
+short of processors, it gets no more than agents found it to get.
 
 @example
-idleMilliOf(vm, roomOf(vm, noResources), cluster); // => 6200
+idleMilliOf(vm, {room: roomOf(vm, noResources), fillingRoomMilli: undefined}, cluster); // => 6200
 */
-export function idleMilliOf(vm: Vm, room: Resources, cluster: ClusterState): number {
+export function idleMilliOf(vm: Vm, {room, fillingRoomMilli}: Readonly<{room: Resources; fillingRoomMilli: number | undefined}>, cluster: ClusterState): number {
 	const {fillingMilli, servingMilli} = fillingLoadOf(vm, cluster);
-	return Math.max(0, room.processorsMilli + Math.floor(servingMilli * (1000 - servingUseMilli) / 1000) - fillingMilli);
+	const unusedMilli = room.processorsMilli + Math.floor(servingMilli * (1000 - servingUseMilli) / 1000);
+	return Math.max(0, Math.min(unusedMilli, fillingRoomMilli ?? unusedMilli) - fillingMilli);
 }
 
 /** Slack that the serving tasks of a VM can spare for filling work at their peaks. */
--- a/src/placement/place-queued-tasks.ts
+++ b/src/placement/place-queued-tasks.ts
@@ -38,10 +38,12 @@
 	history: VmHistory;
 	/** What filling work was found to do to serving tasks, from the reports of all agents. */
 	press: PressEstimates;
+	/** Processors that filling work can get on the VMs where it was short of them, in thousandths. */
+	fillingRoomByVm: ImmutableMap<string, number>;
 }>;
 
 export const initialPlacement: PlacementState = {
-	pending: noPendingClaims, ownersSeen: immutableMap(), interference: noInterferenceEstimates, history: noVmHistory, press: noPressEstimates,
+	pending: noPendingClaims, ownersSeen: immutableMap(), interference: noInterferenceEstimates, history: noVmHistory, press: noPressEstimates, fillingRoomByVm: immutableMap(),
 };
 
 /** VMs that are looked at first for one task; a full scan follows only when none of them has room. */
@@ -325,7 +327,7 @@
 	for (const vm of vms) {
 		const room = roomOf(vm, pass.state.pending.committedByVm.get(vm.vmId, noResources));
 		const offered = fillingMilli === 0 ? room : {
-			...room, processorsMilli: Math.max(0, idleMilliOf(vm, room, cluster) - pass.state.pending.fillingByVm.get(vm.vmId, 0)),
+			...room, processorsMilli: Math.max(0, idleMilliOf(vm, {room, fillingRoomMilli: pass.state.fillingRoomByVm.get(vm.vmId)}, cluster) - pass.state.pending.fillingByVm.get(vm.vmId, 0)),
 		};
 		if (fitsInto(task.spec.demand, room) && offered.processorsMilli >= needsIdleMilli && isAllowed(pass, task, step, vm)) {
 			found.push({vm, candidate: toCandidate(pass, task, vm, {room: offered, evictions: 0, step}), evictTaskIds: []});
