--- a/src/agent/filling-handlers.ts
+++ b/src/agent/filling-handlers.ts
@@ -18,20 +18,20 @@
 Lists the tasks between which processors are shared out.
 
 @example
-pacedTasksOf(state).fillingCounts; // => new Map([['stress-run', 2]])
+pacedTasksOf(state).wantedByImage; // => new Map([['stress-run', 3.6]])
 */
-export function pacedTasksOf({tasks}: AgentState): PacedTasks {
+export function pacedTasksOf({tasks, ledger}: AgentState): PacedTasks {
 	const serving: Array<Readonly<{taskId: string; image: string}>> = [];
-	const fillingCounts = new Map<string, number>();
+	const wantedByImage = new Map<string, number>();
 	for (const task of tasks.values()) {
 		if (isServing(task)) {
 			serving.push({taskId: task.taskId, image: task.image});
 		} else if (isFilling(task)) {
-			fillingCounts.set(task.image, (fillingCounts.get(task.image) ?? 0) + 1);
+			wantedByImage.set(task.image, (wantedByImage.get(task.image) ?? 0) + (task.fillingMilli / 1000));
 		}
 	}
 
-	return {serving, fillingCounts};
+	return {serving, wantedByImage, vmProcessors: ledger.capacity.processorsMilli / 1000};
 }
 
 /**
@@ -47,7 +47,7 @@
 		const task = state.tasks.get(taskId);
 		if (task && isFilling(task)) {
 			filling.push({
-				image: task.image, paceMilli: task.paceMilli, processors: processorsUsedMilli / 1000, wanted: task.fillingMilli * task.paceMilli / 1000 / fullPaceMilli,
+				image: task.image, processors: processorsUsedMilli / 1000, wanted: task.fillingMilli * task.paceMilli / 1000 / fullPaceMilli,
 			});
 		} else if (task && isServing(task) && latencyTailMs !== undefined && latencyTailMs > 0) {
 			serving.push({taskId, image: task.image, slack: task.latencyTargetMs / latencyTailMs});
--- a/src/agent/filling-room.ts
+++ b/src/agent/filling-room.ts
@@ -1,8 +1,8 @@
 /** What the filling tasks of a VM used in the window of a measure, and what they may use, in processors. */
 export type FillingSupply = Readonly<{used: number; wanted: number}>;
 
-/** Filling work that gets less than this part of what it may use is short of processors. */
-const shortShare = 0.8;
+/** Filling work that gets less than this part of what it may use is short of processors; some tasks use two thirds of what they declare. */
+const shortShare = 0.6;
 
 /** Growth of the room from one measure to the next while filling work is not short: the load of serving tasks falls as it rose. */
 const growth = 1.02;
--- a/src/agent/pace-control.ts
+++ b/src/agent/pace-control.ts
@@ -1,7 +1,7 @@
 import {Map as immutableMap, type Map as ImmutableMap} from 'immutable';
 import {nextFillingRoomMilli, type FillingSupply} from './filling-room.js';
 import {
-	learnPress, noPressEstimates, ownSlackOf, type PressEstimates, pressOf, type ServingSample,
+	type Estimate, learnPress, noPressEstimates, ownSlackOf, type PressEstimates, pressOf, type ServingSample,
 } from './press-estimates.js';
 
 /** Share of its processors of a task that is not slowed. */
@@ -12,8 +12,6 @@
 	/** Share at which the filling tasks of an image work, in thousandths. */
 	shareByImage: ImmutableMap<string, number>;
 	press: PressEstimates;
-	/** Processors that one task of an image uses at full pace. */
-	useByImage: ImmutableMap<string, number>;
 	/** Since when a serving task has been beyond its target. */
 	beyondSinceMs: number | undefined;
 	/** When the newest measure was learned from. */
@@ -26,11 +24,11 @@
 
 /** Nothing is slowed. */
 export const restingPace: PaceControl = {
-	shareByImage: immutableMap(), press: noPressEstimates, useByImage: immutableMap(), beyondSinceMs: undefined, learnedAtMs: Number.NEGATIVE_INFINITY, slowSinceMs: immutableMap(), fillingRoomMilli: undefined,
+	shareByImage: immutableMap(), press: noPressEstimates, beyondSinceMs: undefined, learnedAtMs: Number.NEGATIVE_INFINITY, slowSinceMs: immutableMap(), fillingRoomMilli: undefined,
 };
 
-/** A filling task that runs, with the share it was told, the processors that it used of late, and those that it may use at that share. */
-export type FillingSample = Readonly<{image: string; paceMilli: number; processors: number; wanted: number}>;
+/** A filling task that runs, with the processors that it used of late, and those that it may use at the share that it was told. */
+export type FillingSample = Readonly<{image: string; processors: number; wanted: number}>;
 
 /** What the worker measured: the slack of serving tasks, and the processors that filling tasks use. */
 export type PaceMeasure = Readonly<{serving: readonly ServingSample[]; filling: readonly FillingSample[]}>;
@@ -38,8 +36,10 @@
 /** What runs on the VM now, measured or not. */
 export type PacedTasks = Readonly<{
 	serving: ReadonlyArray<Readonly<{taskId: string; image: string}>>;
-	/** Number of filling tasks by image. */
-	fillingCounts: ReadonlyMap<string, number>;
+	/** Processors that the filling tasks of each image may use at full pace. */
+	wantedByImage: ReadonlyMap<string, number>;
+	/** Processors of the VM. */
+	vmProcessors: number;
 }>;
 
 /** The worker measures over half a second; a sooner look shows mostly the same. */
@@ -55,16 +55,7 @@
 const tolerantForMs = 1500;
 
 /** Standard errors by which a press is taken to be larger than estimated. */
-const cautionDeviations = 0.75;
-
-/** Processors that a task uses at full pace, before its image was measured. */
-const unknownUse = 2;
-
-/** Weight of the newest measure of an image's use. */
-const useWeight = 0.3;
-
-/** Shares below this say nothing about the use at full pace. */
-const leastMeasuredShareMilli = 200;
+const cautionDeviations = 1;
 
 /** Shares are told in steps of this size. */
 const shareStepMilli = 50;
@@ -91,7 +82,7 @@
 Learns from a measure and plans the shares anew; a look that comes too early for a new measure changes nothing.
 
 @example
-const next = stepPace(restingPace, measure, {serving: [{taskId: 't1', image: 'order-lookup'}], fillingCounts: new Map([['stress-run', 2]])}, 5000);
+const next = stepPace(restingPace, measure, {serving: [{taskId: 't1', image: 'order-lookup'}], wantedByImage: new Map([['stress-run', 3.6]]), vmProcessors: 16}, 5000);
 shareOf(next, 'stress-run'); // => 100
 */
 export function stepPace(pace: PaceControl, measure: PaceMeasure, tasks: PacedTasks, nowMs: number): PaceControl {
@@ -101,7 +92,7 @@
 
 	const use = new Map<string, number>();
 	for (const {image, processors} of measure.filling) {
-		use.set(image, (use.get(image) ?? 0) + processors);
+		use.set(image, (use.get(image) ?? 0) + tenthsOf(processors, tasks));
 	}
 
 	const isBeyond = measure.serving.some(({slack}) => slack < 1);
@@ -109,7 +100,6 @@
 		...pace,
 		beyondSinceMs: isBeyond ? pace.beyondSinceMs ?? nowMs : undefined,
 		press: learnPress(pace.press, measure.serving, use),
-		useByImage: learnUse(pace.useByImage, measure.filling),
 		learnedAtMs: nowMs,
 		fillingRoomMilli: nextFillingRoomMilli(pace.fillingRoomMilli, supplyOf(measure.filling)),
 	};
@@ -121,34 +111,33 @@
 that these can spare; the others share what is left of it.
 
 @example
-const next = planShares(pace, {serving: [{taskId: 't1', image: 'order-lookup'}], fillingCounts: new Map([['stress-run', 3]])}, {mayRise: false});
+const next = planShares(pace, {serving: [{taskId: 't1', image: 'order-lookup'}], wantedByImage: new Map([['stress-run', 3.6]]), vmProcessors: 16}, {mayRise: false});
 */
-export function planShares(
-	pace: PaceControl,
-	{serving, fillingCounts}: PacedTasks,
-	{mayRise}: Readonly<{mayRise: boolean}>,
-): PaceControl {
+export function planShares(pace: PaceControl, tasks: PacedTasks, {mayRise}: Readonly<{mayRise: boolean}>): PaceControl {
+	const shares = allowedShares(pace, tasks, cautionDeviations).map(([image, allowedMilli]): [string, number] => {
+		const before = pace.shareByImage.get(image);
+		const reachableMilli = before === undefined ? fullPaceMilli : (mayRise ? (increase * before) + increaseMilli : before);
+		return [image, Math.floor(Math.min(allowedMilli, reachableMilli) / shareStepMilli) * shareStepMilli];
+	});
+	return {...pace, shareByImage: immutableMap(shares)};
+}
+
+/** The shares that the serving tasks can bear, the images first that press least, when each press is `deviations` standard errors larger than estimated. */
+function allowedShares(pace: PaceControl, tasks: PacedTasks, deviations: number): ReadonlyArray<readonly [string, number]> {
 	const tolerated = pace.beyondSinceMs !== undefined && pace.learnedAtMs - pace.beyondSinceMs >= tolerantForMs ? 0 : toleratedSlack;
-	const slacks = new Map(serving.map(({taskId}) => [taskId, tolerated + Math.max(0, ownSlackOf(pace.press, taskId) - keptSlack)]));
-	const pressing = [...fillingCounts].map(([image, count]) => {
-		const processors = count * (pace.useByImage.get(image) ?? unknownUse);
-		const losses = serving.map(task => ({taskId: task.taskId, loss: processors * cautiousPressOf(pace.press, task.image, image)}));
+	const slacks = new Map(tasks.serving.map(({taskId}) => [taskId, tolerated + Math.max(0, ownSlackOf(pace.press, taskId) - keptSlack)]));
+	const pressing = [...tasks.wantedByImage].map(([image, processors]) => {
+		const losses = tasks.serving.map(task => ({taskId: task.taskId, loss: tenthsOf(processors, tasks) * cautiousPressOf(pressOf(pace.press, task.image, image), deviations)}));
 		return {image, losses, worstLoss: Math.max(0, ...losses.map(({loss}) => loss))};
 	}).toSorted((left, right) => left.worstLoss - right.worstLoss);
-	const shares = new Map<string, number>();
-	for (const {image, losses} of pressing) {
-		const before = pace.shareByImage.get(image);
-		const allowed = Math.min(fullPaceMilli, ...losses.map(({taskId, loss}) => fullPaceMilli * slacks.get(taskId)! / Math.max(1e-6, loss)));
-		const reachable = before === undefined ? fullPaceMilli : (mayRise ? (increase * before) + increaseMilli : before);
-		const shareMilli = Math.floor(Math.min(allowed, reachable) / shareStepMilli) * shareStepMilli;
+	return pressing.map(({image, losses}) => {
+		const allowedMilli = Math.min(fullPaceMilli, ...losses.map(({taskId, loss}) => fullPaceMilli * slacks.get(taskId)! / Math.max(1e-6, loss)));
 		for (const {taskId, loss} of losses) {
-			slacks.set(taskId, Math.max(0, slacks.get(taskId)! - (loss * shareMilli / fullPaceMilli)));
+			slacks.set(taskId, Math.max(0, slacks.get(taskId)! - (loss * allowedMilli / fullPaceMilli)));
 		}
 
-		shares.set(image, shareMilli);
-	}
-
-	return {...pace, shareByImage: immutableMap(shares)};
+		return [image, allowedMilli];
+	});
 }
 
 /**
@@ -161,21 +150,12 @@
 	return [...slowSinceMs].filter(([, sinceMs]) => nowMs - sinceMs >= tooSlowAfterMs).map(([image]) => image);
 }
 
-function cautiousPressOf(press: PressEstimates, servingImage: string, fillingImage: string): number {
-	const {mean, variance} = pressOf(press, servingImage, fillingImage);
-	return mean + (cautionDeviations * Math.sqrt(variance));
+function cautiousPressOf({mean, variance}: Estimate, deviations: number): number {
+	return mean + (deviations * Math.sqrt(variance));
 }
 
-function learnUse(useByImage: PaceControl['useByImage'], filling: readonly FillingSample[]): PaceControl['useByImage'] {
-	return useByImage.withMutations(uses => {
-		for (const {image, paceMilli, processors} of filling) {
-			if (paceMilli >= leastMeasuredShareMilli && processors > 0) {
-				const atFullPace = processors * fullPaceMilli / paceMilli;
-				const before = uses.get(image) ?? unknownUse;
-				uses.set(image, before + (useWeight * (atFullPace - before)));
-			}
-		}
-	});
+function tenthsOf(processors: number, {vmProcessors}: PacedTasks): number {
+	return 10 * processors / Math.max(1, vmProcessors);
 }
 
 function supplyOf(filling: readonly FillingSample[]): FillingSupply {
@@ -190,7 +170,8 @@
 	return {used, wanted};
 }
 
-function noteSlowImages(pace: PaceControl, {fillingCounts}: PacedTasks, nowMs: number): PaceControl {
-	const slow = [...fillingCounts.keys()].filter(image => shareOf(pace, image) < tooSlowShareMilli);
-	return {...pace, slowSinceMs: immutableMap(slow.map(image => [image, pace.slowSinceMs.get(image) ?? nowMs]))};
+/** Notes which images the serving tasks would keep too slow even if every press were as estimated: caution with unknown pairs passes. */
+function noteSlowImages(pace: PaceControl, tasks: PacedTasks, nowMs: number): PaceControl {
+	const slow = allowedShares(pace, tasks, 0).filter(([, allowedMilli]) => allowedMilli < tooSlowShareMilli);
+	return {...pace, slowSinceMs: immutableMap(slow.map(([image]) => [image, pace.slowSinceMs.get(image) ?? nowMs]))};
 }
--- a/src/agent/press-estimates.ts
+++ b/src/agent/press-estimates.ts
@@ -6,7 +6,7 @@
 */
 export type ServingSample = Readonly<{taskId: string; image: string; slack: number}>;
 
-/** Processors that the filling tasks of each image used in the window of the measure. */
+/** Tenths of the VM's processors that the filling tasks of each image used in the window of the measure. */
 export type FillingUse = ReadonlyMap<string, number>;
 
 /** A quantity with the square of its expected error. */
@@ -15,13 +15,13 @@
 /**
 What filling work does to serving tasks, learned from measures on one VM. Under queueing, the inverse of a tail falls in proportion
 to the task's own load and to the processors that its neighbours use, whereas the tail itself grows without bound. So a slack is
-modelled as the task's own part less a press for each processor that a neighbour's image uses. Pairs of images differ by more than
+modelled as the task's own part less a press for each tenth of the VM's processors that a neighbour's image uses. Pairs of images differ by more than
 a factor of 50.
 */
 export type PressEstimates = Readonly<{
 	/** Slack that a serving task has without neighbours, by task. */
 	ownSlacks: ImmutableMap<string, number>;
-	/** Slack that one processor of a filling image takes from a serving image. */
+	/** Slack that a filling image takes from a serving image with each tenth of the VM's processors that it uses. */
 	pressByPair: ImmutableMap<string, Estimate>;
 	/** The measure before, by task and by filling image. */
 	slackBefore: ReadonlyMap<string, number>;
@@ -32,8 +32,8 @@
 	ownSlacks: immutableMap(), pressByPair: immutableMap(), slackBefore: new Map(), fillingBefore: new Map(),
 };
 
-/** Press of a pair that was never measured, per processor. */
-const unknownPress: Estimate = {mean: 0.06, variance: 0.06};
+/** Press of a pair that was never measured. */
+const unknownPress: Estimate = {mean: 0.1, variance: 0.15};
 
 /** Own slack of a serving task before its first sample. */
 const unknownOwnSlack = 1.8;
@@ -45,8 +45,8 @@
 const ownChangeVariance = 0.05;
 
 /** Growth of a press's variance from one measure to the next, and the largest one. */
-const pressDrift = 0.0004;
-const largestPressVariance = 0.06;
+const pressDrift = 0.001;
+const largestPressVariance = 0.15;
 
 /** Part of a press by which it may always differ from its estimate: it varies within seconds, and falls with the processors used. */
 const pressDeviationShare = 0.4;
@@ -61,14 +61,14 @@
 /** Tails that fit into the target more often than this say no more. */
 const largestSlack = 6;
 
-/** Changes of an image's use below this many processors are noise. */
-const leastUseChange = 0.2;
+/** Changes of an image's use below this many tenths of the VM are noise. */
+const leastUseChange = 0.12;
 
 /** Pairs kept on one VM; images come and go with jobs. */
 const maxPairs = 2000;
 
 /**
-Tells how much slack one processor of a filling image is expected to take from a serving image.
+Tells how much slack a filling image is expected to take from a serving image with each tenth of the VM's processors.
 
 @example
 pressOf(estimates, 'order-lookup', 'stress-run'); // => {mean: 0.6, variance: 0.01}
@@ -152,8 +152,8 @@
 
 function lossOf(pairs: ImmutableMap<string, Estimate>, servingImage: string, filling: FillingUse): number {
 	let loss = 0;
-	for (const [fillingImage, processors] of filling) {
-		loss += processors * (pairs.get(pairKey(servingImage, fillingImage)) ?? unknownPress).mean;
+	for (const [fillingImage, tenths] of filling) {
+		loss += tenths * (pairs.get(pairKey(servingImage, fillingImage)) ?? unknownPress).mean;
 	}
 
 	return loss;
@@ -163,7 +163,7 @@
 export type PressReport = Readonly<{servingImage: string; fillingImage: string; press: number; variance: number}>;
 
 /** Step to which reported estimates are rounded, so that noise is not sent with every heartbeat. */
-const reportedStep = 0.04;
+const reportedStep = 0.06;
 
 /** An estimate is reported once its variance is at most this part of that of an unknown pair. */
 const reportedVarianceShare = 0.5;
@@ -196,7 +196,7 @@
 }
 
 /** Least variance of an estimate that was taken over: VMs differ, and a press changes within seconds. */
-const leastMergedVariance = 0.003;
+const leastMergedVariance = 0.008;
 
 /**
 Takes over reports of another process, each weighed against what is known by how certain both are.
--- a/src/placement/filling-work.ts
+++ b/src/placement/filling-work.ts
@@ -113,9 +113,9 @@
 	let neighbours = 0;
 	for (const [servingImage, count] of servingByImage) {
 		neighbours += count;
-		let loss = fillingMilli * pressOf(press, servingImage, image).mean / 1000;
+		let loss = tenthsOf(fillingMilli, vm) * pressOf(press, servingImage, image).mean;
 		for (const [otherImage, otherMilli] of fillingByImage) {
-			loss += otherMilli * pressOf(press, servingImage, otherImage).mean / 1000;
+			loss += tenthsOf(otherMilli, vm) * pressOf(press, servingImage, otherImage).mean;
 		}
 
 		worstLoss = Math.max(worstLoss, loss);
@@ -123,3 +123,7 @@
 
 	return Math.min(largestPressMilli, Math.round(fullPressMilli * worstLoss / sparedSlack)) + (anyPressMilli * neighbours);
 }
+
+function tenthsOf(processorsMilli: number, {capacity}: Vm): number {
+	return 10 * processorsMilli / Math.max(1, capacity.processorsMilli);
+}
