--- a/src/agent/pace-control.test.ts
+++ b/src/agent/pace-control.test.ts
@@ -120,7 +120,7 @@
 		pressAt: (atMs): Readonly<Record<string, number>> => atMs % 6000 < 2000 ? {} : {light: 0.001}, forMs: 30_000, loadAt: atMs => atMs > 15_000 && atMs < 18_000 ? 0.74 : 0.42,
 	});
 	const during = history.filter(({atMs}) => atMs > 15_500 && atMs < 18_000);
-	t.true(during.every(({pace}) => shareOf(pace, 'light') >= 300), during.map(({pace}) => shareOf(pace, 'light')).join(' '));
+	t.true(during.every(({pace}) => shareOf(pace, 'light') >= 300), `shares ${during.map(({pace}) => shareOf(pace, 'light')).join(' ')}`);
 });
 
 test('work that can hardly proceed beside the serving tasks of a VM is moved, and work that can is not', t => {
--- a/src/agent/reduce-agent.ts
+++ b/src/agent/reduce-agent.ts
@@ -172,12 +172,14 @@
 	return chain(
 		paced,
 		applyPace,
-		current => pace.shareByImage.equals(state.pace.shareByImage) ? transition(current) : transition(current, {
-			kind: 'log', level: 'info', event: 'filling-work-paced', fields: {
-				shares: [...pace.shareByImage].map(([image, shareMilli]) => `${image}:${shareMilli}`).join(','),
-				leastSlack: Math.round(1000 * Math.min(...measure.serving.map(({slack}) => slack))) / 1000,
-			},
-		}),
+		current => pace.shareByImage.equals(state.pace.shareByImage)
+			? transition(current)
+			: transition(current, {
+				kind: 'log', level: 'info', event: 'filling-work-paced', fields: {
+					shares: [...pace.shareByImage].map(([image, shareMilli]) => `${image}:${shareMilli}`).join(','),
+					leastSlack: Math.round(1000 * Math.min(...measure.serving.map(({slack}) => slack))) / 1000,
+				},
+			}),
 		moveHopelessTask(nowMs),
 	);
 }
--- a/src/placement/place-queued-tasks.test.ts
+++ b/src/placement/place-queued-tasks.test.ts
@@ -198,7 +198,9 @@
 /** Guards against filling work that is placed beside a serving task it is known to harm while another VM is as idle. */
 test('filling work goes where it presses least on serving tasks', t => {
 	const chosen = (servingImage: string): unknown => {
-		const press = mergePress(noPressEstimates, [{servingImage, fillingImage: 'stress', press: 0.8, variance: 0.01}]);
+		const press = mergePress(noPressEstimates, [{
+			servingImage, fillingImage: 'stress', press: 0.8, variance: 0.01,
+		}]);
 		const [claim] = placeQueuedTasks({...initialPlacement, press}, pressedContext()).effects;
 		return claim?.kind === 'append-record' && claim.record.kind === 'task-claimed' ? claim.record.vmId : undefined;
 	};
--- a/src/placement/place-queued-tasks.ts
+++ b/src/placement/place-queued-tasks.ts
@@ -326,9 +326,7 @@
 	const step = stepOf(cluster, task);
 	for (const vm of vms) {
 		const room = roomOf(vm, pass.state.pending.committedByVm.get(vm.vmId, noResources));
-		const offered = fillingMilli === 0 ? room : {
-			...room, processorsMilli: Math.max(0, idleMilliOf(vm, {room, fillingRoomMilli: pass.state.fillingRoomByVm.get(vm.vmId)}, cluster) - pass.state.pending.fillingByVm.get(vm.vmId, 0)),
-		};
+		const offered = fillingMilli === 0 ? room : {...room, processorsMilli: offeredToFillingMilli(pass, vm, room)};
 		if (fitsInto(task.spec.demand, room) && offered.processorsMilli >= needsIdleMilli && isAllowed(pass, task, step, vm)) {
 			found.push({vm, candidate: toCandidate(pass, task, vm, {room: offered, evictions: 0, step}), evictTaskIds: []});
 		}
@@ -338,6 +336,12 @@
 	return withSiblings(found, task, cluster);
 }
 
+/** Processors of a VM that one more filling task may take, claims under way included. */
+function offeredToFillingMilli({context, state}: Pass, vm: Vm, room: Resources): number {
+	const idleMilli = idleMilliOf(vm, {room, fillingRoomMilli: state.fillingRoomByVm.get(vm.vmId)}, context.cluster);
+	return Math.max(0, idleMilli - state.pending.fillingByVm.get(vm.vmId, 0));
+}
+
 /** Idle processors that a VM must have for a task. */
 function needsIdleMilliOf(pass: Pass, task: Task): number {
 	const fillingMilli = fillingDemandMilli(task, pass.context.cluster);
