Start slowly beside an image that was never measured

An image now starts with 0.6 tenths of the VM beside one with which nobody measured it, and a slack below 0.9 only raises an estimate.

--- a/src/agent/pace-control.ts
+++ b/src/agent/pace-control.ts
@@ -1,7 +1,7 @@
 import {Map as immutableMap, type Map as ImmutableMap} from 'immutable';
 import {nextFillingRoomMilli, type FillingSupply} from './filling-room.js';
 import {
-	type Estimate, learnPress, noPressEstimates, ownSlackOf, type PressEstimates, pressOf, type ServingSample,
+	type Estimate, isMeasured, learnPress, noPressEstimates, ownSlackOf, type PressEstimates, pressOf, type ServingSample,
 } from './press-estimates.js';
 
 /** Share of its processors of a task that is not slowed. */
@@ -46,7 +46,7 @@
 const measureIntervalMs = 450;
 
 /** Slack that a serving task keeps: its target, and what its load may grow by until the next measure acts. */
-const keptSlack = 1.25;
+const keptSlack = 1.15;
 
 /** Slack that filling work may take of a task that has none to spare, so that harmless images are not stopped by its own peaks. */
 const toleratedSlack = 0.1;
@@ -57,6 +57,9 @@
 /** Standard errors by which a press is taken to be larger than estimated. */
 const cautionDeviations = 1;
 
+/** Tenths of the VM's processors that an image starts with beside a serving image with which it was never measured. */
+const probeTenths = 0.6;
+
 /** Shares are told in steps of this size. */
 const shareStepMilli = 50;
 
@@ -116,7 +119,7 @@
 export function planShares(pace: PaceControl, tasks: PacedTasks, {mayRise}: Readonly<{mayRise: boolean}>): PaceControl {
 	const shares = allowedShares(pace, tasks, cautionDeviations).map(([image, allowedMilli]): [string, number] => {
 		const before = pace.shareByImage.get(image);
-		const reachableMilli = before === undefined ? fullPaceMilli : (mayRise ? (increase * before) + increaseMilli : before);
+		const reachableMilli = before === undefined ? firstShareMilli(pace, tasks, image) : (mayRise ? (increase * before) + increaseMilli : before);
 		return [image, Math.floor(Math.min(allowedMilli, reachableMilli) / shareStepMilli) * shareStepMilli];
 	});
 	return {...pace, shareByImage: immutableMap(shares)};
@@ -150,6 +153,12 @@
 	return [...slowSinceMs].filter(([, sinceMs]) => nowMs - sinceMs >= tooSlowAfterMs).map(([image]) => image);
 }
 
+/** The share at which an image starts: low beside serving images with which it was never measured, since a tail that has grown takes a second or two to fall. */
+function firstShareMilli({press}: PaceControl, tasks: PacedTasks, image: string): number {
+	const isKnown = tasks.serving.every(serving => isMeasured(pressOf(press, serving.image, image)));
+	return isKnown ? fullPaceMilli : fullPaceMilli * probeTenths / tenthsOf(tasks.wantedByImage.get(image) ?? 0, tasks);
+}
+
 function cautiousPressOf({mean, variance}: Estimate, deviations: number): number {
 	return mean + (deviations * Math.sqrt(variance));
 }
--- a/src/agent/press-estimates.ts
+++ b/src/agent/press-estimates.ts
@@ -55,12 +55,15 @@
 const measureVariance = 0.005;
 const roundingVariance = 0.002;
 
-/** Below this slack the tail has no bound any more; such a measure only says that the press is at least so large. */
-const leastMeasuredSlack = 0.2;
+/** Below this slack the tail also shows requests that were queued earlier; such a measure only says that the press is at least so large. */
+const settledSlack = 0.9;
 
 /** Tails that fit into the target more often than this say no more. */
 const largestSlack = 6;
 
+/** A pair counts as measured once its variance is at most this part of that of an unknown pair. */
+const measuredVarianceShare = 0.5;
+
 /** Changes of an image's use below this many tenths of the VM are noise. */
 const leastUseChange = 0.12;
 
@@ -77,6 +80,16 @@
 	return pressByPair.get(pairKey(servingImage, fillingImage)) ?? unknownPress;
 }
 
+/**
+Tells whether a pair's press rests on measures, of this process or of others.
+
+@example
+isMeasured({mean: 0.6, variance: 0.01}); // => true
+*/
+export function isMeasured({mean, variance}: Estimate): boolean {
+	return variance <= Math.max(measuredVarianceShare * unknownPress.variance, (pressDeviationShare * mean) ** 2);
+}
+
 /**
 Tells the slack that a serving task is expected to have without neighbours.
 
@@ -135,7 +148,7 @@
 		};
 	});
 	const expected = before - parts.reduce((sum, {mean, change}) => sum + (mean * change), 0);
-	const isBounded = slack >= leastMeasuredSlack && before >= leastMeasuredSlack;
+	const isBounded = slack >= settledSlack && before >= settledSlack;
 	const noise = ownChangeVariance + (2 * measureVariance) + (roundingVariance * ((slack ** 4) + (before ** 4)));
 	const uncertainty = parts.reduce((sum, {variance, change}) => sum + (variance * (change ** 2)), noise);
 	const correction = (slack - expected) / uncertainty;
@@ -165,9 +178,6 @@
 /** Step to which reported estimates are rounded, so that noise is not sent with every heartbeat. */
 const reportedStep = 0.06;
 
-/** An estimate is reported once its variance is at most this part of that of an unknown pair. */
-const reportedVarianceShare = 0.5;
-
 /**
 Lists the estimates that rest on measures and differ from those reported before by a step or more, and what is reported with them.
 
@@ -182,8 +192,7 @@
 	const reported = before.withMutations(sent => {
 		for (const [key, {mean, variance}] of pressByPair) {
 			const rounded = Math.round(mean / reportedStep) * reportedStep;
-			const largestVariance = Math.max(reportedVarianceShare * unknownPress.variance, (pressDeviationShare * mean) ** 2);
-			if (variance <= largestVariance && sent.get(key) !== rounded) {
+			if (isMeasured({mean, variance}) && sent.get(key) !== rounded) {
 				sent.set(key, rounded);
 				const [servingImage = '', fillingImage = ''] = key.split(pairSeparator);
 				reports.push({
@@ -196,7 +205,7 @@
 }
 
 /** Least variance of an estimate that was taken over: VMs differ, and a press changes within seconds. */
-const leastMergedVariance = 0.008;
+const leastMergedVariance = 0.004;
 
 /**
 Takes over reports of another process, each weighed against what is known by how certain both are.
--- a/src/placement/place-queued-tasks.ts
+++ b/src/placement/place-queued-tasks.ts
@@ -14,7 +14,9 @@
 import {type EntryContext, isLogFresh} from '../entry/entry-context.js';
 import {classesInTurn} from './classes-in-turn.js';
 import {chooseVm, type PlacementCandidate} from './choose-vm.js';
-import {fillingDemandMilli, idleMilliOf, pressOfPlacementMilli} from './filling-work.js';
+import {
+	fillingDemandMilli, idleMilliOf, mixOfPlacementMilli, pressOfPlacementMilli,
+} from './filling-work.js';
 import {lackingForever, roomOf, takesNewTasks} from './feasibility.js';
 import {
 	addPendingClaim, noPendingClaims, type PendingClaims, settlePendingClaims, siblingsKeyOf,
@@ -423,7 +425,7 @@
 		capacity: vm.capacity,
 		room,
 		evictions,
-		serviceHarmMilli: step?.fillsIdle ? serviceHarmMilli + pressOfPlacementMilli(pass.state.press, task, vm, cluster) : serviceHarmMilli,
+		serviceHarmMilli: serviceHarmMilli + pressOfPlacementMilli(pass.state.press, task, vm, cluster) + mixOfPlacementMilli(task, vm, cluster),
 		batchHarmMilli,
 		// Serving tasks share few VMs, so that filling work finds others without them.
 		packs: step?.latencyTargetMs !== undefined,
