Log what filling work is offered, and who suffers from whom

The incident's logs could not decide its hypotheses: they told that filling tasks found no idle processors, but not how many there were, which serving image suffers from which filling one, or how long a job had nothing at work.

filling-work-waiting sums over the VMs what serving tasks commit, what filling tasks want and what is offered, at most once a second. placement-waiting names the job that has had nothing at work for longest. filling-work-paced names the serving task with the least slack, its slack without neighbours, and the images that take most of it.

placement-waiting counted the idle processors by a formula of its own, which did not follow when unused ones were lent: a task that was offered them was reported with noIdleProcessors. Both now use offeredMilliOf; the test of this fails with the former formula.

--- /dev/null
+++ b/src/agent/filling-work-fields.test.ts
@@ -0,0 +1,43 @@
+import test from 'ava';
+import {Map as immutableMap} from 'immutable';
+import {fillingWorkFields} from './filling-work-fields.js';
+import {restingPace, type PaceControl} from './pace-control.js';
+import {mergePress} from './press-estimates.js';
+
+const sampleOf = (image: string, processors: number) => ({
+	image, paceMilli: 1000, processors, wanted: 2 * processors,
+});
+
+const pace: PaceControl = {
+	...restingPace,
+	shareByImage: immutableMap([['stress', 250]]),
+	fillingRoomMilli: 4000,
+	press: mergePress(restingPace.press, [
+		{
+			servingImage: 'lookup', fillingImage: 'stress', press: 0.6, variance: 0,
+		},
+		{
+			servingImage: 'lookup', fillingImage: 'render', press: 0, variance: 0,
+		},
+	]),
+};
+
+test('a line names the serving image with the least slack and the filling image that takes most of it', t => {
+	const fields = fillingWorkFields(pace, {
+		serving: [{taskId: 't1', image: 'stock', slack: 2}, {taskId: 't2', image: 'lookup', slack: 0.8}],
+		filling: [sampleOf('render', 1), sampleOf('stress', 2), sampleOf('stress', 1)],
+	});
+	t.like(fields, {
+		shares: 'stress:250', usedMilli: 4000, wantedMilli: 8000, roomMilli: 4000, worstTaskId: 't2', worstImage: 'lookup', leastSlack: 0.8,
+	});
+	t.regex(String(fields.losses), /^stress:1\.\d+/v);
+});
+
+test('a line of a VM with many filling images stays short, and one without serving tasks names none', t => {
+	const filling = Array.from({length: 50}, (_, index) => sampleOf(`image-${index}`, 2));
+	const fields = fillingWorkFields(pace, {serving: [{taskId: 't1', image: 'lookup', slack: 0.5}], filling});
+	t.is(String(fields.losses).split(',').length, 4);
+	const alone = fillingWorkFields(pace, {serving: [], filling});
+	t.is(alone.worstImage, undefined);
+	t.is(alone.leastSlack, undefined);
+});
--- a/src/agent/reduce-agent.ts
+++ b/src/agent/reduce-agent.ts
@@ -10,6 +10,7 @@
 import {
 	heartbeatMessage, helloMessage, repeatTaskEvents, sendDueTaskEvents,
 } from './entry-messages.js';
+import {fillingWorkFields} from './filling-work-fields.js';
 import {stepGuard} from './guard.js';
 import {forgetOldKeys} from './key-table.js';
 import {
@@ -172,12 +173,11 @@
 	return chain(
 		paced,
 		applyPace,
-		current => pace.shareByImage.equals(state.pace.shareByImage) ? transition(current) : transition(current, {
-			kind: 'log', level: 'info', event: 'filling-work-paced', fields: {
-				shares: [...pace.shareByImage].map(([image, shareMilli]) => `${image}:${shareMilli}`).join(','),
-				leastSlack: Math.round(1000 * Math.min(...measure.serving.map(({slack}) => slack))) / 1000,
-			},
-		}),
+		current => pace.shareByImage.equals(state.pace.shareByImage)
+			? transition(current)
+			: transition(current, {
+				kind: 'log', level: 'info', event: 'filling-work-paced', fields: fillingWorkFields(pace, measure),
+			}),
 		moveHopelessTask(nowMs),
 	);
 }
--- a/src/entry/entry-monitor.ts
+++ b/src/entry/entry-monitor.ts
@@ -112,6 +112,7 @@
 			const waiting = lookAtWaitingTasks(placementWait, {
 				cluster: state.cluster,
 				pending: state.placement.pending,
+				fillingRoomByVm: state.placement.fillingRoomByVm,
 				isOwner: sample.ownsPlacement,
 				nowMs: sample.nowMs,
 				longestPassMs,
--- a/src/placement/place-queued-tasks.ts
+++ b/src/placement/place-queued-tasks.ts
@@ -14,7 +14,8 @@
 import {type EntryContext, isLogFresh} from '../entry/entry-context.js';
 import {classesInTurn} from './classes-in-turn.js';
 import {chooseVm, type PlacementCandidate} from './choose-vm.js';
-import {fillingDemandMilli, idleMilliOf, pressOfPlacementMilli} from './filling-work.js';
+import {fillingDemandMilli, pressOfPlacementMilli} from './filling-work.js';
+import {offeredMilliOf} from './offered-processors.js';
 import {lackingForever, roomOf, takesNewTasks} from './feasibility.js';
 import {
 	addPendingClaim, noPendingClaims, type PendingClaims, settlePendingClaims, siblingsKeyOf,
@@ -326,9 +327,11 @@
 	const step = stepOf(cluster, task);
 	for (const vm of vms) {
 		const room = roomOf(vm, pass.state.pending.committedByVm.get(vm.vmId, noResources));
-		const offered = fillingMilli === 0 ? room : {
-			...room, processorsMilli: Math.max(0, idleMilliOf(vm, {room, fillingRoomMilli: pass.state.fillingRoomByVm.get(vm.vmId)}, cluster) - pass.state.pending.fillingByVm.get(vm.vmId, 0)),
-		};
+		const offered = fillingMilli === 0
+			? room
+			: {
+				...room, processorsMilli: offeredMilliOf(vm, {cluster, pending: pass.state.pending, fillingRoomByVm: pass.state.fillingRoomByVm}),
+			};
 		if (fitsInto(task.spec.demand, room) && offered.processorsMilli >= needsIdleMilli && isAllowed(pass, task, step, vm)) {
 			found.push({vm, candidate: toCandidate(pass, task, vm, {room: offered, evictions: 0, step}), evictTaskIds: []});
 		}
--- a/src/placement/placement-waiting.test.ts
+++ b/src/placement/placement-waiting.test.ts
@@ -2,6 +2,7 @@
 import {Map as immutableMap, OrderedMap as orderedMap, Set as immutableSet} from 'immutable';
 import {type ClusterState, type Task, type WorkflowRun} from '../cluster/cluster-state.js';
 import {type PriorityClass} from '../cluster/intent.js';
+import {addResources} from '../cluster/resources.js';
 import {committedByStep, type Step} from '../cluster/workflow.js';
 import {type ControlEffect} from '../entry/control-effect.js';
 import {emptyStateFixture, taskFixture, vmFixture} from '../operator/state-fixture.js';
@@ -46,17 +47,17 @@
 }
 
 /** Looks once a second for as long as given and returns the lines. */
-function linesOf(cluster: ClusterState, {seconds, isOwner = true, pending = noPendingClaims, stepMs = 1000}: Readonly<{
-	seconds: number; isOwner?: boolean; pending?: typeof noPendingClaims; stepMs?: number;
+function linesOf(cluster: ClusterState, {seconds, isOwner = true, pending = noPendingClaims, stepMs = 1000, event = 'placement-waiting'}: Readonly<{
+	seconds: number; isOwner?: boolean; pending?: typeof noPendingClaims; stepMs?: number; event?: string;
 }>): readonly Fields[] {
 	let state = initialPlacementWait;
 	const lines: Fields[] = [];
 	for (let nowMs = 0; nowMs <= seconds * 1000; nowMs += stepMs) {
 		const look = lookAtWaitingTasks(state, {
-			cluster, pending, isOwner, nowMs, longestPassMs: 7,
+			cluster, pending, fillingRoomByVm: immutableMap(), isOwner, nowMs, longestPassMs: 7,
 		});
 		state = look.state;
-		lines.push(...look.effects.filter(effect => effect.kind === 'log-event').map(({fields}) => fields));
+		lines.push(...look.effects.filter(effect => effect.kind === 'log-event').filter(effect => effect.event === event).map(({fields}) => fields));
 	}
 
 	return lines;
@@ -86,16 +87,64 @@
 	const cluster = clusterOf(Array.from({length: 200}, () => small));
 	t.is(linesOf(cluster, {seconds: 10, stepMs: 100}).length, 8);
 	t.is(linesOf(cluster, {seconds: 10, isOwner: false}).length, 0);
+	const fillingCluster = clusterOf(Array.from({length: 200}, () => ({...small, fillsIdle: true})));
+	t.is(linesOf(fillingCluster, {seconds: 10, stepMs: 100, event: 'filling-work-waiting'}).length, 8);
+	t.is(linesOf(fillingCluster, {seconds: 10, isOwner: false, event: 'filling-work-waiting'}).length, 0);
 });
 
 test('an entry that takes the placement over does not report waits that it has not seen', t => {
 	const cluster = clusterOf([small]);
-	const passed = lookAtWaitingTasks({seenAtMs: new Map([['j0.0.0.0', 0]]), lastLineMs: 0}, {
-		cluster, pending: noPendingClaims, isOwner: false, nowMs: 60_000, longestPassMs: 0,
+	const passed = lookAtWaitingTasks({...initialPlacementWait, seenAtMs: new Map([['j0.0.0.0', 0]]), lastLineMs: 0}, {
+		cluster, pending: noPendingClaims, fillingRoomByVm: immutableMap(), isOwner: false, nowMs: 60_000, longestPassMs: 0,
 	});
 	const taken = lookAtWaitingTasks(passed.state, {
-		cluster, pending: noPendingClaims, isOwner: true, nowMs: 61_000, longestPassMs: 0,
+		cluster, pending: noPendingClaims, fillingRoomByVm: immutableMap(), isOwner: true, nowMs: 61_000, longestPassMs: 0,
 	});
 	t.deepEqual(taken.effects, []);
 	t.is(taken.oldestWaitMs, 0);
 });
+
+/** Adds a task of a job of its own that runs on the VM. */
+function withRunning(cluster: ClusterState, jobId: string, step: Step): ClusterState {
+	const added = clusterOf([step]);
+	const task = added.tasks.get('j0.0.0.0')!;
+	const taskId = `${jobId}.0.0.running`;
+	const vm = cluster.vms.get(vmFixture.vmId)!;
+	return {
+		...cluster,
+		tasks: cluster.tasks.set(taskId, {
+			...task, spec: {...task.spec, taskId}, jobId, phase: 'running', claim: taskFixture.claim,
+		}),
+		jobs: cluster.jobs.set(jobId, [...cluster.jobs.get(jobId) ?? [], taskId]),
+		workflows: cluster.workflows.has(jobId) ? cluster.workflows : cluster.workflows.set(jobId, added.workflows.get('j0')!),
+		vms: cluster.vms.set(vm.vmId, {
+			...vm,
+			taskIds: vm.taskIds.add(taskId),
+			committed: addResources(vm.committed, task.spec.demand),
+		}),
+	};
+}
+
+const filling: Step = {...small, demand: {...small.demand, processorsMilli: 2000}, fillsIdle: true};
+
+test('waiting filling work tells what serving tasks commit, what filling tasks use and what is offered', t => {
+	const serving: Step = {...small, demand: {...small.demand, processorsMilli: 10_000}, latencyTargetMs: 18};
+	const cluster = withRunning(withRunning(clusterOf([{...filling, demand: {...small.demand, processorsMilli: 13_000}}]), 'serving', serving), 'filling', filling);
+	const [line] = linesOf(cluster, {seconds: 3, event: 'filling-work-waiting'});
+	t.like(line, {
+		jobs: 1, tasks: 1, oldestWaitMs: 3000, leastDemandMilli: 13_000, capacityMilli: 16_000, servingMilli: 10_000, fillingMilli: 2000,
+	});
+	t.is(line?.offeredMilli, line?.largestOfferMilli);
+	t.is(linesOf(clusterOf([small]), {seconds: 3, event: 'filling-work-waiting'}).length, 0);
+});
+
+test('a filling task that is offered processors which serving tasks leave unused is not reported as without idle ones', t => {
+	const serving: Step = {...small, demand: {...small.demand, processorsMilli: 12_000}, latencyTargetMs: 18};
+	const [line] = linesOf(withRunning(clusterOf([filling]), 'serving', serving), {seconds: 3});
+	t.like(line, {reasons: 'passedOver:1'});
+});
+
+test('a job with nothing at work is told apart from one that waits with a part of its tasks', t => {
+	const [line] = linesOf(withRunning(clusterOf([small, small]), 'j0', small), {seconds: 5});
+	t.like(line, {idleJobs: 1, longestIdleJobId: 'j1', longestIdleMs: 3000});
+});
--- a/src/placement/placement-waiting.ts
+++ b/src/placement/placement-waiting.ts
@@ -4,16 +4,20 @@
 import {isAllowedOn} from '../cluster/step-constraints.js';
 import {type ControlEffect} from '../entry/control-effect.js';
 import {roomOf, takesNewTasks} from './feasibility.js';
-import {fillingDemandMilli, fillingLoadOf} from './filling-work.js';
-import {type PendingClaims, siblingsKeyOf} from './pending-claims.js';
+import {fillingDemandMilli} from './filling-work.js';
+import {followIdleJobs} from './idle-jobs.js';
+import {fillingOfferOf, type OfferContext, offeredMilliOf} from './offered-processors.js';
+import {siblingsKeyOf} from './pending-claims.js';
 
 /** When the entry first saw each task that is queued now. */
 export type PlacementWaitState = Readonly<{
 	seenAtMs: ReadonlyMap<string, number>;
+	/** Since when each job has had queued tasks and none that runs or is claimed. */
+	idleSinceMs: ReadonlyMap<string, number>;
 	lastLineMs: number;
 }>;
 
-export const initialPlacementWait: PlacementWaitState = {seenAtMs: new Map(), lastLineMs: Number.NEGATIVE_INFINITY};
+export const initialPlacementWait: PlacementWaitState = {seenAtMs: new Map(), idleSinceMs: new Map(), lastLineMs: Number.NEGATIVE_INFINITY};
 
 /** What keeps a task from a claim, from the check that the fewest VMs pass. */
 export type WaitReason = 'claimPending' | 'noVm' | 'noRoom' | 'noIdleProcessors' | 'notAllowed' | 'passedOver';
@@ -31,40 +35,42 @@
 
 /**
 Looks at the queues of an entry that places tasks and, when a task has waited for long, logs `placement-waiting`: how many tasks wait, how
-long the oldest one has, and what keeps those that have waited longest from a claim. Meant to be called once a second; the cost is
-bounded whatever the length of the queues. Waits of an owner that took over count from its own first look.
+long the oldest one has, what keeps those that have waited longest from a claim, and which job has had nothing at work for longest. When
+filling work is among them, `filling-work-waiting` tells what the VMs offer it. Meant to be called once a second; the cost is bounded
+whatever the length of the queues. Waits of an owner that took over count from its own first look.
 
 @example
-const {state, effects} = lookAtWaitingTasks(initialPlacementWait, {cluster, pending, isOwner: true, nowMs, longestPassMs: 12});
+const {state, effects} = lookAtWaitingTasks(initialPlacementWait, {cluster, pending, fillingRoomByVm, isOwner: true, nowMs, longestPassMs: 12});
 */
-export function lookAtWaitingTasks(state: PlacementWaitState, {cluster, pending, isOwner, nowMs, longestPassMs}: Readonly<{
-	cluster: ClusterState;
-	pending: PendingClaims;
+export function lookAtWaitingTasks(state: PlacementWaitState, {isOwner, nowMs, longestPassMs, ...offerContext}: OfferContext & Readonly<{
 	isOwner: boolean;
 	nowMs: number;
 	/** Longest pass of the placement since the last look. */
 	longestPassMs: number;
 }>): Readonly<{state: PlacementWaitState; effects: readonly ControlEffect[]; oldestWaitMs: number}> {
 	if (!isOwner) {
-		return {state: state.seenAtMs.size === 0 ? state : {...state, seenAtMs: new Map()}, effects: [], oldestWaitMs: 0};
+		return {state: state.seenAtMs.size === 0 ? state : {...state, seenAtMs: new Map(), idleSinceMs: new Map()}, effects: [], oldestWaitMs: 0};
 	}
 
+	const {cluster, pending} = offerContext;
 	const {seenAtMs, longest} = followQueues(state, cluster, nowMs);
+	const idleSinceMs = followIdleJobs(state.idleSinceMs, seenAtMs.keys(), {cluster, pending, nowMs});
 	const oldest = longest.toSorted((left, right) => right.waitMs - left.waitMs)[0];
 	const oldestWaitMs = Math.round(oldest?.waitMs ?? 0);
 	if (oldest === undefined || oldestWaitMs < longWaitMs || nowMs - state.lastLineMs < lineIntervalMs) {
-		return {state: {...state, seenAtMs}, effects: [], oldestWaitMs};
+		return {state: {...state, seenAtMs, idleSinceMs}, effects: [], oldestWaitMs};
 	}
 
 	const vms = [...cluster.vms.values()].filter(vm => takesNewTasks(vm, cluster));
 	const counts = new Map<WaitReason, number>();
 	for (const {taskId} of longest.filter(({waitMs}) => waitMs >= longWaitMs)) {
-		const reason = reasonOf(cluster.tasks.get(taskId)!, {cluster, pending, vms});
+		const reason = reasonOf(cluster.tasks.get(taskId)!, vms, offerContext);
 		counts.set(reason, (counts.get(reason) ?? 0) + 1);
 	}
 
+	const [longestIdle] = [...idleSinceMs].toSorted(([, left], [, right]) => left - right);
 	return {
-		state: {seenAtMs, lastLineMs: nowMs},
+		state: {seenAtMs, idleSinceMs, lastLineMs: nowMs},
 		effects: [{
 			kind: 'log-event', level: 'info', event: 'placement-waiting', fields: {
 				urgent: cluster.queued.get('urgent')?.size ?? 0,
@@ -73,15 +79,45 @@
 				oldestTaskId: oldest.taskId,
 				oldestWaitMs,
 				reasons: [...counts].map(([reason, count]) => `${reason}:${count}`).join(','),
+				idleJobs: idleSinceMs.size,
+				longestIdleJobId: longestIdle?.[0],
+				longestIdleMs: longestIdle === undefined ? undefined : Math.round(nowMs - longestIdle[1]),
 				pendingClaims: pending.byTask.size,
 				vms: vms.length,
 				longestPassMs: Math.round(longestPassMs),
 			},
-		}],
+		}, ...fillingWorkWaiting(seenAtMs, vms, {...offerContext, nowMs})],
 		oldestWaitMs,
 	};
 }
 
+/** Tells what filling work that has waited for long is offered. */
+function fillingWorkWaiting(seenAtMs: ReadonlyMap<string, number>, vms: readonly Vm[], context: OfferContext & Readonly<{nowMs: number}>): readonly ControlEffect[] {
+	const {cluster, nowMs} = context;
+	const jobIds = new Set<string>();
+	let tasks = 0;
+	let oldestWaitMs = 0;
+	let leastDemandMilli = Number.POSITIVE_INFINITY;
+	for (const [taskId, sinceMs] of seenAtMs) {
+		const task = cluster.tasks.get(taskId)!;
+		const demandMilli = fillingDemandMilli(task, cluster);
+		if (demandMilli > 0) {
+			jobIds.add(task.jobId);
+			tasks++;
+			oldestWaitMs = Math.max(oldestWaitMs, nowMs - sinceMs);
+			leastDemandMilli = Math.min(leastDemandMilli, demandMilli);
+		}
+	}
+
+	return oldestWaitMs < longWaitMs
+		? []
+		: [{
+			kind: 'log-event', level: 'info', event: 'filling-work-waiting', fields: {
+				jobs: jobIds.size, tasks, oldestWaitMs: Math.round(oldestWaitMs), leastDemandMilli, ...fillingOfferOf(vms, context),
+			},
+		}];
+}
+
 /** Notes new tasks, forgets those that are queued no longer, and returns the first ones of each class, which were queued first. */
 function followQueues(state: PlacementWaitState, cluster: ClusterState, nowMs: number): Readonly<{seenAtMs: ReadonlyMap<string, number>; longest: readonly Waiting[]}> {
 	const seenAtMs = new Map<string, number>();
@@ -105,7 +141,8 @@
 	return {seenAtMs, longest};
 }
 
-function reasonOf(task: Task, {cluster, pending, vms}: Readonly<{cluster: ClusterState; pending: PendingClaims; vms: readonly Vm[]}>): WaitReason {
+function reasonOf(task: Task, vms: readonly Vm[], offerContext: OfferContext): WaitReason {
+	const {cluster, pending} = offerContext;
 	if (pending.byTask.has(task.spec.taskId)) {
 		return 'claimPending';
 	}
@@ -123,8 +160,7 @@
 			continue;
 		}
 
-		const idleMilli = room.processorsMilli - fillingLoadOf(vm, cluster).fillingMilli - pending.fillingByVm.get(vm.vmId, 0);
-		if (idleMilli >= fillingMilli) {
+		if (fillingMilli === 0 || offeredMilliOf(vm, offerContext) >= fillingMilli) {
 			return 'passedOver';
 		}
 
