--- a/src/agent/filling-work-fields.ts
+++ b/src/agent/filling-work-fields.ts
@@ -9,23 +9,23 @@
 const leastNamedLoss = 0.01;
 
 /**
-Tells for `filling-work-paced` what a VM gives to filling work and why: the share of each image, the processors that filling tasks used
-and may use, the serving task with the least slack, and what each image is estimated to take from it.
+Tells for `filling-work-paced` what a VM gives to filling work and why, when `pace` has learned from the measure: the share of each image,
+the processors that filling tasks used and may use, the serving task with the least slack, and what each image is estimated to take from it.
 
 @example
 fillingWorkFields(pace, measure); // => {shares: 'stress:400', usedMilli: 1200, worstImage: 'lookup', leastSlack: 0.9, losses: 'stress:0.72', …}
 */
 export function fillingWorkFields(pace: PaceControl, {serving, filling}: PaceMeasure): EventFields {
-	const used = new Map<string, number>();
+	let used = 0;
 	let wanted = 0;
 	for (const sample of filling) {
-		used.set(sample.image, (used.get(sample.image) ?? 0) + sample.processors);
+		used += sample.processors;
 		wanted += sample.wanted;
 	}
 
 	const fields: EventFields = {
 		shares: [...pace.shareByImage].map(([image, shareMilli]) => `${image}:${shareMilli}`).join(','),
-		usedMilli: inThousandths([...used.values()].reduce((sum, processors) => sum + processors, 0)),
+		usedMilli: inThousandths(used),
 		wantedMilli: inThousandths(wanted),
 		roomMilli: pace.fillingRoomMilli,
 	};
@@ -34,8 +34,8 @@
 		return fields;
 	}
 
-	const losses = [...used]
-		.map(([image, processors]) => ({image, loss: processors * pressOf(pace.press, worst.image, image).mean}))
+	const losses = [...pace.press.fillingBefore]
+		.map(([image, use]) => ({image, loss: use * pressOf(pace.press, worst.image, image).mean}))
 		.filter(({loss}) => loss >= leastNamedLoss)
 		.toSorted((left, right) => right.loss - left.loss)
 		.slice(0, namedImages);
--- a/src/placement/place-queued-tasks.ts
+++ b/src/placement/place-queued-tasks.ts
@@ -325,13 +325,10 @@
 	const fillingMilli = fillingDemandMilli(task, cluster);
 	const needsIdleMilli = needsIdleMilliOf(pass, task);
 	const step = stepOf(cluster, task);
+	const offerContext = {cluster, pending: pass.state.pending, fillingRoomByVm: pass.state.fillingRoomByVm};
 	for (const vm of vms) {
 		const room = roomOf(vm, pass.state.pending.committedByVm.get(vm.vmId, noResources));
-		const offered = fillingMilli === 0
-			? room
-			: {
-				...room, processorsMilli: offeredMilliOf(vm, {cluster, pending: pass.state.pending, fillingRoomByVm: pass.state.fillingRoomByVm}),
-			};
+		const offered = fillingMilli === 0 ? room : {...room, processorsMilli: offeredMilliOf(vm, offerContext)};
 		if (fitsInto(task.spec.demand, room) && offered.processorsMilli >= needsIdleMilli && isAllowed(pass, task, step, vm)) {
 			found.push({vm, candidate: toCandidate(pass, task, vm, {room: offered, evictions: 0, step}), evictTaskIds: []});
 		}
