--- a/src/placement/place-queued-tasks.ts
+++ b/src/placement/place-queued-tasks.ts
@@ -15,8 +15,9 @@
 import {classesInTurn} from './classes-in-turn.js';
 import {chooseVm, type PlacementCandidate} from './choose-vm.js';
 import {
-	fillingDemandMilli, idleMilliOf, mixOfPlacementMilli, pressOfPlacementMilli,
+	fillingDemandMilli, mixOfPlacementMilli, pressOfPlacementMilli,
 } from './filling-work.js';
+import {offeredMilliOf} from './offered-processors.js';
 import {lackingForever, roomOf, takesNewTasks} from './feasibility.js';
 import {
 	addPendingClaim, noPendingClaims, type PendingClaims, settlePendingClaims, siblingsKeyOf,
@@ -326,9 +327,10 @@
 	const fillingMilli = fillingDemandMilli(task, cluster);
 	const needsIdleMilli = needsIdleMilliOf(pass, task);
 	const step = stepOf(cluster, task);
+	const offerContext = {cluster, pending: pass.state.pending, fillingRoomByVm: pass.state.fillingRoomByVm};
 	for (const vm of vms) {
 		const room = roomOf(vm, pass.state.pending.committedByVm.get(vm.vmId, noResources));
-		const offered = fillingMilli === 0 ? room : {...room, processorsMilli: offeredToFillingMilli(pass, vm, room)};
+		const offered = fillingMilli === 0 ? room : {...room, processorsMilli: offeredMilliOf(vm, offerContext)};
 		if (fitsInto(task.spec.demand, room) && offered.processorsMilli >= needsIdleMilli && isAllowed(pass, task, step, vm)) {
 			found.push({vm, candidate: toCandidate(pass, task, vm, {room: offered, evictions: 0, step}), evictTaskIds: []});
 		}
@@ -338,12 +340,6 @@
 	return withSiblings(found, task, cluster);
 }
 
-/** Processors of a VM that one more filling task may take, claims under way included. */
-function offeredToFillingMilli({context, state}: Pass, vm: Vm, room: Resources): number {
-	const idleMilli = idleMilliOf(vm, {room, fillingRoomMilli: state.fillingRoomByVm.get(vm.vmId)}, context.cluster);
-	return Math.max(0, idleMilli - state.pending.fillingByVm.get(vm.vmId, 0));
-}
-
 /** Idle processors that a VM must have for a task. */
 function needsIdleMilliOf(pass: Pass, task: Task): number {
 	const fillingMilli = fillingDemandMilli(task, pass.context.cluster);
