Pass the placement on from an owner that has not read the log for seconds

Callers' tasks waited as long as the owner of the placement was seconds behind with the log: it places nothing by an old state, but it writes heartbeats and relays task events, so that no other entry took over.

Heartbeats name the offset that their writer has applied already. The reducer now counts how many of its own heartbeats an entry had not read back when it wrote the newest one: beyond six it is behind, and caught up at two. This depends on the log alone, so that all entries agree on it at the same offset, the one that is behind included, and exactly one has the turn. Six heartbeats (1.8 s) are longer than the age of a read at which an entry stops placing on the platform (1.5 s). When all are behind, the first one that writes places.

A reader's own clock (the time between reading a record and reading the heartbeat that has not seen it) was ruled out: a reader that was frozen takes its own pause for the lag of others.

Heartbeats were left out while records were under way, which is always so for an entry that relays much; they now come at half the rate then.

The turn logic moves into placement-turn.ts with its tests.

--- a/src/cluster/cluster-state-codec.ts
+++ b/src/cluster/cluster-state-codec.ts
@@ -91,6 +91,7 @@
 	offset: z.number(),
 	entries: z.array(z.object({
 		entryId: z.string(), incarnation: z.string(), failureDomain: z.string(), operatorAddress: z.string(), processorsMilli: z.number(), lastOffset: z.number(), appliedOffset: z.number(),
+		readLag: z.object({unreadOffsets: z.array(z.number()).readonly(), isBehind: z.boolean()}).optional(),
 	})),
 	endedIncarnations: strings,
 	sequences: z.array(z.tuple([z.string(), z.number()])),
--- a/src/cluster/cluster-state.ts
+++ b/src/cluster/cluster-state.ts
@@ -5,6 +5,7 @@
 import {
 	type Job, type PriorityClass, type RequestLimits, type Service, type TaskSpec, type Weights,
 } from './intent.js';
+import {type ReadLag} from './read-lag.js';
 import {type Resources} from './resources.js';
 import {type TaskPosition, type Workflow} from './workflow.js';
 
@@ -20,6 +21,8 @@
 	lastOffset: number;
 	/** Offset through which this entry reported to have applied the log. */
 	appliedOffset: number;
+	/** What its heartbeats tell; left out before the first one and in snapshots of versions that did not keep it. */
+	readLag?: ReadLag;
 }>;
 
 /** `live` takes work, `revoked` renews no lease, `expired` certainly runs no leased task any more. */
--- a/src/cluster/entry-handlers.ts
+++ b/src/cluster/entry-handlers.ts
@@ -1,4 +1,5 @@
 import {type ClusterState} from './cluster-state.js';
+import {noReadLag, noteHeartbeat} from './read-lag.js';
 import {type RecordHandlers} from './record-handler.js';
 import {MAX_ENDED_INCARNATIONS} from './state-limits.js';
 
@@ -51,10 +52,15 @@
 			}),
 		};
 	},
-	'entry-alive'(state, {appliedOffset}, {writerIncarnation}) {
+	'entry-alive'(state, {appliedOffset}, {offset, writerIncarnation}) {
 		const member = state.entries.get(writerIncarnation);
 		return member
-			? {...state, entries: state.entries.set(writerIncarnation, {...member, appliedOffset})}
+			? {
+				...state,
+				entries: state.entries.set(writerIncarnation, {
+					...member, appliedOffset, readLag: noteHeartbeat(member.readLag ?? noReadLag, {offset, appliedOffset}),
+				}),
+			}
 			: state;
 	},
 	'entry-ended'(state, record) {
--- a/src/membership/entry-liveness.test.ts
+++ b/src/membership/entry-liveness.test.ts
@@ -40,3 +40,20 @@
 		state = tickEntryLiveness(state, contextAt(nowMs, nowMs, 7)).state;
 	}
 });
+
+test('an entry that has records under way at every look still states how far it has read the log, at half the rate', t => {
+	const heartbeatsOf = (pendingAppends: number): number => {
+		let state = initialEntryLiveness;
+		let heartbeats = 0;
+		for (let nowMs = 0; nowMs < 6000; nowMs += 50) {
+			const step = tickEntryLiveness(state, {...contextAt(nowMs, nowMs), pendingAppends});
+			state = step.state;
+			heartbeats += step.effects.filter(effect => effect.kind === 'append-record' && effect.record.kind === 'entry-alive').length;
+		}
+
+		return heartbeats;
+	};
+
+	t.is(heartbeatsOf(0), 6000 / settings.timings.entryHeartbeatMs);
+	t.is(heartbeatsOf(1), 3000 / settings.timings.entryHeartbeatMs);
+});
--- a/src/membership/entry-liveness.ts
+++ b/src/membership/entry-liveness.ts
@@ -25,6 +25,9 @@
 	registrationAppendedMs: Number.NEGATIVE_INFINITY,
 };
 
+/** While records wait for the log, heartbeats are this many times as far apart. */
+const busyHeartbeatFactor = 2;
+
 /**
 Registers this entry, writes its heartbeat to the log and declares silent entries ended.
 A false suspicion is safe: the entry declared ended starts over with a new incarnation.
@@ -68,9 +71,10 @@
 }
 
 function writeHeartbeat(state: EntryLivenessState, context: EntryContext): Step<EntryLivenessState> {
-	const dueMs = state.lastAliveAppendedMs + context.settings.timings.entryHeartbeatMs;
-	// A heartbeat that would wait behind unsent records says nothing: those records are heartbeats themselves.
-	if (context.nowMs < dueMs || context.pendingAppends > 0) {
+	const {entryHeartbeatMs} = context.settings.timings;
+	// Records under way show that the entry lives, but only a heartbeat tells how far it has read.
+	const dueMs = state.lastAliveAppendedMs + (context.pendingAppends > 0 ? busyHeartbeatFactor * entryHeartbeatMs : entryHeartbeatMs);
+	if (context.nowMs < dueMs) {
 		return {state, effects: []};
 	}
 
--- a/src/placement/place-queued-tasks.ts
+++ b/src/placement/place-queued-tasks.ts
@@ -1,4 +1,4 @@
-import {Map as immutableMap, type Map as ImmutableMap} from 'immutable';
+import {Map as immutableMap} from 'immutable';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {noPressEstimates, type PressEstimates} from '../agent/press-estimates.js';
@@ -20,7 +20,8 @@
 	addPendingClaim, noPendingClaims, type PendingClaims, settlePendingClaims, siblingsKeyOf,
 } from './pending-claims.js';
 import {placementPolicies} from './placement-policies.js';
-import {placementRankOf, placementSubjectOf, unfinishedSubjects} from './placement-owner.js';
+import {judgeTurns, type OwnersSeen, type PlacementTurns} from './placement-turn.js';
+import {placementSubjectOf} from './placement-owner.js';
 import {orderQueue} from './queue-order.js';
 import {chooseVictims} from './choose-victims.js';
 import {noVmHistory, type VmHistory} from './observe-usage.js';
@@ -32,8 +33,7 @@
 /** What placement keeps between two passes; lost with the process without harm. */
 export type PlacementState = Readonly<{
 	pending: PendingClaims;
-	/** When this entry last saw another record of each entry that places tasks. */
-	ownersSeen: ImmutableMap<string, Readonly<{lastOffset: number; atMs: number}>>;
+	ownersSeen: OwnersSeen;
 	interference: InterferenceEstimates;
 	history: VmHistory;
 	/** What filling work was found to do to serving tasks, from the reports of all agents. */
@@ -60,8 +60,7 @@
 	readonly stepsWithoutRoom: Set<string>;
 	/** What several jobs have in common when one finds room exactly where the other does, for those that found none in this pass. */
 	readonly needsWithoutRoom: Set<string>;
-	/** Whether it is this entry's turn to place a subject. */
-	readonly turns: Map<string, boolean>;
+	readonly turns: PlacementTurns;
 	/** Harm of placing a task by what it depends on beside the VM, and then by VM. */
 	readonly harms: Map<string, Map<string, ExpectedHarm>>;
 	/** Whether committed work leaves most processors of a service free, by service. */
@@ -77,10 +76,11 @@
 const {state, effects} = placeQueuedTasks(initialPlacement, context);
 */
 export function placeQueuedTasks(state: PlacementState, context: EntryContext): Step<PlacementState> {
+	const turns = judgeTurns(state.ownersSeen, context);
 	const settled: PlacementState = {
 		...state,
 		pending: settlePendingClaims(state.pending, context.cluster, context.nowMs),
-		ownersSeen: withoutEnded(state.ownersSeen, context.cluster),
+		ownersSeen: turns.ownersSeen(),
 	};
 	if (!isLogFresh(context) || context.cluster.queued.every(tasks => tasks.isEmpty())) {
 		return {state: settled, effects: []};
@@ -92,14 +92,14 @@
 		withoutRoom: [],
 		stepsWithoutRoom: new Set(),
 		needsWithoutRoom: new Set(),
-		turns: new Map(),
+		turns,
 		harms: new Map(),
 		isSpareByService: new Map(),
 		claims: [],
 		state: settled,
 	};
-	if (!mayHaveTurn(pass)) {
-		return {state: pass.state, effects: []};
+	if (!turns.mayHaveAny()) {
+		return {state: {...pass.state, ownersSeen: turns.ownersSeen()}, effects: []};
 	}
 
 	pass.vms = [...context.cluster.vms.values()].filter(vm => takesNewTasks(vm, context.cluster));
@@ -107,13 +107,7 @@
 		placeClass(pass, priority);
 	}
 
-	return {state: pass.state, effects: pass.claims};
-}
-
-function withoutEnded(ownersSeen: PlacementState['ownersSeen'], {entries}: ClusterState): PlacementState['ownersSeen'] {
-	return ownersSeen.every((_seen, incarnation) => entries.has(incarnation))
-		? ownersSeen
-		: ownersSeen.filter((_seen, incarnation) => entries.has(incarnation));
+	return {state: {...pass.state, ownersSeen: turns.ownersSeen()}, effects: pass.claims};
 }
 
 function placeClass(pass: Pass, priority: PriorityClass): void {
@@ -125,7 +119,7 @@
 
 	const own = [...cluster.queued.get(priority)?.keys() ?? []].filter(taskId => {
 		const task = cluster.tasks.get(taskId);
-		return task && !pass.state.pending.byTask.has(taskId) && isOwnTurn(pass, placementSubjectOf(task, cluster));
+		return task && !pass.state.pending.byTask.has(taskId) && pass.turns.isOwn(placementSubjectOf(task, cluster));
 	});
 	// Every class may place its share, so that a flood of one leaves the others their turn.
 	for (const taskId of orderQueue(own, cluster, pass.context.wallTimeMs).slice(0, maxScannedTasks)) {
@@ -137,59 +131,6 @@
 	}
 }
 
-/** Tells whether any queued task may be this entry's to place, without a look at all of them. */
-function mayHaveTurn(pass: Pass): boolean {
-	const {cluster} = pass.context;
-	for (const taskIds of cluster.queued.values()) {
-		const oldestId: string | undefined = taskIds.keySeq().first();
-		const oldest = oldestId === undefined ? undefined : cluster.tasks.get(oldestId);
-		if (oldest && isOwnTurn(pass, placementSubjectOf(oldest, cluster))) {
-			return true;
-		}
-	}
-
-	// All subjects are looked at, so that the silence of each owner is noted.
-	let hasTurn = false;
-	for (const subject of unfinishedSubjects(cluster)) {
-		hasTurn = isOwnTurn(pass, subject) || hasTurn;
-	}
-
-	return hasTurn;
-}
-
-function isOwnTurn(pass: Pass, subject: string): boolean {
-	const known = pass.turns.get(subject);
-	if (known !== undefined) {
-		return known;
-	}
-
-	const isOwn = decideTurn(pass, subject);
-	pass.turns.set(subject, isOwn);
-	return isOwn;
-}
-
-function decideTurn(pass: Pass, subject: string): boolean {
-	const {cluster, incarnation} = pass.context;
-	const ranked = placementRankOf(subject, cluster);
-	const ownRank = ranked.indexOf(incarnation);
-	// Only the next entry takes over: claims of several at once would be lost against each other.
-	return ownRank === -1 ? ranked.length === 0 : ranked.slice(0, ownRank).every(better => isSilent(pass, better));
-}
-
-function isSilent(pass: Pass, incarnation: string): boolean {
-	const {cluster, settings, nowMs, tailConfirmedSentAtMs} = pass.context;
-	// A task may wait for room for long; only an owner that writes nothing any more has to be replaced.
-	const lastOffset = cluster.entries.get(incarnation)?.lastOffset ?? -1;
-	const seen = pass.state.ownersSeen.get(incarnation);
-	if (seen?.lastOffset !== lastOffset) {
-		pass.state = {...pass.state, ownersSeen: pass.state.ownersSeen.set(incarnation, {lastOffset, atMs: nowMs})};
-		return false;
-	}
-
-	// Only a read of the whole log shows silence: an entry that is behind has not read what the owner wrote.
-	return tailConfirmedSentAtMs - seen.atMs >= settings.timings.placementTakeoverMs;
-}
-
 function placeTask(pass: Pass, task: Task): void {
 	const {cluster, settings, seed, nowMs} = pass.context;
 	const {demand, taskId} = task.spec;
--- a/src/placement/placement-owner.ts
+++ b/src/placement/placement-owner.ts
@@ -63,6 +63,16 @@
 	return rank;
 }
 
+/**
+Names the first of ranked entries that is not behind with the log, or the first one when all of them are.
+
+@example
+firstUpToDate(placementRankOf('loaf-orders', cluster), cluster); // => 'a81f…'
+*/
+export function firstUpToDate(ranked: readonly string[], {entries}: ClusterState): string | undefined {
+	return ranked.find(incarnation => !entries.get(incarnation)?.readLag?.isBehind) ?? ranked[0];
+}
+
 // Keyed by the jobs, which are replaced when a job comes, goes or gets more tasks.
 const subjectsByJobs = new WeakMap<ClusterState['jobs'], ReadonlySet<string>>();
 
@@ -99,5 +109,5 @@
 		services.add(vm.service);
 	}
 
-	return [...services].some(service => service === '' || placementRankOf(service, cluster)[0] === incarnation);
+	return [...services].some(service => service === '' || firstUpToDate(placementRankOf(service, cluster), cluster) === incarnation);
 }
