--- a/src/entry/log-connection.ts
+++ b/src/entry/log-connection.ts
@@ -31,6 +31,8 @@
 }>;
 
 const maxBatchRecords = 1000;
+const maxSnapshotTries = 3;
+const snapshotPauseMs = 300;
 
 /** Tells whether somebody waits for what this entry reads next: a caller for a decision, or the tasks that it places. */
 function isAwaited({cluster, deferred, incarnation}: EntryState): boolean {
@@ -105,7 +107,7 @@
 	}
 
 	async function loadState(): Promise<void> {
-		const loaded = await snapshots.loadNewest();
+		const loaded = await loadSnapshot();
 		// Without the log a peer's state is the newest that can be had.
 		const cluster = loaded.isOk
 			? decodeSnapshot(loaded.value)
@@ -116,6 +118,23 @@
 		}
 	}
 
+	/** Tries again where no peer can stand in: without a snapshot the entry reads all of the log that is kept. */
+	async function loadSnapshot(): ReturnType<SnapshotStore['loadNewest']> {
+		for (let tries = 1; ; tries++) {
+			const loaded = await snapshots.loadNewest();
+			if (loaded.isOk) {
+				return loaded;
+			}
+
+			eventLog.warn('snapshot-not-read', {reason: loaded.error.message, tries});
+			if (token !== undefined || tries === maxSnapshotTries) {
+				return loaded;
+			}
+
+			await delay(snapshotPauseMs);
+		}
+	}
+
 	function decodeSnapshot(snapshot: Snapshot | undefined): ClusterState | undefined {
 		return snapshot && decodeClusterState(snapshot.value).match({
 			Ok: cluster => cluster,
--- a/src/log/snapshot-store.test.ts
+++ b/src/log/snapshot-store.test.ts
@@ -24,11 +24,35 @@
 	await log.service.append('s', [JSON.stringify(chunk), 'not a chunk', JSON.stringify({...chunk, snapshotId: 's5', count: 1})]);
 	const newest = await store.loadNewest();
 	t.deepEqual(newest.unwrapOr(undefined), {coversOffset: 30, value: {text, coversOffset: 30}});
-	log.retainFrom(log.values('s').length / 2);
+	log.retainFrom(Math.floor(log.values('s').length / 2));
 	const retained = await store.loadNewest();
 	t.is(retained.map(snapshot => snapshot?.coversOffset).unwrapOr(undefined), 20);
 });
 
+test('loading reads little more than one snapshot, however many are kept, for an entry on a slow link', async t => {
+	const log = createFakeLogService(createFakeClock());
+	let readCharacters = 0;
+	const store = createSnapshotStore({
+		service: {
+			...log.service,
+			async read(stream, fromOffset, options) {
+				const page = await log.service.read(stream, fromOffset, options);
+				readCharacters += page.unwrapOr(undefined)!.values.reduce((sum, {value}) => sum + value.length, 0);
+				return page;
+			},
+		},
+		stream: 's',
+	});
+	for (let coversOffset = 1; coversOffset <= 30; coversOffset++) {
+		await store.write({snapshotId: `s${coversOffset}`, coversOffset, value: {text, coversOffset}});
+	}
+
+	const newest = await store.loadNewest();
+	t.deepEqual(newest.unwrapOr(undefined), {coversOffset: 30, value: {text, coversOffset: 30}});
+	const snapshotCharacters = log.values('s').reduce((sum, {value}) => sum + value.length, 0) / 30;
+	t.true(readCharacters <= 3 * snapshotCharacters, `${readCharacters} characters for a snapshot of ${snapshotCharacters}`);
+});
+
 test('a snapshot beyond the limit is refused and not written in part', async t => {
 	const log = createFakeLogService(createFakeClock());
 	const store = createSnapshotStore({service: log.service, stream: 's'});
--- a/src/log/snapshot-store.ts
+++ b/src/log/snapshot-store.ts
@@ -4,7 +4,7 @@
 import {err, ok, type Result} from 'true-myth/result';
 import {z} from 'zod';
 import {type TypedError} from '../errors/typed-error.js';
-import {type LogError, type LogService} from './log-service.js';
+import {type LogError, type LogService, type StreamValue} from './log-service.js';
 
 const deflateAsync = promisify(deflate);
 const inflateAsync = promisify(inflate);
@@ -18,8 +18,8 @@
 /** Size of a snapshot before compression up to which it is loaded. */
 const MAX_SNAPSHOT_BYTES = 256 * 1024 * 1024;
 
-/** Values read at once while a snapshot is looked for. */
-const READ_LIMIT = 32;
+/** Newest snapshots of which the one that covers the most is loaded; two entries may write at the same time. */
+const COMPARED_SNAPSHOTS = 3;
 
 const chunkSchema = z.strictObject({
 	snapshotId: z.string(),
@@ -51,25 +51,37 @@
 	}
 }
 
-/** Restores a snapshot from its chunks; `undefined` when one is missing or damaged. */
-async function restore(chunks: ReadonlyMap<number, Chunk>): Promise<Snapshot | undefined> {
-	const [first] = chunks.values();
-	if (chunks.size !== first?.count) {
-		return undefined;
-	}
-
-	const data = [...chunks.values()].toSorted((a, b) => a.index - b.index).map(chunk => chunk.data).join('');
+/** Restores a snapshot from its chunks in order; `undefined` when one is damaged. */
+async function restore(chunks: readonly Chunk[]): Promise<Snapshot | undefined> {
 	try {
-		const text = await inflateAsync(Buffer.from(data, 'base64'), {maxOutputLength: MAX_SNAPSHOT_BYTES});
-		return {coversOffset: first.coversOffset, value: JSON.parse(text.toString())};
+		const text = await inflateAsync(Buffer.from(chunks.map(({data}) => data).join(''), 'base64'), {maxOutputLength: MAX_SNAPSHOT_BYTES});
+		return {coversOffset: chunks[0]!.coversOffset, value: JSON.parse(text.toString())};
 	} catch {
 		return undefined;
 	}
 }
 
+/** The chunks at an offset and directly behind it. */
+function chunksFrom(values: readonly StreamValue[], offset: number): readonly Chunk[] {
+	const chunks: Chunk[] = [];
+	for (const [index, value] of values.entries()) {
+		const chunk = value.offset === offset + index ? parseChunk(value.value) : undefined;
+		if (!chunk) {
+			break;
+		}
+
+		chunks.push(chunk);
+	}
+
+	return chunks;
+}
+
+/** A snapshot in the stream, by its last chunk. */
+type Located = Readonly<{firstOffset: number; last: Chunk}>;
+
 /**
 Creates the store of snapshots on a stream of their own. Both a write and a load are bounded: a snapshot has at most 64 chunks,
-and a load reads as many values as two such snapshots from the end of the stream.
+and a load reads one snapshot and the last chunks of two more from the end of the stream, since entries on slow links start with it.
 
 @example
 const store = createSnapshotStore({service, stream: 'arbutushinge-snapshots'});
@@ -77,6 +89,56 @@
 const newest = await store.loadNewest(); // => Ok({coversOffset, value})
 */
 export function createSnapshotStore({service, stream}: Readonly<{service: LogService; stream: string}>): SnapshotStore {
+	/** Reads the value at an offset; undefined when it is no chunk. */
+	async function readChunk(offset: number): Promise<Result<Chunk | undefined, LogError>> {
+		const page = await service.read(stream, offset, {limit: 1, waitMs: 0});
+		return page.map(({values}) => chunksFrom(values.slice(0, 1), offset)[0]);
+	}
+
+	/** Walks back from the stream's end over whole snapshots, whose last chunks say where they begin. */
+	async function locateNewest({firstRetainedOffset, tailOffset}: Readonly<{firstRetainedOffset: number; tailOffset: number}>): Promise<Result<readonly Located[], LogError>> {
+		const located: Located[] = [];
+		const oldestOffset = Math.max(firstRetainedOffset, tailOffset - (2 * MAX_CHUNKS));
+		for (let endOffset = tailOffset; endOffset > oldestOffset && located.length < COMPARED_SNAPSHOTS;) {
+			const last = await readChunk(endOffset - 1);
+			if (last.isErr) {
+				return err(last.error);
+			}
+
+			const chunk = last.value;
+			const firstOffset = endOffset - (chunk?.count ?? 1);
+			if (chunk?.index === endOffset - firstOffset - 1 && firstOffset >= oldestOffset) {
+				located.push({firstOffset, last: chunk});
+				endOffset = firstOffset;
+			} else {
+				endOffset--;
+			}
+		}
+
+		return ok(located);
+	}
+
+	/** Restores a located snapshot; undefined when a chunk is missing or damaged. */
+	async function load({firstOffset, last}: Located): Promise<Result<Snapshot | undefined, LogError>> {
+		const chunks: Chunk[] = [];
+		while (chunks.length < last.count - 1) {
+			const offset = firstOffset + chunks.length;
+			const page = await service.read(stream, offset, {limit: last.count - 1 - chunks.length, waitMs: 0});
+			if (page.isErr) {
+				return err(page.error);
+			}
+
+			const read = chunksFrom(page.value.values, offset).slice(0, last.count - 1 - chunks.length);
+			if (read.length === 0 || read.some(({snapshotId}) => snapshotId !== last.snapshotId)) {
+				return ok(undefined);
+			}
+
+			chunks.push(...read);
+		}
+
+		return ok(await restore([...chunks, last]));
+	}
+
 	return {
 		async write({snapshotId, coversOffset, value}) {
 			const compressed = await deflateAsync(JSON.stringify(value));
@@ -102,36 +164,15 @@
 				return err(bounds.error);
 			}
 
-			const {firstRetainedOffset, tailOffset} = bounds.value;
-			const chunksById = new Map<string, Map<number, Chunk>>();
-			let offset = Math.max(firstRetainedOffset, tailOffset - (2 * MAX_CHUNKS));
-			while (offset < tailOffset) {
-				const page = await service.read(stream, offset, {limit: READ_LIMIT, waitMs: 0});
-				if (page.isErr) {
-					return err(page.error);
-				}
-
-				for (const {value} of page.value.values) {
-					const chunk = parseChunk(value);
-					if (chunk) {
-						const chunks = chunksById.get(chunk.snapshotId) ?? new Map<number, Chunk>();
-						chunksById.set(chunk.snapshotId, chunks.set(chunk.index, chunk));
-					}
-				}
-
-				if (page.value.nextOffset <= offset) {
-					break;
-				}
-
-				offset = page.value.nextOffset;
+			const located = await locateNewest(bounds.value);
+			if (located.isErr) {
+				return err(located.error);
 			}
 
-			const candidates = [...chunksById.values()].toSorted((a, b) =>
-				(b.values().next().value?.coversOffset ?? -1) - (a.values().next().value?.coversOffset ?? -1));
-			for (const chunks of candidates) {
-				const snapshot = await restore(chunks);
-				if (snapshot) {
-					return ok(snapshot);
+			for (const candidate of located.value.toSorted((left, right) => right.last.coversOffset - left.last.coversOffset)) {
+				const snapshot = await load(candidate);
+				if (snapshot.isErr || snapshot.value) {
+					return snapshot;
 				}
 			}
 
--- a/stand-ins/store-stand-in.ts
+++ b/stand-ins/store-stand-in.ts
@@ -2,6 +2,7 @@
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
 import {buffer} from 'node:stream/consumers';
 import {once} from 'node:events';
+import {setTimeout as delay} from 'node:timers/promises';
 
 /** What the stand-in does wrong; each applies until it is changed. */
 export type StoreFaults = Readonly<{
@@ -11,6 +12,8 @@
 	losesAnswers?: boolean;
 	/** Calls are neither done nor answered. */
 	isSilent?: boolean;
+	/** Speed of the caller's link: an answer to a read takes the time that its bytes need. */
+	linkKbPerS?: number;
 }>;
 
 /** The platform's store, as far as one partition for each topic goes. */
@@ -29,12 +32,31 @@
 /** Time between two looks for new records while a read waits. */
 const pollMs = 5;
 
+/** Size of a page whose reader names none. */
+const defaultMaxKb = 1024;
+
 function frame(record: Buffer): Buffer {
 	const length = Buffer.alloc(4);
 	length.writeUInt32BE(record.length);
 	return Buffer.concat([length, record]);
 }
 
+/** Framed records up to a size; at least one. */
+function pageOf(records: readonly Buffer[], maxKb: number): readonly Buffer[] {
+	const page: Buffer[] = [];
+	let bytes = 0;
+	for (const record of records) {
+		bytes += record.length + 4;
+		if (page.length > 0 && bytes > maxKb * 1024) {
+			break;
+		}
+
+		page.push(frame(record));
+	}
+
+	return page;
+}
+
 function unframe(body: Buffer): Buffer[] {
 	const records: Buffer[] = [];
 	for (let position = 0; position < body.length;) {
@@ -99,7 +121,12 @@
 			const head = Buffer.alloc(16);
 			head.writeBigUInt64BE(BigInt(endOf(topic)), 0);
 			head.writeBigUInt64BE(BigInt(topic.first), 8);
-			response.end(Buffer.concat([head, ...topic.records.slice(Math.max(0, from - topic.first)).map(record => frame(record))]));
+			const page = Buffer.concat([head, ...pageOf(topic.records.slice(Math.max(0, from - topic.first)), Number(query.get('maxKb') ?? defaultMaxKb))]);
+			if (faults.linkKbPerS !== undefined) {
+				await delay(1000 * page.length / (faults.linkKbPerS * 1024));
+			}
+
+			response.end(page);
 		},
 		async '/arbutushinge/log-newest'(query, _request, response) {
 			const topic = topicOf(query.get('topic')!);
