Keep zod's full library out of the agent

Cause: src/cluster/resources.ts held its schema beside the sums that the agent uses, and the command line loaded the schema of names for an option of "plan". Both brought the whole of zod with all its locales into the agent's bundle, although the agent checks with zod/mini.

The schema and the parsing of the options are modules of their own, and the build fails when zod's full library is in the agent's bundle.

--- a/scripts/bundle-programs.ts
+++ b/scripts/bundle-programs.ts
@@ -20,7 +20,7 @@
 const optionalModules = ['unix-dgram'];
 
 /** Parts of the system that the agent's bundle must not hold. */
-const foreignModule = /^src\/(?:entry|requests|placement|dispatch|log)\/|node_modules\/undici\//v;
+const foreignModule = /^src\/(?:entry|requests|placement|dispatch|log)\/|node_modules\/undici\/|node_modules\/zod\/v4\/classic\//v;
 
 /**
 Bundles the programs into CommonJS files; modules that are imported dynamically are evaluated only when they are first asked for.
@@ -45,6 +45,7 @@
 				'./entry-settings.js',
 				'./deployment-settings.js',
 				...['plan', 'confirm', 'status', 'explain', 'timeline', 'replay', 'check-settings'].map(name => `./${name}-command.js`),
+				'./parse-intent-options.js',
 				'./replay-functions.js',
 			],
 		}),
--- a/src/cluster/cluster-record.ts
+++ b/src/cluster/cluster-record.ts
@@ -1,6 +1,6 @@
 import {z} from 'zod';
 import {nameSchema, planSchema, jobSchema} from './intent.js';
-import {resourcesSchema} from './resources.js';
+import {resourcesSchema} from './resources-schema.js';
 
 const attemptSchema = z.strictObject({taskId: nameSchema, attempt: z.int().positive()});
 const agentSchema = z.strictObject({vmId: nameSchema, agentIncarnation: nameSchema});
--- a/src/cluster/intent.ts
+++ b/src/cluster/intent.ts
@@ -1,5 +1,5 @@
 import {z} from 'zod';
-import {resourcesSchema} from './resources.js';
+import {resourcesSchema} from './resources-schema.js';
 import {findInvalidDependency, workflowSchema} from './workflow.js';
 
 /** Names of services, jobs, teams, VMs and other entities: what fits into a URL path segment unescaped. */
--- /dev/null
+++ b/src/cluster/resources-schema.ts
@@ -0,0 +1,9 @@
+import {z} from 'zod';
+import {type Resources} from './resources.js';
+
+/** Amounts of what a VM offers and a task demands; kept apart from the functions on them, so that an agent does not load zod. */
+export const resourcesSchema = z.strictObject({
+	processorsMilli: z.int().min(0),
+	memoryMb: z.int().min(0),
+	accelerators: z.int().min(0),
+}).readonly() satisfies z.ZodType<Resources>;
--- a/src/cluster/resources.ts
+++ b/src/cluster/resources.ts
@@ -1,14 +1,5 @@
-import {z} from 'zod';
-
-/** Amounts of what a VM offers and a task demands. */
-export const resourcesSchema = z.strictObject({
-	processorsMilli: z.int().min(0),
-	memoryMb: z.int().min(0),
-	accelerators: z.int().min(0),
-}).readonly();
-
 /** Amounts of what a VM offers and a task demands; 1,000 `processorsMilli` are one core. */
-export type Resources = z.infer<typeof resourcesSchema>;
+export type Resources = Readonly<{processorsMilli: number; memoryMb: number; accelerators: number}>;
 
 /** The neutral element of {@link addResources}. */
 export const noResources: Resources = {processorsMilli: 0, memoryMb: 0, accelerators: 0};
--- a/src/cluster/workflow.ts
+++ b/src/cluster/workflow.ts
@@ -1,5 +1,5 @@
 import {z} from 'zod';
-import {resourcesSchema} from './resources.js';
+import {resourcesSchema} from './resources-schema.js';
 
 /** A step of a workflow: `count` equal tasks that wait for the steps in `dependsOn`. */
 export const stepSchema = z.strictObject({
--- a/src/operator/operator-api.ts
+++ b/src/operator/operator-api.ts
@@ -2,7 +2,7 @@
 import {
 	intentSchema, nameSchema, planSchema, type priorityClassSchema,
 } from '../cluster/intent.js';
-import {resourcesSchema} from '../cluster/resources.js';
+import {resourcesSchema} from '../cluster/resources-schema.js';
 import {logEnvelopeSchema} from '../log/log-envelope.js';
 import {timelineEventSchema} from '../telemetry/timeline-event.js';
 
--- a/src/operator/run-command-line.ts
+++ b/src/operator/run-command-line.ts
@@ -2,7 +2,7 @@
 import packageJson from '../../package.json' with {type: 'json'};
 import {messageOf} from '../errors/message-of.js';
 import {type CommandOutput, type ExitStatus} from './command-output.js';
-import {intentOptions, parseIntentOptions} from './intent-options.js';
+import {intentOptions} from './intent-options.js';
 import {UsageError} from './usage-error.js';
 import {type ConnectionOptions} from './with-client.js';
 
@@ -99,6 +99,7 @@
 
 	plan.example(name => `  $ ${name} plan --entry 127.0.0.1:7003 --token-file operator.token --drain-vm vm-3 --output plan.json`)
 		.action(async (options: Options) => {
+			const {parseIntentOptions} = await import('./parse-intent-options.js');
 			const intent = parseIntentOptions(option => optional(options, option));
 			const connection = connectionOf(options);
 			const outputFile = optional(options, 'output');
--- a/src/settings/deployment-settings.ts
+++ b/src/settings/deployment-settings.ts
@@ -2,7 +2,7 @@
 import {
 	nameSchema, requestLimitsSchema, serviceSchema, weightsSchema,
 } from '../cluster/intent.js';
-import {resourcesSchema} from '../cluster/resources.js';
+import {resourcesSchema} from '../cluster/resources-schema.js';
 
 /** Description of a whole deployment: what its entries, agents and first plans are set up from. */
 export const deploymentSettingsSchema = z.strictObject({
--- a/src/worker/worker-api.ts
+++ b/src/worker/worker-api.ts
@@ -1,5 +1,5 @@
 import {z} from 'zod';
-import {resourcesSchema} from '../cluster/resources.js';
+import {resourcesSchema} from '../cluster/resources-schema.js';
 
 /** `PUT /tasks/{taskId}`: starts a task. Starting the same attempt twice is answered like the first time. */
 export const startTaskRequestSchema = z.strictObject({
