Start processes from a code cache that the build writes

Cause: each start compiles a bundle of more than a megabyte, and later each function when it is first called. In two profiles of a start 42 and 49% of the time in which the bundle is loaded went into that first compilation.

The build runs an entry, an agent and stand-ins of the store and the executor for seven seconds on the loopback interface with some jobs, and writes what V8 compiled beside each bundle. The launcher hands that to V8, which ignores it when version or flags differ; the flags are therefore read from the run lines of the deploy file. Without a cache the program runs as before, and a failed warm-up does not fail the build.

--- /dev/null
+++ b/src/worker/program-script.test.ts
@@ -0,0 +1,45 @@
+import test from 'ava';
+import {nodeFlagsOf} from '../../scripts/write-code-caches.js';
+import {compileProgram} from './program-script.js';
+
+const source = 'const inner = value => value + 1; exports.value = inner(41); require(module.exports.value);';
+const file = 'program.cjs';
+
+test('a program runs from its code cache as it does from its source', t => {
+	const loaded: unknown[] = [];
+	const load = (name: unknown): void => {
+		loaded.push(name);
+	};
+
+	const compiled = compileProgram({file, source});
+	compiled.run(load);
+	t.false(compiled.usesCache);
+	const cached = compileProgram({file, source, codeCache: compiled.createCodeCache()});
+	t.true(cached.usesCache);
+	cached.run(load);
+	t.deepEqual(loaded, [42, 42]);
+});
+
+test('a code cache that does not fit is ignored', t => {
+	const codeCache = compileProgram({file, source: 'exports.value = 1;'}).createCodeCache();
+	for (const [index, unfit] of [codeCache, new Uint8Array(), new Uint8Array([1, 2, 3])].entries()) {
+		// V8 keeps what it has compiled in this process, so that each try needs a source of its own.
+		const compiled = compileProgram({file, source: `${source} // ${index}`, codeCache: unfit});
+		t.false(compiled.usesCache);
+		t.notThrows(() => {
+			compiled.run(() => undefined);
+		});
+	}
+});
+
+test('code caches are made with the flags that the deploy file runs a role with', t => {
+	const deployFile = [
+		'[roles.entry]',
+		'run = "node --a=8 --b target/launcher.cjs entry --settings /etc/s.yaml"',
+		'',
+		'[roles.agent]',
+		'run = "node --c=1 target/launcher.cjs agent --settings /etc/s.yaml"',
+	].join('\n');
+	t.deepEqual(nodeFlagsOf(deployFile, 'entry'), ['--a=8', '--b']);
+	t.deepEqual(nodeFlagsOf(deployFile, 'agent'), ['--c=1']);
+});
