--- a/src/agent/entry-messages.ts
+++ b/src/agent/entry-messages.ts
@@ -144,12 +144,16 @@
 */
 export function sendDueTaskEvents(nowMs: number): (state: AgentState) => Transition {
 	return state => {
-		const connected = [...state.entries.entries()].filter(([, link]) => link.connected).map(([address]) => address);
-		if (state.events.pending.size === 0 || connected.length === 0 || state.phase === 'counting') {
+		if (state.events.pending.size === 0 || state.phase === 'counting') {
 			return transition(state);
 		}
 
+		const connected = [...state.entries.entries()].filter(([, link]) => link.connected).map(([address]) => address);
 		const {events, toOne, toAll} = takeDueTaskEvents(state.events, nowMs);
+		if (connected.length === 0 || (toOne.length === 0 && toAll.length === 0)) {
+			return transition(state);
+		}
+
 		const relay = ownerByRendezvous(connected, state.settings.vmId);
 		return transition({...state, events}, ...connected.flatMap(address => taskEventsEffect(address, address === relay ? [...toAll, ...toOne] : toAll)));
 	};
--- a/src/worker/http-connections.ts
+++ b/src/worker/http-connections.ts
@@ -21,10 +21,25 @@
 	signal?: AbortSignal | undefined;
 }>;
 
+/** One request whose answer is short and arrives whole. */
+export type HttpExchange = Readonly<{
+	method: string;
+	path: string;
+	headers: OutgoingHttpHeaders;
+	body?: string;
+	/** The request is ended when its answer has not arrived by then. */
+	timeoutMs: number;
+}>;
+
+/** A short answer. */
+export type HttpAnswer = Readonly<{status: number; text: string}>;
+
 /** Connections to one address that are kept open between requests. */
 export type HttpConnections = Readonly<{
 	/** Resolves with the beginning of the answer; the caller reads its body. */
 	send: (call: HttpCall) => Promise<IncomingMessage>;
+	/** Resolves with the whole answer; costs less than `send` with a signal and a reader of the body. */
+	exchange: (call: HttpExchange) => Promise<HttpAnswer>;
 	/** Closes each connection when its request has ended. */
 	closeWhenIdle: () => void;
 	/** Ends all connections and the requests in flight. */
@@ -84,35 +99,77 @@
 		});
 	}
 
+	/** A server that announces how long it keeps an idle connection gets no request on one that it may be closing. */
+	function noteIdle(answer: IncomingMessage): void {
+		const idleMs = announcedIdleMs(answer);
+		if (idleMs !== undefined && idleMs < idleTimeoutMs + idleMarginMs) {
+			const {socket} = answer;
+			socket.once('free', () => {
+				socket.setTimeout(Math.max(1, idleMs - idleMarginMs));
+			});
+		}
+	}
+
+	function open({method, path, headers, signal}: Pick<HttpCall, 'method' | 'path' | 'headers' | 'signal'>, onResponse: (answer: IncomingMessage) => void): ClientRequest {
+		const outgoing = sendRequest({
+			agent, hostname, port: port === '' ? 80 : port, method, path, headers, signal,
+		});
+		inFlight.add(outgoing);
+		outgoing.once('close', () => {
+			inFlight.delete(outgoing);
+		});
+		outgoing.once('response', answer => {
+			noteIdle(answer);
+			onResponse(answer);
+		});
+		watchConnection(outgoing);
+		return outgoing;
+	}
+
 	return {
-		async send({method, path, headers, body, signal}) {
+		async exchange({timeoutMs, body, ...call}) {
 			return new Promise((resolve, reject) => {
 				if (isDestroyed) {
 					reject(new Error(`the connections to ${address} are closed`));
 					return;
 				}
 
-				const outgoing = sendRequest({
-					agent, hostname, port: port === '' ? 80 : port, method, path, headers, signal,
-				});
-				inFlight.add(outgoing);
-				outgoing.once('close', () => {
-					inFlight.delete(outgoing);
+				const fail = (error: Error): void => {
+					clearTimeout(timer);
+					reject(error);
+				};
+
+				const outgoing = open(call, answer => {
+					let text = '';
+					answer.setEncoding('utf8');
+					answer.on('data', (chunk: string) => {
+						text += chunk;
+					});
+					answer.once('end', () => {
+						clearTimeout(timer);
+						resolve({status: answer.statusCode ?? 0, text});
+					});
+					answer.once('error', fail);
 				});
+				const timer = setTimeout(() => {
+					outgoing.destroy(new Error(`no answer within ${timeoutMs} ms`));
+				}, timeoutMs);
+				outgoing.on('error', fail);
+				outgoing.end(body);
+			});
+		},
+		async send({method, path, headers, body, signal}) {
+			return new Promise((resolve, reject) => {
+				if (isDestroyed) {
+					reject(new Error(`the connections to ${address} are closed`));
+					return;
+				}
+
+				const outgoing = open({
+					method, path, headers, signal,
+				}, resolve);
 				// Later errors reach the reader of the answer; a handler must stay, since one without would end the process.
 				outgoing.on('error', reject);
-				outgoing.once('response', answer => {
-					const idleMs = announcedIdleMs(answer);
-					if (idleMs !== undefined && idleMs < idleTimeoutMs + idleMarginMs) {
-						const {socket} = answer;
-						socket.once('free', () => {
-							socket.setTimeout(Math.max(1, idleMs - idleMarginMs));
-						});
-					}
-
-					resolve(answer);
-				});
-				watchConnection(outgoing);
 				if (body === undefined || typeof body === 'string') {
 					outgoing.end(body);
 				} else {
