Place filling work only where serving tasks can bear it

The press on a VM was only weighed against other VMs, and claims under way did not count, so that all tasks of a step went to the same good VM and then waited at a low share. A VM now takes a filling task only if its serving tasks can spare what all filling work there would take, claims under way included; the others wait, the job with the least work left first.

--- a/src/placement/filling-work.ts
+++ b/src/placement/filling-work.ts
@@ -1,3 +1,4 @@
+import {type Map as ImmutableMap} from 'immutable';
 import {type ClusterState, type Task, type Vm} from '../cluster/cluster-state.js';
 import {pressOf, type PressEstimates} from '../agent/press-estimates.js';
 import {type Resources} from '../cluster/resources.js';
@@ -84,24 +85,31 @@
 	return Math.max(0, Math.min(unusedMilli, fillingRoomMilli ?? unusedMilli) - fillingMilli);
 }
 
-/** Slack that the serving tasks of a VM can spare for filling work at their peaks. */
-const sparedSlack = 0.45;
+/** Slack that serving tasks can spare for filling work at the peaks of their load, and a little beyond, since it is slowed there. */
+const sparedSlack = 0.6;
 
 /** Harm of a neighbour that a serving task bears without loss, in thousandths, so that VMs with fewer serving tasks are better among equals. */
 const anyPressMilli = 20;
 
-/** Harm of work that would take all the slack that a serving task can spare, in thousandths. */
-const fullPressMilli = 1000;
-const largestPressMilli = 4000;
+/** Harm of work that takes all the slack that a serving task can spare, in thousandths; work beyond it would be slowed too much to be in time. */
+export const bearablePressMilli = 1000;
+
+/** What decides how much filling work presses on the serving tasks of a VM. */
+export type PressContext = Readonly<{
+	cluster: ClusterState;
+	press: PressEstimates;
+	/** Claims under way, by VM and by what the tasks run. */
+	pendingByVm: ImmutableMap<string, ImmutableMap<string, number>>;
+}>;
 
 /**
-Estimates what a filling task would do to the serving tasks on a VM, the filling work there included, in thousandths of the slack that
-the one which suffers most can spare; 0 for a task that commits what it needs.
+Estimates what a filling task would do to the serving tasks on a VM, the filling work there and under way included, in thousandths of
+the slack that the one which suffers most can spare; 0 for a task that commits what it needs.
 
 @example
-pressOfPlacementMilli(press, task, vm, cluster); // => 240
+pressOfPlacementMilli(task, vm, {cluster, press, pendingByVm}); // => 240
 */
-export function pressOfPlacementMilli(press: PressEstimates, task: Task, vm: Vm, cluster: ClusterState): number {
+export function pressOfPlacementMilli(task: Task, vm: Vm, {cluster, press, pendingByVm}: PressContext): number {
 	const fillingMilli = fillingDemandMilli(task, cluster);
 	if (fillingMilli === 0) {
 		return 0;
@@ -109,21 +117,23 @@
 
 	const {servingByImage, fillingByImage} = fillingLoadOf(vm, cluster);
 	const image = stepOf(cluster, task)?.image ?? '';
+	const filling = [[image, fillingMilli] as const, ...fillingByImage, ...pendingByVm.get(vm.vmId) ?? []];
 	let worstLoss = 0;
 	let neighbours = 0;
 	for (const [servingImage, count] of servingByImage) {
 		neighbours += count;
-		let loss = tenthsOf(fillingMilli, vm) * pressOf(press, servingImage, image).mean;
-		for (const [otherImage, otherMilli] of fillingByImage) {
-			loss += tenthsOf(otherMilli, vm) * pressOf(press, servingImage, otherImage).mean;
+		let loss = 0;
+		for (const [fillingImage, milli] of filling) {
+			loss += tenthsOf(milli, vm) * pressOf(press, servingImage, fillingImage).mean;
 		}
 
 		worstLoss = Math.max(worstLoss, loss);
 	}
 
-	return Math.min(largestPressMilli, Math.round(fullPressMilli * worstLoss / sparedSlack)) + (anyPressMilli * neighbours);
+	return Math.round(bearablePressMilli * worstLoss / sparedSlack) + (anyPressMilli * neighbours);
 }
 
+
 function tenthsOf(processorsMilli: number, {capacity}: Vm): number {
 	return 10 * processorsMilli / Math.max(1, capacity.processorsMilli);
 }
--- a/src/placement/pending-claims.ts
+++ b/src/placement/pending-claims.ts
@@ -6,7 +6,7 @@
 import {stepKeyOf} from '../cluster/workflow.js';
 
 /** A claim that this entry appended and has not read back. */
-type PendingClaim = Readonly<{vmId: string; attempt: number; committed: Resources; appendedAtMs: number; siblingsKey: string; fillingMilli: number}>;
+type PendingClaim = Readonly<{vmId: string; attempt: number; committed: Resources; appendedAtMs: number; siblingsKey: string; fillingMilli: number; image: string}>;
 
 /**
 Names the tasks that a step's limit for one VM counts together.
@@ -26,10 +26,12 @@
 	siblings: Map<string, number>;
 	/** Idle processors that filling tasks under way will take, in thousandths. */
 	fillingByVm: Map<string, number>;
+	/** The same by VM and by what the tasks run. */
+	fillingImagesByVm: Map<string, Map<string, number>>;
 }>;
 
 export const noPendingClaims: PendingClaims = {
-	byTask: Map(), committedByVm: Map(), siblings: Map(), fillingByVm: Map(),
+	byTask: Map(), committedByVm: Map(), siblings: Map(), fillingByVm: Map(), fillingImagesByVm: Map(),
 };
 
 /** Time after which a claim that was not read back no longer holds room; the reducer protects capacity in any case. */
@@ -40,7 +42,7 @@
 
 @example
 addPendingClaim(noPendingClaims, 'task-1', {
-	vmId: 'vm-1', attempt: 1, committed, appendedAtMs: nowMs, siblingsKey, fillingMilli: 0,
+	vmId: 'vm-1', attempt: 1, committed, appendedAtMs: nowMs, siblingsKey, fillingMilli: 0, image: '',
 });
 */
 export function addPendingClaim(pending: PendingClaims, taskId: string, claim: PendingClaim): PendingClaims {
@@ -49,6 +51,9 @@
 		committedByVm: pending.committedByVm.update(claim.vmId, noResources, sum => addResources(sum, claim.committed)),
 		siblings: pending.siblings.update(claim.siblingsKey, 0, count => count + 1),
 		fillingByVm: claim.fillingMilli === 0 ? pending.fillingByVm : pending.fillingByVm.update(claim.vmId, 0, sum => sum + claim.fillingMilli),
+		fillingImagesByVm: claim.fillingMilli === 0
+			? pending.fillingImagesByVm
+			: pending.fillingImagesByVm.update(claim.vmId, Map<string, number>(), images => images.update(claim.image, 0, sum => sum + claim.fillingMilli)),
 	};
 }
 
@@ -59,7 +64,7 @@
 settlePendingClaims(pending, cluster, nowMs);
 */
 export function settlePendingClaims(pending: PendingClaims, cluster: ClusterState, nowMs: number): PendingClaims {
-	let {byTask, committedByVm, siblings, fillingByVm} = pending;
+	let {byTask, committedByVm, siblings, fillingByVm, fillingImagesByVm} = pending;
 	for (const [taskId, claim] of pending.byTask) {
 		const task = cluster.tasks.get(taskId);
 		const isDecided = task?.phase !== 'queued' || task.attempt >= claim.attempt;
@@ -70,6 +75,9 @@
 			if (claim.fillingMilli !== 0) {
 				const filling = fillingByVm.get(claim.vmId, 0) - claim.fillingMilli;
 				fillingByVm = filling === 0 ? fillingByVm.delete(claim.vmId) : fillingByVm.set(claim.vmId, filling);
+				fillingImagesByVm = filling === 0
+					? fillingImagesByVm.delete(claim.vmId)
+					: fillingImagesByVm.update(claim.vmId, Map<string, number>(), images => images.update(claim.image, 0, sum => sum - claim.fillingMilli));
 			}
 
 			const count = siblings.get(claim.siblingsKey, 1) - 1;
@@ -78,7 +86,7 @@
 	}
 
 	return {
-		byTask, committedByVm, siblings, fillingByVm,
+		byTask, committedByVm, siblings, fillingByVm, fillingImagesByVm,
 	};
 }
 
--- a/src/placement/place-queued-tasks.ts
+++ b/src/placement/place-queued-tasks.ts
@@ -1,4 +1,4 @@
-import {Map as immutableMap} from 'immutable';
+import {Map as immutableMap, type Map as ImmutableMap} from 'immutable';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {noPressEstimates, type PressEstimates} from '../agent/press-estimates.js';
@@ -15,7 +15,7 @@
 import {classesInTurn} from './classes-in-turn.js';
 import {chooseVm, type PlacementCandidate} from './choose-vm.js';
 import {
-	fillingDemandMilli, mixOfPlacementMilli, pressOfPlacementMilli,
+	bearablePressMilli, fillingDemandMilli, mixOfPlacementMilli, pressOfPlacementMilli,
 } from './filling-work.js';
 import {offeredMilliOf} from './offered-processors.js';
 import {lackingForever, roomOf, takesNewTasks} from './feasibility.js';
@@ -215,7 +215,7 @@
 	pass.state = {
 		...pass.state,
 		pending: addPendingClaim(pass.state.pending, taskId, {
-			vmId: choice.vmId, attempt, committed: demand, appendedAtMs: nowMs, siblingsKey: siblingsKeyOf(task, choice.vmId), fillingMilli: fillingDemandMilli(task, cluster),
+			vmId: choice.vmId, attempt, committed: demand, appendedAtMs: nowMs, siblingsKey: siblingsKeyOf(task, choice.vmId), fillingMilli: fillingDemandMilli(task, cluster), image: stepOf(cluster, task)?.image ?? '',
 		}),
 	};
 }
@@ -234,7 +234,7 @@
 	// A limit for one VM counts the tasks of one step.
 	const limited = step?.maxTasksPerVm === undefined ? undefined : stepNameOf(task);
 	return JSON.stringify([
-		task.workClass, task.priority, processorsMilli, memoryMb, accelerators, needsIdleMilliOf(pass, task), service, step?.requiredLabel, limited,
+		task.workClass, task.priority, processorsMilli, memoryMb, accelerators, needsIdleMilliOf(pass, task), step?.fillsIdle && step.image, service, step?.requiredLabel, limited,
 	]);
 }
 
@@ -273,7 +273,14 @@
 		const room = roomOf(vm, pass.state.pending.committedByVm.get(vm.vmId, noResources));
 		const offered = fillingMilli === 0 ? room : {...room, processorsMilli: offeredMilliOf(vm, offerContext)};
 		if (fitsInto(task.spec.demand, room) && offered.processorsMilli >= needsIdleMilli && isAllowed(pass, task, step, vm)) {
-			found.push({vm, candidate: toCandidate(pass, task, vm, {room: offered, evictions: 0, step}), evictTaskIds: []});
+			const pressMilli = pressOn(pass, task, vm);
+			if (needsIdleMilli === 0 || pressMilli <= bearablePressMilli) {
+				found.push({
+					vm, candidate: toCandidate(pass, task, vm, {
+						room: offered, evictions: 0, step, pressMilli,
+					}), evictTaskIds: [],
+				});
+			}
 		}
 	}
 
@@ -281,6 +288,12 @@
 	return withSiblings(found, task, cluster);
 }
 
+/** What a filling task would do to the serving tasks on a VM; 0 for other tasks. */
+function pressOn(pass: Pass, task: Task, vm: Vm): number {
+	const {context: {cluster}, state: {press, pending}} = pass;
+	return pressOfPlacementMilli(task, vm, {cluster, press, pendingByVm: pending.fillingImagesByVm});
+}
+
 /** Idle processors that a VM must have for a task. */
 function needsIdleMilliOf(pass: Pass, task: Task): number {
 	const fillingMilli = fillingDemandMilli(task, pass.context.cluster);
@@ -344,7 +357,9 @@
 		if (victims) {
 			found.push({
 				vm,
-				candidate: toCandidate(pass, task, vm, {room: victims.roomAfterEviction, evictions: victims.taskIds.length, step}),
+				candidate: toCandidate(pass, task, vm, {
+					room: victims.roomAfterEviction, evictions: victims.taskIds.length, step, pressMilli: pressOn(pass, task, vm),
+				}),
 				evictTaskIds: victims.taskIds,
 			});
 		}
@@ -353,16 +368,16 @@
 	return found;
 }
 
-function toCandidate(pass: Pass, task: Task, vm: Vm, facts: Readonly<{room: Resources; evictions: number; step: WorkflowStep | undefined}>): PlacementCandidate {
+function toCandidate(pass: Pass, task: Task, vm: Vm, facts: Readonly<{room: Resources; evictions: number; step: WorkflowStep | undefined; pressMilli: number}>): PlacementCandidate {
 	const {cluster} = pass.context;
-	const {room, evictions, step} = facts;
+	const {room, evictions, step, pressMilli} = facts;
 	const {serviceHarmMilli, batchHarmMilli} = harmOn(pass, task, vm);
 	return {
 		vmId: vm.vmId,
 		capacity: vm.capacity,
 		room,
 		evictions,
-		serviceHarmMilli: serviceHarmMilli + pressOfPlacementMilli(pass.state.press, task, vm, cluster) + mixOfPlacementMilli(task, vm, cluster),
+		serviceHarmMilli: serviceHarmMilli + pressMilli + mixOfPlacementMilli(task, vm, cluster),
 		batchHarmMilli,
 		// Serving tasks share few VMs, so that filling work finds others without them.
 		packs: step?.latencyTargetMs !== undefined,
--- a/src/placement/placement-waiting.test.ts
+++ b/src/placement/placement-waiting.test.ts
@@ -77,7 +77,7 @@
 
 test('a task whose claim is under way is not taken for one that finds no room', t => {
 	const pending = addPendingClaim(noPendingClaims, 'j0.0.0.0', {
-		vmId: 'vm-1', attempt: 1, committed: small.demand, appendedAtMs: 0, siblingsKey: 'k', fillingMilli: 0,
+		vmId: 'vm-1', attempt: 1, committed: small.demand, appendedAtMs: 0, siblingsKey: 'k', fillingMilli: 0, image: 'stress',
 	});
 	const [line] = linesOf(clusterOf([small]), {seconds: 3, pending});
 	t.like(line, {reasons: 'claimPending:1', pendingClaims: 1});
