--- a/src/placement/filling-work.ts
+++ b/src/placement/filling-work.ts
@@ -134,6 +134,10 @@
 }
 
 
+function tenthsOf(processorsMilli: number, {capacity}: Vm): number {
+	return 10 * processorsMilli / Math.max(1, capacity.processorsMilli);
+}
+
 function tenthsOf(processorsMilli: number, {capacity}: Vm): number {
 	return 10 * processorsMilli / Math.max(1, capacity.processorsMilli);
 }
--- a/src/placement/place-queued-tasks.ts
+++ b/src/placement/place-queued-tasks.ts
@@ -14,9 +14,7 @@
 import {type EntryContext, isLogFresh} from '../entry/entry-context.js';
 import {classesInTurn} from './classes-in-turn.js';
 import {chooseVm, type PlacementCandidate} from './choose-vm.js';
-import {
-	bearablePressMilli, fillingDemandMilli, mixOfPlacementMilli, pressOfPlacementMilli,
-} from './filling-work.js';
+import {bearablePressMilli, fillingDemandMilli, pressOfPlacementMilli} from './filling-work.js';
 import {offeredMilliOf} from './offered-processors.js';
 import {lackingForever, roomOf, takesNewTasks} from './feasibility.js';
 import {
@@ -377,7 +375,7 @@
 		capacity: vm.capacity,
 		room,
 		evictions,
-		serviceHarmMilli: serviceHarmMilli + pressMilli + mixOfPlacementMilli(task, vm, cluster),
+		serviceHarmMilli: serviceHarmMilli + pressMilli,
 		batchHarmMilli,
 		// Serving tasks share few VMs, so that filling work finds others without them.
 		packs: step?.latencyTargetMs !== undefined,
