Admit whole filling jobs, as many as can proceed together

Jobs now start while the started ones want at most 60% of the processors on offer together, and started jobs go first.

--- /dev/null
+++ b/src/placement/admit-filling-jobs.ts
@@ -0,0 +1,82 @@
+import {type ClusterState, type Vm} from '../cluster/cluster-state.js';
+import {fillingDemandMilli} from './filling-work.js';
+import {fillingOfferOf, type OfferContext} from './offered-processors.js';
+
+/** Part of the processors on offer that the filling jobs under way may want together: beyond it all of them get slow, and none is in time. */
+const admittedShareMilli = 600;
+
+/** What decides which filling jobs may start. */
+export type AdmissionContext = OfferContext & Readonly<{
+	vms: readonly Vm[];
+	/** Tells whether a job may start beyond the limit. */
+	mayExceed: (taskId: string) => boolean;
+}>;
+
+type QueuedJob = {isStarted: boolean; wantedMilli: number};
+
+/**
+Leaves out the tasks of filling jobs that should not start yet: a job is worth its processors only when all of its tasks end in time,
+so that a few whole jobs go before parts of many. Jobs that have started go first; other tasks keep their order.
+
+@example
+admitFillingJobs(['bake-1.0.0.0', 'bake-2.0.0.0'], {cluster, vms, pending, fillingRoomByVm, mayExceed: () => false}); // => ['bake-1.0.0.0']
+*/
+export function admitFillingJobs(taskIds: readonly string[], context: AdmissionContext): readonly string[] {
+	const {cluster, vms, pending, mayExceed} = context;
+	const jobs = queuedFillingJobs(taskIds, context);
+	if (jobs.size === 0) {
+		return taskIds;
+	}
+
+	const {offeredMilli, fillingMilli} = fillingOfferOf(vms, context);
+	let underWayMilli = fillingMilli + pending.fillingByVm.reduce((sum, milli) => sum + milli, 0);
+	for (const {isStarted, wantedMilli} of jobs.values()) {
+		underWayMilli += isStarted ? wantedMilli : 0;
+	}
+
+	const limitMilli = admittedShareMilli * (offeredMilli + fillingMilli) / 1000;
+	const admitted = new Set<string>();
+	const first: string[] = [];
+	const second: string[] = [];
+	for (const taskId of taskIds) {
+		const jobId = cluster.tasks.get(taskId)?.jobId ?? '';
+		const job = jobs.get(jobId);
+		if (job === undefined || job.isStarted) {
+			first.push(taskId);
+			continue;
+		}
+
+		if (!admitted.has(jobId) && (underWayMilli === 0 || underWayMilli + job.wantedMilli <= limitMilli)) {
+			underWayMilli += job.wantedMilli;
+			admitted.add(jobId);
+		}
+
+		if (admitted.has(jobId) || mayExceed(taskId)) {
+			second.push(taskId);
+		}
+	}
+
+	return [...first, ...second];
+}
+
+/** The jobs of queued filling tasks, with what these tasks want. */
+function queuedFillingJobs(taskIds: readonly string[], {cluster, pending}: AdmissionContext): ReadonlyMap<string, QueuedJob> {
+	const jobs = new Map<string, QueuedJob>();
+	for (const taskId of taskIds) {
+		const task = cluster.tasks.get(taskId);
+		const wantedMilli = task ? fillingDemandMilli(task, cluster) : 0;
+		if (!task || wantedMilli === 0) {
+			continue;
+		}
+
+		const job = jobs.get(task.jobId) ?? {isStarted: hasStarted(task.jobId, {cluster, pending}), wantedMilli: 0};
+		job.wantedMilli += wantedMilli;
+		jobs.set(task.jobId, job);
+	}
+
+	return jobs;
+}
+
+function hasStarted(jobId: string, {cluster, pending}: Readonly<{cluster: ClusterState; pending: OfferContext['pending']}>): boolean {
+	return (cluster.jobs.get(jobId) ?? []).some(taskId => (cluster.tasks.get(taskId)?.attempt ?? 1) > 0 || pending.byTask.has(taskId));
+}
--- a/src/placement/filling-work.ts
+++ b/src/placement/filling-work.ts
@@ -137,27 +137,3 @@
 function tenthsOf(processorsMilli: number, {capacity}: Vm): number {
 	return 10 * processorsMilli / Math.max(1, capacity.processorsMilli);
 }
-
-function tenthsOf(processorsMilli: number, {capacity}: Vm): number {
-	return 10 * processorsMilli / Math.max(1, capacity.processorsMilli);
-}
-
-/** Harm of a serving image to others on the VM, in thousandths: filling work that is harmless to all of them is rare. */
-const mixedImageMilli = 300;
-
-/**
-Estimates how a serving task would keep filling work off a VM that already serves with other images; 0 for other tasks.
-
-@example
-mixOfPlacementMilli(task, vm, cluster); // => 300
-*/
-export function mixOfPlacementMilli(task: Task, vm: Vm, cluster: ClusterState): number {
-	const step = stepOf(cluster, task);
-	if (step?.latencyTargetMs === undefined) {
-		return 0;
-	}
-
-	const {servingByImage} = fillingLoadOf(vm, cluster);
-	const others = servingByImage.size - (servingByImage.has(step.image ?? '') ? 1 : 0);
-	return mixedImageMilli * others;
-}
--- a/src/placement/place-queued-tasks.ts
+++ b/src/placement/place-queued-tasks.ts
@@ -12,6 +12,7 @@
 import {stepOf} from '../cluster/workflow-progress.js';
 import {type ControlEffect, type Step} from '../entry/control-effect.js';
 import {type EntryContext, isLogFresh} from '../entry/entry-context.js';
+import {admitFillingJobs} from './admit-filling-jobs.js';
 import {classesInTurn} from './classes-in-turn.js';
 import {chooseVm, type PlacementCandidate} from './choose-vm.js';
 import {bearablePressMilli, fillingDemandMilli, pressOfPlacementMilli} from './filling-work.js';
@@ -126,7 +127,14 @@
 		return task && !pass.state.pending.byTask.has(taskId) && pass.turns.isOwn(placementSubjectOf(task, cluster));
 	});
 	// Every class may place its share, so that a flood of one leaves the others their turn.
-	for (const taskId of orderQueue(own, cluster, pass.context.wallTimeMs).slice(0, maxScannedTasks)) {
+	const ordered = admitFillingJobs(orderQueue(own, cluster, pass.context.wallTimeMs), {
+		cluster,
+		vms: pass.vms,
+		pending: pass.state.pending,
+		fillingRoomByVm: pass.state.fillingRoomByVm,
+		mayExceed: taskId => isStarved(pass, cluster.tasks.get(taskId)!),
+	});
+	for (const taskId of ordered.slice(0, maxScannedTasks)) {
 		if (pass.state.pending.byTask.size >= maxPendingClaims) {
 			return;
 		}
