Start a job with nothing running at once while half of its service is free

A job of filling work with nothing running waited 10 s from its submission for the right to share processors, also where less than half of the service was in use and only the VMs that its steps allow were busy. Two more cases kept it from running for longer: its only task is bound to a VM that nobody hears or that is revoked, which lasts until the leases have expired; and the entry that places has a clock behind that of the entry which took the job in.

Judging which jobs may do so moves to starved-jobs.ts. A job starts one task at once while committed and filling work together use less than half of the processors of the service's live VMs; after 10 s, by the caller's submission or by the own clock, while committed work alone does. A task on a VM that no entry hears does not count as running. Each job is judged once a pass, not once for each of its tasks.

Not done: 1 s in place of 10 s while committed work takes less than half but filling work uses the rest.

--- a/src/placement/place-queued-tasks.test.ts
+++ b/src/placement/place-queued-tasks.test.ts
@@ -1,8 +1,9 @@
 import test from 'ava';
 import {Map as immutableMap, OrderedMap as orderedMap, Set as immutableSet} from 'immutable';
 import {mergePress, noPressEstimates} from '../agent/press-estimates.js';
-import {type Task, type WorkflowRun} from '../cluster/cluster-state.js';
+import {type Task, type Vm, type WorkflowRun} from '../cluster/cluster-state.js';
 import {type PriorityClass} from '../cluster/intent.js';
+import {noResources} from '../cluster/resources.js';
 import {ownerByRendezvous} from '../cluster/rendezvous.js';
 import {type EntryContext} from '../entry/entry-context.js';
 import {taskFixture, vmFixture} from '../operator/state-fixture.js';
@@ -58,6 +59,62 @@
 	t.is(placeQueuedTasks(late.state, crowdedContext(60_000)).effects.length, 0, 'its other task waits for idle processors');
 });
 
+test('a job with nothing running starts a task at once while less than half of its service is in use', t => {
+	const context = crowdedContext(1000);
+	const {cluster} = context;
+	const late = cluster.workflows.get('late')!;
+	// The step may run on the crowded VM only.
+	const step = {...late.workflow.steps[0]!, requiredLabel: 'large'};
+	const claimsBeside = (idleVms: number) => placeQueuedTasks(initialPlacement, {
+		...context,
+		cluster: {
+			...cluster,
+			workflows: cluster.workflows.set('late', {...late, workflow: {...late.workflow, steps: [step]}}),
+			vms: immutableMap([
+				[vmFixture.vmId, {...cluster.vms.first()!, labels: ['large']}],
+				...Array.from({length: idleVms}, (_, index): [string, Vm] => [`idle-${index}`, {
+					...cluster.vms.first()!, vmId: `idle-${index}`, committed: noResources, taskIds: immutableSet(),
+				}]),
+			]),
+		},
+	}).effects.length;
+	t.is(claimsBeside(1), 0, 'more than half is in use');
+	t.is(claimsBeside(2), 1);
+});
+
+test('a job whose only task is bound to a VM that nobody hears starts another one', t => {
+	const context = crowdedContext(60_000);
+	const {cluster} = context;
+	const bound = {...cluster.tasks.get('late.0.0.0')!, phase: 'running' as const, claim: {...taskFixture.claim!, vmId: 'vm-away'}};
+	const claimsWith = (away: Partial<Vm>) => placeQueuedTasks(initialPlacement, {
+		...context,
+		cluster: {
+			...cluster,
+			tasks: cluster.tasks.set('late.0.0.0', bound),
+			queued: cluster.queued.update(taskFixture.priority, orderedMap<string, true>(), tasks => tasks.delete('late.0.0.0')),
+			vms: cluster.vms.set('vm-away', {
+				...cluster.vms.first()!, vmId: 'vm-away', draining: true, taskIds: immutableSet(['late.0.0.0']), ...away,
+			}),
+		},
+	}).effects.length;
+	t.is(claimsWith({}), 0);
+	t.is(claimsWith({heardBy: immutableSet()}), 1);
+	t.is(claimsWith({phase: 'revoked'}), 1);
+});
+
+test('a job that was handed in to an entry whose clock is ahead does not wait for that time to come', t => {
+	let state = initialPlacement;
+	const claimedAtMs: number[] = [];
+	for (let nowMs = 0; nowMs <= 20_000; nowMs += 500) {
+		const step = placeQueuedTasks(state, {...crowdedContext(nowMs), wallTimeMs: -3_600_000});
+		state = step.state;
+		claimedAtMs.push(...step.effects.map(() => nowMs));
+	}
+
+	// The claim under way is given up after 5 s without an answer of the log.
+	t.deepEqual(claimedAtMs.slice(0, 1), [10_500]);
+});
+
 /** Two empty VMs with a serving task each, of images that bear a queued filling task differently. */
 function pressedContext(): EntryContext {
 	const context = crowdedContext(1000);
--- a/src/placement/place-queued-tasks.ts
+++ b/src/placement/place-queued-tasks.ts
@@ -20,6 +20,7 @@
 	addPendingClaim, noPendingClaims, type PendingClaims, settlePendingClaims, siblingsKeyOf,
 } from './pending-claims.js';
 import {placementPolicies} from './placement-policies.js';
+import {judgeStarvedJobs, type StarvedJobs, type WaitingJobs} from './starved-jobs.js';
 import {judgeTurns, type OwnersSeen, type PlacementTurns} from './placement-turn.js';
 import {placementSubjectOf} from './placement-owner.js';
 import {orderQueue} from './queue-order.js';
@@ -34,6 +35,7 @@
 export type PlacementState = Readonly<{
 	pending: PendingClaims;
 	ownersSeen: OwnersSeen;
+	waitingJobs: WaitingJobs;
 	interference: InterferenceEstimates;
 	history: VmHistory;
 	/** What filling work was found to do to serving tasks, from the reports of all agents. */
@@ -41,7 +43,7 @@
 }>;
 
 export const initialPlacement: PlacementState = {
-	pending: noPendingClaims, ownersSeen: immutableMap(), interference: noInterferenceEstimates, history: noVmHistory, press: noPressEstimates,
+	pending: noPendingClaims, ownersSeen: immutableMap(), waitingJobs: immutableMap(), interference: noInterferenceEstimates, history: noVmHistory, press: noPressEstimates,
 };
 
 /** VMs that are looked at first for one task; a full scan follows only when none of them has room. */
@@ -63,8 +65,7 @@
 	readonly turns: PlacementTurns;
 	/** Harm of placing a task by what it depends on beside the VM, and then by VM. */
 	readonly harms: Map<string, Map<string, ExpectedHarm>>;
-	/** Whether committed work leaves most processors of a service free, by service. */
-	readonly isSpareByService: Map<string, boolean>;
+	readonly starved: StarvedJobs;
 	readonly claims: ControlEffect[];
 	state: PlacementState;
 };
@@ -86,6 +87,7 @@
 		return {state: settled, effects: []};
 	}
 
+	const starved = judgeStarvedJobs(settled.waitingJobs, context, () => pass.state.pending);
 	const pass: Pass = {
 		context,
 		vms: [],
@@ -94,7 +96,7 @@
 		needsWithoutRoom: new Set(),
 		turns,
 		harms: new Map(),
-		isSpareByService: new Map(),
+		starved,
 		claims: [],
 		state: settled,
 	};
@@ -107,7 +109,7 @@
 		placeClass(pass, priority);
 	}
 
-	return {state: {...pass.state, ownersSeen: turns.ownersSeen()}, effects: pass.claims};
+	return {state: {...pass.state, ownersSeen: turns.ownersSeen(), waitingJobs: starved.waiting()}, effects: pass.claims};
 }
 
 function placeClass(pass: Pass, priority: PriorityClass): void {
@@ -192,6 +194,7 @@
 
 	const chosen = candidates.find(({candidate}) => candidate.vmId === choice.vmId)!;
 	const attempt = task.attempt + 1;
+	pass.starved.noteClaim(task.jobId);
 	pass.claims.push({
 		kind: 'append-record',
 		record: {
@@ -276,47 +279,7 @@
 /** Idle processors that a VM must have for a task. */
 function needsIdleMilliOf(pass: Pass, task: Task): number {
 	const fillingMilli = fillingDemandMilli(task, pass.context.cluster);
-	return fillingMilli > 0 && !isStarved(pass, task) ? fillingMilli : 0;
-}
-
-/** Time after which a job with nothing running starts its first task beside others; the longest chains take about as long. */
-const starvedAfterMs = 10_000;
-
-/**
-Tells whether a task's job has waited long and has nothing running or under way. One task of such a job may share processors that
-are not idle: small jobs and those that can still be in time always go first, and would otherwise keep a large one from starting.
-It may not while committed work takes most of the service's processors: during a flood every job that waits would take a share of
-the few that are left, and keep the jobs that can still be in time from it.
-*/
-function isStarved(pass: Pass, task: Task): boolean {
-	const {cluster, wallTimeMs} = pass.context;
-	const workflow = cluster.workflows.get(task.jobId)?.workflow;
-	return workflow?.objective !== undefined
-		&& wallTimeMs - workflow.objective.submittedAtMs > starvedAfterMs
-		&& isSpare(pass, workflow.service)
-		&& !(cluster.jobs.get(task.jobId) ?? []).some(taskId => {
-			const sibling = cluster.tasks.get(taskId);
-			return sibling?.claim !== undefined || pass.state.pending.byTask.has(taskId);
-		});
-}
-
-/** Tells whether committed work, claims under way included, leaves more than half of a service's processors free. */
-function isSpare(pass: Pass, service: string): boolean {
-	const known = pass.isSpareByService.get(service);
-	if (known !== undefined) {
-		return known;
-	}
-
-	let capacityMilli = 0;
-	let roomMilli = 0;
-	for (const vm of pass.vms.filter(each => each.service === service)) {
-		capacityMilli += vm.capacity.processorsMilli;
-		roomMilli += roomOf(vm, pass.state.pending.committedByVm.get(vm.vmId, noResources)).processorsMilli;
-	}
-
-	const spare = 2 * roomMilli > capacityMilli;
-	pass.isSpareByService.set(service, spare);
-	return spare;
+	return fillingMilli > 0 && !pass.starved.isStarved(task) ? fillingMilli : 0;
 }
 
 /** Processors of a VM that neither committed tasks nor filling ones use, claims under way included. */
