Name the task that failed as the cause of a failed job

The job had failed rightly: its third failed attempt of another task was read on the same page, and a line was written for every own record of the page that ended a task of the job. Ends other than failures decide nothing and are now passed over. The test has two such records on a page and failed before.

--- a/src/entry/log-failed-job.test.ts
+++ b/src/entry/log-failed-job.test.ts
@@ -4,7 +4,7 @@
 import {type ClusterState} from '../cluster/cluster-state.js';
 import {type LoggedRecord} from '../log/log-envelope.js';
 import {type ControlEffect} from './control-effect.js';
-import {logFailedJob} from './log-failed-job.js';
+import {logFailedJob, logFailedJobs} from './log-failed-job.js';
 
 const jobId = '5c0e7a21d94b36f8';
 const taskId = `${jobId}.0.0.0`;
@@ -41,9 +41,9 @@
 	},
 };
 
-const claimed = (attempt: number): ClusterRecord => ({
+const claimed = (attempt: number, claimedTaskId = taskId): ClusterRecord => ({
 	kind: 'task-claimed',
-	taskId,
+	taskId: claimedTaskId,
 	attempt,
 	vmId: 'vm-1',
 	agentIncarnation: 'a1',
@@ -116,3 +116,33 @@
 		{by: 'e1', record: failed(1)},
 	]), []);
 });
+
+test('a task that finished is not named as the cause when its page also holds the failure of the job', t => {
+	const before = [...start, {by: 'e1', record: claimed(1)}];
+	let state: ClusterState = emptyClusterState;
+	const apply = ({by, record}: Written): LoggedRecord => {
+		const logged: LoggedRecord = {
+			offset: state.offset + 1, envelope: {
+				writer: by, incarnation: by, sequence: state.offset + 2, record,
+			},
+		};
+		state = applyRecord(state, logged);
+		return logged;
+	};
+
+	for (const written of before) {
+		apply(written);
+	}
+
+	const other = `${jobId}.0.0.1`;
+	apply({by: 'e1', record: claimed(1, other)});
+	const beforePage = state;
+	const finished = apply({
+		by: 'e1', record: {
+			kind: 'task-ended', taskId: other, attempt: 1, agentIncarnation: 'a1', outcome: 'finished', reason: 'done',
+		},
+	});
+	const records = [finished, ...[failed(1), claimed(2), failed(2)].map(record => apply({by: 'e2', record}))];
+	t.deepEqual(logFailedJobs(records, {before: beforePage, after: state}, 'e1'), []);
+	t.is(logFailedJobs(records, {before: beforePage, after: state}, 'e2').length, 1);
+});
--- a/src/entry/log-failed-job.ts
+++ b/src/entry/log-failed-job.ts
@@ -16,7 +16,7 @@
 */
 export function logFailedJob({offset, envelope}: LoggedRecord, before: ClusterState, after: ClusterState, incarnation: string): readonly ControlEffect[] {
 	const {record} = envelope;
-	if (envelope.incarnation !== incarnation || !failingKinds.has(record.kind) || !('taskId' in record)) {
+	if (envelope.incarnation !== incarnation || !failingKinds.has(record.kind) || !('taskId' in record) || ('outcome' in record && record.outcome !== 'failed')) {
 		return [];
 	}
 
