--- a/src/placement/place-queued-tasks.ts
+++ b/src/placement/place-queued-tasks.ts
@@ -22,6 +22,7 @@
 	addPendingClaim, noPendingClaims, type PendingClaims, settlePendingClaims, siblingsKeyOf,
 } from './pending-claims.js';
 import {placementPolicies} from './placement-policies.js';
+import {judgeStarvedJobs, type StarvedJobs, type WaitingJobs} from './starved-jobs.js';
 import {judgeTurns, type OwnersSeen, type PlacementTurns} from './placement-turn.js';
 import {placementSubjectOf} from './placement-owner.js';
 import {orderQueue} from './queue-order.js';
@@ -36,6 +37,7 @@
 export type PlacementState = Readonly<{
 	pending: PendingClaims;
 	ownersSeen: OwnersSeen;
+	waitingJobs: WaitingJobs;
 	interference: InterferenceEstimates;
 	history: VmHistory;
 	/** What filling work was found to do to serving tasks, from the reports of all agents. */
@@ -45,7 +47,7 @@
 }>;
 
 export const initialPlacement: PlacementState = {
-	pending: noPendingClaims, ownersSeen: immutableMap(), interference: noInterferenceEstimates, history: noVmHistory, press: noPressEstimates, fillingRoomByVm: immutableMap(),
+	pending: noPendingClaims, ownersSeen: immutableMap(), waitingJobs: immutableMap(), interference: noInterferenceEstimates, history: noVmHistory, press: noPressEstimates, fillingRoomByVm: immutableMap(),
 };
 
 /** VMs that are looked at first for one task; a full scan follows only when none of them has room. */
@@ -68,8 +70,7 @@
 	readonly turns: PlacementTurns;
 	/** Harm of placing a task by what it depends on beside the VM, and then by VM. */
 	readonly harms: Map<string, Map<string, ExpectedHarm>>;
-	/** Whether committed work leaves most processors of a service free, by service. */
-	readonly isSpareByService: Map<string, boolean>;
+	readonly starved: StarvedJobs;
 	readonly claims: ControlEffect[];
 	state: PlacementState;
 };
@@ -91,6 +92,7 @@
 		return {state: settled, effects: []};
 	}
 
+	const starved = judgeStarvedJobs(settled.waitingJobs, context, () => pass.state.pending);
 	const pass: Pass = {
 		context,
 		vms: [],
@@ -99,7 +101,7 @@
 		needsWithoutRoom: new Set(),
 		turns,
 		harms: new Map(),
-		isSpareByService: new Map(),
+		starved,
 		claims: [],
 		state: settled,
 	};
@@ -112,7 +114,7 @@
 		placeClass(pass, priority);
 	}
 
-	return {state: {...pass.state, ownersSeen: turns.ownersSeen()}, effects: pass.claims};
+	return {state: {...pass.state, ownersSeen: turns.ownersSeen(), waitingJobs: starved.waiting()}, effects: pass.claims};
 }
 
 function placeClass(pass: Pass, priority: PriorityClass): void {
@@ -132,7 +134,7 @@
 		vms: pass.vms,
 		pending: pass.state.pending,
 		fillingRoomByVm: pass.state.fillingRoomByVm,
-		mayExceed: taskId => isStarved(pass, cluster.tasks.get(taskId)!),
+		mayExceed: taskId => pass.starved.isStarved(cluster.tasks.get(taskId)!),
 	});
 	for (const taskId of ordered.slice(0, maxScannedTasks)) {
 		if (pass.state.pending.byTask.size >= maxPendingClaims) {
@@ -205,6 +207,7 @@
 
 	const chosen = candidates.find(({candidate}) => candidate.vmId === choice.vmId)!;
 	const attempt = task.attempt + 1;
+	pass.starved.noteClaim(task.jobId);
 	pass.claims.push({
 		kind: 'append-record',
 		record: {
@@ -303,47 +306,7 @@
 /** Idle processors that a VM must have for a task. */
 function needsIdleMilliOf(pass: Pass, task: Task): number {
 	const fillingMilli = fillingDemandMilli(task, pass.context.cluster);
-	return fillingMilli > 0 && !isStarved(pass, task) ? fillingMilli : 0;
-}
-
-/** Time after which a job with nothing running starts its first task beside others; the longest chains take about as long. */
-const starvedAfterMs = 10_000;
-
-/**
-Tells whether a task's job has waited long and has nothing running or under way. One task of such a job may share processors that
-are not idle: small jobs and those that can still be in time always go first, and would otherwise keep a large one from starting.
-It may not while committed work takes most of the service's processors: during a flood every job that waits would take a share of
-the few that are left, and keep the jobs that can still be in time from it.
-*/
-function isStarved(pass: Pass, task: Task): boolean {
-	const {cluster, wallTimeMs} = pass.context;
-	const workflow = cluster.workflows.get(task.jobId)?.workflow;
-	return workflow?.objective !== undefined
-		&& wallTimeMs - workflow.objective.submittedAtMs > starvedAfterMs
-		&& isSpare(pass, workflow.service)
-		&& !(cluster.jobs.get(task.jobId) ?? []).some(taskId => {
-			const sibling = cluster.tasks.get(taskId);
-			return sibling?.claim !== undefined || pass.state.pending.byTask.has(taskId);
-		});
-}
-
-/** Tells whether committed work, claims under way included, leaves more than half of a service's processors free. */
-function isSpare(pass: Pass, service: string): boolean {
-	const known = pass.isSpareByService.get(service);
-	if (known !== undefined) {
-		return known;
-	}
-
-	let capacityMilli = 0;
-	let roomMilli = 0;
-	for (const vm of pass.vms.filter(each => each.service === service)) {
-		capacityMilli += vm.capacity.processorsMilli;
-		roomMilli += roomOf(vm, pass.state.pending.committedByVm.get(vm.vmId, noResources)).processorsMilli;
-	}
-
-	const spare = 2 * roomMilli > capacityMilli;
-	pass.isSpareByService.set(service, spare);
-	return spare;
+	return fillingMilli > 0 && !pass.starved.isStarved(task) ? fillingMilli : 0;
 }
 
 /** VMs on which evictions are weighed for one urgent task. */
