--- a/src/agent/pace-control.ts
+++ b/src/agent/pace-control.ts
@@ -55,7 +55,7 @@
 const tolerantForMs = 1500;
 
 /** Standard errors by which a press is taken to be larger than estimated. */
-const cautionDeviations = 0.5;
+const cautionDeviations = 0.75;
 
 /** Tenths of the VM's processors that an image starts with beside a serving image with which it was never measured. */
 const probeTenths = 0.6;
--- a/src/placement/filling-work.ts
+++ b/src/placement/filling-work.ts
@@ -133,7 +133,6 @@
 	return Math.round(bearablePressMilli * worstLoss / sparedSlack) + (anyPressMilli * neighbours);
 }
 
-
 function tenthsOf(processorsMilli: number, {capacity}: Vm): number {
 	return 10 * processorsMilli / Math.max(1, capacity.processorsMilli);
 }
