--- /dev/null
+++ b/bench/filling-work.ts
@@ -0,0 +1,53 @@
+import {z} from 'zod';
+import {type FillingSite, fillingSites} from './filling-site.js';
+import {playFillingDay, type FillingResult} from './play-filling-day.js';
+import {printFigures} from './print-figures.js';
+
+const optionsSchema = z.object({
+	site: z.enum(['small', 'grown']).default('small'),
+	seeds: z.coerce.number().int().positive().default(20),
+	firstSeed: z.coerce.number().int().min(0).default(1),
+	load: z.coerce.number().positive().default(1),
+	heavyShare: z.coerce.number().min(0).max(1).optional(),
+	heavyPress: z.coerce.number().positive().default(1),
+	total: z.boolean().default(false),
+});
+
+const averaged = [
+	'fillingEarned', 'servingEarned', 'servingLost', 'overSeconds', 'lostSeconds', 'longestLostSeconds', 'brokenRules', 'usedShare', 'fillingShare', 'moves', 'meanPace', 'finishedJobs', 'fillingJobs',
+] as const satisfies ReadonlyArray<keyof FillingResult>;
+
+/**
+Plays days of filling work beside serving tasks and prints one line for each seed and their means.
+
+@example
+await runFillingWork({site: 'grown', seeds: 50});
+*/
+export async function runFillingWork(given: Readonly<Record<string, unknown>>): Promise<void> {
+	const options = optionsSchema.parse(given);
+	const site = siteOf(fillingSites[options.site], options);
+	const results: FillingResult[] = [];
+	for (let seed = options.firstSeed; seed < options.firstSeed + options.seeds; seed++) {
+		const result = playFillingDay(site, seed);
+		results.push(result);
+		if (!options.total) {
+			printFigures({site: options.site, ...result});
+		}
+	}
+
+	printFigures({site: options.site, seeds: results.length, ...meansOf(results)});
+}
+
+/** Load scales the arrivals of filling jobs, press the interference of heavy pairs. */
+function siteOf(site: FillingSite, {load, heavyShare, heavyPress}: z.infer<typeof optionsSchema>): FillingSite {
+	const [least, most] = site.press.heavy;
+	return {
+		...site,
+		filling: {...site.filling, jobsPerSecond: load * site.filling.jobsPerSecond},
+		press: {...site.press, heavyShare: heavyShare ?? site.press.heavyShare, heavy: [heavyPress * least, heavyPress * most]},
+	};
+}
+
+function meansOf(results: readonly FillingResult[]): Readonly<Record<string, number>> {
+	return Object.fromEntries(averaged.map(name => [name, results.reduce((sum, result) => sum + result[name], 0) / results.length]));
+}
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -2,9 +2,9 @@
 import cac from 'cac';
 import {messageOf} from '../src/errors/message-of.js';
 
-type Run = () => Promise<void>;
+type Run = (options: Readonly<Record<string, unknown>>) => Promise<void>;
 
-type Bench = Readonly<{description: string; load: () => Promise<Run>}>;
+type Bench = Readonly<{description: string; options?: ReadonlyArray<readonly [flag: string, description: string]>; load: () => Promise<Run>}>;
 
 /** A bench prints lines of key=value pairs and is loaded only when it runs. */
 const benches: Readonly<Record<string, Bench>> = {
@@ -46,13 +46,34 @@
 			return runOutage;
 		},
 	},
+	filling: {
+		description: 'Filling work beside serving tasks in virtual time, with a model of their interference',
+		options: [
+			['--site <name>', 'small or grown (default: small)'],
+			['--seeds <count>', 'Number of days (default: 20)'],
+			['--first-seed <seed>', 'Seed of the first day (default: 1)'],
+			['--load <factor>', 'Factor on the arrivals of filling jobs (default: 1)'],
+			['--heavy-share <share>', 'Part of the pairs of images that interfere heavily (default: 0.125)'],
+			['--heavy-press <factor>', 'Factor on the interference of heavy pairs (default: 1)'],
+			['--total', 'Print the means only'],
+		],
+		async load() {
+			const {runFillingWork} = await import('./filling-work.js');
+			return runFillingWork;
+		},
+	},
 };
 
 const cli = cac('bench');
-for (const [name, {description, load}] of Object.entries(benches)) {
-	cli.command(name, description).action(async () => {
+for (const [name, {description, options = [], load}] of Object.entries(benches)) {
+	const command = cli.command(name, description);
+	for (const [flag, text] of options) {
+		command.option(flag, text);
+	}
+
+	command.action(async (given: Readonly<Record<string, unknown>>) => {
 		const run = await load();
-		await run();
+		await run(given);
 	});
 }
 
--- /dev/null
+++ b/bench/paced-vm.ts
@@ -0,0 +1,83 @@
+import {Map as immutableMap, type Map as ImmutableMap} from 'immutable';
+import {
+	fullPaceMilli, hopelessImages, type PaceControl, type PacedTasks, planShares, restingPace, shareOf, stepPace,
+} from '../src/agent/pace-control.js';
+import {
+	changedPress, mergePress, type PressReport, type ServingSample,
+} from '../src/agent/press-estimates.js';
+import {type JobKind} from './filling-site.js';
+
+/** A task that runs on a VM. */
+export type RunningTask = {
+	readonly taskId: string;
+	readonly jobId: string;
+	readonly attempt: number;
+	readonly kind: JobKind;
+	readonly image: string;
+	/** What it commits, or wants at full pace, in whole processors. */
+	readonly processors: number;
+	readonly runTimeMs: number;
+	readonly startedAtMs: number;
+	/** Work done in milliseconds at full speed. */
+	doneMs: number;
+	paceMilli: number;
+	/** Processors that it uses now, and the sum of processors and milliseconds since the last measure. */
+	usedProcessors: number;
+	windowProcessorMs: number;
+};
+
+/** As in the agent: a task that was moved more often stays where it is. */
+const maxMovedAttempts = 3;
+
+/** The agent's part of a VM: it learns from measures, paces filling tasks and reports what it learned. */
+export class PacedVm {
+	public readonly tasks = new Map<string, RunningTask>();
+	private pace: PaceControl = restingPace;
+	private reported: ImmutableMap<string, number> = immutableMap();
+
+	/** Takes a task on, with what the entry knows of the pairs of images that it makes with its neighbours. */
+	public start(task: RunningTask, presses: readonly PressReport[]): void {
+		this.tasks.set(task.taskId, task);
+		this.pace = {...this.pace, press: mergePress(this.pace.press, presses)};
+		this.pace = planShares(this.pace, this.pacedTasks(), {isBeyond: false, mayRise: false});
+		this.applyPace();
+	}
+
+	/** Learns from a measure of the last window and returns the task that should run elsewhere. */
+	public measure(serving: readonly ServingSample[], {nowMs, windowMs}: Readonly<{nowMs: number; windowMs: number}>): RunningTask | undefined {
+		const filling = [...this.tasks.values()].filter(({kind}) => kind === 'filling');
+		this.pace = stepPace(this.pace, {
+			serving, filling: filling.map(({image, paceMilli, windowProcessorMs}) => ({image, paceMilli, processors: windowProcessorMs / windowMs})),
+		}, this.pacedTasks(), nowMs);
+		this.applyPace();
+		const hopeless = new Set(hopelessImages(this.pace, nowMs));
+		return filling.find(({image, attempt}) => hopeless.has(image) && attempt <= maxMovedAttempts);
+	}
+
+	/** Lists what changed in the estimates since the last heartbeat. */
+	public heartbeat(): readonly PressReport[] {
+		const {reports, reported} = changedPress(this.pace.press, this.reported);
+		this.reported = reported;
+		return reports;
+	}
+
+	private pacedTasks(): PacedTasks {
+		const fillingCounts = new Map<string, number>();
+		const serving: Array<PacedTasks['serving'][number]> = [];
+		for (const {kind, taskId, image} of this.tasks.values()) {
+			if (kind === 'serving') {
+				serving.push({taskId, image});
+			} else if (kind === 'filling') {
+				fillingCounts.set(image, (fillingCounts.get(image) ?? 0) + 1);
+			}
+		}
+
+		return {serving, fillingCounts};
+	}
+
+	private applyPace(): void {
+		for (const task of this.tasks.values()) {
+			task.paceMilli = task.kind === 'filling' ? shareOf(this.pace, task.image) : fullPaceMilli;
+		}
+	}
+}
