Follow the agents' room for filling work in the model

The agent tells the entry how many processors filling work can get on its VM, and measures what filling tasks use against what they may use.

--- a/bench/paced-vm.ts
+++ b/bench/paced-vm.ts
@@ -35,11 +35,13 @@
 	private pace: PaceControl = restingPace;
 	private reported: ImmutableMap<string, number> = immutableMap();
 
+	public constructor(private readonly vmProcessors: number) {}
+
 	/** Takes a task on, with what the entry knows of the pairs of images that it makes with its neighbours. */
 	public start(task: RunningTask, presses: readonly PressReport[]): void {
 		this.tasks.set(task.taskId, task);
 		this.pace = {...this.pace, press: mergePress(this.pace.press, presses)};
-		this.pace = planShares(this.pace, this.pacedTasks(), {isBeyond: false, mayRise: false});
+		this.pace = planShares(this.pace, this.pacedTasks(), {mayRise: false});
 		this.applyPace();
 	}
 
@@ -47,32 +49,34 @@
 	public measure(serving: readonly ServingSample[], {nowMs, windowMs}: Readonly<{nowMs: number; windowMs: number}>): RunningTask | undefined {
 		const filling = [...this.tasks.values()].filter(({kind}) => kind === 'filling');
 		this.pace = stepPace(this.pace, {
-			serving, filling: filling.map(({image, paceMilli, windowProcessorMs}) => ({image, paceMilli, processors: windowProcessorMs / windowMs})),
+			serving, filling: filling.map(({image, processors, paceMilli, windowProcessorMs}) => ({
+				image, processors: windowProcessorMs / windowMs, wanted: processors * paceMilli / fullPaceMilli,
+			})),
 		}, this.pacedTasks(), nowMs);
 		this.applyPace();
 		const hopeless = new Set(hopelessImages(this.pace, nowMs));
 		return filling.find(({image, attempt}) => hopeless.has(image) && attempt <= maxMovedAttempts);
 	}
 
-	/** Lists what changed in the estimates since the last heartbeat. */
-	public heartbeat(): readonly PressReport[] {
+	/** Reports what changed in the estimates since the last heartbeat, and the room for filling work. */
+	public heartbeat(): Readonly<{presses: readonly PressReport[]; fillingRoomMilli: number | undefined}> {
 		const {reports, reported} = changedPress(this.pace.press, this.reported);
 		this.reported = reported;
-		return reports;
+		return {presses: reports, fillingRoomMilli: this.pace.fillingRoomMilli};
 	}
 
 	private pacedTasks(): PacedTasks {
-		const fillingCounts = new Map<string, number>();
+		const wantedByImage = new Map<string, number>();
 		const serving: Array<PacedTasks['serving'][number]> = [];
-		for (const {kind, taskId, image} of this.tasks.values()) {
+		for (const {kind, taskId, image, processors} of this.tasks.values()) {
 			if (kind === 'serving') {
 				serving.push({taskId, image});
 			} else if (kind === 'filling') {
-				fillingCounts.set(image, (fillingCounts.get(image) ?? 0) + 1);
+				wantedByImage.set(image, (wantedByImage.get(image) ?? 0) + processors);
 			}
 		}
 
-		return {serving, fillingCounts};
+		return {serving, wantedByImage, vmProcessors: this.vmProcessors};
 	}
 
 	private applyPace(): void {
--- a/bench/play-filling-day.ts
+++ b/bench/play-filling-day.ts
@@ -144,7 +144,7 @@
 				}
 
 				if (shiftedMs % heartbeatMs === 0) {
-					this.placement = {...this.placement, press: mergePress(this.placement.press, vm.heartbeat())};
+					this.hearHeartbeat(vmId, vm);
 				}
 			}
 		}
@@ -152,6 +152,16 @@
 		return this.result();
 	}
 
+	private hearHeartbeat(vmId: string, vm: PacedVm): void {
+		const {presses, fillingRoomMilli} = vm.heartbeat();
+		const {press, fillingRoomByVm} = this.placement;
+		this.placement = {
+			...this.placement,
+			press: mergePress(press, presses),
+			fillingRoomByVm: fillingRoomMilli === undefined ? fillingRoomByVm.delete(vmId) : fillingRoomByVm.set(vmId, fillingRoomMilli),
+		};
+	}
+
 	private append(record: ClusterRecord): void {
 		this.sequence++;
 		this.cluster = applyRecord(this.cluster, {
@@ -167,7 +177,7 @@
 		});
 		for (const [index, processors] of this.site.vmProcessors.entries()) {
 			const vmId = `vm-${index}`;
-			this.vms.set(vmId, new PacedVm());
+			this.vms.set(vmId, new PacedVm(processors));
 			this.capacities.set(vmId, processors);
 			this.append({
 				kind: 'vm-registered', vmId, agentIncarnation: vmId, workerIncarnation: vmId, failureDomain: 'a', rack: 'r', requestAddress: '127.0.0.1:2',
