--- a/bench/filling-work.ts
+++ b/bench/filling-work.ts
@@ -1,4 +1,5 @@
 import {z} from 'zod';
+import {UsageError} from '../src/operator/usage-error.js';
 import {type FillingSite, fillingSites} from './filling-site.js';
 import {playFillingDay, type FillingResult} from './play-filling-day.js';
 import {printFigures} from './print-figures.js';
@@ -24,7 +25,12 @@
 await runFillingWork({site: 'grown', seeds: 50});
 */
 export async function runFillingWork(given: Readonly<Record<string, unknown>>): Promise<void> {
-	const options = optionsSchema.parse(given);
+	const parsed = optionsSchema.safeParse(given);
+	if (!parsed.success) {
+		throw new UsageError(`${z.prettifyError(parsed.error)}; remedy: see npm run bench -- filling --help`);
+	}
+
+	const options = parsed.data;
 	const site = siteOf(fillingSites[options.site], options);
 	const results: FillingResult[] = [];
 	for (let seed = options.firstSeed; seed < options.firstSeed + options.seeds; seed++) {
--- a/bench/paced-vm.ts
+++ b/bench/paced-vm.ts
@@ -1,6 +1,6 @@
 import {Map as immutableMap, type Map as ImmutableMap} from 'immutable';
 import {
-	fullPaceMilli, hopelessImages, type PaceControl, type PacedTasks, planShares, restingPace, shareOf, stepPace,
+	type FillingSample, fullPaceMilli, hopelessImages, type PaceControl, type PacedTasks, planShares, restingPace, shareOf, stepPace,
 } from '../src/agent/pace-control.js';
 import {
 	changedPress, mergePress, type PressReport, type ServingSample,
@@ -35,7 +35,11 @@
 	private pace: PaceControl = restingPace;
 	private reported: ImmutableMap<string, number> = immutableMap();
 
-	public constructor(private readonly vmProcessors: number) {}
+	private readonly vmProcessors: number;
+
+	public constructor(vmProcessors: number) {
+		this.vmProcessors = vmProcessors;
+	}
 
 	/** Takes a task on, with what the entry knows of the pairs of images that it makes with its neighbours. */
 	public start(task: RunningTask, presses: readonly PressReport[]): void {
@@ -48,11 +52,10 @@
 	/** Learns from a measure of the last window and returns the task that should run elsewhere. */
 	public measure(serving: readonly ServingSample[], {nowMs, windowMs}: Readonly<{nowMs: number; windowMs: number}>): RunningTask | undefined {
 		const filling = [...this.tasks.values()].filter(({kind}) => kind === 'filling');
-		this.pace = stepPace(this.pace, {
-			serving, filling: filling.map(({image, processors, paceMilli, windowProcessorMs}) => ({
-				image, processors: windowProcessorMs / windowMs, wanted: processors * paceMilli / fullPaceMilli,
-			})),
-		}, this.pacedTasks(), nowMs);
+		const used = filling.map(({image, processors, paceMilli, windowProcessorMs}): FillingSample => ({
+			image, processors: windowProcessorMs / windowMs, wanted: processors * paceMilli / fullPaceMilli,
+		}));
+		this.pace = stepPace(this.pace, {serving, filling: used}, this.pacedTasks(), nowMs);
 		this.applyPace();
 		const hopeless = new Set(hopelessImages(this.pace, nowMs));
 		return filling.find(({image, attempt}) => hopeless.has(image) && attempt <= maxMovedAttempts);
