--- a/bench/play-filling-day.test.ts
+++ b/bench/play-filling-day.test.ts
@@ -2,6 +2,10 @@
 import {type FillingSite, fillingSites} from './filling-site.js';
 import {type FillingResult, playFillingDay} from './play-filling-day.js';
 
+/** What filling jobs earn at least of what they are owed on a quiet day of the grown site, and the time that serving tasks may lose. */
+const fillingFloor = 0.18;
+const servingLossBound = 0.03;
+
 const withoutInterference = (site: FillingSite): FillingSite => ({...site, press: {...site.press, heavyShare: 0, light: [0, 0]}});
 
 function playDays(site: FillingSite, seeds: number): (name: keyof FillingResult) => number {
@@ -33,7 +37,7 @@
 /** Guards against filling work that gets only the processors that serving tasks leave uncommitted, which are hardly any. */
 test('filling work beside serving tasks that commit most processors earns its share and costs them little', t => {
 	const meanOf = playDays(fillingSites.grown, 5);
-	t.true(meanOf('fillingEarned') >= 0.07, `filling jobs earned ${meanOf('fillingEarned')}`);
-	t.true(meanOf('servingLost') < 0.03, `serving tasks lost ${meanOf('servingLost')}`);
+	t.true(meanOf('fillingEarned') >= fillingFloor, `filling jobs earned ${meanOf('fillingEarned')}`);
+	t.true(meanOf('servingLost') < servingLossBound, `serving tasks lost ${meanOf('servingLost')}`);
 	t.is(meanOf('brokenRules'), 0);
 });
