Report at least a thousandth of a processor as the room for filling work

A room that rounds to 0 was sent as 0, which an entry reads as a VM that was never short of processors, so that it offered filling work the most where it got the least. Found by reading; the test failed before.

--- a/src/agent/filling-room.ts
+++ b/src/agent/filling-room.ts
@@ -8,14 +8,14 @@
 const growth = 1.02;
 
 /**
-Estimates how many processors filling work can get on a VM, in thousandths; undefined as long as it was never short of them.
+Estimates how many processors filling work can get on a VM, in thousandths, at least one; undefined as long as it was never short of them.
 
 @example
 nextFillingRoomMilli(undefined, {used: 3.1, wanted: 5.4}); // => 3100
 */
 export function nextFillingRoomMilli(beforeMilli: number | undefined, {used, wanted}: FillingSupply): number | undefined {
 	if (used < shortShare * wanted) {
-		return Math.round(1000 * used);
+		return Math.max(1, Math.round(1000 * used));
 	}
 
 	return beforeMilli === undefined ? undefined : Math.round(Math.max(1000 * used, growth * beforeMilli));
