--- a/bench/paced-vm.ts
+++ b/bench/paced-vm.ts
@@ -1,6 +1,6 @@
 import {Map as immutableMap, type Map as ImmutableMap} from 'immutable';
 import {
-	type FillingSample, fullPaceMilli, hopelessImages, type PaceControl, type PacedTasks, planShares, restingPace, shareOf, stepPace,
+	type FillingSample, fullPaceMilli, maxMovedAttempts, stalledImages, type PaceControl, type PacedTasks, planShares, restingPace, shareOf, stepPace,
 } from '../src/agent/pace-control.js';
 import {
 	changedPress, mergePress, type PressReport, type ServingSample,
@@ -26,9 +26,6 @@
 	windowProcessorMs: number;
 };
 
-/** As in the agent: a task that was moved more often stays where it is. */
-const maxMovedAttempts = 3;
-
 /** The agent's part of a VM: it learns from measures, paces filling tasks and reports what it learned. */
 export class PacedVm {
 	public readonly tasks = new Map<string, RunningTask>();
@@ -57,8 +54,8 @@
 		}));
 		this.pace = stepPace(this.pace, {serving, filling: used}, this.pacedTasks(), nowMs);
 		this.applyPace();
-		const hopeless = new Set(hopelessImages(this.pace, nowMs));
-		return filling.find(({image, attempt}) => hopeless.has(image) && attempt <= maxMovedAttempts);
+		const stalled = new Set(stalledImages(this.pace, nowMs));
+		return filling.find(({image, attempt}) => stalled.has(image) && attempt <= maxMovedAttempts);
 	}
 
 	/** Reports what changed in the estimates since the last heartbeat, and the room for filling work. */
--- a/bench/play-filling-day.ts
+++ b/bench/play-filling-day.ts
@@ -377,9 +377,9 @@
 			}
 		}
 
-		const hopeless = vm.measure(samples, {nowMs: this.nowMs, windowMs});
-		if (hopeless) {
-			this.stop(vmId, hopeless);
+		const stalled = vm.measure(samples, {nowMs: this.nowMs, windowMs});
+		if (stalled) {
+			this.stop(vmId, stalled);
 		}
 
 		for (const task of vm.tasks.values()) {
--- a/src/agent/pace-control.test.ts
+++ b/src/agent/pace-control.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import fc from 'fast-check';
 import {
-	hopelessImages, planShares, restingPace, shareOf, stepPace, type PaceControl,
+	stalledImages, planShares, restingPace, shareOf, stepPace, type PaceControl,
 } from './pace-control.js';
 import {mergePress} from './press-estimates.js';
 
@@ -125,7 +125,7 @@
 
 test('work that can hardly proceed beside the serving tasks of a VM is moved, and work that can is not', t => {
 	const heavy = simulate({pressAt: () => ({stress: 1}), forMs: 12_000});
-	t.deepEqual(hopelessImages(heavy.at(-1)!.pace, 12_000), ['stress']);
+	t.deepEqual(stalledImages(heavy.at(-1)!.pace, 12_000), ['stress']);
 	const light = simulate({pressAt: () => ({stress: 0.005}), forMs: 12_000});
-	t.deepEqual(hopelessImages(light.at(-1)!.pace, 12_000), []);
+	t.deepEqual(stalledImages(light.at(-1)!.pace, 12_000), []);
 });
--- a/src/agent/pace-control.ts
+++ b/src/agent/pace-control.ts
@@ -71,6 +71,9 @@
 const tooSlowShareMilli = 300;
 const tooSlowAfterMs = 1500;
 
+/** Attempts after which a task stays where it is: no VM may be better. */
+export const maxMovedAttempts = 3;
+
 /**
 Tells the share at which the filling tasks of an image work, in thousandths.
 
@@ -147,9 +150,9 @@
 Lists the images that have been too slow for too long to finish on this VM.
 
 @example
-hopelessImages(pace, nowMs); // => ['stress-run']
+stalledImages(pace, nowMs); // => ['stress-run']
 */
-export function hopelessImages({slowSinceMs}: PaceControl, nowMs: number): readonly string[] {
+export function stalledImages({slowSinceMs}: PaceControl, nowMs: number): readonly string[] {
 	return [...slowSinceMs].filter(([, sinceMs]) => nowMs - sinceMs >= tooSlowAfterMs).map(([image]) => image);
 }
 
--- a/src/agent/reduce-agent.ts
+++ b/src/agent/reduce-agent.ts
@@ -19,7 +19,7 @@
 import {
 	applyPace, applyTraits, pacedTasksOf, paceMeasureOf,
 } from './filling-handlers.js';
-import {hopelessImages, stepPace} from './pace-control.js';
+import {maxMovedAttempts, stalledImages, stepPace} from './pace-control.js';
 import {requestArrived, requestSettled} from './request-handlers.js';
 import {
 	acknowledge, applyWorkerTasks, cancelAttempt, checkpointAll, dropLiveTasks, evictAttempt, evictTask, hasRunOnceTasks, repeatCalls, settleWaiting, startAnswered, startTask, stopAnswered,
@@ -178,20 +178,17 @@
 			: transition(current, {
 				kind: 'log', level: 'info', event: 'filling-work-paced', fields: fillingWorkFields(pace, measure),
 			}),
-		moveHopelessTask(nowMs),
+		moveStalledTask(nowMs),
 	);
 }
 
-/** Attempts after which a task stays where it is: no VM may be better. */
-const maxMovedAttempts = 3;
-
 /** Checkpoints one filling task that is too slow to finish beside the serving tasks of this VM, so that it is placed anew. */
-function moveHopelessTask(nowMs: number): Step {
+function moveStalledTask(nowMs: number): Step {
 	return state => {
-		const hopeless = new Set(hopelessImages(state.pace, nowMs));
-		const task = hopeless.size === 0
+		const stalled = new Set(stalledImages(state.pace, nowMs));
+		const task = stalled.size === 0
 			? undefined
-			: state.tasks.find(({phase, fillsIdle, image, stopping, attempt}) => phase === 'running' && fillsIdle && hopeless.has(image) && stopping === undefined && attempt <= maxMovedAttempts);
+			: state.tasks.find(({phase, fillsIdle, image, stopping, attempt}) => phase === 'running' && fillsIdle && stalled.has(image) && stopping === undefined && attempt <= maxMovedAttempts);
 		return task === undefined ? transition(state) : evictTask(state, task.taskId, 'serving tasks leave it too little of the processors here');
 	};
 }
--- a/src/placement/filling-work.ts
+++ b/src/placement/filling-work.ts
@@ -92,7 +92,7 @@
 const anyPressMilli = 20;
 
 /** Harm of work that takes all the slack that a serving task can spare, in thousandths; work beyond it would be slowed too much to be in time. */
-export const bearablePressMilli = 1000;
+export const maxPressMilli = 1000;
 
 /** What decides how much filling work presses on the serving tasks of a VM. */
 export type PressContext = Readonly<{
@@ -130,7 +130,7 @@
 		worstLoss = Math.max(worstLoss, loss);
 	}
 
-	return Math.round(bearablePressMilli * worstLoss / sparedSlack) + (anyPressMilli * neighbours);
+	return Math.round(maxPressMilli * worstLoss / sparedSlack) + (anyPressMilli * neighbours);
 }
 
 function tenthsOf(processorsMilli: number, {capacity}: Vm): number {
--- a/src/placement/place-queued-tasks.ts
+++ b/src/placement/place-queued-tasks.ts
@@ -15,7 +15,7 @@
 import {admitFillingJobs} from './admit-filling-jobs.js';
 import {classesInTurn} from './classes-in-turn.js';
 import {chooseVm, type PlacementCandidate} from './choose-vm.js';
-import {bearablePressMilli, fillingDemandMilli, pressOfPlacementMilli} from './filling-work.js';
+import {maxPressMilli, fillingDemandMilli, pressOfPlacementMilli} from './filling-work.js';
 import {offeredMilliOf} from './offered-processors.js';
 import {lackingForever, roomOf, takesNewTasks} from './feasibility.js';
 import {
@@ -283,7 +283,7 @@
 		const offered = fillingMilli === 0 ? room : {...room, processorsMilli: offeredMilliOf(vm, offerContext)};
 		if (fitsInto(task.spec.demand, room) && offered.processorsMilli >= needsIdleMilli && isAllowed(pass, task, step, vm)) {
 			const pressMilli = pressOn(pass, task, vm);
-			if (needsIdleMilli === 0 || pressMilli <= bearablePressMilli) {
+			if (needsIdleMilli === 0 || pressMilli <= maxPressMilli) {
 				found.push({
 					vm, candidate: toCandidate(pass, task, vm, {
 						room: offered, evictions: 0, step, pressMilli,
