Let the room for filling work grow from any shortage

Growth by two hundredths was rounded to the nearest thousandth of a processor, so that a room of 24 thousandths or less stayed as it was. No task fits into it, none is measured, and the VM is never offered to filling work again. It is rounded up.

--- a/src/agent/filling-room.ts
+++ b/src/agent/filling-room.ts
@@ -18,5 +18,5 @@
 		return Math.round(1000 * used);
 	}
 
-	return beforeMilli === undefined ? undefined : Math.round(Math.max(1000 * used, growth * beforeMilli));
+	return beforeMilli === undefined ? undefined : Math.ceil(Math.max(1000 * used, growth * beforeMilli));
 }
