Forget a shortage of processors once nothing serves or fills

A usage report without serving and filling tasks skipped the pace control, which alone lets the room for filling work grow. A VM whose last filling task ended while it was short of processors reported that room in every heartbeat from then on, and was offered no larger task. With neither kind there is nobody to be short beside.

--- a/src/agent/reduce-agent.ts
+++ b/src/agent/reduce-agent.ts
@@ -161,7 +161,7 @@
 function applyUsage(state: AgentState, {usage, nowMs}: AgentEventOf<'worker-usage'>): Transition {
 	const measure = paceMeasureOf(state, usage);
 	if (measure.filling.length === 0 && measure.serving.length === 0) {
-		return transition({...state, usage});
+		return transition({...state, usage, pace: {...state.pace, fillingRoomMilli: undefined}});
 	}
 
 	const pace = stepPace(state.pace, measure, pacedTasksOf(state), nowMs);
