Admit filling jobs by the processors of their own service

The limit summed what the VMs of all services offer and what fills them. Where one service was full of filling work, a job of another one was kept out although its own VMs were idle, and the other way round a service without room admitted jobs by what others offer.

--- a/src/placement/admit-filling-jobs.ts
+++ b/src/placement/admit-filling-jobs.ts
@@ -12,7 +12,10 @@
 	mayExceed: (taskId: string) => boolean;
 }>;
 
-type QueuedJob = {isStarted: boolean; wantedMilli: number};
+type QueuedJob = {readonly service: string; readonly isStarted: boolean; wantedMilli: number};
+
+/** Processors that the filling jobs under way on the VMs of a service want, and may want together, in thousandths. */
+type FillingUse = {underWayMilli: number; readonly limitMilli: number};
 
 /**
 Leaves out the tasks of filling jobs that should not start yet: a job is worth its processors only when all of its tasks end in time,
@@ -22,19 +25,19 @@
 admitFillingJobs(['bake-1.0.0.0', 'bake-2.0.0.0'], {cluster, vms, pending, fillingRoomByVm, mayExceed: () => false}); // => ['bake-1.0.0.0']
 */
 export function admitFillingJobs(taskIds: readonly string[], context: AdmissionContext): readonly string[] {
-	const {cluster, vms, pending, mayExceed} = context;
+	const {cluster, mayExceed} = context;
 	const jobs = queuedFillingJobs(taskIds, context);
 	if (jobs.size === 0) {
 		return taskIds;
 	}
 
-	const {offeredMilli, fillingMilli} = fillingOfferOf(vms, context);
-	let underWayMilli = fillingMilli + pending.fillingByVm.reduce((sum, milli) => sum + milli, 0);
-	for (const {isStarted, wantedMilli} of jobs.values()) {
-		underWayMilli += isStarted ? wantedMilli : 0;
+	const useByService = new Map<string, FillingUse>();
+	for (const {service, isStarted, wantedMilli} of jobs.values()) {
+		const use = useByService.get(service) ?? fillingUseOf(service, context);
+		useByService.set(service, use);
+		use.underWayMilli += isStarted ? wantedMilli : 0;
 	}
 
-	const limitMilli = admittedShareMilli * (offeredMilli + fillingMilli) / 1000;
 	const admitted = new Set<string>();
 	const first: string[] = [];
 	const second: string[] = [];
@@ -46,8 +49,9 @@
 			continue;
 		}
 
-		if (!admitted.has(jobId) && (underWayMilli === 0 || underWayMilli + job.wantedMilli <= limitMilli)) {
-			underWayMilli += job.wantedMilli;
+		const use = useByService.get(job.service)!;
+		if (!admitted.has(jobId) && (use.underWayMilli === 0 || use.underWayMilli + job.wantedMilli <= use.limitMilli)) {
+			use.underWayMilli += job.wantedMilli;
 			admitted.add(jobId);
 		}
 
@@ -59,6 +63,15 @@
 	return [...first, ...second];
 }
 
+function fillingUseOf(service: string, context: AdmissionContext): FillingUse {
+	const vms = context.vms.filter(vm => vm.service === service);
+	const {offeredMilli, fillingMilli} = fillingOfferOf(vms, context);
+	return {
+		underWayMilli: vms.reduce((sum, {vmId}) => sum + context.pending.fillingByVm.get(vmId, 0), fillingMilli),
+		limitMilli: admittedShareMilli * (offeredMilli + fillingMilli) / 1000,
+	};
+}
+
 /** The jobs of queued filling tasks, with what these tasks want. */
 function queuedFillingJobs(taskIds: readonly string[], {cluster, pending}: AdmissionContext): ReadonlyMap<string, QueuedJob> {
 	const jobs = new Map<string, QueuedJob>();
@@ -69,7 +82,7 @@
 			continue;
 		}
 
-		const job = jobs.get(task.jobId) ?? {isStarted: hasStarted(task.jobId, {cluster, pending}), wantedMilli: 0};
+		const job = jobs.get(task.jobId) ?? {service: cluster.workflows.get(task.jobId)?.workflow.service ?? '', isStarted: hasStarted(task.jobId, {cluster, pending}), wantedMilli: 0};
 		job.wantedMilli += wantedMilli;
 		jobs.set(task.jobId, job);
 	}
