Let a filling job that no VM takes hold up no other job

Of the jobs that had not started, one that no VM could take, since its label is on a VM that drains or on none, was admitted again in each turn and used up the limit, so that none behind it started; further behind, it was not looked at, and never found to be unplaceable. Such a job counts no longer, and goes on to the placement, which says why it waits.

--- a/src/placement/admit-filling-jobs.test.ts
+++ b/src/placement/admit-filling-jobs.test.ts
@@ -54,3 +54,9 @@
 	t.deepEqual(admittedOf({full: {service: 'b', processorsMilli: 32_000, runsOn: 'b'}, first: {service: 'a', processorsMilli: 8000}}), ['first.0.0.0']);
 	t.deepEqual(admittedOf({full: {service: 'a', processorsMilli: 32_000, runsOn: 'a'}, first: {service: 'a', processorsMilli: 8000}}), []);
 });
+
+test('a filling job that no VM takes now does not keep out the jobs behind it', t => {
+	t.true(admittedOf({
+		stuck: {service: 'a', processorsMilli: 15_000, requiredLabel: 'away'}, next: {service: 'a', processorsMilli: 9000},
+	}).includes('next.0.0.0'));
+});
--- a/src/placement/admit-filling-jobs.ts
+++ b/src/placement/admit-filling-jobs.ts
@@ -1,4 +1,6 @@
 import {type ClusterState, type Vm} from '../cluster/cluster-state.js';
+import {fitsInto} from '../cluster/resources.js';
+import {isAllowedOn} from '../cluster/step-constraints.js';
 import {fillingDemandMilli} from './filling-work.js';
 import {fillingOfferOf, type OfferContext} from './offered-processors.js';
 
@@ -72,13 +74,14 @@
 	};
 }
 
-/** The jobs of queued filling tasks, with what these tasks want. */
-function queuedFillingJobs(taskIds: readonly string[], {cluster, pending}: AdmissionContext): ReadonlyMap<string, QueuedJob> {
+/** The jobs of queued filling tasks that a VM could take, with what these tasks want. */
+function queuedFillingJobs(taskIds: readonly string[], {cluster, pending, vms}: AdmissionContext): ReadonlyMap<string, QueuedJob> {
 	const jobs = new Map<string, QueuedJob>();
 	for (const taskId of taskIds) {
 		const task = cluster.tasks.get(taskId);
 		const wantedMilli = task ? fillingDemandMilli(task, cluster) : 0;
-		if (!task || wantedMilli === 0) {
+		// A job that no VM takes holds nobody up; the placement finds out why none does.
+		if (!task || wantedMilli === 0 || !vms.some(vm => isAllowedOn(cluster, task, vm, 0) && fitsInto(task.spec.demand, vm.capacity))) {
 			continue;
 		}
 
