Forget the room for filling work when an agent closes its stream

Only a heartbeat changed what an entry holds of a VM's room, so that it offered the VM by the last one for as long as the agent kept streams to other entries, and kept an entry for each VM that had gone.

--- a/src/entry/reduce-agent-event.ts
+++ b/src/entry/reduce-agent-event.ts
@@ -60,7 +60,16 @@
 		case 'agent-session-closed': {
 			const link = linkOf(state, event.sessionId);
 			const vmIdBySession = state.vmIdBySession.delete(event.sessionId);
-			return {state: {...state, vmIdBySession, links: link ? state.links.delete(link.vmId) : state.links}, effects: []};
+			if (!link) {
+				return {state: {...state, vmIdBySession}, effects: []};
+			}
+
+			const placement = {...state.placement, fillingRoomByVm: state.placement.fillingRoomByVm.delete(link.vmId)};
+			return {
+				state: {
+					...state, vmIdBySession, links: state.links.delete(link.vmId), placement,
+				}, effects: [],
+			};
 		}
 	}
 }
--- a/src/entry/reduce-entry.test.ts
+++ b/src/entry/reduce-entry.test.ts
@@ -192,3 +192,12 @@
 	const configurations = drained.effects.flatMap(effect => effect.kind === 'send-to-agent' && effect.command.case === 'configuration' ? [effect.command.value] : []);
 	t.deepEqual(configurations.map(({vmDraining}) => vmDraining), [true]);
 });
+
+test('an entry forgets what filling work can get on a VM when its agent closes the stream', t => {
+	const entry = createEntry();
+	entry.dispatch({kind: 'agent-hello', sessionId: 'session-1', hello: create(HelloSchema, {vmId: 'vm-1', agentIncarnation: 'agent-1'})}, 0);
+	const heard = entry.dispatch({kind: 'agent-heartbeat', sessionId: 'session-1', heartbeat: create(HeartbeatSchema, {sequence: 1n, fillingRoomMilli: 300})}, 10);
+	t.is(heard.state.placement.fillingRoomByVm.get('vm-1'), 300);
+	const closed = entry.dispatch({kind: 'agent-session-closed', sessionId: 'session-1'}, 20);
+	t.is(closed.state.placement.fillingRoomByVm.get('vm-1'), undefined);
+});
