Tell a pace again that the worker did not take

The agent noted a pace as told before the call, and a call that failed was only logged. A filling task whose order to stop was lost worked on at its old share beside a serving task beyond its target, until its share changed again, which it does not at 0. The next measure now tells the pace anew.

--- a/src/agent/agent-event.ts
+++ b/src/agent/agent-event.ts
@@ -30,6 +30,8 @@
 	'start-answered': Readonly<{taskId: string; attempt: number; result: 'started' | 'refused' | 'unknown'; reason: string}>;
 	/** The worker took a stop. */
 	'stop-answered': Readonly<{taskId: string}>;
+	/** The worker did not take a share of the processors, or its answer was lost. */
+	'throttle-failed': Readonly<{taskId: string}>;
 	'incarnation-created': Readonly<{incarnation: string}>;
 	'backend-server-announced': Readonly<{announcement: Announcement}>;
 	'backend-server-leaving': Readonly<{backendServerId: string}>;
--- a/src/agent/filling-handlers.ts
+++ b/src/agent/filling-handlers.ts
@@ -47,7 +47,7 @@
 		const task = state.tasks.get(taskId);
 		if (task && isFilling(task)) {
 			filling.push({
-				image: task.image, processors: processorsUsedMilli / 1000, wanted: task.fillingMilli * task.paceMilli / 1000 / fullPaceMilli,
+				image: task.image, processors: processorsUsedMilli / 1000, wanted: task.fillingMilli * Math.max(0, task.paceMilli) / 1000 / fullPaceMilli,
 			});
 		} else if (task && isServing(task) && latencyTailMs !== undefined && latencyTailMs > 0) {
 			serving.push({taskId, image: task.image, slack: task.latencyTargetMs / latencyTailMs});
@@ -80,6 +80,17 @@
 	);
 }
 
+/**
+Forgets the pace of a filling task that the worker may not have, so that it is told again with the next measure.
+
+@example
+throttleFailed(state, {kind: 'throttle-failed', nowMs, taskId: 't1'});
+*/
+export function throttleFailed(state: AgentState, {taskId}: AgentEventOf<'throttle-failed'>): Transition {
+	const task = state.tasks.get(taskId);
+	return transition(task?.fillsIdle ? {...state, tasks: state.tasks.set(taskId, {...task, paceMilli: unknownPaceMilli})} : state);
+}
+
 /**
 Plans the pace for the tasks that run now, before a measure shows what they do to each other, and tells it to the worker.
 
--- a/src/agent/reduce-agent.test.ts
+++ b/src/agent/reduce-agent.test.ts
@@ -437,3 +437,21 @@
 	});
 	t.is(fixture.state.pace.fillingRoomMilli, undefined);
 });
+
+test('a pace that the worker did not take is told again with the next measure', t => {
+	const fixture = new Fixture().activate();
+	const task = {
+		taskId: 't1', fillsIdle: true, image: 'stress', fillingMilli: 2000, latencyTargetMs: 0, phase: 'running', paceMilli: 1000, attempt: 1,
+	};
+	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- Only what the pace depends on.
+	fixture.state = {...fixture.state, tasks: fixture.state.tasks.set('t1', task as never)};
+	fixture.send('throttle-failed', {taskId: 't1'});
+	const effects = fixture.send('worker-usage', {
+		usage: {
+			measuredAtMonotonicMs: fixture.nowMs, processorsUsedMilli: 0, memoryUsedMb: 0, tasks: [{
+				taskId: 't1', processorsUsedMilli: 2000, memoryUsedMb: 0, relativeSpeedMilli: 0, latencyTailMs: undefined,
+			}],
+		},
+	});
+	t.deepEqual(effects.filter(({kind}) => kind === 'throttle-task'), [{kind: 'throttle-task', taskId: 't1', shareMilli: 1000}]);
+});
--- a/src/agent/reduce-agent.ts
+++ b/src/agent/reduce-agent.ts
@@ -17,7 +17,7 @@
 	grantLease, heartbeatSent, isLeaseExpired, noLease,
 } from './lease.js';
 import {
-	applyPace, applyTraits, pacedTasksOf, paceMeasureOf,
+	applyPace, applyTraits, pacedTasksOf, paceMeasureOf, throttleFailed,
 } from './filling-handlers.js';
 import {hopelessImages, stepPace} from './pace-control.js';
 import {requestArrived, requestSettled} from './request-handlers.js';
@@ -368,6 +368,7 @@
 	'worker-usage': applyUsage,
 	'start-answered': startAnswered,
 	'stop-answered': stopAnswered,
+	'throttle-failed': throttleFailed,
 	'incarnation-created': (state, event) => state.phase === 'ending'
 		? register({
 			...state, phase: 'active', incarnation: event.incarnation, lease: noLease,
--- a/src/agent/worker-driver.test.ts
+++ b/src/agent/worker-driver.test.ts
@@ -49,3 +49,28 @@
 	t.deepEqual(started, ['for-w2']);
 	t.like(events.find(event => event.kind === 'start-answered' && event.taskId === 'for-w1'), {result: 'unknown'});
 });
+
+test('the reducer hears that the worker did not take a share', async t => {
+	const events: AgentEvent[] = [];
+	const done = async () => Result.ok(undefined);
+	const worker: Worker = {
+		startTask: done,
+		deleteTask: done,
+		setLease: done,
+		checkpointTask: done,
+		throttleTask: async () => Result.err({kind: 'worker-unavailable', message: 'no answer', remedy: 'none'}),
+		stopTask: done,
+		listTasks: async () => Result.ok({workerIncarnation: 'w1', capacity: {processorsMilli: 1, memoryMb: 1, accelerators: 0}, tasks: []}),
+		readUsage: async () => Result.ok({
+			measuredAtMonotonicMs: 0, processorsUsedMilli: 0, memoryUsedMb: 0, tasks: [],
+		}),
+	};
+	const driver = createWorkerDriver({
+		worker, eventLog: silentLog, nowMs: () => 0, dispatch(event) {
+			events.push(event);
+		},
+	});
+	driver.execute({kind: 'throttle-task', taskId: 't1', shareMilli: 0});
+	await driver.poll();
+	t.deepEqual(events.filter(({kind}) => kind === 'throttle-failed'), [{kind: 'throttle-failed', nowMs: 0, taskId: 't1'}]);
+});
--- a/src/agent/worker-driver.ts
+++ b/src/agent/worker-driver.ts
@@ -119,7 +119,13 @@
 			simpleCall('delete-task', taskId, async () => worker.deleteTask(taskId));
 		},
 		'throttle-task'({taskId, shareMilli}) {
-			simpleCall('throttle-task', taskId, async () => worker.throttleTask(taskId, shareMilli));
+			inOrder(taskId, async () => {
+				const result = await worker.throttleTask(taskId, shareMilli);
+				if (result.isErr) {
+					warn('throttle-task', taskId, result.error);
+					dispatch({kind: 'throttle-failed', nowMs: nowMs(), taskId});
+				}
+			});
 		},
 		'set-lease'({deadlineMonotonicMs}) {
 			inOrder('', async () => {
