--- a/src/agent/filling-room.test.ts
+++ b/src/agent/filling-room.test.ts
@@ -9,10 +9,10 @@
 	t.is(nextFillingRoomMilli(undefined, {used: 1.2, wanted: 1.8}), undefined);
 });
 
-test('the room grows again when filling work is no longer short', t => {
-	let roomMilli = nextFillingRoomMilli(undefined, {used: 1, wanted: 5});
-	for (let step = 0; step < 40; step++) {
-		roomMilli = nextFillingRoomMilli(roomMilli, {used: 1, wanted: 1});
+test('the room for filling work grows from any shortage while there is none', t => {
+	let roomMilli = nextFillingRoomMilli(undefined, {used: 0.01, wanted: 1});
+	for (let measure = 0; measure < 400; measure++) {
+		roomMilli = nextFillingRoomMilli(roomMilli, {used: 0, wanted: 0});
 	}
 
 	t.true(roomMilli! > 2000);
--- a/src/agent/reduce-agent.test.ts
+++ b/src/agent/reduce-agent.test.ts
@@ -12,6 +12,7 @@
 import {initialAgentState} from './agent-state.js';
 import {phaseOf} from './backend-server-table.js';
 import {helloMessage} from './entry-messages.js';
+import {restingPace} from './pace-control.js';
 import {reduceAgent} from './reduce-agent.js';
 import {refusalOf} from './request-outcome.js';
 
@@ -425,3 +426,32 @@
 	t.true(fixture.request('r2').some(effect => effect.kind === 'refuse-request' && effect.refusal.kind === 'draining'));
 	t.true(isAnswered(fixture.send('request-settled', {requestId: 'r1', settlement: {kind: 'passed'}})));
 });
+
+test('a VM on which nothing serves or fills any more forgets that filling work was short of processors', t => {
+	const fixture = new Fixture().activate();
+	fixture.state = {...fixture.state, pace: {...restingPace, fillingRoomMilli: 300}};
+	fixture.send('worker-usage', {
+		usage: {
+			measuredAtMonotonicMs: fixture.nowMs, processorsUsedMilli: 0, memoryUsedMb: 0, tasks: [],
+		},
+	});
+	t.is(fixture.state.pace.fillingRoomMilli, undefined);
+});
+
+test('a pace that the worker did not take is told again with the next measure', t => {
+	const fixture = new Fixture().activate();
+	const task = {
+		taskId: 't1', fillsIdle: true, image: 'stress', fillingMilli: 2000, latencyTargetMs: 0, phase: 'running', paceMilli: 1000, attempt: 1,
+	};
+	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- Only what the pace depends on.
+	fixture.state = {...fixture.state, tasks: fixture.state.tasks.set('t1', task as never)};
+	fixture.send('throttle-failed', {taskId: 't1'});
+	const effects = fixture.send('worker-usage', {
+		usage: {
+			measuredAtMonotonicMs: fixture.nowMs, processorsUsedMilli: 0, memoryUsedMb: 0, tasks: [{
+				taskId: 't1', processorsUsedMilli: 2000, memoryUsedMb: 0, relativeSpeedMilli: 0, latencyTailMs: undefined,
+			}],
+		},
+	});
+	t.deepEqual(effects.filter(({kind}) => kind === 'throttle-task'), [{kind: 'throttle-task', taskId: 't1', shareMilli: 1000}]);
+});
--- a/src/agent/reduce-agent.ts
+++ b/src/agent/reduce-agent.ts
@@ -17,7 +17,7 @@
 	grantLease, heartbeatSent, isLeaseExpired, noLease,
 } from './lease.js';
 import {
-	applyPace, applyTraits, pacedTasksOf, paceMeasureOf,
+	applyPace, applyTraits, pacedTasksOf, paceMeasureOf, throttleFailed,
 } from './filling-handlers.js';
 import {maxMovedAttempts, stalledImages, stepPace} from './pace-control.js';
 import {requestArrived, requestSettled} from './request-handlers.js';
@@ -161,7 +161,7 @@
 function applyUsage(state: AgentState, {usage, nowMs}: AgentEventOf<'worker-usage'>): Transition {
 	const measure = paceMeasureOf(state, usage);
 	if (measure.filling.length === 0 && measure.serving.length === 0) {
-		return transition({...state, usage});
+		return transition({...state, usage, pace: {...state.pace, fillingRoomMilli: undefined}});
 	}
 
 	const pace = stepPace(state.pace, measure, pacedTasksOf(state), nowMs);
@@ -365,6 +365,7 @@
 	'worker-usage': applyUsage,
 	'start-answered': startAnswered,
 	'stop-answered': stopAnswered,
+	'throttle-failed': throttleFailed,
 	'incarnation-created': (state, event) => state.phase === 'ending'
 		? register({
 			...state, phase: 'active', incarnation: event.incarnation, lease: noLease,
