Judge a shortage of processors only by tasks and shares that are settled

A filling task that started in the middle of a measure used half of what it may, and one whose share had just doubled half of the new share. Both were taken for a VM that is short of processors, whose room for filling work then grew by 2% a measure: 50 s until it was back. Found by a review, and shown by the new test, which failed before. Now a task counts a second after its start, and a share that has risen counts as before.

--- a/bench/paced-vm.ts
+++ b/bench/paced-vm.ts
@@ -49,8 +49,8 @@
 	/** Learns from a measure of the last window and returns the task that should run elsewhere. */
 	public measure(serving: readonly ServingSample[], {nowMs, windowMs}: Readonly<{nowMs: number; windowMs: number}>): RunningTask | undefined {
 		const filling = [...this.tasks.values()].filter(({kind}) => kind === 'filling');
-		const used = filling.map(({image, processors, paceMilli, windowProcessorMs}): FillingSample => ({
-			image, processors: windowProcessorMs / windowMs, wanted: processors * paceMilli / fullPaceMilli,
+		const used = filling.map(({image, processors, paceMilli, windowProcessorMs, startedAtMs}): FillingSample => ({
+			image, processors: windowProcessorMs / windowMs, wanted: processors * paceMilli / fullPaceMilli, isSettled: nowMs - startedAtMs >= 2 * windowMs,
 		}));
 		this.pace = stepPace(this.pace, {serving, filling: used}, this.pacedTasks(), nowMs);
 		this.applyPace();
--- a/src/agent/filling-handlers.ts
+++ b/src/agent/filling-handlers.ts
@@ -7,6 +7,9 @@
 import type {ServingSample} from './press-estimates.js';
 import {chain, transition, type Transition} from './transition.js';
 
+/** Time after its start from which a task uses all that it can get for the whole window of a measure. */
+const settleMs = 1000;
+
 /** Differs from every pace, so that the worker is told the one in force. */
 const unknownPaceMilli = -1;
 
@@ -38,16 +41,16 @@
 Reads what a usage report says of serving and filling tasks.
 
 @example
-paceMeasureOf(state, usage).serving; // => [{taskId: 't1', image: 'order-lookup', slack: 2.2}]
+paceMeasureOf(state, {kind: 'worker-usage', nowMs, usage}).serving; // => [{taskId: 't1', image: 'order-lookup', slack: 2.2}]
 */
-export function paceMeasureOf(state: AgentState, usage: AgentEventOf<'worker-usage'>['usage']): PaceMeasure {
+export function paceMeasureOf(state: AgentState, {usage, nowMs}: AgentEventOf<'worker-usage'>): PaceMeasure {
 	const serving: ServingSample[] = [];
 	const filling: FillingSample[] = [];
 	for (const {taskId, latencyTailMs, processorsUsedMilli} of usage.tasks) {
 		const task = state.tasks.get(taskId);
 		if (task && isFilling(task)) {
 			filling.push({
-				image: task.image, processors: processorsUsedMilli / 1000, wanted: task.fillingMilli * Math.max(0, task.paceMilli) / 1000 / fullPaceMilli,
+				image: task.image, processors: processorsUsedMilli / 1000, wanted: task.fillingMilli * Math.max(0, task.paceMilli) / 1000 / fullPaceMilli, isSettled: nowMs - task.changedAtMs >= settleMs,
 			});
 		} else if (task && isServing(task) && latencyTailMs !== undefined && latencyTailMs > 0) {
 			serving.push({taskId, image: task.image, slack: task.latencyTargetMs / latencyTailMs});
--- a/src/agent/filling-work-fields.test.ts
+++ b/src/agent/filling-work-fields.test.ts
@@ -5,7 +5,7 @@
 import {mergePress} from './press-estimates.js';
 
 const sampleOf = (image: string, processors: number) => ({
-	image, processors, wanted: 2 * processors,
+	image, processors, wanted: 2 * processors, isSettled: true,
 });
 
 const pace: PaceControl = {
--- a/src/agent/pace-control.test.ts
+++ b/src/agent/pace-control.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import fc from 'fast-check';
+import {Map as immutableMap} from 'immutable';
 import {
 	stalledImages, planShares, restingPace, shareOf, stepPace, type PaceControl,
 } from './pace-control.js';
@@ -39,7 +40,7 @@
 		const tasks = {serving: [{taskId: 's1', image: 'lookup'}], wantedByImage: new Map(press.map(([image]) => [image, processors])), vmProcessors};
 		pace = planShares(pace, tasks, {mayRise: false});
 		const current = pace;
-		const filling = press.map(([image]) => ({image, processors: processors * shareOf(current, image) / 1000, wanted: processors * shareOf(current, image) / 1000}));
+		const filling = press.map(([image]) => ({image, processors: processors * shareOf(current, image) / 1000, wanted: processors * shareOf(current, image) / 1000, isSettled: true}));
 		const longer = 1 + press.reduce((sum, [image, each]) => sum + (each * processors * shareOf(current, image) / 1000), 0);
 		const slack = Math.max(leastSlack, quietSlack * ((1 / longer) - loadAt(atMs)));
 		pace = stepPace(pace, {serving: [{taskId: 's1', image: 'lookup', slack}], filling}, tasks, atMs);
@@ -99,7 +100,9 @@
 
 test('no step is taken before the last one can show in the measures', t => {
 	const tasks = {serving: [{taskId: 's1', image: 'lookup'}], wantedByImage: new Map([['stress', processors]]), vmProcessors};
-	const measure = {serving: [{taskId: 's1', image: 'lookup', slack: 0.3}], filling: [{image: 'stress', processors, wanted: processors}]};
+	const measure = {serving: [{taskId: 's1', image: 'lookup', slack: 0.3}], filling: [{
+			image: 'stress', processors, wanted: processors, isSettled: true,
+		}]};
 	const first = stepPace(restingPace, measure, tasks, 1000);
 	t.true(shareOf(first, 'stress') < 1000);
 	t.is(stepPace(first, measure, tasks, 1100), first);
@@ -129,3 +132,13 @@
 	const light = simulate({pressAt: () => ({stress: 0.005}), forMs: 12_000});
 	t.deepEqual(stalledImages(light.at(-1)!.pace, 12_000), []);
 });
+
+test('a task that has just started and a share that has just risen are not taken for a shortage of processors', t => {
+	const tasks = {serving: [], wantedByImage: new Map([['stress', processors]]), vmProcessors};
+	const sample = {image: 'stress', processors: 1, wanted: processors};
+	const started = stepPace(restingPace, {serving: [], filling: [{...sample, isSettled: false}]}, tasks, 1000);
+	t.is(started.fillingRoomMilli, undefined);
+	const risen = {...restingPace, shareByImage: immutableMap({stress: 1000}), formerShareByImage: immutableMap({stress: 250})};
+	t.is(stepPace(risen, {serving: [], filling: [{...sample, isSettled: true}]}, tasks, 1000).fillingRoomMilli, undefined);
+	t.is(stepPace(restingPace, {serving: [], filling: [{...sample, isSettled: true}]}, tasks, 1000).fillingRoomMilli, 1000);
+});
--- a/src/agent/pace-control.ts
+++ b/src/agent/pace-control.ts
@@ -11,6 +11,8 @@
 export type PaceControl = Readonly<{
 	/** Share at which the filling tasks of an image work, in thousandths. */
 	shareByImage: ImmutableMap<string, number>;
+	/** The shares before the newest plan, which may still show in a measure. */
+	formerShareByImage: ImmutableMap<string, number>;
 	press: PressEstimates;
 	/** Since when a serving task has been beyond its target. */
 	beyondSinceMs: number | undefined;
@@ -24,11 +26,11 @@
 
 /** Nothing is slowed. */
 export const restingPace: PaceControl = {
-	shareByImage: immutableMap(), press: noPressEstimates, beyondSinceMs: undefined, learnedAtMs: Number.NEGATIVE_INFINITY, slowSinceMs: immutableMap(), fillingRoomMilli: undefined,
+	shareByImage: immutableMap(), formerShareByImage: immutableMap(), press: noPressEstimates, beyondSinceMs: undefined, learnedAtMs: Number.NEGATIVE_INFINITY, slowSinceMs: immutableMap(), fillingRoomMilli: undefined,
 };
 
-/** A filling task that runs, with the processors that it used of late, and those that it may use at the share that it was told. */
-export type FillingSample = Readonly<{image: string; processors: number; wanted: number}>;
+/** A filling task that runs, with the processors that it used of late, those that it may use at the share that it was told, and whether it ran for the whole window of the measure. */
+export type FillingSample = Readonly<{image: string; processors: number; wanted: number; isSettled: boolean}>;
 
 /** What the worker measured: the slack of serving tasks, and the processors that filling tasks use. */
 export type PaceMeasure = Readonly<{serving: readonly ServingSample[]; filling: readonly FillingSample[]}>;
@@ -55,7 +57,7 @@
 const tolerantForMs = 1500;
 
 /** Standard errors by which a press is taken to be larger than estimated. */
-const cautionDeviations = 0.75;
+const cautionDeviations = 0.5;
 
 /** Tenths of the VM's processors that an image starts with beside a serving image with which it was never measured. */
 const probeTenths = 0.6;
@@ -107,7 +109,8 @@
 		beyondSinceMs: isBeyond ? pace.beyondSinceMs ?? nowMs : undefined,
 		press: learnPress(pace.press, measure.serving, use),
 		learnedAtMs: nowMs,
-		fillingRoomMilli: nextFillingRoomMilli(pace.fillingRoomMilli, supplyOf(measure.filling)),
+		fillingRoomMilli: nextFillingRoomMilli(pace.fillingRoomMilli, supplyOf(pace, measure.filling)),
+		formerShareByImage: pace.shareByImage,
 	};
 	return noteSlowImages(planShares(learned, tasks, {mayRise: true}), tasks, nowMs);
 }
@@ -170,13 +173,14 @@
 	return 10 * processors / Math.max(1, vmProcessors);
 }
 
-function supplyOf(filling: readonly FillingSample[]): FillingSupply {
+function supplyOf(pace: PaceControl, filling: readonly FillingSample[]): FillingSupply {
 	let used = 0;
 	let wanted = 0;
-	// A task that has just started uses nothing yet.
-	for (const sample of filling.filter(({processors}) => processors > 0)) {
+	for (const sample of filling.filter(({isSettled}) => isSettled)) {
+		const shareMilli = shareOf(pace, sample.image);
+		const formerMilli = pace.formerShareByImage.get(sample.image) ?? shareMilli;
 		used += sample.processors;
-		wanted += sample.wanted;
+		wanted += sample.wanted * (formerMilli < shareMilli ? formerMilli / shareMilli : 1);
 	}
 
 	return {used, wanted};
--- a/src/agent/reduce-agent.ts
+++ b/src/agent/reduce-agent.ts
@@ -158,8 +158,9 @@
 }
 
 /** Takes in a usage report, slows filling work that serving tasks cannot bear, and gives up what would not finish here at that pace. */
-function applyUsage(state: AgentState, {usage, nowMs}: AgentEventOf<'worker-usage'>): Transition {
-	const measure = paceMeasureOf(state, usage);
+function applyUsage(state: AgentState, event: AgentEventOf<'worker-usage'>): Transition {
+	const {usage, nowMs} = event;
+	const measure = paceMeasureOf(state, event);
 	if (measure.filling.length === 0 && measure.serving.length === 0) {
 		return transition({...state, usage, pace: {...state.pace, fillingRoomMilli: undefined}});
 	}
