Ignore a code cache of another source or with a changed byte

V8 takes a cache for a source of the same length, and does not notice a changed byte: a process would run the functions of an older build, or none that anybody wrote.

--- a/src/worker/program-script.test.ts
+++ b/src/worker/program-script.test.ts
@@ -32,6 +32,21 @@
 	}
 });
 
+test('a code cache of another source of the same length, or with a changed byte, is ignored', t => {
+	const other = compileProgram({file, source: source.replace('+ 1', '+ 2')}).createCodeCache();
+	const damaged = compileProgram({file, source}).createCodeCache();
+	damaged.fill(255 - damaged.at(-1)!, -1);
+	for (const codeCache of [other, damaged]) {
+		const loaded: unknown[] = [];
+		const compiled = compileProgram({file, source, codeCache});
+		t.false(compiled.usesCache);
+		compiled.run(value => {
+			loaded.push(value);
+		});
+		t.deepEqual(loaded, [42]);
+	}
+});
+
 test('code caches are made with the flags that the deploy file runs a role with', t => {
 	const deployFile = [
 		'[roles.entry]',
