--- a/src/agent/filling-handlers.ts
+++ b/src/agent/filling-handlers.ts
@@ -50,7 +50,10 @@
 		const task = state.tasks.get(taskId);
 		if (task && isFilling(task)) {
 			filling.push({
-				image: task.image, processors: processorsUsedMilli / 1000, wanted: task.fillingMilli * Math.max(0, task.paceMilli) / 1000 / fullPaceMilli, isSettled: nowMs - task.changedAtMs >= settleMs,
+				image: task.image,
+				processors: processorsUsedMilli / 1000,
+				wanted: task.fillingMilli * Math.max(0, task.paceMilli) / 1000 / fullPaceMilli,
+				isSettled: nowMs - task.changedAtMs >= settleMs,
 			});
 		} else if (task && isServing(task) && latencyTailMs !== undefined && latencyTailMs > 0) {
 			serving.push({taskId, image: task.image, slack: task.latencyTargetMs / latencyTailMs});
--- a/src/agent/pace-control.test.ts
+++ b/src/agent/pace-control.test.ts
@@ -40,7 +40,12 @@
 		const tasks = {serving: [{taskId: 's1', image: 'lookup'}], wantedByImage: new Map(press.map(([image]) => [image, processors])), vmProcessors};
 		pace = planShares(pace, tasks, {mayRise: false});
 		const current = pace;
-		const filling = press.map(([image]) => ({image, processors: processors * shareOf(current, image) / 1000, wanted: processors * shareOf(current, image) / 1000, isSettled: true}));
+		const filling = press.map(([image]) => {
+			const used = processors * shareOf(current, image) / 1000;
+			return {
+				image, processors: used, wanted: used, isSettled: true,
+			};
+		});
 		const longer = 1 + press.reduce((sum, [image, each]) => sum + (each * processors * shareOf(current, image) / 1000), 0);
 		const slack = Math.max(leastSlack, quietSlack * ((1 / longer) - loadAt(atMs)));
 		pace = stepPace(pace, {serving: [{taskId: 's1', image: 'lookup', slack}], filling}, tasks, atMs);
@@ -100,9 +105,10 @@
 
 test('no step is taken before the last one can show in the measures', t => {
 	const tasks = {serving: [{taskId: 's1', image: 'lookup'}], wantedByImage: new Map([['stress', processors]]), vmProcessors};
-	const measure = {serving: [{taskId: 's1', image: 'lookup', slack: 0.3}], filling: [{
-			image: 'stress', processors, wanted: processors, isSettled: true,
-		}]};
+	const sample = {
+		image: 'stress', processors, wanted: processors, isSettled: true,
+	};
+	const measure = {serving: [{taskId: 's1', image: 'lookup', slack: 0.3}], filling: [sample]};
 	const first = stepPace(restingPace, measure, tasks, 1000);
 	t.true(shareOf(first, 'stress') < 1000);
 	t.is(stepPace(first, measure, tasks, 1100), first);
--- a/src/agent/pace-control.ts
+++ b/src/agent/pace-control.ts
@@ -26,7 +26,13 @@
 
 /** Nothing is slowed. */
 export const restingPace: PaceControl = {
-	shareByImage: immutableMap(), formerShareByImage: immutableMap(), press: noPressEstimates, beyondSinceMs: undefined, learnedAtMs: Number.NEGATIVE_INFINITY, slowSinceMs: immutableMap(), fillingRoomMilli: undefined,
+	shareByImage: immutableMap(),
+	formerShareByImage: immutableMap(),
+	press: noPressEstimates,
+	beyondSinceMs: undefined,
+	learnedAtMs: Number.NEGATIVE_INFINITY,
+	fillingRoomMilli: undefined,
+	slowSinceMs: immutableMap(),
 };
 
 /** A filling task that runs, with the processors that it used of late, those that it may use at the share that it was told, and whether it ran for the whole window of the measure. */
