--- a/src/worker/program-script.test.ts
+++ b/src/worker/program-script.test.ts
@@ -34,7 +34,7 @@
 
 test('a code cache of another source of the same length, or with a changed byte, is ignored', t => {
 	const other = compileProgram({file, source: source.replace('+ 1', '+ 2')}).createCodeCache();
-	const damaged = compileProgram({file, source}).createCodeCache();
+	const damaged = new Uint8Array(compileProgram({file, source}).createCodeCache());
 	damaged.fill(255 - damaged.at(-1)!, -1);
 	for (const codeCache of [other, damaged]) {
 		const loaded: unknown[] = [];
