Reproduce the rank of tasks that last behind all short tasks of their class

The queue ranks its job by the objective of its submission, so that it is late for most of its life.

--- a/src/placement/queue-order.test.ts
+++ b/src/placement/queue-order.test.ts
@@ -86,3 +86,18 @@
 	]);
 	t.is(orderQueue(cluster.tasks.keys(), cluster, 60_000)[0], 'fresh.0.0.0');
 });
+
+test.failing('a task that lasts and has to start again does not wait behind the short tasks of its class because its job is old', t => {
+	const cluster = clusterWith([
+		{
+			jobId: 'lasting', submittedAtMs: 0, tasks: 1, runTimeMs: 500,
+		},
+		{
+			jobId: 'short', submittedAtMs: 59_000, tasks: 1, runTimeMs: 1000,
+		},
+	]);
+	const lasting = cluster.workflows.get('lasting')!;
+	const {workflow} = lasting;
+	const workflows = cluster.workflows.set('lasting', {...lasting, workflow: {...workflow, steps: workflow.steps.map(step => ({...step, longRunning: true}))}});
+	t.deepEqual(orderQueue(['short.0.0.0', 'lasting.0.0.0'], {...cluster, workflows}, 60_000), ['lasting.0.0.0', 'short.0.0.0']);
+});
