Ask for the room of a VM once for each candidate

The placement worked out the room of a VM for a filling task, and the offer to filling work did so again for each VM and task. The caller hands it over now.

--- a/src/placement/offered-processors.ts
+++ b/src/placement/offered-processors.ts
@@ -1,6 +1,6 @@
 import {type Map as ImmutableMap} from 'immutable';
 import {type ClusterState, type Vm} from '../cluster/cluster-state.js';
-import {noResources} from '../cluster/resources.js';
+import {noResources, type Resources} from '../cluster/resources.js';
 import {roomOf} from './feasibility.js';
 import {fillingLoadOf, idleMilliOf} from './filling-work.js';
 import {type PendingClaims} from './pending-claims.js';
@@ -16,11 +16,16 @@
 /**
 Tells how many processors of a VM one more filling task is offered, claims under way included, in thousandths.
 
+@param room What the VM has left with the claims under way, where the caller knows it already.
+
 @example
 offeredMilliOf(vm, {cluster, pending, fillingRoomByVm}); // => 5200
 */
-export function offeredMilliOf(vm: Vm, {cluster, pending, fillingRoomByVm}: OfferContext): number {
-	const room = roomOf(vm, pending.committedByVm.get(vm.vmId, noResources));
+export function offeredMilliOf(
+	vm: Vm,
+	{cluster, pending, fillingRoomByVm}: OfferContext,
+	room: Resources = roomOf(vm, pending.committedByVm.get(vm.vmId, noResources)),
+): number {
 	const idleMilli = idleMilliOf(vm, {room, fillingRoomMilli: fillingRoomByVm.get(vm.vmId)}, cluster);
 	return Math.max(0, idleMilli - pending.fillingByVm.get(vm.vmId, 0));
 }
--- a/src/placement/place-queued-tasks.ts
+++ b/src/placement/place-queued-tasks.ts
@@ -280,7 +280,7 @@
 	const offerContext = {cluster, pending: pass.state.pending, fillingRoomByVm: pass.state.fillingRoomByVm};
 	for (const vm of vms) {
 		const room = roomOf(vm, pass.state.pending.committedByVm.get(vm.vmId, noResources));
-		const offered = fillingMilli === 0 ? room : {...room, processorsMilli: offeredMilliOf(vm, offerContext)};
+		const offered = fillingMilli === 0 ? room : {...room, processorsMilli: offeredMilliOf(vm, offerContext, room)};
 		if (fitsInto(task.spec.demand, room) && offered.processorsMilli >= needsIdleMilli && isAllowed(pass, task, step, vm)) {
 			const pressMilli = pressOn(pass, task, vm);
 			if (needsIdleMilli === 0 || pressMilli <= maxPressMilli) {
