--- a/src/agent/filling-handlers.ts
+++ b/src/agent/filling-handlers.ts
@@ -71,7 +71,7 @@
 */
 export function applyPace(state: AgentState): Transition {
 	const paced = [...state.tasks.values()]
-		.filter(task => task.phase === 'running' && task.fillsIdle)
+		.filter(task => isFilling(task))
 		.map(task => ({task, shareMilli: shareOf(state.pace, task.image)}))
 		.filter(({task, shareMilli}) => task.paceMilli !== shareMilli);
 	return transition(
@@ -128,4 +128,3 @@
 		}),
 	});
 }
-
