Keep what filling claims under way will take in one place

The claims under way held their filling work twice, by VM and by VM and image, and both had to be kept in step. The sum of a VM is worked out from the images now, and adding and settling a claim share one function.

--- a/src/placement/admit-filling-jobs.ts
+++ b/src/placement/admit-filling-jobs.ts
@@ -3,6 +3,7 @@
 import {isAllowedOn} from '../cluster/step-constraints.js';
 import {fillingDemandMilli} from './filling-work.js';
 import {fillingOfferOf, type OfferContext} from './offered-processors.js';
+import {pendingFillingMilli} from './pending-claims.js';
 
 /** Part of the processors on offer that the filling jobs under way may want together: beyond it all of them get slow, and none is in time. */
 const admittedShareMilli = 600;
@@ -69,7 +70,7 @@
 	const vms = context.vms.filter(vm => vm.service === service);
 	const {offeredMilli, fillingMilli} = fillingOfferOf(vms, context);
 	return {
-		underWayMilli: vms.reduce((sum, {vmId}) => sum + context.pending.fillingByVm.get(vmId, 0), fillingMilli),
+		underWayMilli: vms.reduce((sum, {vmId}) => sum + pendingFillingMilli(context.pending, vmId), fillingMilli),
 		limitMilli: admittedShareMilli * (offeredMilli + fillingMilli) / 1000,
 	};
 }
--- a/src/placement/offered-processors.ts
+++ b/src/placement/offered-processors.ts
@@ -3,7 +3,7 @@
 import {noResources, type Resources} from '../cluster/resources.js';
 import {roomOf} from './feasibility.js';
 import {fillingLoadOf, idleMilliOf} from './filling-work.js';
-import {type PendingClaims} from './pending-claims.js';
+import {pendingFillingMilli, type PendingClaims} from './pending-claims.js';
 
 /** What decides how many processors filling work is offered. */
 export type OfferContext = Readonly<{
@@ -27,7 +27,7 @@
 	room: Resources = roomOf(vm, pending.committedByVm.get(vm.vmId, noResources)),
 ): number {
 	const idleMilli = idleMilliOf(vm, {room, fillingRoomMilli: fillingRoomByVm.get(vm.vmId)}, cluster);
-	return Math.max(0, idleMilli - pending.fillingByVm.get(vm.vmId, 0));
+	return Math.max(0, idleMilli - pendingFillingMilli(pending, vm.vmId));
 }
 
 /** Sums over VMs, all in thousandths of a processor. */
--- a/src/placement/pending-claims.ts
+++ b/src/placement/pending-claims.ts
@@ -24,14 +24,12 @@
 	committedByVm: Map<string, Resources>;
 	/** Number of claims under way by `siblingsKeyOf`. */
 	siblings: Map<string, number>;
-	/** Idle processors that filling tasks under way will take, in thousandths. */
-	fillingByVm: Map<string, number>;
-	/** The same by VM and by what the tasks run. */
-	fillingImagesByVm: Map<string, Map<string, number>>;
+	/** Processors that filling tasks under way will take, by VM and by what the tasks run, in thousandths. */
+	fillingByVm: Map<string, Map<string, number>>;
 }>;
 
 export const noPendingClaims: PendingClaims = {
-	byTask: Map(), committedByVm: Map(), siblings: Map(), fillingByVm: Map(), fillingImagesByVm: Map(),
+	byTask: Map(), committedByVm: Map(), siblings: Map(), fillingByVm: Map(),
 };
 
 /** Time after which a claim that was not read back no longer holds room; the reducer protects capacity in any case. */
@@ -50,10 +48,7 @@
 		byTask: pending.byTask.set(taskId, claim),
 		committedByVm: pending.committedByVm.update(claim.vmId, noResources, sum => addResources(sum, claim.committed)),
 		siblings: pending.siblings.update(claim.siblingsKey, 0, count => count + 1),
-		fillingByVm: claim.fillingMilli === 0 ? pending.fillingByVm : pending.fillingByVm.update(claim.vmId, 0, sum => sum + claim.fillingMilli),
-		fillingImagesByVm: claim.fillingMilli === 0
-			? pending.fillingImagesByVm
-			: pending.fillingImagesByVm.update(claim.vmId, Map<string, number>(), images => images.update(claim.image, 0, sum => sum + claim.fillingMilli)),
+		fillingByVm: addFilling(pending.fillingByVm, claim, claim.fillingMilli),
 	};
 }
 
@@ -64,7 +59,7 @@
 settlePendingClaims(pending, cluster, nowMs);
 */
 export function settlePendingClaims(pending: PendingClaims, cluster: ClusterState, nowMs: number): PendingClaims {
-	let {byTask, committedByVm, siblings, fillingByVm, fillingImagesByVm} = pending;
+	let {byTask, committedByVm, siblings, fillingByVm} = pending;
 	for (const [taskId, claim] of pending.byTask) {
 		const task = cluster.tasks.get(taskId);
 		const isDecided = task?.phase !== 'queued' || task.attempt >= claim.attempt;
@@ -72,24 +67,39 @@
 			byTask = byTask.delete(taskId);
 			const left = subtractResources(committedByVm.get(claim.vmId, noResources), claim.committed);
 			committedByVm = isEmpty(left) ? committedByVm.delete(claim.vmId) : committedByVm.set(claim.vmId, left);
-			if (claim.fillingMilli !== 0) {
-				const filling = fillingByVm.get(claim.vmId, 0) - claim.fillingMilli;
-				fillingByVm = filling === 0 ? fillingByVm.delete(claim.vmId) : fillingByVm.set(claim.vmId, filling);
-				fillingImagesByVm = filling === 0
-					? fillingImagesByVm.delete(claim.vmId)
-					: fillingImagesByVm.update(claim.vmId, Map<string, number>(), images => images.update(claim.image, 0, sum => sum - claim.fillingMilli));
-			}
-
+			fillingByVm = addFilling(fillingByVm, claim, -claim.fillingMilli);
 			const count = siblings.get(claim.siblingsKey, 1) - 1;
 			siblings = count === 0 ? siblings.delete(claim.siblingsKey) : siblings.set(claim.siblingsKey, count);
 		}
 	}
 
 	return {
-		byTask, committedByVm, siblings, fillingByVm, fillingImagesByVm,
+		byTask, committedByVm, siblings, fillingByVm,
 	};
 }
 
+/**
+Tells how many processors the filling tasks under way will take on a VM, in thousandths.
+
+@example
+pendingFillingMilli(pending, 'vm-1'); // => 3600
+*/
+export function pendingFillingMilli({fillingByVm}: PendingClaims, vmId: string): number {
+	return fillingByVm.get(vmId)?.reduce((sum, milli) => sum + milli, 0) ?? 0;
+}
+
+/** Adds to what the tasks of an image will take on a VM; what is used up is left out. */
+function addFilling(fillingByVm: PendingClaims['fillingByVm'], {vmId, image}: PendingClaim, milli: number): PendingClaims['fillingByVm'] {
+	if (milli === 0) {
+		return fillingByVm;
+	}
+
+	const images = fillingByVm.get(vmId, Map<string, number>());
+	const sum = images.get(image, 0) + milli;
+	const left = sum === 0 ? images.delete(image) : images.set(image, sum);
+	return left.isEmpty() ? fillingByVm.delete(vmId) : fillingByVm.set(vmId, left);
+}
+
 function isEmpty(resources: Resources): boolean {
 	return resources.processorsMilli === 0 && resources.memoryMb === 0 && resources.accelerators === 0;
 }
--- a/src/placement/place-queued-tasks.ts
+++ b/src/placement/place-queued-tasks.ts
@@ -300,7 +300,7 @@
 /** What a filling task would do to the serving tasks on a VM; 0 for other tasks. */
 function pressOn(pass: Pass, task: Task, vm: Vm): number {
 	const {context: {cluster}, state: {press, pending}} = pass;
-	return pressOfPlacementMilli(task, vm, {cluster, press, pendingByVm: pending.fillingImagesByVm});
+	return pressOfPlacementMilli(task, vm, {cluster, press, pendingByVm: pending.fillingByVm});
 }
 
 /** Idle processors that a VM must have for a task. */
--- a/src/placement/starved-jobs.ts
+++ b/src/placement/starved-jobs.ts
@@ -2,7 +2,7 @@
 import {type ClusterState, type Task} from '../cluster/cluster-state.js';
 import {type EntryContext} from '../entry/entry-context.js';
 import {fillingLoadOf} from './filling-work.js';
-import {type PendingClaims} from './pending-claims.js';
+import {pendingFillingMilli, type PendingClaims} from './pending-claims.js';
 
 /** When this entry first saw each job wait with nothing running, on its own clock. */
 export type WaitingJobs = ImmutableMap<string, number>;
@@ -84,7 +84,7 @@
 		if (vm.service === service && vm.phase === 'live') {
 			capacityMilli += vm.capacity.processorsMilli;
 			committedMilli += vm.committed.processorsMilli + (pending.committedByVm.get(vm.vmId)?.processorsMilli ?? 0);
-			fillingMilli += fillingLoadOf(vm, cluster).fillingMilli + pending.fillingByVm.get(vm.vmId, 0);
+			fillingMilli += fillingLoadOf(vm, cluster).fillingMilli + pendingFillingMilli(pending, vm.vmId);
 		}
 	}
 
