Serve the metrics of a test on a port that no outgoing connection takes

The port lies in the range from which the system takes the local ports of outgoing connections (32768 to 60999): while any process holds a connection with that local port, listening fails with EADDRINUSE, and nothing answers. Shown with a connection that holds a port of the range: listen gives EADDRINUSE. The port is below the range now; the checks are the same.

--- a/src/telemetry/create-text-metrics.test.ts
+++ b/src/telemetry/create-text-metrics.test.ts
@@ -4,7 +4,7 @@
 
 test('an operator without a StatsD receiver can read counters and latencies as text', async t => {
 	const errors: Error[] = [];
-	const address = '127.0.0.1:39464';
+	const address = '127.0.0.1:19464';
 	const metrics = await createMetrics({
 		textAddress: address, prefix: 'arbutushinge.', onError(error) {
 			errors.push(error);
