Bound the fields of log records, and say in a short text why one is not used

A record whose kind was a list nested 50,000 deep ended every entry that read it, and again after each restart, since the record stays: the reason was made with String(kind), which recurses. Records with a port of 99999, a capacity of 2^32 MB, a time after the largest date or 100,000 dependencies of a step were used, and failed where the value became an address, a field of a message or a date.

The reason names the value without converting it. Addresses, resources, times, counts and lengths of what the state keeps are checked when a record is decoded, packed or by field name. Free text, such as a reason, is cut instead. Run times beyond 32 bits are cut in the message to the agent.

--- a/src/cluster/cluster-record.ts
+++ b/src/cluster/cluster-record.ts
@@ -1,8 +1,21 @@
 import {z} from 'zod';
+import {addressSchema, listenAddressSchema} from '../validation/address-schema.js';
+import {countSchema, timeMsSchema} from '../validation/bounds-schema.js';
+import {freeTextSchema} from './free-text.js';
 import {nameSchema, planSchema, jobSchema} from './intent.js';
 import {resourcesSchema} from './resources-schema.js';
 
-const attemptSchema = z.strictObject({taskId: nameSchema, attempt: z.int().positive()});
+/** Longest ID that need not be a name, in characters. */
+export const maxIdLength = 128;
+
+/** Longest name of a placement policy, in characters. */
+export const maxPolicyLength = 128;
+
+const maxLabels = 256;
+const maxLabelLength = 256;
+const maxRunningTasks = 10_000;
+
+const attemptSchema = z.strictObject({taskId: nameSchema, attempt: countSchema});
 const agentSchema = z.strictObject({vmId: nameSchema, agentIncarnation: nameSchema});
 const backendServerSchema = agentSchema.extend({backendServerId: nameSchema});
 
@@ -25,7 +38,7 @@
 
 /** A placement decision with the inputs that it was computed from, so that a replay can compute it again. */
 export const placementDecisionSchema = z.strictObject({
-	policy: z.string(),
+	policy: z.string().max(maxPolicyLength),
 	seed: z.int(),
 	stateOffset: z.int(),
 	/** The best candidates with their scores in thousandths, best first; at most three. */
@@ -35,7 +48,7 @@
 		inputs: scoreInputsSchema.optional(),
 	}).readonly()).max(3).readonly(),
 	consideredVms: z.int().min(0),
-	reason: z.string(),
+	reason: freeTextSchema,
 }).readonly();
 
 export type PlacementDecision = z.infer<typeof placementDecisionSchema>;
@@ -43,14 +56,14 @@
 /** The records that entries write to the log. The cluster state is a pure function of the records in log order. */
 export const clusterRecordSchema = z.discriminatedUnion('kind', [
 	z.strictObject({
-		kind: z.literal('entry-registered'), entryId: nameSchema, failureDomain: nameSchema, operatorAddress: z.string(),
+		kind: z.literal('entry-registered'), entryId: nameSchema, failureDomain: nameSchema, operatorAddress: listenAddressSchema,
 		/** Processors of the entry's VM in thousandths; left out by versions that did not record it. */
-		processorsMilli: z.int().positive().optional(),
+		processorsMilli: z.optional(countSchema),
 	}),
 	/** A heartbeat; the writer had applied all records through `appliedOffset`. */
 	z.strictObject({kind: z.literal('entry-alive'), appliedOffset: z.int().min(-1)}),
 	z.strictObject({
-		kind: z.literal('entry-ended'), entryId: nameSchema, incarnation: nameSchema, reason: z.string(),
+		kind: z.literal('entry-ended'), entryId: nameSchema, incarnation: nameSchema, reason: freeTextSchema,
 	}),
 	agentSchema.extend({
 		kind: z.literal('vm-registered'),
@@ -58,14 +71,14 @@
 		workerIncarnation: nameSchema,
 		failureDomain: nameSchema,
 		rack: nameSchema,
-		requestAddress: z.string(),
+		requestAddress: addressSchema,
 		capacity: resourcesSchema,
-		runningTasks: z.array(attemptSchema.readonly()).readonly(),
+		runningTasks: z.array(attemptSchema.readonly()).max(maxRunningTasks).readonly(),
 		/** Service that the worker itself serves as a backend server, if any. */
-		service: z.string().optional(),
-		labels: z.array(z.string()).readonly().optional(),
+		service: z.string().max(maxIdLength).optional(),
+		labels: z.array(z.string().max(maxLabelLength)).max(maxLabels).readonly().optional(),
 		/** Start of the worker process; a later start on the same VM means that the earlier process has ended. */
-		workerStartedAtMs: z.int().optional(),
+		workerStartedAtMs: z.optional(timeMsSchema),
 		/** The agent reports its worker as lost: the worker's tasks have certainly stopped. */
 		workerLost: z.literal(true).optional(),
 	}),
@@ -73,15 +86,15 @@
 	agentSchema.extend({kind: z.literal('vm-leaving')}),
 	agentSchema.extend({kind: z.literal('vm-unreachable')}),
 	agentSchema.extend({kind: z.literal('vm-reachable')}),
-	agentSchema.extend({kind: z.literal('vm-revoked'), reason: z.string()}),
+	agentSchema.extend({kind: z.literal('vm-revoked'), reason: freeTextSchema}),
 	agentSchema.extend({kind: z.literal('vm-lease-expired')}),
-	agentSchema.extend({kind: z.literal('vm-quarantined'), reason: z.string()}),
-	agentSchema.extend({kind: z.literal('vm-unquarantined'), reason: z.string()}),
+	agentSchema.extend({kind: z.literal('vm-quarantined'), reason: freeTextSchema}),
+	agentSchema.extend({kind: z.literal('vm-unquarantined'), reason: freeTextSchema}),
 	backendServerSchema.extend({
 		kind: z.literal('backend-server-announced'),
 		service: nameSchema,
-		slots: z.int().positive(),
-		connections: z.int().positive(),
+		slots: countSchema,
+		connections: countSchema,
 	}),
 	backendServerSchema.extend({kind: z.literal('backend-server-leaving')}),
 	backendServerSchema.extend({kind: z.literal('backend-server-gone')}),
@@ -94,11 +107,11 @@
 	/** An occurrence of a scheduled workflow has come due. */
 	z.strictObject({kind: z.literal('occurrence-due'), jobId: nameSchema, occurrence: z.int().min(0)}),
 	/** No VM could hold the task, even if no other task ran on it. */
-	z.strictObject({kind: z.literal('task-unplaceable'), taskId: nameSchema, lacks: z.string()}),
+	z.strictObject({kind: z.literal('task-unplaceable'), taskId: nameSchema, lacks: freeTextSchema}),
 	agentSchema.extend({
 		kind: z.literal('task-claimed'),
 		taskId: nameSchema,
-		attempt: z.int().positive(),
+		attempt: countSchema,
 		/** Resources to commit on the VM: the larger of the task's declared and observed size. */
 		committed: resourcesSchema,
 		evictTaskIds: z.array(nameSchema).max(16).readonly(),
@@ -109,25 +122,25 @@
 		kind: z.literal('task-ended'),
 		agentIncarnation: nameSchema,
 		outcome: z.enum(['finished', 'failed', 'refused-not-run', 'cancelled']),
-		reason: z.string(),
+		reason: freeTextSchema,
 	}),
 	attemptSchema.extend({
 		kind: z.literal('task-checkpointed'),
 		agentIncarnation: nameSchema,
 		checkpoint: z.string().max(1024),
-		reason: z.string(),
+		reason: freeTextSchema,
 	}),
-	attemptSchema.extend({kind: z.literal('evict-requested'), reason: z.string()}),
+	attemptSchema.extend({kind: z.literal('evict-requested'), reason: freeTextSchema}),
 	agentSchema.extend({
 		kind: z.literal('key-claimed'),
 		/** SHA-256 of service and caller's key, in base64url. */
-		keyHash: z.string(),
-		bodyHash: z.string(),
+		keyHash: z.string().max(maxIdLength),
+		bodyHash: z.string().max(maxIdLength),
 		service: nameSchema,
 		backendServerId: nameSchema,
 	}),
 	/** The agent that the key was claimed for has not run the request and never will, so the key may be claimed again. */
-	agentSchema.extend({kind: z.literal('key-released'), keyHash: z.string(), claimOffset: z.int()}),
+	agentSchema.extend({kind: z.literal('key-released'), keyHash: z.string().max(maxIdLength), claimOffset: z.int()}),
 	/** Key claims at or below `throughOffset` expire. The agents that the keys were claimed for refuse requests with these claims too. */
 	z.strictObject({kind: z.literal('keys-expired'), throughOffset: z.int()}),
 ]).readonly();
--- a/src/cluster/intent.ts
+++ b/src/cluster/intent.ts
@@ -1,4 +1,6 @@
 import {z} from 'zod';
+import {maxTimeMs} from '../validation/bounds.js';
+import {countSchema, timeMsSchema} from '../validation/bounds-schema.js';
 import {resourcesSchema} from './resources-schema.js';
 import {findInvalidDependency, workflowSchema} from './workflow.js';
 
@@ -17,7 +19,7 @@
 export const serviceSchema = z.strictObject({
 	service: nameSchema,
 	teamId: nameSchema,
-	latencyTargetMs: z.int().positive(),
+	latencyTargetMs: countSchema,
 	demandPerBackendServer: resourcesSchema,
 }).readonly();
 
@@ -25,8 +27,8 @@
 
 /** Limits on callers' requests. `shareByClass` are relative weights. `floorMilliByClass` are guaranteed minimum shares in thousandths, which placement uses as well. */
 export const requestLimitsSchema = z.strictObject({
-	queuedRequestsPerService: z.int().positive(),
-	queueTimeoutMs: z.int().positive(),
+	queuedRequestsPerService: countSchema,
+	queueTimeoutMs: countSchema,
 	retryBudgetMilli: z.int().min(0).max(1000),
 	shareByClass: z.strictObject({urgent: z.int().positive(), normal: z.int().positive(), background: z.int().positive()}).readonly(),
 	floorMilliByClass: z.strictObject({urgent: z.int().min(0).max(300), normal: z.int().min(0).max(300), background: z.int().min(0).max(300)}).readonly(),
@@ -48,7 +50,7 @@
 export const taskSpecSchema = z.strictObject({
 	taskId: nameSchema,
 	demand: resourcesSchema,
-	declaredRunTimeMs: z.int().positive(),
+	declaredRunTimeMs: z.int().positive().max(maxTimeMs),
 	/** Kind of work under which interference is estimated; the team's name if left out. */
 	taskKind: nameSchema.optional(),
 	payload: z.string().max(4096),
@@ -99,8 +101,8 @@
 	touches: z.array(z.string()).readonly(),
 	/** Lines for the operator: what changes, what it costs and why. */
 	summary: z.array(z.string()).readonly(),
-	createdAtMs: z.int(),
-	expiresAtMs: z.int(),
+	createdAtMs: timeMsSchema,
+	expiresAtMs: timeMsSchema,
 }).readonly();
 
 export type Plan = z.infer<typeof planSchema>;
--- a/src/cluster/workflow.ts
+++ b/src/cluster/workflow.ts
@@ -1,32 +1,39 @@
 import {z} from 'zod';
+import {maxTimeMs} from '../validation/bounds.js';
+import {countSchema, timeMsSchema} from '../validation/bounds-schema.js';
 import {resourcesSchema} from './resources-schema.js';
 
+const maxSteps = 256;
+
+/** Longest label, rack or image of a step, in characters. */
+const maxStepTextLength = 1024;
+
 /** A step of a workflow: `count` identical tasks that wait for the steps in `dependsOn`. */
 export const stepSchema = z.strictObject({
 	count: z.int().min(1).max(1000),
 	demand: resourcesSchema,
-	declaredRunTimeMs: z.int().min(0),
+	declaredRunTimeMs: timeMsSchema,
 	/** Indexes of earlier steps whose tasks must all have finished. */
-	dependsOn: z.array(z.int().min(0)).readonly().optional(),
+	dependsOn: z.array(z.int().min(0)).max(maxSteps).readonly().optional(),
 	checkpoints: z.boolean().optional(),
 	/** The tasks make progress only once all of them run. */
 	gang: z.boolean().optional(),
 	/** The tasks reach full speed only when all of them run in one rack. */
 	prefersOneRack: z.boolean().optional(),
 	/** Label that the VM must have. */
-	requiredLabel: z.string().optional(),
+	requiredLabel: z.string().max(maxStepTextLength).optional(),
 	/** Rack that holds the task's data. */
-	preferredRack: z.string().optional(),
+	preferredRack: z.string().max(maxStepTextLength).optional(),
 	/** Maximum number of tasks of the step on one VM. */
-	maxTasksPerVm: z.int().positive().optional(),
+	maxTasksPerVm: z.optional(countSchema),
 	/** Copies of a task may run at the same time. */
 	speculative: z.boolean().optional(),
 	/** Long-running tasks: they run until the job is cancelled and are started again whenever they end. */
 	longRunning: z.boolean().optional(),
 	/** Image that the tasks run. Interference is estimated by image: tasks of one image are assumed to affect their neighbours equally. */
-	image: z.string().optional(),
+	image: z.string().max(maxStepTextLength).optional(),
 	/** Target for the tail of the response times in ms. A task with such a target is a serving task. */
-	latencyTargetMs: z.number().positive().optional(),
+	latencyTargetMs: z.number().positive().max(maxTimeMs).optional(),
 	/** Filling tasks: best-effort tasks that use only idle processors, and yield them when other tasks need them. */
 	fillsIdle: z.boolean().optional(),
 	/** Maximum number of the step's long-running tasks that the system may make unavailable (not running) at the same time. */
@@ -42,19 +49,19 @@
 	service: z.string().min(1).max(128),
 	/** Passed to every task. */
 	payload: z.string().max(16_384),
-	steps: z.array(stepSchema).min(1).max(256).readonly(),
+	steps: z.array(stepSchema).min(1).max(maxSteps).readonly(),
 	/** Failed attempts of one task after which the job fails. */
-	maxFailures: z.int().positive(),
+	maxFailures: countSchema,
 	/** The steps run `times` times. Occurrence K is due at `firstAtMs` + K × `intervalMs`, in Unix time. */
-	schedule: z.strictObject({firstAtMs: z.int(), intervalMs: z.int().positive(), times: z.int().positive().max(100_000)}).readonly().optional(),
+	schedule: z.strictObject({firstAtMs: timeMsSchema, intervalMs: z.int().positive().max(maxTimeMs), times: z.int().positive().max(100_000)}).readonly().optional(),
 	/** The deadline that the caller wants. Jobs that can still meet it are placed first. */
 	objective: z.strictObject({
 		/** Unix time at which an entry accepted the job. */
-		submittedAtMs: z.int(),
+		submittedAtMs: timeMsSchema,
 		/** Factor on the longest chain of declared run times, in thousandths. */
 		stretchMilli: z.int().min(0),
 		/** Slack: extra time that the deadline allows beyond the stretched chain. */
-		slackMs: z.int().min(0),
+		slackMs: timeMsSchema,
 	}).readonly().optional(),
 	/** Whether starts need a ticket of the queue's advice service. */
 	needsAdvice: z.boolean().optional(),
--- a/src/dispatch/agent-commands.ts
+++ b/src/dispatch/agent-commands.ts
@@ -6,6 +6,7 @@
 import {type AgentCommand, type ControlEffect} from '../entry/control-effect.js';
 import {type EntryContext} from '../entry/entry-context.js';
 import {type LatencyImpactEstimates, type PressReport, latencyImpactReports} from '../agent/latency-impact-estimates.js';
+import {maxCount} from '../validation/bounds.js';
 import {fillingDemandMilli, fillingLoadOf} from '../placement/filling-work.js';
 import {type AgentLink} from './agent-link.js';
 
@@ -124,7 +125,7 @@
 					claimOffset: BigInt(claim.claimOffset),
 					latencyCritical: task.workClass === 'latency-critical',
 					demand: claim.committed,
-					declaredRunTimeMs: task.spec.declaredRunTimeMs,
+					declaredRunTimeMs: Math.min(task.spec.declaredRunTimeMs, maxCount),
 					payload: cluster.workflows.get(task.jobId)?.workflow.payload ?? task.spec.payload,
 					checkpoint: task.checkpoint,
 					evictTaskIds: [...claim.evictTaskIds],
--- a/src/log/log-envelope.ts
+++ b/src/log/log-envelope.ts
@@ -1,11 +1,11 @@
 import {z} from 'zod';
-import {clusterRecordSchema} from '../cluster/cluster-record.js';
+import {clusterRecordSchema, maxIdLength} from '../cluster/cluster-record.js';
 
 /** One value of the log stream: a record with its writer. */
 export const logEnvelopeSchema = z.strictObject({
-	writer: z.string(),
+	writer: z.string().max(maxIdLength),
 	/** Random ID of the writer's process, created when the process starts. */
-	incarnation: z.string(),
+	incarnation: z.string().max(maxIdLength),
 	/** Counts the writer's records from 1, so that a repeated append is applied once. */
 	sequence: z.int().positive(),
 	record: clusterRecordSchema,
--- a/src/log/log-value.ts
+++ b/src/log/log-value.ts
@@ -1,10 +1,15 @@
 import {err, ok, type Result} from 'true-myth/result';
 import {
-	type ClusterRecord, type ClusterRecordOf, type PlacementDecision, type ScoreInputs,
+	maxIdLength, maxPolicyLength, type ClusterRecord, type ClusterRecordOf, type PlacementDecision, type ScoreInputs,
 } from '../cluster/cluster-record.js';
 import {namePattern} from '../cluster/intent.js';
 import {describePlacement} from '../cluster/describe-placement.js';
+import {cutFreeText} from '../cluster/free-text.js';
 import {type Resources} from '../cluster/resources.js';
+import {boundedText} from '../validation/bounded-text.js';
+import {isCount, isResourceAmount} from '../validation/bounds.js';
+import {describeIssues} from '../validation/describe-issues.js';
+import {parseJson} from '../validation/parse-json.js';
 import {type LogEnvelope, logEnvelopeSchema} from './log-envelope.js';
 
 /**
@@ -23,7 +28,8 @@
 const isString = (value: unknown): value is string => typeof value === 'string';
 const isInt = (value: unknown): value is number => Number.isSafeInteger(value);
 const isAmount = (value: unknown): value is number => isInt(value) && value >= 0;
-const isCount = (value: unknown): value is number => isInt(value) && value > 0;
+const isPositive = (value: unknown): value is number => isInt(value) && value > 0;
+const isId = (value: unknown): value is string => isString(value) && value.length <= maxIdLength;
 
 const maxEvictedTasks = 16;
 const maxCandidates = 3;
@@ -39,16 +45,16 @@
 	}
 
 	const [processorsMilli, memoryMb, accelerators] = values as readonly unknown[];
-	return isAmount(processorsMilli) && isAmount(memoryMb) && isAmount(accelerators) ? {processorsMilli, memoryMb, accelerators} : undefined;
+	return isResourceAmount(processorsMilli) && isResourceAmount(memoryMb) && isResourceAmount(accelerators) ? {processorsMilli, memoryMb, accelerators} : undefined;
 }
 
 const scoreInputChecks: Readonly<Record<keyof ScoreInputs, (value: unknown) => boolean>> = {
 	serviceHarmMilli: isInt,
-	siblingsInRack: isCount,
-	siblingsInFailureDomain: isCount,
+	siblingsInRack: isPositive,
+	siblingsInFailureDomain: isPositive,
 	failedBefore: value => value === true,
 	wastesAccelerators: value => value === true,
-	evictions: isCount,
+	evictions: isPositive,
 	packs: value => value === true,
 };
 
@@ -111,7 +117,11 @@
 	}
 
 	const [policy, seed, stateOffset, packedCandidates, consideredVms, reason] = values as readonly unknown[];
-	if (!isString(policy) || !isInt(seed) || !isInt(stateOffset) || !Array.isArray(packedCandidates) || packedCandidates.length > maxCandidates || !isAmount(consideredVms)) {
+	if (!isString(policy) || policy.length > maxPolicyLength || !isInt(seed) || !isInt(stateOffset)) {
+		return undefined;
+	}
+
+	if (!Array.isArray(packedCandidates) || packedCandidates.length > maxCandidates || !isAmount(consideredVms)) {
 		return undefined;
 	}
 
@@ -121,7 +131,7 @@
 	}
 
 	return {
-		policy, seed, stateOffset, candidates, consideredVms, reason: isString(reason) ? reason : describePlacement(reason, consideredVms),
+		policy, seed, stateOffset, candidates, consideredVms, reason: isString(reason) ? cutFreeText(reason) : describePlacement(reason, consideredVms),
 	};
 }
 
@@ -160,7 +170,7 @@
 			const [taskId, attempt, agentIncarnation, outcome, reason] = fields;
 			return fields.length === 5 && isName(taskId) && isCount(attempt) && isName(agentIncarnation) && isOutcome(outcome) && isString(reason)
 				? {
-					kind: 'task-ended', taskId, attempt, agentIncarnation, outcome, reason,
+					kind: 'task-ended', taskId, attempt, agentIncarnation, outcome, reason: cutFreeText(reason),
 				}
 				: undefined;
 		},
@@ -195,33 +205,26 @@
 
 /**
 Decodes a value that {@link encodeLogValue} returned, and also a record of a packed kind that is stored with its field names. Fails
-with the reason for any other value.
+with a short reason for any other value.
 
 @example
 decodeLogValue('["entry-1","e5f0",2,"task-started","task-1",1,"agent-1"]').map(({record}) => record.kind); // => Ok('task-started')
 */
 export function decodeLogValue(value: string): Result<LogEnvelope, string> {
-	let content: unknown;
-	try {
-		content = JSON.parse(value);
-	} catch (error) {
-		return err(String(error));
-	}
-
-	if (Array.isArray(content)) {
-		return unpackEnvelope(content);
-	}
+	return parseJson(value).andThen(content => Array.isArray(content) ? unpackEnvelope(content) : parseEnvelope(content));
+}
 
+function parseEnvelope(content: unknown): Result<LogEnvelope, string> {
 	const envelope = logEnvelopeSchema.safeParse(content);
-	return envelope.success ? ok(envelope.data) : err(String(envelope.error));
+	return envelope.success ? ok(envelope.data) : err(describeIssues(envelope.error));
 }
 
 function unpackEnvelope(values: readonly unknown[]): Result<LogEnvelope, string> {
 	const [writer, incarnation, sequence, kind, ...fields] = values;
 	const record = isPackedKind(kind) ? packings[kind].unpack(fields) : undefined;
-	return record && isString(writer) && isString(incarnation) && isCount(sequence)
+	return record && isId(writer) && isId(incarnation) && isPositive(sequence)
 		? ok({
 			writer, incarnation, sequence, record,
 		})
-		: err(`a tuple with unknown kind or fields: ${String(kind).slice(0, 100)}`);
+		: err(`a tuple with unknown kind or fields: ${boundedText(kind)}`);
 }
