Let a process go on when an event or an effect throws

An exception in the reducer or in an effect left the event loop in the middle: the effects and the events behind it waited for the next event, and in a timer or a message's handler it ended the process.

The loop now drops the event whose reducer throws, with the state as it was, and goes on behind an effect that throws.

--- a/src/agent/agent-process.ts
+++ b/src/agent/agent-process.ts
@@ -2,6 +2,7 @@
 import {err, ok, type Result} from 'true-myth/result';
 import {type TypedError} from '../errors/typed-error.js';
 import {createEventLoop} from '../event-loop/create-event-loop.js';
+import {logLoopFailures} from '../event-loop/log-loop-failures.js';
 import {monotonicMs} from '../worker/monotonic-clock.js';
 import type {AgentSettings} from '../settings/agent-settings.js';
 import type {EventLog} from '../telemetry/event-log.js';
@@ -107,7 +108,7 @@
 	}
 
 	const loop = createEventLoop<AgentState, AgentEvent, AgentEffect>({
-		initialState: initialAgentState(settings, randomUUID()), reduce: reduceAgent, execute,
+		initialState: initialAgentState(settings, randomUUID()), reduce: reduceAgent, execute, onFailure: logLoopFailures({eventLog, metrics, nowMs: monotonicMs}),
 	});
 
 	function dispatch(event: AgentEvent): void {
--- a/src/entry/entry-process.ts
+++ b/src/entry/entry-process.ts
@@ -12,6 +12,7 @@
 import {type Timeline} from '../telemetry/timeline-event.js';
 import {createTimeline} from '../telemetry/create-timeline.js';
 import {createEventLoop} from '../event-loop/create-event-loop.js';
+import {logLoopFailures} from '../event-loop/log-loop-failures.js';
 import {readTokenFile} from '../operator/read-token-file.js';
 import {type RequestEvent} from '../requests/request-event.js';
 import {type TypedError} from '../errors/typed-error.js';
@@ -102,6 +103,7 @@
 		execute(effect) {
 			execute(effect);
 		},
+		onFailure: logLoopFailures({eventLog, metrics, nowMs: () => performance.now()}),
 	});
 	const {dispatch} = loop;
 	const requestHistory = createRequestHistory({
--- a/src/event-loop/create-event-loop.ts
+++ b/src/event-loop/create-event-loop.ts
@@ -4,29 +4,50 @@
 	dispatch: (event: Event) => void;
 }>;
 
+/** An event whose reducer threw, or an effect that threw, with the error. */
+export type EventLoopFailure<Event, Effect>
+	= | Readonly<{part: 'event'; failed: Event; error: unknown}>
+		| Readonly<{part: 'effect'; failed: Effect; error: unknown}>;
+
 /**
 Creates the event loop of a process. An event that arrives while effects are executed waits until they are done, so that
-effects are executed in the order in which they were decided.
+effects are executed in the order in which they were decided. An event whose reducer throws is dropped: the state stays as it was.
+An effect that throws does not keep the effects and events behind it from being executed. `onFailure` is called with either.
 
 @example
-const loop = createEventLoop({initialState, reduce, execute});
+const loop = createEventLoop({initialState, reduce, execute, onFailure});
 loop.dispatch({kind: 'tick'});
 */
-export function createEventLoop<State, Event, Effect>({initialState, reduce, execute}: Readonly<{
+export function createEventLoop<State, Event, Effect>({initialState, reduce, execute, onFailure}: Readonly<{
 	initialState: State;
 	reduce: (state: State, event: Event) => Readonly<{state: State; effects: readonly Effect[]}>;
 	execute: (effect: Effect) => void;
+	onFailure: (failure: EventLoopFailure<Event, Effect>) => void;
 }>): EventLoop<State, Event> {
 	let state = initialState;
 	let isRunning = false;
 	const pendingEvents: Event[] = [];
 
-	function processPendingEvents(): void {
-		for (let event = pendingEvents.shift(); event !== undefined; event = pendingEvents.shift()) {
+	/** Applies an event to the state and returns its effects; none when the reducer throws. */
+	function apply(event: Event): readonly Effect[] {
+		try {
 			const transition = reduce(state, event);
 			state = transition.state;
-			for (const effect of transition.effects) {
-				execute(effect);
+			return transition.effects;
+		} catch (error) {
+			onFailure({part: 'event', failed: event, error});
+			return [];
+		}
+	}
+
+	function processPendingEvents(): void {
+		for (let event = pendingEvents.shift(); event !== undefined; event = pendingEvents.shift()) {
+			for (const effect of apply(event)) {
+				try {
+					execute(effect);
+				} catch (error) {
+					onFailure({part: 'effect', failed: effect, error});
+				}
 			}
 		}
 	}
