Keep an agent running when an entry's address or an event of its stream cannot be used

An entry announced with an address such as 10.1.0.13:99999 ended every agent that selected it, again after each start: the session manager was made outside the session's try, and its error was an unhandled rejection. A handler that threw ended the stream's loop in the same way, and a message that could not be encoded (invalid uint32) broke the stream each time that it was opened.

The session now logs an address that it cannot use and backs off, guards each handler, and leaves out a message that cannot be encoded with an error line. The selection of entries leaves out what is no address, so that the other entries get the streams.

entry-sessions.test.ts uses addresses instead of single letters for that reason; what it checks is unchanged.

--- a/src/agent/agent-process.ts
+++ b/src/agent/agent-process.ts
@@ -160,7 +160,7 @@
 					kind: 'entry-message', nowMs: monotonicMs(), entryAddress, message,
 				});
 			},
-		}, {random: Math.random, heartbeatMs: settings.timings.heartbeatMs}),
+		}, {random: Math.random, heartbeatMs: settings.timings.heartbeatMs, eventLog}),
 	});
 	sessions.rank(settings.entryAddresses);
 	const entriesWatch = watchEntries?.(sessions.rank);
--- a/src/agent/entry-session.test.ts
+++ b/src/agent/entry-session.test.ts
@@ -3,6 +3,12 @@
 import test from 'ava';
 import {openEntrySession} from './entry-session.js';
 
+const ignore = (): void => undefined;
+
+const silentLog = {
+	debug: ignore, info: ignore, warn: ignore, error: ignore,
+};
+
 /** Guards against an agent that ends, or waits forever, when an entry is frozen while its connection stays open. */
 test('a stream whose entry never answers is aborted and opened again', async t => {
 	const sockets: Socket[] = [];
@@ -26,7 +32,7 @@
 				}
 			},
 			message: () => undefined,
-		}, {random: () => 0, heartbeatMs: 20});
+		}, {random: () => 0, heartbeatMs: 20, eventLog: silentLog});
 	});
 	for (const socket of sockets) {
 		socket.destroy();
--- a/src/agent/entry-session.ts
+++ b/src/agent/entry-session.ts
@@ -1,11 +1,13 @@
 import {setTimeout as delay} from 'node:timers/promises';
-import {create} from '@bufbuild/protobuf';
+import {create, toBinary} from '@bufbuild/protobuf';
 import {createClient} from '@connectrpc/connect';
 import {createGrpcTransport, Http2SessionManager} from '@connectrpc/connect-node';
 import {messageOf} from '../errors/message-of.js';
 import {
 	AgentMessageSchema, AgentSession, type AgentMessage, type EntryMessage,
 } from '../generated/arbutushinge/v1/agent_pb.js';
+import type {EventLog} from '../telemetry/event-log.js';
+import {boundedText} from '../validation/bounded-text.js';
 import type {AgentMessageBody} from './agent-effect.js';
 import {connectWithin} from './connect-within.js';
 
@@ -41,7 +43,7 @@
 }>;
 
 /** Settings of a session. */
-export type EntrySessionOptions = Readonly<{random: () => number; heartbeatMs: number}>;
+export type EntrySessionOptions = Readonly<{random: () => number; heartbeatMs: number; eventLog: EventLog}>;
 
 /** Messages that one stream has not sent yet. */
 class Outbox {
@@ -78,29 +80,60 @@
 }
 
 /**
-Maintains a bidirectional stream to an entry; after a failure it is opened again, with a jittered backoff.
+Maintains a bidirectional stream to an entry; after a failure it is opened again, with a jittered backoff. It never rejects: an address that
+cannot be used and a handler that throws are logged.
 
 @param entryAddress IP number and port.
 @param options `random` returns a number from 0 to 1 for the jitter; `heartbeatMs` is the time between two heartbeats.
 
 @example
-const session = openEntrySession('127.0.0.1:7100', handlers, {random: Math.random, heartbeatMs: 1000});
+const session = openEntrySession('127.0.0.1:7100', handlers, {random: Math.random, heartbeatMs: 1000, eventLog});
 session.send(helloMessage(state));
 */
 export function openEntrySession(entryAddress: string, handlers: EntrySessionHandlers, options: EntrySessionOptions): EntrySession {
-	const {random, heartbeatMs} = options;
+	const {random, heartbeatMs, eventLog} = options;
 	const url = `http://${entryAddress}`;
 	const closing = new AbortController();
 	let outbox: Outbox | undefined;
 	let stream: AbortController | undefined;
+	let isFailing = false;
+
+	/** Calls a handler; one that cannot use a message must neither end the stream nor lose the messages behind it. */
+	function notify(name: keyof EntrySessionHandlers, handle: () => void): void {
+		try {
+			handle();
+		} catch (error) {
+			eventLog.warn('entry-event-unusable', {entryAddress, handler: name, reason: boundedText(messageOf(error))});
+		}
+	}
+
+	/** Logs only the first of consecutive streams that could not be opened. */
+	function logFailedStream(reason: string): void {
+		if (!isFailing) {
+			isFailing = true;
+			eventLog.warn('entry-stream-failed', {entryAddress: boundedText(entryAddress), reason: boundedText(reason)});
+		}
+	}
+
+	/** Returns whether a message can be sent. One that cannot would end the stream, again after each time that it is opened. */
+	function isEncodable(message: AgentMessage): boolean {
+		try {
+			toBinary(AgentMessageSchema, message);
+			return true;
+		} catch (error) {
+			eventLog.error('message-unencodable', {entryAddress, message: message.message.case, reason: boundedText(messageOf(error))});
+			return false;
+		}
+	}
 
 	/** Runs one stream until it ends. Returns whether a message of the entry arrived, which resets the backoff. */
 	async function runOnce(): Promise<boolean> {
 		let isAnswered = false;
 		let reason = 'the entry ended the stream';
-		const sessionManager = new Http2SessionManager(url);
+		let sessionManager: Http2SessionManager | undefined;
 		let silenceTimer: NodeJS.Timeout | undefined;
 		try {
+			sessionManager = new Http2SessionManager(url);
 			if (await connectWithin(sessionManager.connect(), {timeoutMs: connectTimeoutMs, signal: closing.signal}) === 'error') {
 				return false;
 			}
@@ -115,22 +148,30 @@
 			}, maxUnansweredHeartbeats * heartbeatMs);
 			const answers = client.connect(current, {signal});
 			outbox = current;
-			handlers.connected();
+			isFailing = false;
+			notify('connected', handlers.connected);
 			for await (const answer of answers) {
 				isAnswered = true;
 				silenceTimer.refresh();
-				handlers.message(answer.message);
+				notify('message', () => {
+					handlers.message(answer.message);
+				});
 			}
 		} catch (error) {
-			reason = stream?.signal.aborted ? reason : messageOf(error);
+			reason = stream?.signal.aborted ? reason : boundedText(messageOf(error));
+			if (outbox === undefined) {
+				logFailedStream(reason);
+			}
 		} finally {
 			clearTimeout(silenceTimer);
 			const wasConnected = outbox !== undefined;
 			outbox?.close();
 			outbox = undefined;
-			sessionManager.abort();
+			sessionManager?.abort();
 			if (wasConnected) {
-				handlers.disconnected(reason);
+				notify('disconnected', () => {
+					handlers.disconnected(reason);
+				});
 			}
 		}
 
@@ -152,8 +193,13 @@
 
 	const ended = run();
 	return {
-		send(message) {
-			if (outbox?.push(create(AgentMessageSchema, {message})) === false) {
+		send(body) {
+			const message = create(AgentMessageSchema, {message: body});
+			if (outbox === undefined || !isEncodable(message)) {
+				return;
+			}
+
+			if (!outbox.push(message)) {
 				stream?.abort();
 			}
 		},
--- a/src/agent/entry-sessions.test.ts
+++ b/src/agent/entry-sessions.test.ts
@@ -76,35 +76,42 @@
 	};
 }
 
-const all = ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h'];
+const addressOf = (number: number): string => `10.0.0.${number}:7100`;
+const first = addressOf(1);
+const second = addressOf(2);
+const third = addressOf(3);
+const fourth = addressOf(4);
+const fifth = addressOf(5);
+const sixth = addressOf(6);
+const all = [first, second, third, fourth, fifth, sixth, addressOf(7), addressOf(8)];
 
 test('an agent whose entries all lose power gets leases from others, and returns to the best ones', t => {
 	const {reachable, pass} = startSessions(all, 3);
-	t.deepEqual(pass(3), ['a', 'b', 'c']);
-	for (const address of ['a', 'b', 'c']) {
+	t.deepEqual(pass(3), [first, second, third]);
+	for (const address of [first, second, third]) {
 		reachable.delete(address);
 	}
 
-	t.deepEqual(pass(4), ['a', 'b', 'c', 'd', 'e', 'f']);
-	reachable.add('b');
-	t.deepEqual(pass(5), ['a', 'b', 'c', 'd', 'e']);
-	reachable.add('a');
-	reachable.add('c');
-	t.deepEqual(pass(5), ['a', 'b', 'c']);
+	t.deepEqual(pass(4), [first, second, third, fourth, fifth, sixth]);
+	reachable.add(second);
+	t.deepEqual(pass(5), [first, second, third, fourth, fifth]);
+	reachable.add(first);
+	reachable.add(third);
+	t.deepEqual(pass(5), [first, second, third]);
 });
 
 test('an agent whose entries all fail to reach the log gets its lease from another entry', t => {
 	const {granting, pass} = startSessions(all, 3);
 	pass(3);
-	for (const address of ['a', 'b', 'c']) {
+	for (const address of [first, second, third]) {
 		granting.delete(address);
 	}
 
-	t.deepEqual(pass(6), ['a', 'b', 'c', 'd', 'e']);
-	granting.add('a');
-	granting.add('b');
-	granting.add('c');
-	t.deepEqual(pass(6), ['a', 'b', 'c']);
+	t.deepEqual(pass(6), [first, second, third, fourth, fifth]);
+	granting.add(first);
+	granting.add(second);
+	granting.add(third);
+	t.deepEqual(pass(6), [first, second, third]);
 });
 
 test('an outage of the log for all entries does not open streams to every entry', t => {
@@ -117,9 +124,14 @@
 test('the entry that replaces a frozen one stays selected while the frozen one accepts new streams', t => {
 	const {freeze, pass} = startSessions(all, 3);
 	pass(3);
-	freeze('a');
+	freeze(first);
 	pass(4);
-	for (let second = 0; second < 30; second++) {
-		t.true(pass(1).includes('d'), `second ${second}`);
+	for (let passed = 0; passed < 30; passed++) {
+		t.true(pass(1).includes(fourth), `second ${passed}`);
 	}
 });
+
+test('an entry whose address cannot be used leaves the stream to the next ones', t => {
+	const {pass} = startSessions(['10.1.0.13:99999', '10.1.0.13:-1', '10.1.0.13', '', 'x'.repeat(200_000), ...all], 3);
+	t.deepEqual(pass(3), [first, second, third]);
+});
--- a/src/agent/entry-sessions.ts
+++ b/src/agent/entry-sessions.ts
@@ -1,4 +1,6 @@
 import type {EventLog} from '../telemetry/event-log.js';
+import {isAddress} from '../validation/address.js';
+import {boundedText} from '../validation/bounded-text.js';
 import type {EntrySession, EntrySessionHandlers} from './entry-session.js';
 import {selectEntries} from './select-entries.js';
 
@@ -23,7 +25,7 @@
 
 /** The agent's streams to the entries. */
 export type EntrySessions = Readonly<{
-	/** Sets the addresses of all entries, best first. */
+	/** Sets the addresses of all entries, best first; what is no address, or stands there twice, is left out. */
 	rank: (rankedAddresses: readonly string[]) => void;
 	/** Selects the entries again; `needsLease` is whether an entry that grants no lease is less useful. */
 	review: (needsLease: boolean) => void;
@@ -53,6 +55,7 @@
 }>): EntrySessions {
 	const sessionStates = new Map<string, SessionState>();
 	let ranked: readonly string[] = [];
+	let unusable: readonly string[] = [];
 	let openAddresses: readonly string[] = [];
 	let isClosed = false;
 
@@ -109,7 +112,14 @@
 
 	return {
 		rank(rankedAddresses) {
-			ranked = rankedAddresses;
+			const found = rankedAddresses.filter((address): boolean => !isAddress(address));
+			const newest = found.find(address => !unusable.includes(address));
+			if (newest !== undefined) {
+				eventLog.warn('entry-address-unusable', {entryAddress: boundedText(newest), addresses: found.length});
+			}
+
+			unusable = found;
+			ranked = [...new Set(rankedAddresses.filter(address => isAddress(address)))];
 			updateSessions();
 		},
 		review(needsLease) {
