Go on with polls and calls of the worker after one that throws or has no end

A poll that threw left the driver with a poll in progress for good: the agent neither saw ends nor lost its lease, so that nobody noticed that tasks which last did not run (LOST). Its rejection was unhandled and ended the process without a line. A call that threw blocked every later call of its task.

A poll that throws, has no answer within 8 s, or returns a list that the reducer cannot use now counts as failed (worker-look-failed) and is logged; the next poll goes on. Calls are bounded in the same way; a start that throws is answered as unknown.

--- a/src/agent/worker-driver.ts
+++ b/src/agent/worker-driver.ts
@@ -1,5 +1,7 @@
-import type {Result} from 'true-myth';
+import {Result} from 'true-myth';
+import {messageOf} from '../errors/message-of.js';
 import {formatError} from '../errors/typed-error.js';
+import {boundedText} from '../validation/bounded-text.js';
 import type {WorkerError, WorkerErrorKind} from '../worker/worker-client.js';
 import type {EventLog} from '../telemetry/event-log.js';
 import type {AgentEffectOf} from './agent-effect.js';
@@ -21,17 +23,40 @@
 	'worker-refused': 'refused', 'worker-unreached': 'unsent', 'worker-gone': 'unsent', 'worker-unavailable': 'unknown', 'worker-unknown-task': 'unknown', 'worker-protocol': 'unknown',
 };
 
-type WorkerDriverDependencies = Readonly<{worker: Worker; eventLog: EventLog; nowMs: () => number; dispatch: (event: AgentEvent) => void}>;
+/** Longest wait for a call; the clients of workers end theirs earlier. A call without an end would block the polls, or the next calls of its task, for good. */
+const defaultCallTimeoutMs = 8000;
+
+type WorkerDriverDependencies = Readonly<{worker: Worker; eventLog: EventLog; nowMs: () => number; dispatch: (event: AgentEvent) => void; callTimeoutMs?: number}>;
+
+/**
+Makes a call that neither throws nor lasts longer than `timeoutMs`. A call that does either may have taken effect, as one without an answer.
+*/
+async function callSafely<Value>(call: () => Promise<Result<Value, WorkerError>>, timeoutMs: number): Promise<Result<Value, WorkerError>> {
+	const failure = (message: string): Result<Value, WorkerError> => Result.err({kind: 'worker-unavailable', message, remedy: 'the call is repeated; see the worker\'s own log if this persists'});
+	let timer: NodeJS.Timeout | undefined;
+	const timedOut = new Promise<Result<Value, WorkerError>>(resolve => {
+		timer = setTimeout(() => {
+			resolve(failure(`no answer within ${timeoutMs} ms`));
+		}, timeoutMs);
+	});
+	try {
+		return await Promise.race([call(), timedOut]);
+	} catch (error) {
+		return failure(boundedText(messageOf(error)));
+	} finally {
+		clearTimeout(timer);
+	}
+}
 
 /**
 Connects the reducer with the worker. Calls for one task are made one after the other, so that the deletion of an ended attempt never
-overtakes the start of the next one.
+overtakes the start of the next one. Polls and calls never reject: one that throws or has no end counts as one without an answer.
 
 @example
 const driver = createWorkerDriver({worker, eventLog, nowMs, dispatch});
 await driver.poll();
 */
-export function createWorkerDriver({worker, eventLog, nowMs, dispatch}: WorkerDriverDependencies): WorkerDriver {
+export function createWorkerDriver({worker, eventLog, nowMs, dispatch, callTimeoutMs = defaultCallTimeoutMs}: WorkerDriverDependencies): WorkerDriver {
 	const lastCalls = new Map<string, Promise<void>>();
 	let polling: Promise<void> | undefined;
 	let isPollRequested = false;
@@ -41,11 +66,15 @@
 		eventLog.warn('worker-call-failed', {call, taskId, error: formatError(error)});
 	}
 
-	function callInOrder(taskId: string, call: () => Promise<void>): void {
-		const after = lastCalls.get(taskId) ?? Promise.resolve();
+	function callInOrder(name: WorkerEffectKind, taskId: string, call: () => Promise<void>): void {
+		const after = lastCalls.get(taskId);
 		const current = (async () => {
 			await after;
-			await call();
+			try {
+				await call();
+			} catch (error) {
+				eventLog.error('worker-answer-unusable', {call: name, taskId, reason: boundedText(messageOf(error))});
+			}
 		})();
 		lastCalls.set(taskId, current);
 		void (async () => {
@@ -56,13 +85,8 @@
 		})();
 	}
 
-	function simpleCall(name: string, taskId: string, call: () => Promise<Result<unknown, WorkerError>>): void {
-		callInOrder(taskId, async () => {
-			const result = await call();
-			if (result.isErr) {
-				warn(name, taskId, result.error);
-			}
-		});
+	function isCurrent(workerIncarnation: string): boolean {
+		return worker.isCurrent?.(workerIncarnation) ?? true;
 	}
 
 	async function start({taskId, request, workerIncarnation}: AgentEffectOf<'start-task'>): Promise<void> {
@@ -75,7 +99,7 @@
 			return;
 		}
 
-		if (worker.isCurrent?.(workerIncarnation) === false) {
+		if (!isCurrent(workerIncarnation)) {
 			// The claim holds only for the worker process for which it was accepted; a start on the next process could run the task twice.
 			dispatch({
 				kind: 'start-answered', nowMs: nowMs(), taskId, attempt, result: 'unknown', reason: 'another worker process has replaced the one that the start is for',
@@ -83,7 +107,7 @@
 			return;
 		}
 
-		const result = await worker.startTask(taskId, request);
+		const result = await callSafely(async () => worker.startTask(taskId, request), callTimeoutMs);
 		if (result.isErr) {
 			warn('start-task', taskId, result.error);
 			dispatch({
@@ -98,8 +122,8 @@
 	}
 
 	function stop(name: 'checkpoint-task' | 'stop-task', taskId: string, call: () => Promise<Result<unknown, WorkerError>>): void {
-		callInOrder(taskId, async () => {
-			const result = await call();
+		callInOrder(name, taskId, async () => {
+			const result = await callSafely(call, callTimeoutMs);
 			if (result.isErr) {
 				warn(name, taskId, result.error);
 			} else {
@@ -112,7 +136,7 @@
 
 	const effectHandlers: Readonly<{[Kind in WorkerEffectKind]: (effect: AgentEffectOf<Kind>) => void}> = {
 		'start-task'(effect) {
-			callInOrder(effect.taskId, async () => start(effect));
+			callInOrder('start-task', effect.taskId, async () => start(effect));
 		},
 		'checkpoint-task'({taskId}) {
 			stop('checkpoint-task', taskId, async () => worker.checkpointTask(taskId));
@@ -121,11 +145,16 @@
 			stop('stop-task', taskId, async () => worker.stopTask(taskId));
 		},
 		'delete-task'({taskId}) {
-			simpleCall('delete-task', taskId, async () => worker.deleteTask(taskId));
+			callInOrder('delete-task', taskId, async () => {
+				const result = await callSafely(async () => worker.deleteTask(taskId), callTimeoutMs);
+				if (result.isErr) {
+					warn('delete-task', taskId, result.error);
+				}
+			});
 		},
 		'throttle-task'({taskId, shareMilli}) {
-			callInOrder(taskId, async () => {
-				const result = await worker.throttleTask(taskId, shareMilli);
+			callInOrder('throttle-task', taskId, async () => {
+				const result = await callSafely(async () => worker.throttleTask(taskId, shareMilli), callTimeoutMs);
 				if (result.isErr) {
 					warn('throttle-task', taskId, result.error);
 					dispatch({kind: 'throttle-failed', nowMs: nowMs(), taskId});
@@ -133,8 +162,8 @@
 			});
 		},
 		'set-lease'({deadlineMonotonicMs}) {
-			callInOrder('', async () => {
-				const result = await worker.setLease(deadlineMonotonicMs);
+			callInOrder('set-lease', '', async () => {
+				const result = await callSafely(async () => worker.setLease(deadlineMonotonicMs), callTimeoutMs);
 				if (result.isErr) {
 					warn('set-lease', undefined, result.error);
 				}
@@ -142,19 +171,22 @@
 		},
 	};
 
-	async function readOnce(): Promise<void> {
-		const requestedAtMs = nowMs();
-		const tasks = await worker.listTasks();
-		if (tasks.isOk) {
-			if (isPollFailing) {
-				isPollFailing = false;
-				eventLog.info('worker-regained', {workerIncarnation: tasks.value.workerIncarnation});
-			}
+	/** Returns false when the reducer cannot use an answer of the worker. */
+	function dispatchAnswer(event: AgentEventOf<'worker-tasks' | 'worker-usage'>): boolean {
+		try {
+			dispatch(event);
+			return true;
+		} catch (error) {
+			eventLog.error('worker-answer-unusable', {call: event.kind, reason: boundedText(messageOf(error))});
+			return false;
+		}
+	}
 
-			dispatch({
-				kind: 'worker-tasks', nowMs: nowMs(), requestedAtMs, list: tasks.value,
-			});
-		} else {
+	/** Polls the tasks; returns whether the worker listed them. */
+	async function readTasks(): Promise<boolean> {
+		const requestedAtMs = nowMs();
+		const tasks = await callSafely(async () => worker.listTasks(), callTimeoutMs);
+		if (tasks.isErr) {
 			// Only the first of consecutive failed polls is logged.
 			if (!isPollFailing) {
 				isPollFailing = true;
@@ -162,25 +194,49 @@
 			}
 
 			dispatch({kind: 'worker-look-failed', nowMs: nowMs(), isConnectionRefused: tasks.error.kind === 'worker-gone'});
+			return false;
+		}
+
+		if (isPollFailing) {
+			isPollFailing = false;
+			eventLog.info('worker-regained', {workerIncarnation: tasks.value.workerIncarnation});
+		}
+
+		const isUsed = dispatchAnswer({
+			kind: 'worker-tasks', nowMs: nowMs(), requestedAtMs, list: tasks.value,
+		});
+		if (!isUsed) {
+			dispatch({kind: 'worker-look-failed', nowMs: nowMs(), isConnectionRefused: false});
+		}
+
+		return isUsed;
+	}
+
+	async function readOnce(): Promise<void> {
+		if (!await readTasks()) {
 			return;
 		}
 
 		isPollRequested ||= worker.usesLongPolling === true;
-		const usage = await worker.readUsage();
+		const usage = await callSafely(async () => worker.readUsage(), callTimeoutMs);
 		if (usage.isOk) {
-			dispatch({kind: 'worker-usage', nowMs: nowMs(), usage: usage.value});
+			dispatchAnswer({kind: 'worker-usage', nowMs: nowMs(), usage: usage.value});
 		} else {
 			warn('read-usage', undefined, usage.error);
 		}
 	}
 
 	async function pollWhileRequested(): Promise<void> {
-		while (isPollRequested) {
-			isPollRequested = false;
-			await readOnce();
+		try {
+			while (isPollRequested) {
+				isPollRequested = false;
+				await readOnce();
+			}
+		} catch (error) {
+			eventLog.error('worker-poll-failed', {reason: boundedText(messageOf(error))});
+		} finally {
+			polling = undefined;
 		}
-
-		polling = undefined;
 	}
 
 	async function poll(): Promise<void> {
