Do not renew the lease of a worker that refuses connections

The worker lease of a worker whose newest connection was refused was renewed until its last list was older than workerTimeoutMs, and with it the time after which its tasks count as stopped. Only a worker that is not silent is renewed now, which is what heartbeats report to entries.

--- a/src/agent/reduce-agent.ts
+++ b/src/agent/reduce-agent.ts
@@ -77,7 +77,7 @@
 	};
 }
 
-/** Renews the worker lease, at most until the agent's lease expires, and not for a worker whose last list is older than `workerTimeoutMs`. */
+/** Renews the worker lease, at most until the agent's lease expires, and not for a worker that is silent. */
 function renewWorkerLease(nowMs: number): StateUpdate {
 	return state => {
 		const {workerHoldMs, workerTimeoutMs} = state.settings.timings;
--- a/src/agent/worker-view.test.ts
+++ b/src/agent/worker-view.test.ts
@@ -37,3 +37,9 @@
 
 	t.is(renewals, 10);
 });
+
+test('the lease of a worker that refuses connections is not renewed, although its last list is recent', t => {
+	const refusing = {...seen, connectionRefused: {sinceMs: 10_100, untilMs: 10_200}};
+	t.is(nextWorkerLeaseDeadlineMs(refusing, {leaseDeadlineMs: 30_000, nowMs: 10_300, ...timings}), undefined);
+	t.is(nextWorkerLeaseDeadlineMs({...seen, lost: true}, {leaseDeadlineMs: 30_000, nowMs: 10_300, ...timings}), undefined);
+});
--- a/src/agent/worker-view.ts
+++ b/src/agent/worker-view.ts
@@ -77,8 +77,8 @@
 
 /**
 Returns the next worker lease deadline. It lies within the agent's lease and at most `workerHoldMs` after the worker's last list, which
-bounds how long the tasks of a silent worker may still run. Returns undefined when there is no lease, when the worker has been
-silent for too long, or when the renewal is too short to be worth a call.
+bounds how long the tasks of a silent worker may still run. Returns undefined when there is no lease, when the worker is
+silent, or when the renewal is too short to be worth a call.
 
 @example
 nextWorkerLeaseDeadlineMs({...initialWorkerView, lastSeenAtMs: 5000}, {leaseDeadlineMs: 20_000, nowMs: 5500, workerHoldMs: 6000, workerTimeoutMs: 1500}); // => 11_000
@@ -89,7 +89,7 @@
 	workerHoldMs: number;
 	workerTimeoutMs: number;
 }>): number | undefined {
-	if (leaseDeadlineMs === undefined || nowMs - worker.lastSeenAtMs > workerTimeoutMs) {
+	if (leaseDeadlineMs === undefined || isSilent(worker, {nowMs, workerTimeoutMs})) {
 		return undefined;
 	}
 
