Remember what former workers offered before a job is refused

Callers saw a job fail for good that needed a label or size which only the former worker of a VM had, and, while a site started, jobs that needed a kind of VM that had not registered yet. The decision read the VMs in the state alone, where a worker that registers under the name of a VM replaces what the one before offered.

--- a/src/cluster/cluster-state-codec.ts
+++ b/src/cluster/cluster-state-codec.ts
@@ -12,6 +12,7 @@
 	priorityClassSchema, requestLimitsSchema, serviceSchema, weightsSchema,
 } from './intent.js';
 import {type Resources} from './resources.js';
+import {addVmOffer, type VmOffer} from './vm-offer.js';
 import {workflowSchema} from './workflow.js';
 
 /** Version of the encoding, to be incremented with every incompatible change of it. A snapshot of another version is not loaded. */
@@ -99,6 +100,8 @@
 	sequences: z.array(z.tuple([z.string(), z.number()])),
 	vms: z.array(vm),
 	expiredVmIds: strings,
+	/** Service, labels and capacity. Left out in snapshots of versions that did not store it. */
+	vmOffers: z.array(z.tuple([z.string(), strings, resources])).optional(),
 	backendServers: z.array(backendServer),
 	goneBackendServerIds: strings,
 	tasks: z.array(task),
@@ -292,6 +295,18 @@
 	backendServerIds: immutableSet(packed.backendServerIds),
 }];
 
+const unpackVmOffers = (packed: EncodedClusterState['vmOffers']): ClusterState['vmOffers'] | undefined =>
+	packed && vmOffersOf(packed.map(([service, labels, capacity]) => ({service, labels, capacity: unpackResources(capacity)})));
+
+function vmOffersOf(offers: readonly VmOffer[]): ClusterState['vmOffers'] {
+	let known: ClusterState['vmOffers'] = orderedMap();
+	for (const offer of offers) {
+		known = addVmOffer(known, offer);
+	}
+
+	return known;
+}
+
 const unpackBackendServer = (packed: EncodedClusterState['backendServers'][number]): [string, BackendServer] =>
 	[packed.backendServerId, {...packed, committed: unpackResources(packed.committed)}];
 
@@ -311,6 +326,7 @@
 		sequences: sortedEntries(state.sequences),
 		vms: sortedValues(state.vms).map(value => packVm(value)),
 		expiredVmIds: [...state.expiredVmIds],
+		vmOffers: [...state.vmOffers.values()].map(({service, labels, capacity}) => [service, [...labels], packResources(capacity)]),
 		backendServers: sortedValues(state.backendServers).map(value => ({...value, committed: packResources(value.committed)})),
 		goneBackendServerIds: [...state.goneBackendServerIds],
 		tasks: sortedValues(state.tasks).map(value => packTask(value)),
@@ -357,13 +373,16 @@
 
 	const {data} = parsed;
 	const {configuration} = data;
+	const vms = data.vms.map(packed => unpackVm(packed));
 	return ok({
 		offset: data.offset,
 		entries: immutableMap(data.entries.map(member => [member.incarnation, member])),
 		endedIncarnations: orderedSet(data.endedIncarnations),
 		sequences: immutableMap(data.sequences),
-		vms: immutableMap(data.vms.map(packed => unpackVm(packed))),
+		vms: immutableMap(vms),
 		expiredVmIds: orderedSet(data.expiredVmIds),
+		// Without stored offers, those of the VMs in the snapshot are known.
+		vmOffers: unpackVmOffers(data.vmOffers) ?? vmOffersOf(vms.map(([, value]) => value)),
 		backendServers: immutableMap(data.backendServers.map(packed => unpackBackendServer(packed))),
 		goneBackendServerIds: orderedSet(data.goneBackendServerIds),
 		tasks: immutableMap(data.tasks.map(packed => unpackTask(packed))),
--- a/src/cluster/cluster-state.ts
+++ b/src/cluster/cluster-state.ts
@@ -7,6 +7,7 @@
 } from './intent.js';
 import {type ReadLag} from './read-lag.js';
 import {type Resources} from './resources.js';
+import {type VmOffer} from './vm-offer.js';
 import {type TaskPosition, type Workflow} from './workflow.js';
 
 /** An entry process that registered itself in the log. */
@@ -188,6 +189,8 @@
 	vms: Map<string, Vm>;
 	/** VMs in phase `expired`, oldest first; the oldest are removed when there are too many. */
 	expiredVmIds: OrderedSet<string>;
+	/** The distinct offers of all workers that registered, oldest first, also of workers that others have replaced. */
+	vmOffers: OrderedMap<string, VmOffer>;
 	backendServers: Map<string, BackendServer>;
 	/** Backend servers in phase `gone`, oldest first; the oldest are removed when there are too many. */
 	goneBackendServerIds: OrderedSet<string>;
--- a/src/cluster/missing-capacity.ts
+++ b/src/cluster/missing-capacity.ts
@@ -1,4 +1,3 @@
-import {type Vm} from './cluster-state.js';
 import {fitsInto, type Resources} from './resources.js';
 
 const unitByDimension: ReadonlyArray<readonly [keyof Resources, string]> = [
@@ -14,7 +13,7 @@
 missingCapacity(state.vms.values(), {processorsMilli: 1000, memoryMb: 64, accelerators: 9});
 // => 'needs 9 accelerators; the largest VM has 8'
 */
-export function missingCapacity(vms: Iterable<Vm>, demand: Resources): string | undefined {
+export function missingCapacity(vms: Iterable<Readonly<{capacity: Resources}>>, demand: Resources): string | undefined {
 	const largest = {processorsMilli: 0, memoryMb: 0, accelerators: 0};
 	let isEmpty = true;
 	for (const vm of vms) {
--- a/src/cluster/reduce-cluster.ts
+++ b/src/cluster/reduce-cluster.ts
@@ -22,6 +22,7 @@
 	sequences: immutableMap(),
 	vms: immutableMap(),
 	expiredVmIds: orderedSet(),
+	vmOffers: orderedMap(),
 	backendServers: immutableMap(),
 	goneBackendServerIds: orderedSet(),
 	tasks: immutableMap(),
--- a/src/cluster/state-limits.ts
+++ b/src/cluster/state-limits.ts
@@ -13,6 +13,9 @@
 /** Expired VMs that stay in the state. 400 VMs a day fail or are replaced, so this covers several days. */
 export const MAX_EXPIRED_VMS = 2000;
 
+/** Distinct offers of workers that stay in the state, of 100 bytes each: kinds of VMs times racks, with room for kinds that come later. */
+export const MAX_VM_OFFERS = 256;
+
 /** Backend servers in phase `gone` that stay in the state, for `status`. */
 export const MAX_GONE_BACKEND_SERVERS = 1000;
 
--- a/src/cluster/vm-handlers.ts
+++ b/src/cluster/vm-handlers.ts
@@ -8,6 +8,7 @@
 import {addResources, fitsInto, noResources} from './resources.js';
 import {MAX_EXPIRED_VMS, MAX_FORMER_INCARNATIONS} from './state-limits.js';
 import {evictTask, handleLostAttempt} from './task-transitions.js';
+import {addVmOffer} from './vm-offer.js';
 import {stepOf} from './workflow-progress.js';
 
 type AgentRecord = Readonly<{vmId: string; agentIncarnation: string}>;
@@ -134,7 +135,9 @@
 		waitingTaskIds: [],
 		waitingBackendServerIds: [],
 	};
-	const next = rebindTasks({...reconciled, expiredVmIds: reconciled.expiredVmIds.delete(vm.vmId)}, vm, running, offset);
+	const next = rebindTasks({
+		...reconciled, expiredVmIds: reconciled.expiredVmIds.delete(vm.vmId), vmOffers: addVmOffer(reconciled.vmOffers, vm),
+	}, vm, running, offset);
 	return markChanged(next, offset, [entityName('vm', vm.vmId)]);
 }
 
--- a/src/placement/feasibility.ts
+++ b/src/placement/feasibility.ts
@@ -1,4 +1,5 @@
 import {type ClusterState, type Task, type Vm} from '../cluster/cluster-state.js';
+import {type VmOffer} from '../cluster/vm-offer.js';
 import {missingCapacity} from '../cluster/missing-capacity.js';
 import {stepOf} from '../cluster/workflow-progress.js';
 import {
@@ -32,27 +33,27 @@
 
 /**
 Returns a message that describes why no VM could run a task even when empty; undefined when a VM could, and when no VM of the task's service
-is recorded.
+is recorded. Workers that others have replaced count too.
 
 @example
 describeMissingCapacity(task, cluster); // => 'needs 64000 processorsMilli; the largest VM has 16000'
 */
 export function describeMissingCapacity(task: Task, cluster: ClusterState): string | undefined {
-	// A VM with an expired lease may come back, so it counts too: only a task that no recorded VM could run is refused.
 	const run = cluster.workflows.get(task.jobId);
 	const label = stepOf(cluster, task)?.requiredLabel;
-	const canHold = (vm: Vm) => (run === undefined || vm.service === run.workflow.service)
-		&& (label === undefined || vm.labels.includes(label))
-		&& fitsInto(task.spec.demand, vm.capacity);
-	if (cluster.vms.some(vm => canHold(vm))) {
+	const isOfService = ({service}: VmOffer) => run === undefined || service === run.workflow.service;
+	const hasLabel = ({labels}: VmOffer) => label === undefined || labels.includes(label);
+	const canHold = (offer: VmOffer) => isOfService(offer) && hasLabel(offer) && fitsInto(task.spec.demand, offer.capacity);
+	// A VM with an expired lease or a replaced worker may come back, so it counts too: only a task that no known worker could run is refused.
+	if (cluster.vms.some(vm => canHold(vm)) || cluster.vmOffers.some(offer => canHold(offer))) {
 		return undefined;
 	}
 
-	const vms = run ? cluster.vms.filter(vm => vm.service === run.workflow.service) : cluster.vms;
-	if (vms.isEmpty()) {
+	const offers = [...cluster.vms.values(), ...cluster.vmOffers.values()].filter(offer => isOfService(offer));
+	if (offers.length === 0) {
 		return undefined;
 	}
 
-	const labelled = label === undefined ? vms : vms.filter(vm => vm.labels.includes(label));
-	return labelled.isEmpty() ? `needs label ${label ?? ''}, which no VM has` : missingCapacity(labelled.values(), task.spec.demand);
+	const labelled = offers.filter(offer => hasLabel(offer));
+	return labelled.length === 0 ? `needs label ${label ?? ''}, which no VM has` : missingCapacity(labelled, task.spec.demand);
 }
--- a/src/placement/place-queued-tasks.ts
+++ b/src/placement/place-queued-tasks.ts
@@ -20,6 +20,9 @@
 import {maxLatencyImpactMilli, fillingDemandMilli, latencyImpactOfPlacementMilli} from './filling-work.js';
 import {offeredMilliOf} from './offered-processors.js';
 import {describeMissingCapacity, freeResourcesOf, acceptsNewTasks} from './feasibility.js';
+import {
+	type FleetGrowth, isFleetSettled, noFleetSeen, observeFleetGrowth,
+} from './fleet-growth.js';
 import {
 	addPendingClaim, noPendingClaims, type PendingClaims, prunePendingClaims, siblingsKeyOf,
 } from './pending-claims.js';
@@ -53,6 +56,8 @@
 	/** VMs with a silent worker: the agent could not deliver a start to it. */
 	silentVmIds: ImmutableSet<string>;
 	reservations: Reservations;
+	/** Until the fleet has stopped growing, a task that no known worker could run waits for others to register. */
+	fleetGrowth: FleetGrowth;
 }>;
 
 export const initialPlacement: PlacementState = {
@@ -65,6 +70,7 @@
 	fillingRoomByVm: immutableMap(),
 	silentVmIds: immutableSet(),
 	reservations: noReservations,
+	fleetGrowth: noFleetSeen,
 };
 
 /** VMs sampled first for one task; all VMs are scanned only when none of the sample fits. */
@@ -110,6 +116,7 @@
 	const pruned: PlacementState = {
 		...state,
 		pending,
+		fleetGrowth: observeFleetGrowth(state.fleetGrowth, context),
 		ownersSeen: owners.ownersSeen(),
 		reservations: retainValidReservations(state.reservations, {cluster: context.cluster, pending, nowMs: context.nowMs}, state.silentVmIds),
 	};
@@ -193,7 +200,7 @@
 
 	const lacks = describeMissingCapacity(task, cluster);
 	if (lacks !== undefined) {
-		pass.claims.push({kind: 'append-record', record: {kind: 'task-unplaceable', taskId, lacks}});
+		refuse(pass, taskId, lacks);
 		return;
 	}
 
@@ -261,6 +268,13 @@
 	};
 }
 
+/** Refuses a task that no known worker could run, once no more workers are waited for. */
+function refuse(pass: Pass, taskId: string, lacks: string): void {
+	if (isFleetSettled(pass.state.fleetGrowth, pass.context.nowMs)) {
+		pass.claims.push({kind: 'append-record', record: {kind: 'task-unplaceable', taskId, lacks}});
+	}
+}
+
 /** Reserves a VM for a task that could not be placed, so that later tasks do not take the resources released there. */
 function reserve(pass: Pass, task: Task): void {
 	const {reservations, pending} = pass.state;
