Take a later worker as proof of ended tasks on the same machine only

Read in the code: a VM out of reach may be replaced by another machine under its name. A later start of the new machine's worker, or the loss of that worker as its agent reported it, freed the tasks that the replaced machine may still run, so that they could run twice. The platform gives a replacement the roles of a machine at a new address and promises nothing about its name.

Both proofs now hold only for the IP number of the former incarnation; else the VM is revoked and its tasks wait for the leases, as for any machine out of reach. The random logs draw the machine and the start of the worker, and their check no longer excepts agents that report a lost worker.

Failed before: src/cluster/reduce-cluster.test.ts, 'a replacement of a VM out of reach frees no task that the replaced machine may still run, whatever it reports of its own worker' (- 'queued', + 'claimed'), and 'a task never has two live attempts, and a new one starts only after a record that ended the last one' (counterexample after 15 tests).

--- a/src/cluster/random-log.ts
+++ b/src/cluster/random-log.ts
@@ -110,7 +110,8 @@
 			workerIncarnation: `${vmId}-w${c % 2}`,
 			failureDomain: `domain-${a % 2}`,
 			rack: 'rack-1',
-			requestAddress: '127.0.0.1:7300',
+			requestAddress: `127.0.0.${1 + (b % 2)}:7300`,
+			workerStartedAtMs: 1 + (c % 4),
 			capacity: resourcesOfCores(4 + (c % 4)),
 			...(c % 8 === 7
 				? {workerLost: true as const, runningTasks: []}
--- a/src/cluster/reduce-cluster.test.ts
+++ b/src/cluster/reduce-cluster.test.ts
@@ -70,8 +70,10 @@
 
 function isWorkerReplacedTooEarly(before: ClusterState, record: ClusterRecordOf<'vm-registered'>): boolean {
 	const former = before.vms.get(record.vmId);
+	const isSameMachine = former?.requestAddress === record.requestAddress;
+	const hasStoppedTasks = record.workerLost === true || (record.workerStartedAtMs ?? 0) > (former?.workerStartedAtMs ?? 0);
 	return former !== undefined
-		&& record.workerLost !== true
+		&& !(isSameMachine && hasStoppedTasks)
 		&& former.phase !== 'expired'
 		&& former.workerIncarnation !== record.workerIncarnation
 		&& former.taskIds.some(taskId => before.tasks.get(taskId)?.workClass === 'batch');
@@ -256,8 +258,8 @@
 			}],
 		},
 	});
-	const claim = (taskId: string, cores: number, evictTaskIds: readonly string[] = []) => write({
-		kind: 'task-claimed', taskId, attempt: 1, vmId: 'vm-1', agentIncarnation: 'i1', committed: resourcesOfCores(cores), evictTaskIds, decision: {
+	const claim = (taskId: string, cores: number, evictTaskIds: readonly string[] = [], agentIncarnation = 'i1') => write({
+		kind: 'task-claimed', taskId, attempt: 1, vmId: 'vm-1', agentIncarnation, committed: resourcesOfCores(cores), evictTaskIds, decision: {
 			policy: 'test', seed: 1, stateOffset: 0, candidates: [], consideredVms: 1, reason: '',
 		},
 	});
@@ -317,6 +319,42 @@
 	t.is(claimNext('i3'), 'claimed');
 });
 
+test('a replacement of a VM out of reach frees no task that the replaced machine may still run, whatever it reports of its own worker', t => {
+	const registration = {
+		kind: 'vm-registered', vmId: 'vm-1', failureDomain: 'a', rack: 'r', capacity: resourcesOfCores(4), runningTasks: [],
+	} as const;
+	for (const replacement of [{workerIncarnation: 'w3', workerStartedAtMs: 3000}, {workerIncarnation: 'unknown', workerLost: true}] as const) {
+		const {write, submit, claim} = startCluster();
+		write({
+			...registration, requestAddress: '10.1.0.13:7300', agentIncarnation: 'i2', workerIncarnation: 'w2', workerStartedAtMs: 2000,
+		});
+		submit('lasting', 'urgent');
+		claim('lasting', 1, [], 'i2');
+		const replaced = {...registration, ...replacement, requestAddress: '10.1.0.77:7300'};
+		const taken = write({...replaced, agentIncarnation: 'i3'});
+		t.is(taken.tasks.get('lasting')?.phase, 'claimed');
+		t.is(taken.vms.get('vm-1')?.phase, 'revoked');
+		const expired = write({kind: 'vm-lease-expired', vmId: 'vm-1', agentIncarnation: 'i2'});
+		t.is(expired.tasks.get('lasting')?.phase, 'queued');
+		t.is(write({...replaced, agentIncarnation: 'i3'}).vms.get('vm-1')?.phase, 'live');
+	}
+});
+
+test('a later worker on the same machine frees the tasks of the one before at once, also when the port of the agent has changed', t => {
+	const {write, submit, claim} = startCluster();
+	const registration = {
+		kind: 'vm-registered', vmId: 'vm-1', failureDomain: 'a', rack: 'r', capacity: resourcesOfCores(4), runningTasks: [],
+	} as const;
+	write({
+		...registration, requestAddress: '10.1.0.13:7300', agentIncarnation: 'i2', workerIncarnation: 'w2', workerStartedAtMs: 2000,
+	});
+	submit('lasting', 'urgent');
+	claim('lasting', 1, [], 'i2');
+	t.is(write({
+		...registration, requestAddress: '10.1.0.13:7301', agentIncarnation: 'i3', workerIncarnation: 'w3', workerStartedAtMs: 3000,
+	}).tasks.get('lasting')?.phase, 'queued');
+});
+
 test('a restarted agent that received nothing from its lost worker releases the tasks of the former incarnation and keeps its description of the VM', t => {
 	const {write, submit, claim} = startCluster();
 	submit('lasting', 'urgent');
--- a/src/cluster/vm-handlers.ts
+++ b/src/cluster/vm-handlers.ts
@@ -157,18 +157,24 @@
 		: state;
 }
 
+/** Returns the host of a VM's request address. It tells the machines apart that bear the name of a VM one after the other. */
+function machineOf({requestAddress}: Pick<Vm, 'requestAddress'>): string {
+	return requestAddress.split(':', 1)[0] ?? '';
+}
+
 /**
 Returns whether batch tasks of the former worker may still run although another worker process registers under the same VM ID. They may: when an
-unreachable VM was replaced, its worker may run on, and the new worker's list does not include the tasks. They have certainly stopped in each of
-three cases: the new worker is known to have started later on the same VM, the agent reports its worker as lost, or the former incarnation's lease
-has expired.
+unreachable VM was replaced, its worker may run on, and the new worker's list does not include the tasks. They have certainly stopped when the former
+incarnation's lease has expired, and on the same machine also when the new worker is known to have started later or the agent reports its worker as
+lost. Of another machine's worker neither says anything.
 */
-function mayStillRunTasks(state: ClusterState, former: Vm, {workerIncarnation, workerStartedAtMs = 0, workerLost}: ClusterRecordOf<'vm-registered'>): boolean {
+function mayStillRunTasks(state: ClusterState, former: Vm, record: ClusterRecordOf<'vm-registered'>): boolean {
+	const {workerIncarnation, workerStartedAtMs = 0, workerLost} = record;
 	const isSuccessor = former.workerStartedAtMs > 0 && workerStartedAtMs > former.workerStartedAtMs;
-	return workerLost !== true
+	const hasStoppedTasks = machineOf(former) === machineOf(record) && (isSuccessor || workerLost === true);
+	return !hasStoppedTasks
 		&& former.phase !== 'expired'
 		&& former.workerIncarnation !== workerIncarnation
-		&& !isSuccessor
 		&& former.taskIds.some(taskId => state.tasks.get(taskId)?.workClass === 'batch');
 }
 
--- a/src/settings/agent-settings.ts
+++ b/src/settings/agent-settings.ts
@@ -10,7 +10,7 @@
 	vmId: nameSchema.check(z.describe('Name of the VM, unique in the deployment')),
 	failureDomain: nameSchema.check(z.describe('Failure domain that this VM is in')),
 	rack: nameSchema.check(z.describe('Rack that this VM is in')),
-	requestAddress: addressSchema.check(z.describe('Where entries send requests and backend servers announce themselves')),
+	requestAddress: addressSchema.check(z.describe('Where entries send requests and backend servers announce themselves; a replacement of the VM under the same name needs another IP number')),
 	entryAddresses: z._default(z.readonly(z.array(addressSchema)), []).check(z.describe('Agent addresses of the entries of this region; needed without `platform`')),
 	entryStreams: z.optional(z.int().check(z.minimum(1))).check(z.describe('Entries that the agent keeps a stream to at once; without it, all of them')),
 	workerUrl: z.optional(z.url()).check(z.describe('Address of the platform\'s worker on this VM; not used beside `platform`')),
