Apply a page of the log although one of its records or what follows throws

A page is read only once. When the handler of one of its records threw, or a part of the reducer behind it such as a pass of the placement, the entry lost the whole page: its state lacked records that the other entries had.

The handler of a record that throws changes nothing but the offset and the writer's sequence, on every entry alike, and the other records of the page are applied. The parts that follow from a page, and those of a control tick, run one by one: one that throws is left out. Callers that pass no function for the report, such as tests and replays, still get the error.

Before: 'a page is applied, and the control tick runs, although a record and a part of the reducer throw' fails with 'TypeError: Cannot destructure property planId of plan as it is undefined', and so does the property of broken records among random logs.

--- a/src/cluster/reduce-cluster.test.ts
+++ b/src/cluster/reduce-cluster.test.ts
@@ -351,3 +351,44 @@
 	t.is(state.tasks.size, 2001);
 	t.false(state.entityOffsets.has('job/job-0'));
 });
+
+/** Returns a log in which some values are replaced by records that break their handlers. */
+function withBrokenRecords(log: readonly LoggedRecord[], isBroken: (index: number) => boolean): readonly LoggedRecord[] {
+	// @ts-expect-error -- A record without its plan stands for one that the schema accepts and its handler does not expect.
+	const broken: LoggedRecord['envelope']['record'] = {kind: 'plan-confirmed'};
+	return log.map((logged, index) => isBroken(index) ? {...logged, envelope: {...logged.envelope, record: broken}} : logged);
+}
+
+test('a record whose handler throws drops no other record of its page, and is the same to every entry, however its pages are cut', t => {
+	t.notThrows(() => {
+		fc.assert(fc.property(randomCommands, fc.integer({min: 2, max: 9}), fc.integer({min: 1, max: 40}), (list, distance, pageLength) => {
+			const log = withBrokenRecords(buildLog(list), index => index > 12 && index % distance === 0);
+			const failures: number[] = [];
+			const atOnce = applyRecords(emptyClusterState, log, ({offset}) => {
+				failures.push(offset);
+			});
+			let inPages = emptyClusterState;
+			let oneByOne = emptyClusterState;
+			for (let start = 0; start < log.length; start += pageLength) {
+				inPages = applyRecords(inPages, log.slice(start, start + pageLength), () => undefined);
+			}
+
+			for (const logged of log) {
+				const before = oneByOne;
+				oneByOne = applyRecord(before, logged, () => undefined);
+				ensure(oneByOne.offset === logged.offset, `the record at ${logged.offset} is not passed`);
+				ensure(!failures.includes(logged.offset) || before.tasks === oneByOne.tasks, `the record at ${logged.offset} changed a task`);
+			}
+
+			ensure(failures.length > 0, 'no handler threw');
+			ensure(encoded(inPages) === encoded(atOnce) && encoded(oneByOne) === encoded(atOnce), 'the states differ');
+		}), {numRuns: 30});
+	});
+});
+
+test('a handler that throws is not hidden from a caller that takes no reports', t => {
+	const log = withBrokenRecords(buildLog([]), index => index === 5);
+	t.throws(() => {
+		applyRecords(emptyClusterState, log);
+	}, {instanceOf: TypeError});
+});
--- a/src/cluster/reduce-cluster.ts
+++ b/src/cluster/reduce-cluster.ts
@@ -71,6 +71,12 @@
 	...planHandlers,
 };
 
+/** A record whose handler threw. */
+export type RecordFailure = Readonly<{offset: number; kind: ClusterRecord['kind']; error: unknown}>;
+
+/** Called with a record whose handler threw; without it, the error is thrown to the caller. */
+export type OnRecordFailure = (failure: RecordFailure) => void;
+
 function dispatch<Kind extends ClusterRecord['kind']>(
 	kind: Kind,
 	state: ClusterState,
@@ -80,8 +86,23 @@
 	return handlers[kind](state, record, context);
 }
 
+/** Applies a record to a state that has accepted it. When its handler throws, the record changes nothing else, on every entry alike. */
+function applyAccepted(state: ClusterState, {offset, envelope: {incarnation, record}}: LoggedRecord, onFailure: OnRecordFailure | undefined): ClusterState {
+	try {
+		return dispatch(record.kind, state, record, {offset, writerIncarnation: incarnation});
+	} catch (error) {
+		if (onFailure === undefined) {
+			throw error;
+		}
+
+		onFailure({offset, kind: record.kind, error});
+		return state;
+	}
+}
+
 /**
-Applies one logged record. The function is pure and total: a record that is not acceptable changes nothing but `offset`.
+Applies one logged record. The function is pure: a record that is not acceptable changes nothing but `offset`. With `onFailure` it is total: a record
+whose handler throws is reported and changes nothing but `offset` and the writer's sequence.
 
 Records at or below `state.offset` are ignored, so pages may overlap. A record of a writer incarnation is accepted only when its
 sequence is higher than that of the last accepted one: a writer has one batch in flight and resends it unchanged, so a lower
@@ -100,7 +121,7 @@
 });
 next.entries.get('e5f0').entryId; // => 'entry-1'
 */
-export function applyRecord(state: ClusterState, logged: LoggedRecord): ClusterState {
+export function applyRecord(state: ClusterState, logged: LoggedRecord, onFailure?: OnRecordFailure): ClusterState {
 	const {offset, envelope: {incarnation, sequence, record}} = logged;
 	if (offset <= state.offset) {
 		return state;
@@ -112,12 +133,12 @@
 	}
 
 	const member = state.entries.get(incarnation);
-	return dispatch(record.kind, {
+	return applyAccepted({
 		...state,
 		offset,
 		sequences: state.sequences.set(incarnation, sequence),
 		entries: member ? state.entries.set(incarnation, {...member, lastOffset: offset}) : state.entries,
-	}, record, {offset, writerIncarnation: incarnation});
+	}, logged, onFailure);
 }
 
 /** Sequence and offset of the newest accepted record of a writer. */
@@ -131,9 +152,9 @@
 updated once a page instead of once a record, and before records about entries.
 
 @example
-const next = applyRecords(state, page.records);
+const next = applyRecords(state, page.records, ({offset, error}) => report(offset, error));
 */
-export function applyRecords(state: ClusterState, records: readonly LoggedRecord[]): ClusterState {
+export function applyRecords(state: ClusterState, records: readonly LoggedRecord[], onFailure?: OnRecordFailure): ClusterState {
 	let next = state;
 	const lastAcceptedByWriter = new Map<string, AcceptedRecord>();
 	for (const logged of records) {
@@ -143,7 +164,7 @@
 		}
 
 		if (entryRecordKinds.has(record.kind)) {
-			next = applyRecord(recordAccepted(next, lastAcceptedByWriter), logged);
+			next = applyRecord(recordAccepted(next, lastAcceptedByWriter), logged, onFailure);
 			lastAcceptedByWriter.clear();
 			continue;
 		}
@@ -153,7 +174,7 @@
 		next = {...next, offset};
 		if (sequence > lastAcceptedSequence) {
 			lastAcceptedByWriter.set(incarnation, {sequence, offset});
-			next = dispatch(record.kind, next, record, {offset, writerIncarnation: incarnation});
+			next = applyAccepted(next, logged, onFailure);
 		}
 	}
 
--- a/src/entry/entry-event.ts
+++ b/src/entry/entry-event.ts
@@ -28,6 +28,9 @@
 		| Readonly<{kind: 'deferred-asked'; replyId: string; subject: DeferredSubject}>
 		| Readonly<{kind: 'request'; event: RequestEvent}>;
 
+/** A part of the entry's reducer that threw, or with `offset` the handler of a record. */
+export type PartFailure = Readonly<{part: string; offset?: number; error: unknown}>;
+
 /** Inputs that the entry's process adds to each event, so that the reducer stays pure. */
 export type EventInputs = Readonly<{
 	nowMs: number;
@@ -36,4 +39,6 @@
 	pendingAppends: number;
 	/** Measures the duration of a part of the reduction for the metrics; it does not affect the result. */
 	measurePart?: MeasurePart;
+	/** Called with a part of the reduction that threw and is left out. Without it, the error is thrown to the caller. */
+	onPartFailed?: (failure: PartFailure) => void;
 }>;
--- a/src/entry/entry-process.ts
+++ b/src/entry/entry-process.ts
@@ -28,6 +28,7 @@
 import {type EntryState, initialEntryState} from './entry-state.js';
 import {createJobInterface} from './job-interface.js';
 import {createLogConnection} from './log-connection.js';
+import {logPartFailures} from './log-part-failures.js';
 import {createOperatorBackend} from './operator-backend.js';
 import {startOperatorServer} from './operator-server.js';
 import {reduceEntry} from './reduce-entry.js';
@@ -91,6 +92,7 @@
 		nowMs: () => performance.now(),
 	});
 
+	const onPartFailed = logPartFailures({eventLog, metrics, nowMs: () => performance.now()});
 	const loop = createEventLoop<EntryState, EntryEvent, EntryEffect>({
 		initialState: initialEntryState(incarnation),
 		reduce: (state, event) => monitor.measureTransition(event.kind, () => reduceEntry(state, event, {
@@ -99,6 +101,7 @@
 			seed: randomInt(0x7F_FF_FF_FF),
 			pendingAppends: logConnection.pendingAppends(),
 			measurePart: monitor.measurePart,
+			onPartFailed,
 		}, settings)),
 		execute(effect) {
 			execute(effect);
--- a/src/entry/reduce-entry.test.ts
+++ b/src/entry/reduce-entry.test.ts
@@ -3,7 +3,7 @@
 import {type ClusterRecord} from '../cluster/cluster-record.js';
 import {HeartbeatSchema, HelloSchema} from '../generated/arbutushinge/v1/agent_pb.js';
 import {entrySettingsSchema} from '../settings/entry-settings.js';
-import {type EntryEvent} from './entry-event.js';
+import {type EntryEvent, type EventInputs, type PartFailure} from './entry-event.js';
 import {initialEntryState} from './entry-state.js';
 import {type EntryTransition, reduceEntry} from './reduce-entry.js';
 
@@ -34,20 +34,21 @@
 };
 
 /** Creates an entry whose log also contains records of other entries. */
-function createEntry() {
+function createEntry(inputs: Partial<EventInputs> = {}) {
 	let state = initialEntryState('own');
 	let offset = -1;
 	const sequences = new Map<string, number>();
 
 	function dispatch(event: EntryEvent, nowMs: number): EntryTransition {
 		const transition = reduceEntry(state, event, {
-			nowMs, wallTimeMs: nowMs, seed: 1, pendingAppends: 0,
+			nowMs, wallTimeMs: nowMs, seed: 1, pendingAppends: 0, ...inputs,
 		}, settings);
 		state = transition.state;
 		return transition;
 	}
 
 	return {
+		state: () => state,
 		dispatch,
 		read(incarnation: string, records: readonly ClusterRecord[], nowMs: number): EntryTransition {
 			return dispatch({
@@ -201,3 +202,32 @@
 	const closed = entry.dispatch({kind: 'agent-session-closed', sessionId: 'session-1'}, 20);
 	t.is(closed.state.placement.fillingRoomByVm.get('vm-1'), undefined);
 });
+
+// A reader passes its page on only once: what the page's records change must not depend on what follows from them.
+test('a page is applied, and the control tick runs, although a record and a part of the reducer throw', t => {
+	const failures: PartFailure[] = [];
+	const entry = createEntry({
+		onPartFailed(failure) {
+			failures.push(failure);
+		},
+		measurePart() {
+			throw new RangeError('out of range');
+		},
+	});
+	// @ts-expect-error -- A record without its plan stands for one that the schema accepts and its handler does not expect.
+	const broken: ClusterRecord = {kind: 'plan-confirmed'};
+	entry.read('own', [
+		{
+			kind: 'entry-registered', entryId: 'entry-1', failureDomain: 'domain-1', operatorAddress: '127.0.0.1:2',
+		},
+		broken,
+		vmRegistered,
+	], 0);
+	t.true(entry.state().cluster.vms.has('vm-1'));
+	t.is(entry.state().cluster.offset, 2);
+	t.is(entry.state().log.tailConfirmedSentAtMs, 0);
+	t.deepEqual(failures.map(({part, offset}) => [part, offset]), [['record-plan-confirmed', 1], ['placement', undefined]]);
+	const ticked = entry.dispatch({kind: 'tick'}, 1000);
+	t.true(ticked.effects.some(effect => effect.kind === 'append-record' && effect.record.kind === 'entry-alive'));
+	t.is(failures.length, 3);
+});
--- a/src/entry/reduce-entry.ts
+++ b/src/entry/reduce-entry.ts
@@ -110,7 +110,7 @@
 	settings: EntrySettings,
 ): EntryTransition {
 	const before = state.cluster;
-	const cluster = applyRecords(before, event.records);
+	const cluster = applyRecords(before, event.records, inputs.onPartFailed && (({offset, kind, error}) => inputs.onPartFailed?.({part: `record-${kind}`, offset, error})));
 	const log = {
 		tailConfirmedSentAtMs: event.reachedTail
 			? Math.max(state.log.tailConfirmedSentAtMs, event.readSentAtMs)
@@ -118,31 +118,50 @@
 		reachable: true,
 	};
 	const entryLiveness = state.log.reachable ? state.entryLiveness : resetEntryObservation(state.entryLiveness, inputs.nowMs);
-	let transition: EntryTransition = {
+	// The records are applied whatever fails in the parts below: they are read only once.
+	const applied: EntryTransition = {
 		state: {
-			...recordClaimTimes(state, event, inputs),
-			cluster,
-			log,
-			entryLiveness,
-			failureAttribution: recordAttemptEnds(state.failureAttribution, event.records, before),
+			...state, cluster, log, entryLiveness,
 		},
-		effects: [...recordTimeline(event.records, before, cluster, state.incarnation), ...logFailedJobs(event.records, {before, after: cluster}, state.incarnation)],
+		effects: [],
 	};
-	if (event.records.length > 0) {
-		const touched = touchedVms(recordsForAgents(event.records), {before, after: cluster}, state.incarnation);
-		if (touched.vmIdsToRefresh?.size !== 0) {
-			transition = continueWith(transition, refreshLinks(transition.state, touched.vmIdsToRefresh, inputs, settings));
-		}
+	return runParts(applied, event.records.length > 0 ? [...readBackParts(event, before, inputs, settings), ...tailParts(event, inputs, settings)] : tailParts(event, inputs, settings), inputs);
+}
 
-		transition = continueWith(transition, startAndAcknowledgeTasks(transition.state, touched.claimedTaskIdsByVm, inputs, settings));
-		transition = continueWith(transition, resolveDeferred(transition.state, inputs, settings));
-		transition = continueWithRequest(transition, {kind: 'cluster-advanced', readBackKeyHashes: ownKeyHashes(event, state.incarnation)}, inputs, settings);
-		transition = continueWith(transition, runPlacementPass(transition.state, inputs, settings));
-	}
+/** Returns the parts that follow the records of a page. */
+function readBackParts(
+	event: Extract<EntryEvent, {kind: 'log-page'}>,
+	before: EntryState['cluster'],
+	inputs: EventInputs,
+	settings: EntrySettings,
+): readonly Part[] {
+	return [
+		['claim-times', state => ({state: recordClaimTimes(state, event, inputs), effects: []})],
+		['attempt-ends', state => ({state: {...state, failureAttribution: recordAttemptEnds(state.failureAttribution, event.records, before)}, effects: []})],
+		['timeline', state => ({state, effects: recordTimeline(event.records, before, state.cluster, state.incarnation)})],
+		['failed-jobs', state => ({state, effects: logFailedJobs(event.records, {before, after: state.cluster}, state.incarnation)})],
+		['agent-commands', state => commandAgents(state, {event, before}, inputs, settings)],
+		['deferred-answers', state => resolveDeferred(state, inputs, settings)],
+		['requests', state => withRequest(state, {kind: 'cluster-advanced', readBackKeyHashes: ownKeyHashes(event, state.incarnation)}, inputs, settings)],
+		['placement', state => runPlacementPass(state, inputs, settings)],
+	];
+}
 
-	return event.reachedTail
-		? continueWithRequest(transition, {kind: 'tail-confirmed'}, inputs, settings)
-		: transition;
+function tailParts({reachedTail}: Extract<EntryEvent, {kind: 'log-page'}>, inputs: EventInputs, settings: EntrySettings): readonly Part[] {
+	return reachedTail ? [['requests', state => withRequest(state, {kind: 'tail-confirmed'}, inputs, settings)]] : [];
+}
+
+function commandAgents(
+	state: EntryState,
+	{event, before}: Readonly<{event: Extract<EntryEvent, {kind: 'log-page'}>; before: EntryState['cluster']}>,
+	inputs: EventInputs,
+	settings: EntrySettings,
+): EntryTransition {
+	const touched = touchedVms(recordsForAgents(event.records), {before, after: state.cluster}, state.incarnation);
+	const refreshed: EntryTransition = touched.vmIdsToRefresh?.size === 0
+		? {state, effects: []}
+		: refreshLinks(state, touched.vmIdsToRefresh, inputs, settings);
+	return continueWith(refreshed, startAndAcknowledgeTasks(refreshed.state, touched.claimedTaskIdsByVm, inputs, settings));
 }
 
 /** Returns the records that may need a command to an agent: a submitted job needs none until one of its tasks is claimed for a VM. */
@@ -171,20 +190,45 @@
 	inputs: EventInputs,
 	settings: EntrySettings,
 ): EntryTransition {
-	let transition = continueWithRequest({state, effects: []}, {kind: 'tick'}, inputs, settings);
-	transition = continueWith(transition, runPlacementPass(transition.state, inputs, settings));
-	return inputs.nowMs - state.lastControlTickMs < controlTickMs
-		? transition
-		: continueWith(transition, controlTick({...transition.state, lastControlTickMs: inputs.nowMs}, inputs, settings));
+	const isControlDue = inputs.nowMs - state.lastControlTickMs >= controlTickMs;
+	return runParts({state, effects: []}, [
+		['requests', current => withRequest(current, {kind: 'tick'}, inputs, settings)],
+		['placement', current => runPlacementPass(current, inputs, settings)],
+		...(isControlDue ? controlParts(inputs, settings) : []),
+	], inputs);
 }
 
-function controlTick(state: EntryState, inputs: EventInputs, settings: EntrySettings): EntryTransition {
-	const context = contextOf(state, inputs, settings);
-	const entryLiveness = tickEntryLiveness(state.entryLiveness, context);
-	const vmLiveness = tickVmLiveness(state.vmLiveness, context);
-	const failureAttribution = tickFailureAttribution(state.failureAttribution, context);
-	const keyExpiry = tickKeyExpiry(state.keyExpiry, context);
-	const snapshot = tickSnapshot(state, context);
+/** Returns the parts of a control tick. Each reads the cluster state alone besides its own state, so that the others go on without it. */
+function controlParts(inputs: EventInputs, settings: EntrySettings): readonly Part[] {
+	return [
+		['control-tick', state => ({state: {...state, lastControlTickMs: inputs.nowMs}, effects: []})],
+		['entry-liveness', state => {
+			const {state: entryLiveness, effects} = tickEntryLiveness(state.entryLiveness, contextOf(state, inputs, settings));
+			return {state: {...state, entryLiveness}, effects};
+		}],
+		['vm-liveness', state => {
+			const {state: vmLiveness, effects} = tickVmLiveness(state.vmLiveness, contextOf(state, inputs, settings));
+			return {state: {...state, vmLiveness}, effects};
+		}],
+		['failure-attribution', state => {
+			const {state: failureAttribution, effects} = tickFailureAttribution(state.failureAttribution, contextOf(state, inputs, settings));
+			return {state: {...state, failureAttribution}, effects};
+		}],
+		['key-expiry', state => {
+			const {state: keyExpiry, effects} = tickKeyExpiry(state.keyExpiry, contextOf(state, inputs, settings));
+			return {state: {...state, keyExpiry}, effects};
+		}],
+		['snapshot', state => {
+			const {state: snapshot, effects} = tickSnapshot(state, contextOf(state, inputs, settings));
+			return {state: {...state, snapshot}, effects};
+		}],
+		['due-claims', state => commandDueClaims(state, inputs, settings)],
+		['deferred-answers', state => resolveDeferred(state, inputs, settings)],
+	];
+}
+
+/** Sends the commands of claims that their writers did not send in time. */
+function commandDueClaims(state: EntryState, inputs: EventInputs, settings: EntrySettings): EntryTransition {
 	const dueClaims: string[] = [];
 	for (const [key, readAtMs] of state.claimReadTimes) {
 		if (inputs.nowMs - readAtMs >= settings.timings.commandTakeoverMs) {
@@ -192,21 +236,8 @@
 		}
 	}
 
-	const next: EntryTransition = {
-		state: {
-			...state,
-			entryLiveness: entryLiveness.state,
-			vmLiveness: vmLiveness.state,
-			failureAttribution: failureAttribution.state,
-			keyExpiry: keyExpiry.state,
-			snapshot: snapshot.state,
-			claimReadTimes: state.claimReadTimes.deleteAll(dueClaims),
-		},
-		effects: [...entryLiveness.effects, ...vmLiveness.effects, ...failureAttribution.effects, ...keyExpiry.effects, ...snapshot.effects],
-	};
 	// Other commands that depend on time alone are sent when the VM's next heartbeat is handled, by default once a second.
-	const refreshed = continueWith(next, refreshLinks(next.state, vmIdsOfClaims(dueClaims, state.cluster), inputs, settings));
-	return continueWith(refreshed, resolveDeferred(refreshed.state, inputs, settings));
+	return refreshLinks({...state, claimReadTimes: state.claimReadTimes.deleteAll(dueClaims)}, vmIdsOfClaims(dueClaims, state.cluster), inputs, settings);
 }
 
 /** Returns the VMs of the given claims whose tasks have not started. An entry sends the start command of another entry's claim once it holds no read time of it. */
@@ -271,6 +302,34 @@
 	return {state: next.state, effects: [...previous.effects, ...next.effects]};
 }
 
+/** One part of a transition, with its name. */
+type Part = readonly [name: string, run: (state: EntryState) => EntryTransition];
+
+/** Runs parts one after the other. A part that throws is reported and leaves the state as it was, so that the parts behind it still run. */
+function runParts(first: EntryTransition, parts: readonly Part[], {onPartFailed}: EventInputs): EntryTransition {
+	let {state} = first;
+	const effects = [...first.effects];
+	for (const [part, run] of parts) {
+		try {
+			const next = run(state);
+			state = next.state;
+			effects.push(...next.effects);
+		} catch (error) {
+			if (onPartFailed === undefined) {
+				throw error;
+			}
+
+			onPartFailed({part, error});
+		}
+	}
+
+	return {state, effects};
+}
+
+function withRequest(state: EntryState, event: RequestEvent, inputs: EventInputs, settings: EntrySettings): EntryTransition {
+	return continueWithRequest({state, effects: []}, event, inputs, settings);
+}
+
 function continueWithRequest(previous: EntryTransition, event: RequestEvent, inputs: EventInputs, settings: EntrySettings): EntryTransition {
 	const {state} = previous;
 	const next = reduceRequests(state.requests, event, {
