Read the log on behind what cannot be used

A page with a next offset of 1e300 moved the reader past all records, and one record with an offset beyond its page made the state ignore those before. A value that is no record was reported like an outage of the log: requests that waited for the tail were refused.

The reader reports what throws and reads on behind it, takes a page whose offsets cannot be true for a failed read, and skips values beyond their page. An answer without the records that it names is asked for again after a pause, not at once. Entries log skipped values as log-record-skipped, at most 5 lines a second, and count them in log.values.skipped.

--- a/src/entry/log-connection.ts
+++ b/src/entry/log-connection.ts
@@ -1,4 +1,5 @@
 import {randomUUID} from 'node:crypto';
+import {performance} from 'node:perf_hooks';
 import {setTimeout as delay} from 'node:timers/promises';
 import {type ClusterRecord} from '../cluster/cluster-record.js';
 import {type ClusterState} from '../cluster/cluster-state.js';
@@ -9,6 +10,7 @@
 import {type Snapshot, type SnapshotStore} from '../log/snapshot-store.js';
 import {type EntrySettings} from '../settings/entry-settings.js';
 import {type EventLog} from '../telemetry/event-log.js';
+import {createLineLimit} from '../telemetry/line-limit.js';
 import {type Metrics} from '../telemetry/metrics.js';
 import {ownsPlacement} from '../placement/placement-owner.js';
 import {type EntryEvent} from './entry-event.js';
@@ -33,6 +35,8 @@
 const maxBatchRecords = 1000;
 const maxSnapshotTries = 3;
 const snapshotRetryDelayMs = 300;
+/** A reader that starts anew meets the same values again, so that their lines are limited. */
+const skippedLinesPerSecond = 5;
 
 /** Returns whether the next read is urgent: an operator or a caller waits for a decision, or this entry is a placement owner. */
 function isReadAwaited({cluster, deferred, incarnation}: EntryState): boolean {
@@ -62,6 +66,7 @@
 	let writer: LogWriter | undefined;
 	let reader: LogReader | undefined;
 	let isLeaving = false;
+	const skippedLimit = createLineLimit({linesPerSecond: skippedLinesPerSecond});
 
 	function openWriter(incarnation: string): void {
 		writer = createLogWriter({
@@ -83,6 +88,15 @@
 		});
 	}
 
+	/** The log is read although one of its values is no record, so this is no outage. */
+	function skipRecord(reason: string): void {
+		metrics.increment('log.values.skipped');
+		const {isAllowed, omitted} = skippedLimit(performance.now());
+		if (isAllowed) {
+			eventLog.warn('log-record-skipped', {reason, omitted});
+		}
+	}
+
 	function openReader(): void {
 		reader = createLogReader({
 			service: logService,
@@ -96,7 +110,13 @@
 				});
 			},
 			onError(error) {
-				dispatch({kind: 'log-failed', message: error.message});
+				if (error.kind === 'log-record-unreadable') {
+					skipRecord(error.message);
+				} else if (error.kind === 'log-page-failed') {
+					eventLog.error('log-page-failed', {reason: error.message});
+				} else {
+					dispatch({kind: 'log-failed', message: error.message});
+				}
 			},
 			async onRetentionPassed(firstRetainedOffset) {
 				eventLog.warn('log-retention-passed', {offset: state().cluster.offset, firstRetainedOffset});
--- a/src/log/log-reader.test.ts
+++ b/src/log/log-reader.test.ts
@@ -1,20 +1,29 @@
+import {Buffer} from 'node:buffer';
 import test from 'ava';
 import fc from 'fast-check';
+import {ok} from 'true-myth/result';
+import {jsonWithOddField, oddBytes, oddJson} from '../validation/odd-values.js';
 import {createFakeClock} from './fake-clock.js';
 import {createFakeLogService} from './fake-log-service.js';
-import {createLogReader, type LogPage, type LogReaderError} from './log-reader.js';
+import {
+	createLogReader, type LogPage, type LogReaderError, type LogReaderOptions,
+} from './log-reader.js';
+import {type LogService, type StreamPage} from './log-service.js';
 
 const value = (sequence: number) => JSON.stringify({
 	writer: 'entry-1', incarnation: 'w1', sequence, record: {kind: 'entry-alive', appliedOffset: 0},
 });
 
-function start() {
+/** Replaces parts of the reader's options, for instance by ones that throw. */
+type Changes = Readonly<{service?: (service: LogService) => LogService; onRetentionPassed?: LogReaderOptions['onRetentionPassed']; onPage?: (page: LogPage) => void}>;
+
+function start({service = original => original, onPage = () => undefined, onRetentionPassed = firstRetainedOffset => firstRetainedOffset + 1}: Changes = {}) {
 	const clock = createFakeClock();
 	const log = createFakeLogService(clock);
 	const pages: LogPage[] = [];
 	const errors: LogReaderError[] = [];
 	const reader = createLogReader({
-		service: log.service,
+		service: service(log.service),
 		stream: 's',
 		fromOffset: 0,
 		pageLimit: 3,
@@ -22,11 +31,12 @@
 		random: () => 0.5,
 		onPage(page) {
 			pages.push(page);
+			onPage(page);
 		},
 		onError(error) {
 			errors.push(error);
 		},
-		onRetentionPassed: firstRetainedOffset => firstRetainedOffset + 1,
+		onRetentionPassed,
 	});
 	const offsets = () => pages.flatMap(page => page.records.map(({offset}) => offset));
 	const stop = async () => {
@@ -123,3 +133,112 @@
 	t.deepEqual(offsets(), [3, 4]);
 	await stop();
 });
+
+test('the good records behind odd values are delivered, whatever the odd values are', async t => {
+	const stored: unknown = JSON.parse(value(1));
+	const odd = fc.oneof(oddJson(), jsonWithOddField(stored), oddBytes().map(bytes => Buffer.from(bytes).toString()));
+	await fc.assert(fc.asyncProperty(fc.array(odd, {minLength: 1, maxLength: 7}), async values => {
+		const {clock, log, pages, reader, stop} = start();
+		await log.service.append('s', [...values, value(1000)]);
+		await clock.advance(100);
+		const last = pages.flatMap(page => page.records).at(-1);
+		t.deepEqual([last?.offset, last?.envelope.sequence, reader.nextOffset()], [values.length, 1000, values.length + 1]);
+		await stop();
+	}), {numRuns: 60});
+});
+
+test('a page whose handler throws does not end the reads: the records behind it are delivered, and the tail is confirmed', async t => {
+	const {clock, log, errors, reader, offsets, stop} = start({
+		onPage({records}) {
+			if (records.some(({offset}) => offset === 0)) {
+				throw new RangeError('out of range');
+			}
+		},
+	});
+	await log.service.append('s', [1, 2, 3, 4, 5].map(sequence => value(sequence)));
+	await clock.advance(1000);
+	await log.service.append('s', [value(6)]);
+	await clock.advance(1000);
+	const confirmation = await reader.confirmTail();
+	t.true(confirmation.isOk);
+	t.deepEqual(offsets(), [0, 1, 2, 3, 4, 5]);
+	t.deepEqual(errors.map(({kind}) => kind), ['log-page-failed']);
+	await stop();
+});
+
+test('a read that throws is tried again, and fails a call that waits for the tail', async t => {
+	let failures = 2;
+	const {clock, log, errors, reader, offsets, stop} = start({
+		service: original => ({
+			...original,
+			async read(...parameters) {
+				if (failures > 0) {
+					failures--;
+					throw new TypeError('Invalid URL');
+				}
+
+				return original.read(...parameters);
+			},
+		}),
+	});
+	const confirmation = await reader.confirmTail();
+	t.true(confirmation.isErr);
+	await log.service.append('s', [value(1)]);
+	await clock.advance(5000);
+	t.deepEqual(offsets(), [0]);
+	t.true(errors.length > 0 && errors.every(({kind}) => kind === 'log-protocol'));
+	await stop();
+});
+
+test('a snapshot that cannot be loaded after a loss of records is tried again', async t => {
+	let failures = 2;
+	const {clock, log, offsets, stop} = start({
+		async onRetentionPassed(firstRetainedOffset) {
+			failures--;
+			if (failures === 1) {
+				throw new RangeError('out of range');
+			}
+
+			return failures === 0 ? Number.NaN : firstRetainedOffset;
+		},
+	});
+	await log.service.append('s', [1, 2, 3].map(sequence => value(sequence)));
+	log.retainFrom(1);
+	await clock.advance(10_000);
+	t.deepEqual(offsets(), [1, 2]);
+	await stop();
+});
+
+const oddOffsets = [Number.POSITIVE_INFINITY, Number.NaN, 1e300, 2 ** 53, -1, 0.5, 1_000_000];
+
+for (const name of ['nextOffset', 'tailOffset', 'firstRetainedOffset', 'offset'] as const) {
+	test(`a page with an odd ${name} moves the reader past no record`, async t => {
+		for (const odd of oddOffsets) {
+			let isOdd = true;
+			const {clock, log, reader, offsets, stop} = start({
+				service: original => ({
+					...original,
+					async read(...parameters) {
+						const read = await original.read(...parameters);
+						if (!isOdd) {
+							return read;
+						}
+
+						isOdd = false;
+						const page: StreamPage = {
+							values: [], nextOffset: 0, tailOffset: 2, firstRetainedOffset: 0,
+						};
+						return ok(name === 'offset' ? {...page, values: [{offset: odd, value: value(9)}], nextOffset: 1} : {...page, [name]: odd});
+					},
+				}),
+				onRetentionPassed: () => 0,
+			});
+			await log.service.append('s', [1, 2].map(sequence => value(sequence)));
+			await clock.advance(10_000);
+			// A value that only names an odd offset takes the place of the one that the page leaves out.
+			t.deepEqual(offsets(), name === 'offset' ? [1] : [0, 1], `${name} ${odd}`);
+			t.is(reader.nextOffset(), 2);
+			await stop();
+		}
+	});
+}
--- a/src/log/log-reader.ts
+++ b/src/log/log-reader.ts
@@ -1,5 +1,6 @@
 import {err, ok, type Result} from 'true-myth/result';
 import {type TypedError} from '../errors/typed-error.js';
+import {describeThrown} from '../validation/describe-thrown.js';
 import {backoffMs} from './backoff.js';
 import {systemClock, type Clock} from './clock.js';
 import {type LoggedRecord} from './log-envelope.js';
@@ -8,7 +9,7 @@
 	type LogError, type LogService, type StreamPage, type StreamValue,
 } from './log-service.js';
 
-export type LogReaderError = LogError | TypedError<'log-record-unreadable' | 'log-reader-closed' | 'log-retention-passed'>;
+export type LogReaderError = LogError | TypedError<'log-record-unreadable' | 'log-page-failed' | 'log-reader-closed' | 'log-retention-passed'>;
 
 /** Records in log order; a page without records only reports the reader's position and the tail. */
 export type LogPage = Readonly<{
@@ -30,6 +31,7 @@
 	service: LogService;
 	stream: string;
 	fromOffset: number;
+	/** The reads go on when it throws; the page counts as delivered. */
 	onPage: (page: LogPage) => void;
 	onError?: (error: LogReaderError) => void;
 	/** Called when records before `firstRetainedOffset` were lost; returns the offset to continue from, such as the one after the newest snapshot. */
@@ -57,19 +59,39 @@
 
 type Waiter = (result: Result<TailConfirmation, LogReaderError>) => void;
 
-function parse({offset, value}: StreamValue): Result<LoggedRecord, LogReaderError> {
-	return decodeLogValue(value)
+function parse({offset, value}: StreamValue, {nextOffset}: StreamPage): Result<LoggedRecord, LogReaderError> {
+	// A record at a later offset than its page's would make the state ignore the records before it.
+	const decoded = isOffset(offset) && offset < nextOffset ? decodeLogValue(value) : err(`its page ends before offset ${nextOffset}`);
+	return decoded
 		.map(envelope => ({offset, envelope}))
 		.mapErr(reason => ({
 			kind: 'log-record-unreadable',
-			message: `the value at offset ${offset} is not a record that this version can decode: ${reason.slice(0, 300)}`,
+			message: `the value at offset ${offset} is not a record that this version can use: ${reason}`,
 			remedy: 'check which program and version wrote it; it is skipped',
 		}));
 }
 
+const isOffset = (value: number): boolean => Number.isSafeInteger(value) && value >= 0;
+
+/** Returns an error for a page with offsets that cannot be true: they would move the reader past records. */
+function checkPage({values, nextOffset, tailOffset, firstRetainedOffset}: StreamPage, fromOffset: number): Result<void, LogReaderError> {
+	const isPossible = [nextOffset, tailOffset, firstRetainedOffset].every(offset => isOffset(offset))
+		&& nextOffset <= Math.max(fromOffset, tailOffset, firstRetainedOffset) + values.length;
+	return isPossible
+		? ok(undefined)
+		: err({
+			kind: 'log-protocol',
+			message: `the page from offset ${fromOffset} names offsets that cannot be true: next ${nextOffset}, tail ${tailOffset}, first ${firstRetainedOffset}`,
+			remedy: 'check the log service; the page is read again',
+		});
+}
+
+/** Reads of the tail that may bring neither a record nor the tail, after which the call fails. */
+const maxEmptyTailReads = 3;
+
 /**
 Creates a reader that reads a stream by long polls and delivers each record once and in order. It retries failed reads with backoff
-from the same position. `confirmTail` reads while a long poll is open; records that both return are delivered once.
+from the same position, and gets past what it cannot use: a value that is no record, and a page whose handler throws. `confirmTail` reads while a long poll is open; records that both return are delivered once.
 
 @example
 const reader = createLogReader({service, stream: 'arbutushinge', fromOffset: 0, onPage, onRetentionPassed: offset => offset});
@@ -89,21 +111,57 @@
 	function deliver(page: StreamPage, readSentAtMs: number): void {
 		const records: LoggedRecord[] = [];
 		for (const value of page.values) {
-			if (value.offset >= position) {
-				const parsed = parse(value);
-				if (parsed.isOk) {
-					records.push(parsed.value);
-				} else {
-					unreadableValues++;
-					onError(parsed.error);
-				}
+			const parsed = value.offset < position ? undefined : parse(value, page);
+			if (parsed?.isOk) {
+				records.push(parsed.value);
+			} else if (parsed) {
+				unreadableValues++;
+				report(parsed.error);
 			}
 		}
 
 		position = Math.max(position, page.nextOffset);
-		onPage({
-			records, readSentAtMs, reachedTail: position >= page.tailOffset, nextOffset: position, tailOffset: page.tailOffset,
-		});
+		try {
+			onPage({
+				records, readSentAtMs, reachedTail: position >= page.tailOffset, nextOffset: position, tailOffset: page.tailOffset,
+			});
+		} catch (error) {
+			const {reason, at} = describeThrown(error);
+			report({
+				kind: 'log-page-failed',
+				message: `the handler of the page before offset ${position} failed: ${reason} (${at})`,
+				remedy: 'report the failure; the records of the page may not have been applied',
+			});
+		}
+	}
+
+	function report(error: LogReaderError): void {
+		try {
+			onError(error);
+		} catch {
+			// There is nothing else to report it to, and it must not end the reads.
+		}
+	}
+
+	/** Reads a page whose offsets are possible; a read that throws has failed. */
+	async function readPage(fromOffset: number, pageWaitMs: number): Promise<Result<StreamPage, LogReaderError>> {
+		try {
+			const read = await service.read(stream, fromOffset, {limit: pageLimit, waitMs: pageWaitMs});
+			return read.isOk ? checkPage(read.value, fromOffset).map(() => read.value) : err(read.error);
+		} catch (error) {
+			return err({kind: 'log-protocol', message: `a read of the log failed: ${describeThrown(error).reason}`, remedy: 'check the log service; the read is tried again'});
+		}
+	}
+
+	/** Returns the offset to continue from after a loss of records; the present one when it cannot be determined. */
+	async function continueFrom(firstRetainedOffset: number): Promise<number> {
+		try {
+			const offset = await onRetentionPassed(firstRetainedOffset);
+			return isOffset(offset) ? Math.max(position, offset) : position;
+		} catch (error) {
+			report({kind: 'log-page-failed', message: `the state before offset ${firstRetainedOffset} was not loaded: ${describeThrown(error).reason}`, remedy: 'it is tried again'});
+			return position;
+		}
 	}
 
 	async function longPoll(): Promise<void> {
@@ -111,25 +169,26 @@
 		while (!closed.signal.aborted) {
 			const readSentAtMs = clock.nowMs();
 			const fromOffset = position;
-			const result = await service.read(stream, fromOffset, {limit: pageLimit, waitMs});
+			const result = await readPage(fromOffset, waitMs);
 			if (closed.signal.aborted) {
 				return;
 			}
 
 			if (result.isErr) {
 				failures++;
-				onError(result.error);
+				report(result.error);
 				await clock.sleep(backoffMs(failures, random()), closed.signal);
 			} else if (result.value.firstRetainedOffset > fromOffset && result.value.firstRetainedOffset > position) {
-				position = Math.max(position, await onRetentionPassed(result.value.firstRetainedOffset));
+				position = await continueFrom(result.value.firstRetainedOffset);
 				failures = position < result.value.firstRetainedOffset ? failures + 1 : 0;
 				if (failures > 0) {
 					await clock.sleep(backoffMs(failures, random()), closed.signal);
 				}
 			} else {
-				failures = 0;
 				deliver(result.value, readSentAtMs);
-				const pause = result.value.values.length > 0 ? pauseMs() : 0;
+				// An answer without the records that it names is not repeated at once.
+				failures = position === fromOffset && result.value.tailOffset > position ? failures + 1 : 0;
+				const pause = failures > 0 ? backoffMs(failures, random()) : (result.value.values.length > 0 ? pauseMs() : 0);
 				if (pause > 0) {
 					await clock.sleep(pause, closed.signal);
 				}
@@ -141,10 +200,11 @@
 	async function readTail(): Promise<Result<TailConfirmation, LogReaderError>> {
 		const readSentAtMs = clock.nowMs();
 		let tailOffset: number | undefined;
+		let emptyReads = 0;
 		while (!closed.signal.aborted) {
 			const fromOffset = position;
 			const sentAtMs = clock.nowMs();
-			const result = await service.read(stream, fromOffset, {limit: pageLimit, waitMs: 0});
+			const result = await readPage(fromOffset, 0);
 			if (closed.signal.aborted) {
 				break;
 			}
@@ -167,6 +227,11 @@
 			if (position >= tailOffset) {
 				return ok({tailOffset, readSentAtMs});
 			}
+
+			emptyReads = position === fromOffset ? emptyReads + 1 : 0;
+			if (emptyReads === maxEmptyTailReads) {
+				return err({kind: 'log-protocol', message: `the log names the tail ${tailOffset} and gives no records from offset ${position}`, remedy: 'check the log service'});
+			}
 		}
 
 		return err({kind: 'log-reader-closed', message: 'the log reader was closed', remedy: 'ask another entry'});
