Refuse agents' messages that readers of the log would skip

An entry appended what agents sent without the checks that readers of the log apply. A hello with an empty or very long name, an end with an outcome of another version, or a checkpoint of more than 1,024 characters became a record that every reader skips without effect: the VM never registered, or the claim never ended, so that the task did not run again (LOST). An estimate that was no number made the estimate of its pair useless at every process.

The stream server now refuses a hello that cannot be registered and ends the stream with a line. Other values are left out with a line: running tasks and events whose ID no claim can have, a start time beyond the range, reports without valid names or numbers. A checkpoint that is too long is recorded as none, and an unknown outcome as failed. A message that the reducer cannot use no longer ends the stream.

The hello of agent-stream-server.test.ts has the fields that agents send; what it checks is unchanged.

--- a/src/agent/latency-impact-estimates.ts
+++ b/src/agent/latency-impact-estimates.ts
@@ -208,8 +208,28 @@
 /** Smallest variance of a merged estimate: VMs differ, and a latency impact varies within seconds. */
 const minMergedVariance = 0.004;
 
+/** Largest latency impact that a report may have; target ratios are capped far below it. */
+const maxReportedImpact = 100;
+
+/** Longest name of an image in a report, in characters. */
+const maxImageLength = 512;
+
+/**
+Returns whether an estimate of another process can be merged. One that is no number would make the estimate of its pair useless for good, at every process
+that it is reported to.
+
+@example
+isUsablePress({servingImage: 'order-lookup', fillingImage: 'stress-run', press: Number.NaN, variance: 0.01}); // => false
+*/
+export function isUsablePress({servingImage, fillingImage, press, variance}: PressReport): boolean {
+	return press >= 0 && press <= maxReportedImpact
+		&& variance >= 0 && variance <= maxReportedImpact
+		&& servingImage.length <= maxImageLength && fillingImage.length <= maxImageLength;
+}
+
 /**
 Merges the reports of another process into the estimates; each report and estimate is weighted by the inverse of its variance.
+Reports that cannot be used are left out.
 
 @example
 const next = mergeLatencyImpacts(noLatencyImpactEstimates, [{servingImage: 'order-lookup', fillingImage: 'stress-run', press: 0.75, variance: 0.01}]);
@@ -223,7 +243,7 @@
 	return {
 		...estimates,
 		latencyImpactByPair: recorded.withMutations(pairs => {
-			for (const {servingImage, fillingImage, press, variance} of reports) {
+			for (const {servingImage, fillingImage, press, variance} of reports.filter(report => isUsablePress(report))) {
 				const key = pairKey(servingImage, fillingImage);
 				const before = pairs.get(key) ?? unmeasuredLatencyImpact;
 				const weight = before.variance / (before.variance + Math.max(minMergedVariance, variance));
--- a/src/dispatch/task-event-relay.ts
+++ b/src/dispatch/task-event-relay.ts
@@ -1,5 +1,6 @@
 import {type ClusterRecordOf} from '../cluster/cluster-record.js';
 import {type ClusterState} from '../cluster/cluster-state.js';
+import {namePattern} from '../cluster/intent.js';
 import {type ControlEffect} from '../entry/control-effect.js';
 import {type EntryContext} from '../entry/entry-context.js';
 import {type TaskEvent, TaskOutcome} from '../generated/arbutushinge/v1/agent_pb.js';
@@ -9,8 +10,8 @@
 
 type Outcome = ClusterRecordOf<'task-ended'>['outcome'];
 
-const recordOutcomes: Readonly<Record<TaskOutcome, Outcome>> = {
-	// An agent of another version may report an outcome that this version does not define.
+/** An agent of another version may report an outcome that this version does not define; it counts as failed. */
+const recordOutcomes: Readonly<Partial<Record<TaskOutcome, Outcome>>> = {
 	[TaskOutcome.UNSPECIFIED]: 'failed',
 	[TaskOutcome.FINISHED]: 'finished',
 	[TaskOutcome.FAILED]: 'failed',
@@ -106,7 +107,12 @@
 	return event.outcome.case === 'started' && task.phase !== 'claimed';
 }
 
+/** Returns the record of an event, or undefined for one that no claim can have and that readers of the log would refuse; it is only acknowledged. */
 function toRecord(event: TaskEvent, agentIncarnation: string): TaskRecord | undefined {
+	if (!namePattern.test(event.taskId) || event.attempt === 0) {
+		return undefined;
+	}
+
 	const subject = {taskId: event.taskId, attempt: event.attempt, agentIncarnation};
 	const {outcome} = event;
 	switch (outcome.case) {
@@ -116,7 +122,7 @@
 
 		case 'ended': {
 			return {
-				kind: 'task-ended', ...subject, outcome: recordOutcomes[outcome.value.outcome], reason: outcome.value.reason,
+				kind: 'task-ended', ...subject, outcome: recordOutcomes[outcome.value.outcome] ?? 'failed', reason: outcome.value.reason,
 			};
 		}
 
--- a/src/entry/agent-stream-server.test.ts
+++ b/src/entry/agent-stream-server.test.ts
@@ -12,6 +12,10 @@
 
 const ignore = (): void => undefined;
 
+const names = {
+	vmId: 'vm-1', failureDomain: 'a', rack: 'r', requestAddress: '127.0.0.1:9',
+};
+
 test('garbage at the agents\' port is not dispatched as a message and does not stop the server', async t => {
 	const events: EntryEvent[] = [];
 	const address = `127.0.0.1:${await freePort()}`;
@@ -73,8 +77,8 @@
 	await server.listen();
 	const stop = new AbortController();
 	async function * messages() {
-		yield create(AgentMessageSchema, {message: {case: 'hello', value: {vmId: 'vm-1', agentIncarnation: 'a1'}}});
-		yield create(AgentMessageSchema, {message: {case: 'hello', value: {vmId: 'vm-1', agentIncarnation: 'a2'}}});
+		yield create(AgentMessageSchema, {message: {case: 'hello', value: {...names, agentIncarnation: 'a1'}}});
+		yield create(AgentMessageSchema, {message: {case: 'hello', value: {...names, agentIncarnation: 'a2'}}});
 		await once(stop.signal, 'abort');
 	}
 
@@ -87,6 +91,46 @@
 	await server.close();
 });
 
+test('a hello that cannot be registered ends its stream with a line, and a message that the reducer cannot use does not', async t => {
+	const port = await freePort();
+	const lines: string[] = [];
+	const record = (event: string): void => {
+		lines.push(event);
+	};
+
+	const server = createAgentStreamServer({
+		address: `127.0.0.1:${port}`,
+		dispatch({kind}) {
+			if (kind === 'agent-hello') {
+				throw new Error('odd');
+			}
+
+			if (kind === 'agent-heartbeat') {
+				server.send('vm-1', {case: 'leaseGrant', value: {durationMs: 7}});
+			}
+		},
+		eventLog: {
+			debug: ignore, info: ignore, warn: record, error: record,
+		},
+	});
+	await server.listen();
+	const stop = new AbortController();
+	async function * messages(vmId: string) {
+		yield create(AgentMessageSchema, {message: {case: 'hello', value: {...names, vmId, agentIncarnation: 'a1'}}});
+		yield create(AgentMessageSchema, {message: {case: 'heartbeat', value: {}}});
+		await once(stop.signal, 'abort');
+	}
+
+	const client = createClient(AgentSession, createGrpcTransport({baseUrl: `http://127.0.0.1:${port}`}));
+	const refused = await client.connect(messages('x'.repeat(200_000)), {signal: stop.signal})[Symbol.asyncIterator]().next();
+	t.true(refused.done);
+	const answer = await client.connect(messages('vm-1'), {signal: stop.signal})[Symbol.asyncIterator]().next();
+	t.is(answer.done ? undefined : answer.value.message.case, 'leaseGrant');
+	t.deepEqual(lines, ['agent-message-refused', 'agent-message-unusable']);
+	stop.abort();
+	await server.close();
+});
+
 async function freePort(): Promise<number> {
 	const {createServer} = await import('node:net');
 	const probe = createServer();
--- a/src/entry/agent-stream-server.ts
+++ b/src/entry/agent-stream-server.ts
@@ -7,10 +7,13 @@
 import {
 	AgentSession, type AgentMessage, type EntryMessage, EntryMessageSchema,
 } from '../generated/arbutushinge/v1/agent_pb.js';
+import {messageOf} from '../errors/message-of.js';
 import {type EventLog} from '../telemetry/event-log.js';
+import {boundedText} from '../validation/bounded-text.js';
 import {type AgentCommand} from './control-effect.js';
 import {type EntryEvent} from './entry-event.js';
 import {createMessageQueue, type MessageQueue} from './message-queue.js';
+import {usableAgentMessage} from './usable-agent-message.js';
 
 /** Accepts the agents' streams, dispatches their messages as events and sends commands. */
 export type AgentStreamServer = Readonly<{
@@ -20,6 +23,9 @@
 	close: () => Promise<void>;
 }>;
 
+/** Longest description of the problems of one message, in characters. */
+const maxProblemLength = 300;
+
 /** Messages are a few hundred bytes; compression took a third of the entry's processor time. */
 const noCompression: [] = [];
 
@@ -45,9 +51,28 @@
 		const sessionId = randomUUID();
 		const queue = createMessageQueue<EntryMessage>(maxQueuedCommands);
 		let vmId: string | undefined;
+		let loggedProblem: string | undefined;
+
+		/** Logs a problem unless it is the same as the last one on the stream; heartbeats repeat theirs. */
+		const logProblem = (event: string, reason: string): void => {
+			if (reason !== loggedProblem) {
+				loggedProblem = reason;
+				eventLog.warn(event, {vmId, sessionId, reason});
+			}
+		};
+
 		const reading = (async () => {
 			try {
-				for await (const {message} of messages) {
+				for await (const {message: received} of messages) {
+					const {message, problems} = usableAgentMessage(received);
+					if (problems.length > 0) {
+						logProblem(message === undefined ? 'agent-message-refused' : 'agent-message-odd', boundedText(problems.join('; '), maxProblemLength));
+					}
+
+					if (message === undefined) {
+						break;
+					}
+
 					if (message.case === 'hello') {
 						vmId = message.value.vmId;
 						const previousQueue = queues.get(vmId);
@@ -57,13 +82,18 @@
 						}
 
 						queues.set(vmId, queue);
-						dispatch({kind: 'agent-hello', sessionId, hello: message.value});
-					} else if (vmId !== undefined) {
-						dispatchMessage(message, sessionId);
+					}
+
+					if (vmId !== undefined) {
+						try {
+							dispatchMessage(message, sessionId);
+						} catch (error) {
+							logProblem('agent-message-unusable', boundedText(messageOf(error)));
+						}
 					}
 				}
 			} catch (error: unknown) {
-				eventLog.debug('agent-stream-broken', {vmId, reason: String(error)});
+				eventLog.debug('agent-stream-broken', {vmId, reason: boundedText(messageOf(error))});
 			} finally {
 				queue.close();
 			}
@@ -95,7 +125,11 @@
 				break;
 			}
 
-			case 'hello':
+			case 'hello': {
+				dispatch({kind: 'agent-hello', sessionId, hello: message.value});
+				break;
+			}
+
 			case undefined: {
 				// A newer agent version may send messages that this entry does not know. They are ignored; the agent's heartbeats are still handled.
 				eventLog.warn('agent-message-unknown', {sessionId});
