Leave out what a worker or an entry sends beyond the range of an agent's messages

A worker with 1e300 processors, -5 MB, a start time that is no time or an attempt of more than 32 bits made the agent's hello or heartbeat impossible to encode (invalid uint32), so that the VM never registered or lost its lease; a start time with a fraction threw in the reducer. A measurement far in the future kept back all later ones. From entries, a lease of 49 days was accepted, a configuration with an offset of 2^64 kept back all later ones and broke the heartbeats, and a start with an attempt of 0 was carried out.

The worker's answers are now checked where the driver reads them, for every kind of worker: amounts out of range count as none, tasks that no claim can name are left out, and a list that does not identify its worker counts as a failed poll. Each is logged once while it stays the same. Out of range are a lease of more than ten minutes, offsets beyond 2^53, and starts without an ID or attempt; these are logged as entry-message-unusable.

--- a/src/agent/entry-messages.ts
+++ b/src/agent/entry-messages.ts
@@ -19,6 +19,12 @@
 	gone: BackendServerPhase.GONE,
 };
 
+/** Largest value of a field of 32 bits. */
+const maxUint32 = 0xFF_FF_FF_FF;
+
+/** Returns a measured value as a field of 32 bits, the nearest that it can hold; a value that is no number is not known, which is 0. */
+const uint32 = (value: number): number => Number.isNaN(value) ? 0 : Math.min(maxUint32, Math.max(0, Math.round(value)));
+
 const wireResources = (resources: Resources): Omit<WireResources, '$typeName' | '$unknown'> => ({...resources});
 
 /** Returns whether a task still holds its claim. An ended task holds it until an entry acknowledges the end; otherwise a new attempt could repeat its work. */
@@ -65,13 +71,13 @@
 		connections: backendServer.connections,
 		activeRequests: Math.min(backendServer.requests, backendServer.slots),
 		queuedRequests: Math.max(0, backendServer.requests - backendServer.slots),
-		latencyP99Ms: Math.round(backendServer.latencyP99Ms),
+		latencyP99Ms: uint32(backendServer.latencyP99Ms),
 	};
 }
 
 function usageReport(state: AgentState, nowMs: number) {
 	return state.usage && {
-		measuredAgeMs: Math.max(0, Math.round(nowMs - state.usage.measuredAtMonotonicMs)),
+		measuredAgeMs: uint32(nowMs - state.usage.measuredAtMonotonicMs),
 		processorsUsedMilli: state.usage.processorsUsedMilli,
 		memoryUsedMb: state.usage.memoryUsedMb,
 		tasks: state.usage.tasks.map(task => ({...task})),
@@ -101,7 +107,7 @@
 				leaving: state.stop !== undefined,
 				workerLeaving: state.worker.leaving,
 				presses: presses.map(report => ({...report})),
-				fillingRoomMilli: state.fillingThrottle.fillingRoomMilli ?? 0,
+				fillingRoomMilli: uint32(state.fillingThrottle.fillingRoomMilli ?? 0),
 				workerSilent: isSilent(state.worker, {nowMs, ...state.settings.timings}),
 			},
 		},
--- a/src/agent/lease.ts
+++ b/src/agent/lease.ts
@@ -3,6 +3,12 @@
 /** Number of heartbeats whose sending time is recorded; a grant for an older one is ignored. */
 const maxRecordedHeartbeats = 64;
 
+/**
+Longest lease that an agent accepts. Entries count a lease as expired after their own setting, far below it; an agent that held one for longer would run
+tasks that were placed again elsewhere.
+*/
+export const maxLeaseMs = 600_000;
+
 /** The lease of one agent incarnation. Times are on the VM's monotonic clock. */
 export type Lease = Readonly<{
 	/** Sending time of each recent heartbeat by sequence. */
--- a/src/agent/reduce-agent.ts
+++ b/src/agent/reduce-agent.ts
@@ -1,5 +1,7 @@
 import {Map as immutableMap} from 'immutable';
 import type {AgentConfiguration, LeaseGrant} from '../generated/arbutushinge/v1/agent_pb.js';
+import {boundedText} from '../validation/bounded-text.js';
+import {isName} from '../validation/name.js';
 import {noResources} from './no-resources.js';
 import type {AgentEffect} from './agent-effect.js';
 import type {AgentEvent, AgentEventKind, AgentEventOf} from './agent-event.js';
@@ -14,7 +16,7 @@
 import {updateGuard} from './guard.js';
 import {expireKeyResults} from './key-table.js';
 import {
-	grantLease, recordHeartbeatSent, isLeaseExpired, noLease,
+	grantLease, recordHeartbeatSent, isLeaseExpired, maxLeaseMs, noLease,
 } from './lease.js';
 import {
 	applyFillingShares, applyTraits, throttledTasksOf, fillingMeasurementOf, throttleFailed,
@@ -238,7 +240,20 @@
 	};
 }
 
+/** Leaves a message without effect because a value is one that no entry sends. */
+function leaveOut(state: AgentState, message: string, fields: Readonly<Record<string, string | number>>): Transition {
+	return transition(state, {
+		kind: 'log', level: 'warn', event: 'entry-message-unusable', fields: {message, ...fields},
+	}, {kind: 'count', metric: 'agent.messages.unusable'});
+}
+
+const isLogOffset = (offset: bigint): boolean => offset <= BigInt(Number.MAX_SAFE_INTEGER);
+
 function applyConfiguration(state: AgentState, value: AgentConfiguration): Transition {
+	if (!isLogOffset(value.offset)) {
+		return leaveOut(state, 'configuration', {offset: String(value.offset)});
+	}
+
 	const offset = Number(value.offset);
 	if (offset <= state.configuration.offset) {
 		return transition(state);
@@ -269,6 +284,10 @@
 		return transition(state);
 	}
 
+	if (value.durationMs > maxLeaseMs) {
+		return leaveOut(state, 'leaseGrant', {durationMs: value.durationMs});
+	}
+
 	const lease = grantLease(state.lease, {sequence: Number(value.heartbeatSequence), durationMs: value.durationMs}, nowMs);
 	return lease.deadlineMs === undefined || lease === state.lease
 		? transition(state)
@@ -286,7 +305,10 @@
 		}
 
 		case 'startTask': {
-			return startTask(state, message.value, nowMs);
+			const {taskId, attempt, claimOffset} = message.value;
+			return isName(taskId) && attempt > 0 && isLogOffset(claimOffset)
+				? startTask(state, message.value, nowMs)
+				: leaveOut(state, 'startTask', {taskId: boundedText(taskId), attempt, claimOffset: String(claimOffset)});
 		}
 
 		case 'evictTask': {
--- a/src/agent/worker-driver.ts
+++ b/src/agent/worker-driver.ts
@@ -6,6 +6,7 @@
 import type {EventLog} from '../telemetry/event-log.js';
 import type {AgentEffectOf} from './agent-effect.js';
 import type {AgentEvent, AgentEventOf} from './agent-event.js';
+import {usableWorkerTasks, usableWorkerUsage} from './usable-worker-answer.js';
 import type {Worker} from './worker.js';
 
 /** Effects that are calls to the worker. */
@@ -61,11 +62,22 @@
 	let polling: Promise<void> | undefined;
 	let isPollRequested = false;
 	let isPollFailing = false;
+	/** Problems of the newest answers that were logged, by call. They are the same in most answers. */
+	const loggedProblems = new Map<string, string>();
 
 	function warn(call: string, taskId: string | undefined, error: WorkerError): void {
 		eventLog.warn('worker-call-failed', {call, taskId, error: formatError(error)});
 	}
 
+	function logProblems(call: string, problems: readonly string[]): void {
+		const text = problems.join(', ');
+		if (text !== '' && text !== loggedProblems.get(call)) {
+			eventLog.warn('worker-value-out-of-range', {call, reason: text});
+		}
+
+		loggedProblems.set(call, text);
+	}
+
 	function callInOrder(name: WorkerEffectKind, taskId: string, call: () => Promise<void>): void {
 		const after = lastCalls.get(taskId);
 		const current = (async () => {
@@ -185,7 +197,10 @@
 	/** Polls the tasks; returns whether the worker listed them. */
 	async function readTasks(): Promise<boolean> {
 		const requestedAtMs = nowMs();
-		const tasks = await callSafely(async () => worker.listTasks(), callTimeoutMs);
+		const listed = await callSafely(async () => worker.listTasks(), callTimeoutMs);
+		const tasks = listed.andThen(list => usableWorkerTasks(list).mapErr((message): WorkerError => ({
+			kind: 'worker-protocol', message, remedy: 'check that the worker and the agent have matching versions',
+		})));
 		if (tasks.isErr) {
 			// Only the first of consecutive failed polls is logged.
 			if (!isPollFailing) {
@@ -199,11 +214,12 @@
 
 		if (isPollFailing) {
 			isPollFailing = false;
-			eventLog.info('worker-regained', {workerIncarnation: tasks.value.workerIncarnation});
+			eventLog.info('worker-regained', {workerIncarnation: tasks.value.answer.workerIncarnation});
 		}
 
+		logProblems('list-tasks', tasks.value.problems);
 		const isUsed = dispatchAnswer({
-			kind: 'worker-tasks', nowMs: nowMs(), requestedAtMs, list: tasks.value,
+			kind: 'worker-tasks', nowMs: nowMs(), requestedAtMs, list: tasks.value.answer,
 		});
 		if (!isUsed) {
 			dispatch({kind: 'worker-look-failed', nowMs: nowMs(), isConnectionRefused: false});
@@ -219,10 +235,15 @@
 
 		isPollRequested ||= worker.usesLongPolling === true;
 		const usage = await callSafely(async () => worker.readUsage(), callTimeoutMs);
-		if (usage.isOk) {
-			dispatchAnswer({kind: 'worker-usage', nowMs: nowMs(), usage: usage.value});
-		} else {
+		if (usage.isErr) {
 			warn('read-usage', undefined, usage.error);
+			return;
+		}
+
+		const usable = usableWorkerUsage(usage.value, nowMs());
+		logProblems('read-usage', usable.isOk ? usable.value.problems : [usable.error]);
+		if (usable.isOk) {
+			dispatchAnswer({kind: 'worker-usage', nowMs: nowMs(), usage: usable.value.answer});
 		}
 	}
 
