End a forward to an address that cannot be used as not sent

A VM whose record holds a request address such as 10.1.0.13:99999 or an empty one ended the entry that forwarded a request to it: the pool was made in a promise that nobody awaits (Invalid URL). An address without a port was taken for port 80 of that machine.

The forward now ends as not sent, so that the reducer tries another backend server. A result that the reducer cannot use is logged. Texts of an agent's refusal are cut, and its time to retry is at most an hour.

--- a/src/entry/request-forwarder.ts
+++ b/src/entry/request-forwarder.ts
@@ -6,7 +6,10 @@
 import {z} from 'zod';
 import {type ForwardRequestEffect, type RequestEffect} from '../requests/request-effect.js';
 import {type ForwardResult, type RequestEvent} from '../requests/request-event.js';
+import {messageOf} from '../errors/message-of.js';
 import {type EventLog} from '../telemetry/event-log.js';
+import {isAddress} from '../validation/address.js';
+import {boundedText} from '../validation/bounded-text.js';
 import {sendCallerAnswer} from './caller-answer.js';
 import {isHopByHop, type CallerExchange, type CallerExchanges} from './caller-exchange.js';
 
@@ -43,6 +46,12 @@
 
 const errorBodySchema = z.object({error: z.object({kind: z.string(), message: z.string(), remedy: z.string()})});
 
+/** Longest time after which an agent may tell a caller to retry, in seconds. */
+const maxRetryAfterSeconds = 3600;
+
+/** Longest message of an agent that is passed on, in characters. */
+const maxMessageLength = 500;
+
 /** Maximum size of an agent's error body; further chunks are dropped. */
 const maxErrorBodyBytes = 65_536;
 
@@ -98,7 +107,8 @@
 function readRefusal(refusal: AgentRefusal, canResend: boolean): ForwardResult {
 	const {outcome, status, retryAfter, chunks} = refusal;
 	const parsed = errorBodySchema.safeParse(parseError(Buffer.concat(chunks).toString('utf8')));
-	const error = parsed.data?.error ?? {kind: 'agent-error', message: `the agent answered ${status}`, remedy: 'retry later'};
+	const {kind, message, remedy} = parsed.data?.error ?? {kind: 'agent-error', message: `the agent answered ${status}`, remedy: 'retry later'};
+	const error = {kind: boundedText(kind), message: boundedText(message, maxMessageLength), remedy: boundedText(remedy, maxMessageLength)};
 	if (outcome === 'refused-not-run') {
 		const retryAfterSeconds = Number(retryAfter);
 		return {
@@ -107,7 +117,7 @@
 			status: status >= 400 ? status : 503,
 			message: error.message,
 			remedy: error.remedy,
-			retryAfterMs: Number.isFinite(retryAfterSeconds) ? retryAfterSeconds * 1000 : undefined,
+			retryAfterMs: Number.isFinite(retryAfterSeconds) ? Math.min(maxRetryAfterSeconds, Math.max(0, retryAfterSeconds)) * 1000 : undefined,
 			canResend,
 		};
 	}
@@ -152,6 +162,7 @@
 		return pool;
 	}
 
+	/** Sends a request to an agent. Rejects only before any of it is sent. */
 	async function send(effect: ForwardRequestEffect, exchange: CallerExchange, forward: RunningForward): Promise<ForwardResult> {
 		let body: Readable | undefined;
 		if (exchange.body !== undefined) {
@@ -256,12 +267,33 @@
 		});
 	}
 
+	async function trySend(effect: ForwardRequestEffect, exchange: CallerExchange, forward: RunningForward): Promise<ForwardResult> {
+		const canResend = () => exchange.body?.canResend() ?? true;
+		if (!isAddress(effect.requestAddress)) {
+			return {kind: 'not-sent', message: `the agent's address cannot be used: ${boundedText(effect.requestAddress)}`, canResend: canResend()};
+		}
+
+		try {
+			return await send(effect, exchange, forward);
+		} catch (error) {
+			return {kind: 'not-sent', message: boundedText(messageOf(error), maxMessageLength), canResend: canResend()};
+		}
+	}
+
+	async function closePool(pool: Pool): Promise<void> {
+		try {
+			await pool.close();
+		} catch (error) {
+			log.warn('agent-connections-not-closed', {reason: boundedText(messageOf(error))});
+		}
+	}
+
 	async function run(effect: ForwardRequestEffect, forward: RunningForward): Promise<void> {
 		const {requestId, attempt, backendServerId} = effect;
 		const exchange = exchanges.get(requestId);
 		const result: ForwardResult = exchange === undefined || forward.isCancelled
 			? {kind: 'not-sent', message: 'the caller is gone', canResend: false}
-			: await send(effect, exchange, forward);
+			: await trySend(effect, exchange, forward);
 		if (running.get(requestId) === forward) {
 			running.delete(requestId);
 		}
@@ -272,9 +304,13 @@
 			});
 		}
 
-		dispatch({
-			kind: 'forward-finished', requestId, attempt, backendServerId, result,
-		});
+		try {
+			dispatch({
+				kind: 'forward-finished', requestId, attempt, backendServerId, result,
+			});
+		} catch (error) {
+			log.error('forward-result-unusable', {requestId, attempt, reason: boundedText(messageOf(error))});
+		}
 	}
 
 	return {
@@ -300,7 +336,7 @@
 			for (const [address, pool] of pools) {
 				if (!requestAddresses.has(address)) {
 					pools.delete(address);
-					void pool.close();
+					void closePool(pool);
 				}
 			}
 		},
