--- a/src/agent/agent-process.ts
+++ b/src/agent/agent-process.ts
@@ -57,6 +57,7 @@
 	const client = createBackendServerClient({
 		keyedAnswerBytes: settings.limits.keyedAnswerBytes,
 		nowMs: monotonicMs,
+		eventLog,
 		settle(requestId, settlement) {
 			dispatch({
 				kind: 'request-settled', nowMs: monotonicMs(), requestId, settlement,
--- a/src/agent/backend-server-client.ts
+++ b/src/agent/backend-server-client.ts
@@ -2,6 +2,9 @@
 import type {IncomingHttpHeaders, IncomingMessage, OutgoingHttpHeaders} from 'node:http';
 import {finished, pipeline} from 'node:stream/promises';
 import PQueue from 'p-queue';
+import {messageOf} from '../errors/message-of.js';
+import type {EventLog} from '../telemetry/event-log.js';
+import {boundedText} from '../validation/bounded-text.js';
 import {createHttpConnections, isConnectFailure, type HttpConnections} from '../worker/http-connections.js';
 import type {AgentEffectOf} from './agent-effect.js';
 import type {RequestSettlement} from './agent-event.js';
@@ -47,6 +50,7 @@
 	keyedAnswerBytes: number;
 	nowMs: () => number;
 	settle: (requestId: string, settlement: RequestSettlement) => void;
+	eventLog: EventLog;
 }>;
 
 /** Returns the headers for the backend server. A body without a length is sent in chunks with any method. */
@@ -77,9 +81,9 @@
 Creates a client that runs at most `slots` requests at a time on each backend server and streams the bodies.
 
 @example
-const client = createBackendServerClient({keyedAnswerBytes: 262_144, nowMs, settle});
+const client = createBackendServerClient({keyedAnswerBytes: 262_144, nowMs, settle, eventLog});
 */
-export function createBackendServerClient({keyedAnswerBytes, nowMs, settle}: Options): BackendServerClient {
+export function createBackendServerClient({keyedAnswerBytes, nowMs, settle, eventLog}: Options): BackendServerClient {
 	const targets = new Map<string, Target>();
 
 	function targetOf({backendServerId, address, slots, connections}: AgentEffectOf<'run-request'>): Target {
@@ -190,10 +194,20 @@
 		}
 	}
 
+	/** Sends a request; never rejects, and an exchange whose end cannot be recorded is logged. */
+	async function sendSafely(exchange: Exchange, keyed: boolean, target: Target): Promise<void> {
+		try {
+			await send(exchange, keyed, target);
+		} catch (error) {
+			eventLog.error('request-result-unusable', {requestId: exchange.details.requestId, reason: boundedText(messageOf(error))});
+			exchange.refuse(refusalOf('answer-lost'));
+		}
+	}
+
 	return {
 		run(exchange, effect) {
 			const target = targetOf(effect);
-			void target.queue.add(async () => send(exchange, effect.keyed, target));
+			void target.queue.add(async () => sendSafely(exchange, effect.keyed, target));
 		},
 		latencies: () => [...targets].map(([backendServerId, target]) => ({backendServerId, p99Ms: target.latencies.p99Ms(nowMs())})),
 		remove(backendServerId) {
--- a/src/agent/request-server-fuzz.test.ts
+++ b/src/agent/request-server-fuzz.test.ts
@@ -26,7 +26,14 @@
 test('malformed input at the agent\'s request port creates no event, and is answered with an error or dropped', async t => {
 	const events: AgentEvent[] = [];
 	const nowMs = (): number => performance.now();
-	const client = createBackendServerClient({keyedAnswerBytes: 1024, nowMs, settle: ignore});
+	const client = createBackendServerClient({
+		keyedAnswerBytes: 1024,
+		nowMs,
+		settle: ignore,
+		eventLog: {
+			debug: ignore, info: ignore, warn: ignore, error: ignore,
+		},
+	});
 	const opened = await openRequestServer({
 		requestAddress: '127.0.0.1:0',
 		headerBytes: 16_384,
--- a/src/agent/request-server.test.ts
+++ b/src/agent/request-server.test.ts
@@ -12,6 +12,8 @@
 import {reduceAgent} from './reduce-agent.js';
 import {openRequestServer} from './request-server.js';
 
+const ignore = (): void => undefined;
+
 /** Holds answers until the test sends them, so that the test determines their order. */
 class HeldResponses {
 	readonly responses = new Map<string, ServerResponse>();
@@ -61,6 +63,9 @@
 	const client = createBackendServerClient({
 		keyedAnswerBytes: settings.limits.keyedAnswerBytes,
 		nowMs,
+		eventLog: {
+			debug: ignore, info: ignore, warn: ignore, error: ignore,
+		},
 		settle(requestId, settlement) {
 			dispatch({
 				kind: 'request-settled', nowMs: nowMs(), requestId, settlement,
--- a/src/agent/request-server.ts
+++ b/src/agent/request-server.ts
@@ -5,6 +5,8 @@
 import {Result} from 'true-myth';
 import * as z from 'zod/mini';
 import type {TypedError} from '../errors/typed-error.js';
+import {addressSchema} from '../validation/address-schema.js';
+import {isName} from '../validation/name.js';
 import type {AgentEvent, ArrivedRequest} from './agent-event.js';
 import type {BackendServerClient} from './backend-server-client.js';
 import type {AgentEffectOf} from './agent-effect.js';
@@ -21,15 +23,24 @@
 /** Longer than the idle time of an entry's pool, so that the entry closes idle connections first. */
 const keepAliveTimeoutMs = 65_000;
 
+/** Most slots or connections of one backend server. */
+const maxSlots = 1_000_000;
+
+/** Longest deadline of a request, which callers cannot exceed either; a timer holds 24 days at most, and ends at once beyond that. */
+const maxDeadlineMs = 3_600_000;
+
+const nameSchema = z.string().check(z.refine(isName, 'use 1 to 128 letters, digits, dots, colons, hyphens or underscores'));
+const slotsSchema = z.int().check(z.positive(), z.maximum(maxSlots));
+
 const announcementSchema = z.readonly(z.object({
-	backendServerId: z.string().check(z.minLength(1)),
-	service: z.string().check(z.minLength(1)),
-	address: z.string().check(z.minLength(1)),
-	slots: z.int().check(z.positive()),
-	connections: z.int().check(z.positive()),
+	backendServerId: nameSchema,
+	service: nameSchema,
+	address: addressSchema,
+	slots: slotsSchema,
+	connections: slotsSchema,
 }));
 
-const leavingSchema = z.readonly(z.object({backendServerId: z.string().check(z.minLength(1))}));
+const leavingSchema = z.readonly(z.object({backendServerId: nameSchema}));
 
 /** Effects that answer requests of entries and backend servers. */
 export type RequestEffectKind = 'run-request' | 'refuse-request' | 'answer-request' | 'answer-leaving';
@@ -84,23 +95,25 @@
 	response.end(JSON.stringify(value));
 }
 
+/** Answers a notice that is cut off, is not JSON or does not have the agreed fields. */
 function sendBadNotice(response: ServerResponse, fields: string): void {
 	sendJson(response, 400, {error: {kind: 'bad-notice', message: 'the notice does not have the agreed fields', remedy: `send ${fields}`}});
 }
 
+/** Reads a notice; returns undefined for one that is cut off, too long or does not match its schema. */
 async function readNotice<Value>(request: IncomingMessage, schema: z.ZodMiniType<Value>): Promise<Value | undefined> {
 	const chunks: Uint8Array[] = [];
 	let bytes = 0;
-	for await (const chunk of request as AsyncIterable<Uint8Array>) {
-		bytes += chunk.byteLength;
-		if (bytes > maxNoticeBytes) {
-			return undefined;
-		}
+	try {
+		for await (const chunk of request as AsyncIterable<Uint8Array>) {
+			bytes += chunk.byteLength;
+			if (bytes > maxNoticeBytes) {
+				return undefined;
+			}
 
-		chunks.push(chunk);
-	}
+			chunks.push(chunk);
+		}
 
-	try {
 		return schema.safeParse(JSON.parse(Buffer.concat(chunks).toString())).data;
 	} catch {
 		return undefined;
@@ -144,7 +157,7 @@
 			request,
 			response,
 			arrivedAtMs: requestNowMs,
-			deadlineMs: requestNowMs + (Number.isFinite(remainingMs) ? remainingMs : defaultDeadlineMs),
+			deadlineMs: requestNowMs + (Number.isFinite(remainingMs) ? Math.min(maxDeadlineMs, remainingMs) : defaultDeadlineMs),
 		});
 		const backendServerId = headerOf(request, 'backend-server');
 		const key = keyOf(request);
