Let long-running tasks that fail at each start pause before the next one

A restart of a long-running task goes before all other tasks. One that failed at once on every start was claimed again in the same pass, so that a flood of such tasks held the free resources of a service and its short tasks never started.

From the second failure in a row, each within 3 s of a restart, the task pauses for 0.5 s, doubled with each further one up to 3 s; a task may be without a run for 9 s. A first failure, and one after a longer run, pauses nothing. Every entry follows the failures in the log with its own clock, so that the pauses go on after a takeover of the placement.

--- a/bench/play-waiting-day.ts
+++ b/bench/play-waiting-day.ts
@@ -6,6 +6,7 @@
 	trackForbiddenWaits, type ForbiddenWait, type ForbiddenWaitState, noForbiddenWaits,
 } from '../src/placement/forbidden-waits.js';
 import {initialPlacement, placeQueuedTasks, type PlacementState} from '../src/placement/place-queued-tasks.js';
+import {recordFailedStarts} from '../src/placement/restart-pauses.js';
 import {entrySettingsSchema} from '../src/settings/entry-settings.js';
 import {endDelayMs, startDelayMs, stopDelayMs} from './loop-delays.js';
 import {RandomDraw} from './random-draw.js';
@@ -147,11 +148,16 @@
 		const sequence = (this.sequences.get(incarnation) ?? 0) + 1;
 		this.sequences.set(incarnation, sequence);
 		const before = this.cluster;
-		this.cluster = applyRecord(before, {
+		const logged = {
 			offset: before.offset + 1, envelope: {
 				writer: 'e', incarnation, sequence, record,
 			},
-		});
+		};
+		this.cluster = applyRecord(before, logged);
+		for (const entry of this.entries) {
+			entry.placement = {...entry.placement, failedStarts: recordFailedStarts(entry.placement.failedStarts, [logged], this.cluster, this.nowMs)};
+		}
+
 		if (this.cluster.finishedWorkflows !== before.finishedWorkflows) {
 			this.recordFinishedJob(before);
 		}
--- a/src/entry/reduce-entry.test.ts
+++ b/src/entry/reduce-entry.test.ts
@@ -201,3 +201,35 @@
 	const closed = entry.dispatch({kind: 'agent-session-closed', sessionId: 'session-1'}, 20);
 	t.is(closed.state.placement.fillingRoomByVm.get('vm-1'), undefined);
 });
+
+test('an entry that does not place a task knows from the log that it fails at once on every start', t => {
+	const entry = createEntry();
+	const taskId = 'job.0.0.0';
+	const attempts = [1, 2].flatMap((attempt): readonly ClusterRecord[] => [
+		{
+			kind: 'task-claimed', taskId, attempt, vmId: 'vm-1', agentIncarnation: 'agent-1', committed: demand, evictTaskIds: [], decision: {
+				policy: 'least-harm', seed: 1, stateOffset: 0, candidates: [], consideredVms: 1, reason: '',
+			},
+		},
+		{
+			kind: 'task-ended', taskId, attempt, agentIncarnation: 'agent-1', outcome: 'failed', reason: '',
+		},
+	]);
+	const {state} = entry.read('other', [
+		{
+			kind: 'entry-registered', entryId: 'entry-2', failureDomain: 'domain-1', operatorAddress: '127.0.0.1:5',
+		},
+		{...vmRegistered, service: 's', labels: []},
+		{
+			kind: 'job-submitted', job: {
+				jobId: 'job', teamId: 't', workClass: 'batch', priority: 'urgent', tasks: [], workflow: {
+					queue: 'q', service: 's', payload: '', maxFailures: 2, steps: [{
+						count: 1, demand, declaredRunTimeMs: 100, longRunning: true,
+					}],
+				},
+			},
+		},
+		...attempts,
+	], 5000);
+	t.deepEqual(state.placement.failedStarts.get(taskId), {attempt: 2, failures: 2, readAtMs: 5000});
+});
--- a/src/entry/reduce-entry.ts
+++ b/src/entry/reduce-entry.ts
@@ -7,6 +7,7 @@
 import {tickVmLiveness} from '../membership/vm-liveness.js';
 import {recordAttemptEnds, tickFailureAttribution} from '../placement/failure-attribution.js';
 import {placeQueuedTasks} from '../placement/place-queued-tasks.js';
+import {recordFailedStarts} from '../placement/restart-pauses.js';
 import {type RequestEvent} from '../requests/request-event.js';
 import {reduceRequests} from '../requests/reduce-requests.js';
 import {type EntrySettings} from '../settings/entry-settings.js';
@@ -124,6 +125,7 @@
 			cluster,
 			log,
 			entryLiveness,
+			placement: {...state.placement, failedStarts: recordFailedStarts(state.placement.failedStarts, event.records, cluster, inputs.nowMs)},
 			failureAttribution: recordAttemptEnds(state.failureAttribution, event.records, before),
 		},
 		effects: [...recordTimeline(event.records, before, cluster, state.incarnation), ...logFailedJobs(event.records, {before, after: cluster}, state.incarnation)],
--- a/src/placement/overloaded-fleet.ts
+++ b/src/placement/overloaded-fleet.ts
@@ -6,6 +6,7 @@
 import {type Step} from '../cluster/workflow.js';
 import {entrySettingsSchema} from '../settings/entry-settings.js';
 import {initialPlacement, placeQueuedTasks} from './place-queued-tasks.js';
+import {recordFailedStarts} from './restart-pauses.js';
 
 const settings = entrySettingsSchema.parse({
 	role: 'entry', entryId: 'e1', failureDomain: 'a', callerAddress: '127.0.0.1:1', operatorAddress: '127.0.0.1:2', agentAddress: '127.0.0.1:3',
@@ -131,11 +132,13 @@
 
 	apply(record: ClusterRecord): void {
 		const offset = this.cluster.offset + 1;
-		this.cluster = applyRecord(this.cluster, {
+		const logged = {
 			offset, envelope: {
 				writer: 'e1', incarnation: 'i1', sequence: offset + 1, record,
 			},
-		});
+		};
+		this.cluster = applyRecord(this.cluster, logged);
+		this.#placement = {...this.#placement, failedStarts: recordFailedStarts(this.#placement.failedStarts, [logged], this.cluster, this.nowMs)};
 	}
 
 	#draw(least: number, most: number): number {
--- a/src/placement/place-queued-tasks.ts
+++ b/src/placement/place-queued-tasks.ts
@@ -31,6 +31,7 @@
 import {evaluatePlacementOwners, type OwnersSeen, type PlacementOwners} from './evaluate-placement-owners.js';
 import {placementSubjectOf} from './placement-owner.js';
 import {orderQueue} from './queue-order.js';
+import {type FailedStarts, isPaused, noFailedStarts} from './restart-pauses.js';
 import {
 	isReservedAgainst, retainValidReservations, noReservations, releaseReservation, reserveVm, unreservedResourcesFor, type Reservations,
 } from './reservations.js';
@@ -58,6 +59,8 @@
 	reservations: Reservations;
 	/** Until the fleet has stopped growing, a task that no known worker could run waits for others to register. */
 	fleetGrowth: FleetGrowth;
+	/** Long-running tasks that fail soon after their start, which pause before the next one. */
+	failedStarts: FailedStarts;
 }>;
 
 export const initialPlacement: PlacementState = {
@@ -71,6 +74,7 @@
 	silentVmIds: immutableSet(),
 	reservations: noReservations,
 	fleetGrowth: noFleetSeen,
+	failedStarts: noFailedStarts,
 };
 
 /** VMs sampled first for one task; all VMs are scanned only when none of the sample fits. */
@@ -161,7 +165,7 @@
 	pass.reservationAttempts = 0;
 	const own = [...cluster.queued.get(priority)?.keys() ?? []].filter(taskId => {
 		const task = cluster.tasks.get(taskId);
-		return task && !pass.state.pending.byTask.has(taskId) && pass.owners.isOwn(placementSubjectOf(task, cluster));
+		return task && !pass.state.pending.byTask.has(taskId) && !isPaused(pass.state.failedStarts, task, pass.context.nowMs) && pass.owners.isOwn(placementSubjectOf(task, cluster));
 	});
 	// The limits below apply per class, so an overload of one class does not stop the placement of the others.
 	const ordered = admitFillingJobs(orderQueue(own, cluster, pass.context.wallTimeMs), {
