Report a worker that cannot be connected to as silent at once

A connection that the executor refuses within 2 s of its announcement does not show that its process has ended, so the poll counted like one without an answer. Until 2.5 s of silence entries went on claiming tasks for the VM, and each such claim cost an attempt.

A poll for which no connection was made now marks the worker as silent, which only keeps the placement away. The worker is lost as late as before: by refusals without an announcement, or when it is silent otherwise and its lease has expired.

Failed before: src/agent/reduce-agent.test.ts, 'a worker that cannot be connected to is silent at once, but not lost before it is certain that its process has ended' (no heartbeat, + true), and src/agent/worker-driver.test.ts, 'a poll for which no connection was made is told from one without an answer' (isUnreached: undefined).

--- a/src/agent/agent-event.ts
+++ b/src/agent/agent-event.ts
@@ -30,6 +30,8 @@
 	'worker-look-failed': Readonly<{
 		/** Whether nothing listens at the worker's address. */
 		isConnectionRefused: boolean;
+		/** Whether no connection was made, for whatever cause, so that a start would not have reached the worker either. */
+		isUnreached?: boolean;
 	}>;
 	'worker-usage': Readonly<{usage: WorkerUsage}>;
 	/** An `unsent` start never reached the worker; earlier tries of it may have. */
--- a/src/agent/reduce-agent.test.ts
+++ b/src/agent/reduce-agent.test.ts
@@ -356,6 +356,25 @@
 	t.deepEqual(silences(fixture.send('tick', {latencies: []})), [false]);
 });
 
+/** Guards against claims that cost an attempt each while an announcement leaves it open whether the worker process has ended. */
+test('a worker that cannot be connected to is silent at once, but not lost before it is certain that its process has ended', t => {
+	const fixture = new Fixture().activate();
+	fixture.start('t1', 1);
+	const {incarnation} = fixture.state;
+	const silences = (effects: readonly AgentEffect[]) => effects.flatMap(effect => effect.kind === 'send' && effect.message.case === 'heartbeat' ? [effect.message.value.workerSilent] : []);
+	t.deepEqual(silences(fixture.send('worker-look-failed', {isConnectionRefused: false, isUnreached: true})), [true]);
+	// The agent's own lease ends later.
+	const endsAtMs = fixture.nowMs + leaseMs - 500;
+	while (fixture.nowMs < endsAtMs) {
+		fixture.nowMs += 250;
+		fixture.send('worker-look-failed', {isConnectionRefused: false, isUnreached: true});
+	}
+
+	t.is(fixture.state.incarnation, incarnation);
+	fixture.list();
+	t.deepEqual(silences(fixture.send('tick', {latencies: []})), [false]);
+});
+
 /** Guards against stopping a running task because a repeated start did not reach the worker. */
 test('a start that did not reach the worker is refused only when no earlier try of it may run', t => {
 	for (const isTriedBefore of [false, true]) {
--- a/src/agent/worker-driver.test.ts
+++ b/src/agent/worker-driver.test.ts
@@ -109,3 +109,21 @@
 	t.deepEqual(results, [['unreached', 'unsent'], ['gone', 'unsent'], ['unavailable', 'unknown']]);
 	t.like(events.find(({kind}) => kind === 'worker-look-failed'), {isConnectionRefused: true});
 });
+
+test('a poll for which no connection was made is told from one without an answer', async t => {
+	const events: AgentEvent[] = [];
+	for (const kind of ['worker-unreached', 'worker-unavailable'] as const) {
+		const failed = async () => Result.err({kind, message: 'no answer', remedy: 'none'});
+		const worker: Worker = {
+			startTask: failed, deleteTask: failed, setLease: failed, checkpointTask: failed, throttleTask: failed, stopTask: failed, listTasks: failed, readUsage: failed,
+		};
+		const driver = createWorkerDriver({
+			worker, eventLog: silentLog, nowMs: () => 0, dispatch(event) {
+				events.push(event);
+			},
+		});
+		await driver.poll();
+	}
+
+	t.like(events, [{isConnectionRefused: false, isUnreached: true}, {isConnectionRefused: false, isUnreached: false}]);
+});
--- a/src/agent/worker-driver.ts
+++ b/src/agent/worker-driver.ts
@@ -161,7 +161,9 @@
 				warn('list-tasks', undefined, tasks.error);
 			}
 
-			dispatch({kind: 'worker-look-failed', nowMs: nowMs(), isConnectionRefused: tasks.error.kind === 'worker-gone'});
+			dispatch({
+				kind: 'worker-look-failed', nowMs: nowMs(), isConnectionRefused: tasks.error.kind === 'worker-gone', isUnreached: tasks.error.kind === 'worker-unreached',
+			});
 			return;
 		}
 
--- a/src/agent/worker-view.test.ts
+++ b/src/agent/worker-view.test.ts
@@ -1,5 +1,7 @@
 import test from 'ava';
-import {isWorkerLeaseExpired, nextWorkerLeaseDeadlineMs, initialWorkerView} from './worker-view.js';
+import {
+	isSilent, isWorkerLeaseExpired, nextWorkerLeaseDeadlineMs, initialWorkerView, reasonForLoss,
+} from './worker-view.js';
 
 const timings = {workerHoldMs: 8000, workerTimeoutMs: 2500};
 const seen = {...initialWorkerView, lastSeenAtMs: 10_000};
@@ -37,3 +39,11 @@
 
 	t.is(renewals, 10);
 });
+
+test('a worker that cannot be connected to for a moment is not lost, although no lease of it runs', t => {
+	const worker = {
+		...initialWorkerView, lastSeenAtMs: 11_900, workerLeaseDeadlineMs: 1000, isUnreached: true,
+	};
+	t.true(isSilent(worker, {nowMs: 12_000, ...timings}));
+	t.is(reasonForLoss(worker, {nowMs: 12_000, ...timings}), undefined);
+});
--- a/src/agent/worker-view.ts
+++ b/src/agent/worker-view.ts
@@ -18,13 +18,15 @@
 	workerLeaseDeadlineMs: number;
 	/** Times of the first and the newest poll in the current series of refused connections; undefined when the newest poll was not refused. */
 	connectionRefused: Readonly<{sinceMs: number; untilMs: number}> | undefined;
+	/** Whether no connection was made for the newest poll. It says nothing of the worker's tasks. */
+	isUnreached: boolean;
 	/** Whether the worker is lost: its tasks have certainly stopped, and it has sent no list since. */
 	lost: boolean;
 }>;
 
 /** A worker that has not listed its tasks yet. */
 export const initialWorkerView: WorkerView = {
-	incarnation: '', service: '', labels: [], rack: '', startedAtMs: 0, leaving: false, lastSeenAtMs: Number.NEGATIVE_INFINITY, workerLeaseDeadlineMs: 0, connectionRefused: undefined, lost: false,
+	incarnation: '', service: '', labels: [], rack: '', startedAtMs: 0, leaving: false, lastSeenAtMs: Number.NEGATIVE_INFINITY, workerLeaseDeadlineMs: 0, connectionRefused: undefined, isUnreached: false, lost: false,
 };
 
 /**
@@ -36,7 +38,7 @@
 export function recordWorkerList(worker: WorkerView, list: WorkerTasks, nowMs: number): WorkerView {
 	const {workerIncarnation, service = '', labels = [], rack = '', startedAtMs = 0, leaving = false} = list;
 	return {
-		...worker, incarnation: workerIncarnation, service, labels, rack, startedAtMs, leaving, lastSeenAtMs: nowMs, connectionRefused: undefined, lost: false,
+		...worker, incarnation: workerIncarnation, service, labels, rack, startedAtMs, leaving, lastSeenAtMs: nowMs, connectionRefused: undefined, isUnreached: false, lost: false,
 	};
 }
 
@@ -47,8 +49,8 @@
 @example
 recordFailedPoll(initialWorkerView, {isConnectionRefused: true, nowMs: 5000}).connectionRefused; // => {sinceMs: 5000, untilMs: 5000}
 */
-export function recordFailedPoll(worker: WorkerView, {isConnectionRefused, nowMs}: Readonly<{isConnectionRefused: boolean; nowMs: number}>): WorkerView {
-	return {...worker, connectionRefused: isConnectionRefused ? {sinceMs: worker.connectionRefused?.sinceMs ?? nowMs, untilMs: nowMs} : undefined};
+export function recordFailedPoll(worker: WorkerView, {isConnectionRefused, isUnreached = false, nowMs}: Readonly<{isConnectionRefused: boolean; isUnreached?: boolean; nowMs: number}>): WorkerView {
+	return {...worker, isUnreached, connectionRefused: isConnectionRefused ? {sinceMs: worker.connectionRefused?.sinceMs ?? nowMs, untilMs: nowMs} : undefined};
 }
 
 /**
@@ -111,13 +113,18 @@
 }
 
 /**
-Returns whether the worker is silent: it is lost, it refused the newest connection, or its last list is older than `workerTimeoutMs`. Its tasks
-may still run, but a start would probably not reach it.
+Returns whether the worker is silent: it is lost, no connection was made for the newest poll, or its last list is older than `workerTimeoutMs`. Its
+tasks may still run, but a start would probably not reach it.
 
 @example
 isSilent({...initialWorkerView, lastSeenAtMs: 5000}, {nowMs: 6000, workerTimeoutMs: 2500}); // => false
 */
-export function isSilent({lastSeenAtMs, connectionRefused, lost}: WorkerView, {nowMs, workerTimeoutMs}: Readonly<{nowMs: number; workerTimeoutMs: number}>): boolean {
+export function isSilent(worker: WorkerView, timings: Readonly<{nowMs: number; workerTimeoutMs: number}>): boolean {
+	return worker.isUnreached || hasFallenSilent(worker, timings);
+}
+
+/** Returns whether the worker is silent for another reason than a connection that was not made while its process may live. */
+function hasFallenSilent({lastSeenAtMs, connectionRefused, lost}: WorkerView, {nowMs, workerTimeoutMs}: Readonly<{nowMs: number; workerTimeoutMs: number}>): boolean {
 	return lost || connectionRefused !== undefined || nowMs - lastSeenAtMs > workerTimeoutMs;
 }
 
@@ -141,7 +148,7 @@
 		return 'nothing listens at the address of the worker';
 	}
 
-	return !worker.lost && isSilent(worker, {nowMs, workerTimeoutMs}) && isWorkerLeaseExpired(worker, {nowMs, workerHoldMs})
+	return !worker.lost && hasFallenSilent(worker, {nowMs, workerTimeoutMs}) && isWorkerLeaseExpired(worker, {nowMs, workerHoldMs})
 		? 'the worker is silent and its lease has expired'
 		: undefined;
 }
