--- a/src/agent/worker-driver.ts
+++ b/src/agent/worker-driver.ts
@@ -208,7 +208,9 @@
 				warn('list-tasks', undefined, tasks.error);
 			}
 
-			dispatch({kind: 'worker-look-failed', nowMs: nowMs(), isConnectionRefused: tasks.error.kind === 'worker-gone'});
+			dispatch({
+				kind: 'worker-look-failed', nowMs: nowMs(), isConnectionRefused: tasks.error.kind === 'worker-gone', isUnreached: tasks.error.kind === 'worker-unreached',
+			});
 			return false;
 		}
 
--- a/src/agent/worker-view.test.ts
+++ b/src/agent/worker-view.test.ts
@@ -1,5 +1,7 @@
 import test from 'ava';
-import {isWorkerLeaseExpired, nextWorkerLeaseDeadlineMs, initialWorkerView} from './worker-view.js';
+import {
+	isSilent, isWorkerLeaseExpired, nextWorkerLeaseDeadlineMs, initialWorkerView, reasonForLoss,
+} from './worker-view.js';
 
 const timings = {workerHoldMs: 8000, workerTimeoutMs: 2500};
 const seen = {...initialWorkerView, lastSeenAtMs: 10_000};
@@ -43,3 +45,11 @@
 	t.is(nextWorkerLeaseDeadlineMs(refusing, {leaseDeadlineMs: 30_000, nowMs: 10_300, ...timings}), undefined);
 	t.is(nextWorkerLeaseDeadlineMs({...seen, lost: true}, {leaseDeadlineMs: 30_000, nowMs: 10_300, ...timings}), undefined);
 });
+
+test('a worker that cannot be connected to for a moment is not lost, although no lease of it runs', t => {
+	const worker = {
+		...initialWorkerView, lastSeenAtMs: 11_900, workerLeaseDeadlineMs: 1000, isUnreached: true,
+	};
+	t.true(isSilent(worker, {nowMs: 12_000, ...timings}));
+	t.is(reasonForLoss(worker, {nowMs: 12_000, ...timings}), undefined);
+});
--- a/src/entry/reduce-entry.ts
+++ b/src/entry/reduce-entry.ts
@@ -7,6 +7,7 @@
 import {tickVmLiveness} from '../membership/vm-liveness.js';
 import {recordAttemptEnds, tickFailureAttribution} from '../placement/failure-attribution.js';
 import {placeQueuedTasks} from '../placement/place-queued-tasks.js';
+import {recordFailedStarts} from '../placement/restart-pauses.js';
 import {type RequestEvent} from '../requests/request-event.js';
 import {reduceRequests} from '../requests/reduce-requests.js';
 import {type EntrySettings} from '../settings/entry-settings.js';
@@ -138,6 +139,10 @@
 	return [
 		['claim-times', state => ({state: recordClaimTimes(state, event, inputs), effects: []})],
 		['attempt-ends', state => ({state: {...state, failureAttribution: recordAttemptEnds(state.failureAttribution, event.records, before)}, effects: []})],
+		['failed-starts', state => ({
+			state: {...state, placement: {...state.placement, failedStarts: recordFailedStarts(state.placement.failedStarts, event.records, state.cluster, inputs.nowMs)}},
+			effects: [],
+		})],
 		['timeline', state => ({state, effects: recordTimeline(event.records, before, state.cluster, state.incarnation)})],
 		['failed-jobs', state => ({state, effects: logFailedJobs(event.records, {before, after: state.cluster}, state.incarnation)})],
 		['agent-commands', state => commandAgents(state, {event, before}, inputs, settings)],
