--- a/src/cluster/cluster-state-codec.ts
+++ b/src/cluster/cluster-state-codec.ts
@@ -4,6 +4,10 @@
 import {err, ok, type Result} from 'true-myth/result';
 import {z} from 'zod';
 import {type TypedError} from '../errors/typed-error.js';
+import {addressSchema} from '../validation/address-schema.js';
+import {countSchema, resourceAmountSchema, timeMsSchema} from '../validation/bounds-schema.js';
+import {describeIssues} from '../validation/describe-issues.js';
+import {checkClusterState} from './check-cluster-state.js';
 import {scoreInputsSchema} from './cluster-record.js';
 import {
 	type BackendServer, type ClusterState, type Task, type TaskClaim, type Vm,
@@ -17,19 +21,25 @@
 /** Version of the encoding, to be incremented with every incompatible change of it. A snapshot of another version is not loaded. */
 const VERSION = 3;
 
-const resources = z.tuple([z.number(), z.number(), z.number()]);
+/** A sum over VMs, or a count that one record changes; no message carries it. */
+const total = z.int().min(0);
+const offset = z.int().min(-1);
+const resources = z.tuple([resourceAmountSchema, resourceAmountSchema, resourceAmountSchema]);
+const totalResources = z.tuple([total, total, total]);
+/** Fixtures and states of tests have VMs without an address. */
+const address = z.union([addressSchema, z.literal('')]);
 const strings = z.array(z.string());
 
 const decision = z.tuple([
-	z.string(), z.number(), z.number(), z.array(z.tuple([z.string(), z.number(), z.number(), resources, scoreInputsSchema.optional()])), z.number(), z.string(),
+	z.string(), z.int(), z.int(), z.array(z.tuple([z.string(), z.int(), z.int(), resources, scoreInputsSchema.optional()])), total, z.string(),
 ]);
 
-const claim = z.tuple([z.string(), z.string(), z.number(), z.string(), resources, z.boolean(), strings, decision]);
+const claim = z.tuple([z.string(), z.string(), total, z.string(), resources, z.boolean(), strings, decision]);
 
 const task = z.tuple([
 	z.string(),
 	resources,
-	z.number(),
+	timeMsSchema,
 	z.string(),
 	z.string().nullable(),
 	z.string(),
@@ -37,16 +47,16 @@
 	z.enum(['latency-critical', 'batch']),
 	priorityClassSchema,
 	z.enum(['blocked', 'queued', 'claimed', 'running', 'evicting', 'cancelling', 'finished', 'failed', 'cancelled', 'unplaceable']),
-	z.number(),
+	z.union([countSchema, z.literal(0)]),
 	claim.nullable(),
 	z.string(),
-	z.number(),
-	z.number(),
+	total,
+	total,
 	strings,
-	z.number(),
-	z.number(),
+	offset,
+	offset,
 	z.string(),
-	z.tuple([z.number(), z.number()]).nullable(),
+	z.tuple([total, total]).nullable(),
 ]);
 
 const vm = z.object({
@@ -56,7 +66,7 @@
 	workerIncarnation: z.string(),
 	failureDomain: z.string(),
 	rack: z.string(),
-	requestAddress: z.string(),
+	requestAddress: address,
 	capacity: resources,
 	committed: resources,
 	phase: z.enum(['live', 'revoked', 'expired']),
@@ -67,7 +77,7 @@
 	quarantined: z.boolean(),
 	service: z.string(),
 	labels: strings,
-	workerStartedAtMs: z.number(),
+	workerStartedAtMs: timeMsSchema,
 	heardBy: strings,
 	taskIds: strings,
 	backendServerIds: strings,
@@ -80,8 +90,8 @@
 	service: z.string(),
 	vmId: z.string(),
 	agentIncarnation: z.string(),
-	slots: z.number(),
-	connections: z.number(),
+	slots: countSchema,
+	connections: countSchema,
 	phase: z.enum(['serving', 'leaving', 'gone']),
 	draining: z.boolean(),
 	committed: resources,
@@ -90,13 +100,13 @@
 /** The cluster state as a JSON value. The most frequent objects are tuples to save space, and unordered collections are sorted. */
 export const encodedClusterStateSchema = z.object({
 	version: z.literal(VERSION),
-	offset: z.number(),
+	offset,
 	entries: z.array(z.object({
-		entryId: z.string(), incarnation: z.string(), failureDomain: z.string(), operatorAddress: z.string(), processorsMilli: z.number(), lastOffset: z.number(), appliedOffset: z.number(),
-		readLag: z.object({unreadOffsets: z.array(z.number()).readonly(), isBehind: z.boolean()}).optional(),
+		entryId: z.string(), incarnation: z.string(), failureDomain: z.string(), operatorAddress: z.string(), processorsMilli: countSchema, lastOffset: offset, appliedOffset: offset,
+		readLag: z.object({unreadOffsets: z.array(offset).readonly(), isBehind: z.boolean()}).optional(),
 	})),
 	endedIncarnations: strings,
-	sequences: z.array(z.tuple([z.string(), z.number()])),
+	sequences: z.array(z.tuple([z.string(), total])),
 	vms: z.array(vm),
 	expiredVmIds: strings,
 	backendServers: z.array(backendServer),
@@ -104,24 +114,24 @@
 	tasks: z.array(task),
 	queued: z.array(z.tuple([priorityClassSchema, strings])),
 	jobs: z.array(z.tuple([z.string(), strings])),
-	unfinishedTasksByJob: z.array(z.tuple([z.string(), z.number()])),
-	finishedJobs: z.array(z.tuple([z.string(), z.number()])),
-	finishedTaskCount: z.number(),
+	unfinishedTasksByJob: z.array(z.tuple([z.string(), z.int()])),
+	finishedJobs: z.array(z.tuple([z.string(), total])),
+	finishedTaskCount: total,
 	workflows: z.array(z.object({
 		workflow: workflowSchema,
 		owner: z.object({
 			jobId: z.string(), teamId: z.string(), workClass: z.enum(['latency-critical', 'batch']), priority: priorityClassSchema,
 		}),
 		phase: z.enum(['queued', 'running', 'failed', 'cancelled']),
-		unfinishedByStep: z.array(z.tuple([z.string(), z.number()])),
-		madeOccurrences: z.number(),
+		unfinishedByStep: z.array(z.tuple([z.string(), z.int()])),
+		madeOccurrences: total,
 	})),
 	finishedWorkflows: z.array(z.tuple([z.string(), z.string(), z.enum(['completed', 'failed', 'cancelled'])])),
-	committedByTeam: z.array(z.tuple([z.string(), resources])),
-	keys: z.array(z.tuple([z.string(), z.string(), z.string(), z.string(), z.string(), z.string(), z.number()])),
-	keysForgottenThroughOffset: z.number(),
+	committedByTeam: z.array(z.tuple([z.string(), totalResources])),
+	keys: z.array(z.tuple([z.string(), z.string(), z.string(), z.string(), z.string(), z.string(), offset])),
+	keysForgottenThroughOffset: offset,
 	configuration: z.object({
-		offset: z.number(),
+		offset,
 		services: z.array(serviceSchema),
 		quotas: z.array(z.tuple([z.string(), resources])),
 		requestLimits: requestLimitsSchema,
@@ -131,9 +141,9 @@
 		drainingBackendServerIds: strings,
 	}),
 	planDecisions: z.array(z.object({
-		planId: z.string(), offset: z.number(), accepted: z.boolean(), reason: z.string(),
+		planId: z.string(), offset, accepted: z.boolean(), reason: z.string(),
 	})),
-	entityOffsets: z.array(z.tuple([z.string(), z.number()])),
+	entityOffsets: z.array(z.tuple([z.string(), offset])),
 });
 
 export type EncodedClusterState = z.infer<typeof encodedClusterStateSchema>;
@@ -340,7 +350,8 @@
 }
 
 /**
-Decodes the result of {@link encodeClusterState}, for example from a snapshot. Returns the error `cluster-state-invalid` for any other value.
+Decodes the result of {@link encodeClusterState}, for example from a snapshot. Returns the error `cluster-state-invalid` for any other value,
+and for a state that no log leads to, such as one with a claim for a VM that does not exist.
 
 @example
 decodeClusterState(JSON.parse(text)); // => Ok(state)
@@ -348,16 +359,25 @@
 export function decodeClusterState(value: unknown): Result<ClusterState, TypedError<'cluster-state-invalid'>> {
 	const parsed = encodedClusterStateSchema.safeParse(value);
 	if (!parsed.success) {
-		return err({
-			kind: 'cluster-state-invalid',
-			message: `the snapshot is not of version ${VERSION}: ${parsed.error.message.slice(0, 300)}`,
-			remedy: 'let an entry of this version read the log from an older snapshot or from its start',
-		});
+		return err(invalidState(`it is not of version ${VERSION}: ${describeIssues(parsed.error)}`));
 	}
 
-	const {data} = parsed;
+	const state = unpackState(parsed.data);
+	const contradiction = checkClusterState(state);
+	return contradiction === undefined ? ok(state) : err(invalidState(contradiction));
+}
+
+function invalidState(reason: string): TypedError<'cluster-state-invalid'> {
+	return {
+		kind: 'cluster-state-invalid',
+		message: `the state cannot be used: ${reason}`,
+		remedy: 'let an entry of this version read the log from an older snapshot or from its start',
+	};
+}
+
+function unpackState(data: EncodedClusterState): ClusterState {
 	const {configuration} = data;
-	return ok({
+	return {
 		offset: data.offset,
 		entries: immutableMap(data.entries.map(member => [member.incarnation, member])),
 		endedIncarnations: orderedSet(data.endedIncarnations),
@@ -389,5 +409,5 @@
 		},
 		planDecisions: orderedMap(data.planDecisions.map(planDecision => [planDecision.planId, planDecision])),
 		entityOffsets: immutableMap(data.entityOffsets),
-	});
+	};
 }
--- a/src/entry/log-connection.test.ts
+++ b/src/entry/log-connection.test.ts
@@ -1,8 +1,10 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
+import {encodeClusterState} from '../cluster/cluster-state-codec.js';
+import {emptyClusterState} from '../cluster/reduce-cluster.js';
 import {createFakeLogService} from '../log/fake-log-service.js';
 import {systemClock} from '../log/clock.js';
-import {createSnapshotStore} from '../log/snapshot-store.js';
+import {createSnapshotStore, type SnapshotStore} from '../log/snapshot-store.js';
 import {entrySettingsSchema} from '../settings/entry-settings.js';
 import {type EventFields, type EventLog} from '../telemetry/event-log.js';
 import {type EntryEvent} from './entry-event.js';
@@ -18,7 +20,7 @@
 });
 
 /** Creates a connection to an in-memory log, with the events and the lines of the log that it causes. */
-function setUp(t: ExecutionContext) {
+function setUp(t: ExecutionContext, changes: Partial<SnapshotStore> = {}) {
 	const log = createFakeLogService(systemClock);
 	const snapshots = createSnapshotStore({service: log.service, stream: `${settings.logStream}-snapshots`});
 	const events: EntryEvent[] = [];
@@ -35,7 +37,7 @@
 		settings,
 		token: undefined,
 		logService: log.service,
-		snapshots,
+		snapshots: {...snapshots, ...changes},
 		eventLog,
 		metrics: {
 			increment(name, count = 1) {
@@ -67,3 +69,29 @@
 	t.is(counts.get('log.values.skipped'), 100);
 	t.is(lines.filter(({event}) => event === 'log-record-skipped').length, 5);
 });
+
+test('a snapshot whose state cannot be used is passed over for the next older one', async t => {
+	const {log, snapshots, events, lines, connection} = setUp(t);
+	await log.service.append(settings.logStream, Array.from({length: 50}, (_, index) => heartbeat(index + 1)));
+	const stateAt = (offset: number) => encodeClusterState({...emptyClusterState, offset});
+	const values = [[10, stateAt(10)], [40, {version: 0}], [41, stateAt(45)], [50, stateAt(50)], [30, stateAt(30)]] as const;
+	for (const [coversOffset, value] of values) {
+		await snapshots.write({snapshotId: `s${coversOffset}`, coversOffset, value});
+	}
+
+	await connection.start('own');
+	t.deepEqual(events.flatMap(event => event.kind === 'snapshot-loaded' ? [event.cluster.offset] : []), [30]);
+	t.deepEqual(lines.filter(({event}) => event === 'snapshot-invalid').map(({fields}) => fields?.coversOffset), [50, 41]);
+});
+
+test('a snapshot that cannot be written is reported, so that the next one is written', async t => {
+	const {events, lines, connection} = setUp(t, {
+		async write() {
+			throw new RangeError('Invalid string length');
+		},
+	});
+	connection.writeSnapshot();
+	await delay(20);
+	t.deepEqual(events, [{kind: 'snapshot-written', coversOffset: -1}]);
+	t.is(lines.at(-1)?.fields?.reason, 'RangeError: Invalid string length');
+});
--- a/src/entry/log-connection.ts
+++ b/src/entry/log-connection.ts
@@ -1,11 +1,12 @@
 import {randomUUID} from 'node:crypto';
 import {performance} from 'node:perf_hooks';
 import {setTimeout as delay} from 'node:timers/promises';
+import {err, ok, type Result} from 'true-myth/result';
 import {type ClusterRecord} from '../cluster/cluster-record.js';
 import {type ClusterState} from '../cluster/cluster-state.js';
 import {decodeClusterState, encodeClusterState} from '../cluster/cluster-state-codec.js';
 import {createLogReader, type LogReader} from '../log/log-reader.js';
-import {type LogService} from '../log/log-service.js';
+import {type LogError, type LogService} from '../log/log-service.js';
 import {createLogWriter, type LogWriter} from '../log/log-writer.js';
 import {type Snapshot, type SnapshotStore} from '../log/snapshot-store.js';
 import {type EntrySettings} from '../settings/entry-settings.js';
@@ -13,6 +14,7 @@
 import {createLineLimit} from '../telemetry/line-limit.js';
 import {type Metrics} from '../telemetry/metrics.js';
 import {ownsPlacement} from '../placement/placement-owner.js';
+import {describeThrown} from '../validation/describe-thrown.js';
 import {type EntryEvent} from './entry-event.js';
 import {type EntryMonitor} from './entry-monitor.js';
 import {type EntryState} from './entry-state.js';
@@ -44,6 +46,17 @@
 		|| ownsPlacement(cluster, incarnation);
 }
 
+/** Returns the state of a snapshot that covers the log through its offset and no further than to the log's tail. */
+function decodeSnapshot({coversOffset, value}: Snapshot, tailOffset: number): Result<ClusterState, string> {
+	return decodeClusterState(value).mapErr(({message}) => message).andThen(cluster => {
+		if (cluster.offset !== coversOffset) {
+			return err(`its state is of offset ${cluster.offset}`);
+		}
+
+		return cluster.offset < tailOffset ? ok(cluster) : err(`the log ends at offset ${tailOffset}, before the state's offset`);
+	});
+}
+
 /**
 Creates the connection; `start` must be called before anything else.
 
@@ -129,19 +142,41 @@
 	async function loadState(): Promise<void> {
 		const loaded = await loadSnapshot();
 		// Without the log, a peer's state is the newest one available.
-		const cluster = loaded.isOk
-			? decodeSnapshot(loaded.value)
-			: (token === undefined ? undefined : await fetchPeerState({addresses: settings.peerOperatorAddresses, token}));
+		const cluster = loaded.isOk ? loaded.value : await loadFromPeer();
 		if (cluster) {
 			eventLog.info('state-loaded', {offset: cluster.offset, from: loaded.isOk ? 'snapshot' : 'peer'});
 			dispatch({kind: 'snapshot-loaded', cluster});
 		}
 	}
 
+	/** Returns the log's tail; infinity when it cannot be read. */
+	async function readTailOffset(): Promise<number> {
+		const bounds = await logService.bounds(settings.logStream);
+		return bounds.map(({tailOffset}) => tailOffset).unwrapOr(Number.POSITIVE_INFINITY);
+	}
+
+	async function loadFromPeer(): Promise<ClusterState | undefined> {
+		return token === undefined
+			? undefined
+			: fetchPeerState({
+				addresses: settings.peerOperatorAddresses,
+				token,
+				onUnusable({address, reason}) {
+					eventLog.error('peer-state-invalid', {address, reason});
+				},
+			});
+	}
+
 	/** Retries if peers cannot be used in place of the snapshot: without either, the entry has to read the whole retained log. */
-	async function loadSnapshot(): ReturnType<SnapshotStore['loadNewest']> {
+	async function loadSnapshot(): Promise<Result<ClusterState | undefined, LogError>> {
 		for (let tries = 1; ; tries++) {
-			const loaded = await snapshots.loadNewest();
+			const tailRead = readTailOffset();
+			const loaded = await snapshots.loadNewestUsable({
+				use: async snapshot => decodeSnapshot(snapshot, await tailRead),
+				onPassedOver({coversOffset, reason}) {
+					eventLog.error('snapshot-invalid', {coversOffset, reason});
+				},
+			});
 			if (loaded.isOk) {
 				return loaded;
 			}
@@ -155,24 +190,24 @@
 		}
 	}
 
-	function decodeSnapshot(snapshot: Snapshot | undefined): ClusterState | undefined {
-		return snapshot && decodeClusterState(snapshot.value).match({
-			Ok: cluster => cluster,
-			Err(error) {
-				eventLog.error('snapshot-invalid', {reason: error.message, remedy: error.remedy});
-				return undefined;
-			},
-		});
-	}
-
 	async function writeSnapshot(): Promise<void> {
 		const {cluster} = state();
-		const written = await snapshots.write({snapshotId: randomUUID(), coversOffset: cluster.offset, value: encodeClusterState(cluster)});
-		if (written.isErr) {
-			eventLog.warn('snapshot-failed', {reason: written.error.message});
+		const failure = await tryToWriteSnapshot(cluster);
+		if (failure !== undefined) {
+			eventLog.warn('snapshot-failed', {reason: failure});
 		}
 
-		dispatch({kind: 'snapshot-written', coversOffset: written.isOk ? cluster.offset : -1});
+		dispatch({kind: 'snapshot-written', coversOffset: failure === undefined ? cluster.offset : -1});
+	}
+
+	/** Returns why the snapshot was not written. */
+	async function tryToWriteSnapshot(cluster: ClusterState): Promise<string | undefined> {
+		try {
+			const written = await snapshots.write({snapshotId: randomUUID(), coversOffset: cluster.offset, value: encodeClusterState(cluster)});
+			return written.isErr ? written.error.message : undefined;
+		} catch (error) {
+			return describeThrown(error).reason;
+		}
 	}
 
 	return {
--- a/src/invariants.test.ts
+++ b/src/invariants.test.ts
@@ -15,6 +15,7 @@
 import type {EntryEffect} from './entry/entry-effect.js';
 import type {EntryEvent} from './entry/entry-event.js';
 import {initialEntryState, type EntryState} from './entry/entry-state.js';
+import {checkClusterState} from './cluster/check-cluster-state.js';
 import {reduceEntry} from './entry/reduce-entry.js';
 import {AgentMessageSchema, EntryMessageSchema} from './generated/arbutushinge/v1/agent_pb.js';
 import type {LogEnvelope} from './log/log-envelope.js';
@@ -734,6 +735,8 @@
 
 		for (const {state: {cluster}} of this.entries) {
 			ensure([...cluster.vms.values()].every(vm => fitsInto(vm.committed, vm.capacity)), 'a VM is committed beyond its capacity');
+			const contradiction = checkClusterState(cluster);
+			ensure(contradiction === undefined, contradiction ?? '');
 		}
 	}
 }
--- a/src/log/snapshot-store.test.ts
+++ b/src/log/snapshot-store.test.ts
@@ -1,5 +1,9 @@
+import {Buffer} from 'node:buffer';
 import {randomBytes} from 'node:crypto';
 import test from 'ava';
+import fc from 'fast-check';
+import {err, ok} from 'true-myth/result';
+import {jsonWithOddField, oddBytes, oddJson} from '../validation/odd-values.js';
 import {createFakeClock} from './fake-clock.js';
 import {createFakeLogService} from './fake-log-service.js';
 import {createSnapshotStore} from './snapshot-store.js';
@@ -60,3 +64,54 @@
 	t.true(refused.isErr && refused.error.kind === 'snapshot-too-large');
 	t.is(log.values('s').length, 0);
 });
+
+test('snapshots that cannot be used are passed over for the next older one, however many they are', async t => {
+	const log = createFakeLogService(createFakeClock());
+	const store = createSnapshotStore({service: log.service, stream: 's'});
+	for (const [snapshotId, coversOffset] of [['s1', 10], ['s2', 20], ['s3', 90], ['s4', 1000], ['s5', 9_007_199_254_740_991], ['s6', -1]] as const) {
+		await store.write({snapshotId, coversOffset, value: coversOffset});
+	}
+
+	const passedOver: number[] = [];
+	const newest = await store.loadNewestUsable({
+		use({value}) {
+			if (value === 1000) {
+				throw new RangeError('out of range');
+			}
+
+			return value === 20 || value === 10 ? ok(value) : err('odd');
+		},
+		onPassedOver({coversOffset}) {
+			passedOver.push(coversOffset);
+		},
+	});
+	t.is(newest.unwrapOr(undefined), 20);
+	t.deepEqual(passedOver, [9_007_199_254_740_991, 1000, -1, 90]);
+});
+
+test('a good snapshot is loaded, whatever odd values are behind it', async t => {
+	const chunk = {
+		snapshotId: 's2', coversOffset: 30, index: 0, count: 1, data: 'eJyrVkpUslKqBQAISQIX',
+	};
+	const odd = fc.oneof({weight: 4, arbitrary: jsonWithOddField(chunk)}, oddJson(), oddBytes().map(bytes => Buffer.from(bytes).toString()));
+	await fc.assert(fc.asyncProperty(fc.array(odd, {minLength: 1, maxLength: 6}), async values => {
+		const log = createFakeLogService(createFakeClock());
+		const store = createSnapshotStore({service: log.service, stream: 's'});
+		await store.write({snapshotId: 's1', coversOffset: 20, value: {good: true}});
+		await log.service.append('s', values);
+		const newest = await store.loadNewestUsable({
+			use: ({value}) => JSON.stringify(value) === '{"good":true}' ? ok(value) : err('odd'),
+			onPassedOver: () => undefined,
+		});
+		t.deepEqual(newest.unwrapOr(undefined), {good: true});
+	}), {numRuns: 150});
+});
+
+test('bounds that cannot be true fail a load instead of keeping it busy for good', async t => {
+	const {service} = createFakeLogService(createFakeClock());
+	for (const tailOffset of [1e300, Number.POSITIVE_INFINITY, Number.NaN, 2 ** 53]) {
+		const store = createSnapshotStore({service: {...service, bounds: async () => ok({firstRetainedOffset: 0, tailOffset})}, stream: 's'});
+		const newest = await store.loadNewest();
+		t.true(newest.isErr);
+	}
+});
--- a/src/log/snapshot-store.ts
+++ b/src/log/snapshot-store.ts
@@ -4,6 +4,7 @@
 import {err, ok, type Result} from 'true-myth/result';
 import {z} from 'zod';
 import {type TypedError} from '../errors/typed-error.js';
+import {describeThrown} from '../validation/describe-thrown.js';
 import {type LogError, type LogService, type StreamValue} from './log-service.js';
 
 const deflateAsync = promisify(deflate);
@@ -21,12 +22,15 @@
 /** Number of newest snapshots that a load compares. The newest may not cover the most records, since two entries may write at the same time. */
 const MAX_COMPARED_SNAPSHOTS = 3;
 
+/** Most characters of a snapshot's ID. */
+const MAX_ID_CHARACTERS = 128;
+
 const chunkSchema = z.strictObject({
-	snapshotId: z.string(),
-	coversOffset: z.int(),
+	snapshotId: z.string().max(MAX_ID_CHARACTERS),
+	coversOffset: z.int().min(-1),
 	index: z.int().min(0),
 	count: z.int().positive().max(MAX_CHUNKS),
-	data: z.string(),
+	data: z.string().max(CHUNK_CHARACTERS),
 });
 
 type Chunk = z.infer<typeof chunkSchema>;
@@ -36,13 +40,27 @@
 /** A JSON-able value with the offset of the last record that it covers. */
 export type Snapshot = Readonly<{coversOffset: number; value: unknown}>;
 
+/** Returns what a caller makes of a snapshot, or a short reason for which it cannot use it. */
+export type UseSnapshot<Value> = (snapshot: Snapshot) => Result<Value, string> | Promise<Result<Value, string>>;
+
 export type SnapshotStore = Readonly<{
 	/** Appends a snapshot as one atomic batch. `snapshotId` must be new; an append whose answer was lost may be repeated. */
 	write: (snapshot: Snapshot & Readonly<{snapshotId: string}>) => Promise<Result<void, SnapshotError>>;
 	/** Loads the snapshot near the stream's tail that is complete and covers the most records; `undefined` when there is none. */
 	loadNewest: () => Promise<Result<Snapshot | undefined, LogError>>;
+	/**
+	Loads snapshots like `loadNewest` until one can be used, and returns what `use` made of it; `undefined` when there is none. `onPassedOver` is
+	called with each snapshot that cannot be used, and with the reason.
+	*/
+	loadNewestUsable: <Value>(options: Readonly<{
+		use: UseSnapshot<Value>;
+		onPassedOver: (snapshot: PassedOverSnapshot) => void;
+	}>) => Promise<Result<Value | undefined, LogError>>;
 }>;
 
+/** A snapshot that cannot be used; `reason` is short. */
+export type PassedOverSnapshot = Readonly<{coversOffset: number; reason: string}>;
+
 function parseChunk(value: string): Chunk | undefined {
 	try {
 		return chunkSchema.parse(JSON.parse(value));
@@ -51,13 +69,23 @@
 	}
 }
 
-/** Returns the snapshot in the given chunks, or `undefined` when one is damaged. */
-async function restore(chunks: readonly Chunk[]): Promise<Snapshot | undefined> {
+/** Returns the snapshot in the given chunks, or the reason for which it cannot be restored. */
+async function restore(chunks: readonly Chunk[]): Promise<Result<Snapshot, string>> {
 	try {
 		const text = await inflateAsync(Buffer.from(chunks.map(({data}) => data).join(''), 'base64'), {maxOutputLength: MAX_SNAPSHOT_BYTES});
-		return {coversOffset: chunks[0]!.coversOffset, value: JSON.parse(text.toString())};
-	} catch {
-		return undefined;
+		const value: unknown = JSON.parse(text.toString());
+		return ok({coversOffset: chunks[0]!.coversOffset, value});
+	} catch (error) {
+		return err(describeThrown(error).reason);
+	}
+}
+
+/** Returns what a caller makes of a snapshot, or the reason for which it cannot use it. */
+async function tryToUse<Value>(use: UseSnapshot<Value>, snapshot: Snapshot): Promise<Result<Value, string>> {
+	try {
+		return await use(snapshot);
+	} catch (error) {
+		return err(describeThrown(error).reason);
 	}
 }
 
@@ -81,7 +109,8 @@
 
 /**
 Creates a store of snapshots on a stream of their own. Writes and loads are bounded, since entries on slow links load a snapshot when they
-start. A snapshot has at most 64 chunks; a load reads one snapshot and the last chunks of two more from the end of the stream.
+start. A snapshot has at most 64 chunks; a load reads one snapshot and the last chunks of two more from the end of the stream, and older ones only
+when none of these can be used.
 
 @example
 const store = createSnapshotStore({service, stream: 'arbutushinge-snapshots'});
@@ -95,11 +124,10 @@
 		return page.map(({values}) => chunksFrom(values.slice(0, 1), offset)[0]);
 	}
 
-	/** Locates the newest snapshots backwards from the stream's end; the last chunk of each determines where it begins. */
-	async function locateNewest({firstRetainedOffset, tailOffset}: Readonly<{firstRetainedOffset: number; tailOffset: number}>): Promise<Result<readonly SnapshotLocation[], LogError>> {
+	/** Locates the next older snapshots backwards from an offset; the last chunk of each determines where it begins. */
+	async function locateBefore(beforeOffset: number, oldestOffset: number): Promise<Result<readonly SnapshotLocation[], LogError>> {
 		const located: SnapshotLocation[] = [];
-		const oldestOffset = Math.max(firstRetainedOffset, tailOffset - (2 * MAX_CHUNKS));
-		for (let endOffset = tailOffset; endOffset > oldestOffset && located.length < MAX_COMPARED_SNAPSHOTS;) {
+		for (let endOffset = beforeOffset; endOffset > oldestOffset && located.length < MAX_COMPARED_SNAPSHOTS;) {
 			const last = await readChunk(endOffset - 1);
 			if (last.isErr) {
 				return err(last.error);
@@ -118,8 +146,8 @@
 		return ok(located);
 	}
 
-	/** Loads a located snapshot; `undefined` when a chunk is missing or damaged. */
-	async function load({firstOffset, last}: SnapshotLocation): Promise<Result<Snapshot | undefined, LogError>> {
+	/** Loads a located snapshot; the inner result holds the reason for which it cannot be restored. */
+	async function load({firstOffset, last}: SnapshotLocation): Promise<Result<Result<Snapshot, string>, LogError>> {
 		const chunks: Chunk[] = [];
 		while (chunks.length < last.count - 1) {
 			const offset = firstOffset + chunks.length;
@@ -130,7 +158,7 @@
 
 			const read = chunksFrom(page.value.values, offset).slice(0, last.count - 1 - chunks.length);
 			if (read.length === 0 || read.some(({snapshotId}) => snapshotId !== last.snapshotId)) {
-				return ok(undefined);
+				return ok(err(`the chunk at offset ${offset} is missing or of another snapshot`));
 			}
 
 			chunks.push(...read);
@@ -139,6 +167,49 @@
 		return ok(await restore([...chunks, last]));
 	}
 
+	async function loadNewestUsable<Value>({use, onPassedOver}: Readonly<{
+		use: UseSnapshot<Value>;
+		onPassedOver: (snapshot: PassedOverSnapshot) => void;
+	}>): Promise<Result<Value | undefined, LogError>> {
+		const bounds = await service.bounds(stream);
+		if (bounds.isErr) {
+			return err(bounds.error);
+		}
+
+		const {firstRetainedOffset, tailOffset} = bounds.value;
+		if (!Number.isSafeInteger(tailOffset) || !Number.isSafeInteger(firstRetainedOffset)) {
+			return err({kind: 'log-protocol', message: `the bounds of the snapshots cannot be true: ${firstRetainedOffset} to ${tailOffset}`, remedy: 'check the log service'});
+		}
+
+		const oldestOffset = Math.max(0, firstRetainedOffset, tailOffset - (2 * MAX_CHUNKS));
+		for (let beforeOffset = tailOffset; ;) {
+			const located = await locateBefore(beforeOffset, oldestOffset);
+			if (located.isErr) {
+				return err(located.error);
+			}
+
+			if (located.value.length === 0) {
+				return ok(undefined);
+			}
+
+			for (const candidate of located.value.toSorted((left, right) => right.last.coversOffset - left.last.coversOffset)) {
+				const loaded = await load(candidate);
+				if (loaded.isErr) {
+					return err(loaded.error);
+				}
+
+				const used = loaded.value.isOk ? await tryToUse(use, loaded.value.value) : err(loaded.value.error);
+				if (used.isOk) {
+					return ok(used.value);
+				}
+
+				onPassedOver({coversOffset: candidate.last.coversOffset, reason: used.error});
+			}
+
+			beforeOffset = located.value.at(-1)!.firstOffset;
+		}
+	}
+
 	return {
 		async write({snapshotId, coversOffset, value}) {
 			const compressed = await deflateAsync(JSON.stringify(value));
@@ -158,25 +229,7 @@
 			const appended = await service.append(stream, values);
 			return appended.isOk ? ok(undefined) : err(appended.error);
 		},
-		async loadNewest() {
-			const bounds = await service.bounds(stream);
-			if (bounds.isErr) {
-				return err(bounds.error);
-			}
-
-			const located = await locateNewest(bounds.value);
-			if (located.isErr) {
-				return err(located.error);
-			}
-
-			for (const candidate of located.value.toSorted((left, right) => right.last.coversOffset - left.last.coversOffset)) {
-				const snapshot = await load(candidate);
-				if (snapshot.isErr || snapshot.value) {
-					return snapshot;
-				}
-			}
-
-			return ok(undefined);
-		},
+		loadNewest: async () => loadNewestUsable({use: snapshot => ok(snapshot), onPassedOver: () => undefined}),
+		loadNewestUsable,
 	};
 }
