Check addresses and times in settings for what servers and timers take

A settings file with port 99999, or 0 for a server to connect to, or an IP number such as 999.0.0.2, passed check-settings and ended the process at the first connection.

Cause: four copies of a pattern for the form of an address, and times without an upper bound. Now all settings use src/validation/address-schema.ts; only addresses to listen at may have port 0.

Tests: load-settings.test.ts.

--- a/src/settings/agent-settings.ts
+++ b/src/settings/agent-settings.ts
@@ -1,8 +1,9 @@
 import * as z from 'zod/mini';
+import {addressSchema, listenAddressSchema} from '../validation/address-schema.js';
 import {agentPlatformSettingsSchema} from './agent-platform-settings.js';
+import {maxDurationMs} from './max-duration-ms.js';
 
 const nameSchema = z.string().check(z.regex(/^[\w.:\-]{1,128}$/v, 'use 1 to 128 letters, digits, dots, colons, hyphens or underscores'));
-const addressSchema = z.string().check(z.regex(/^\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}$/v, 'use an IP number and a port, such as 127.0.0.1:8080'));
 
 /** Settings of `arbutushinge agent`; separate from the entry's and written for zod/mini, so that an agent loads only the code that it needs. */
 export const agentSettingsSchema = z.readonly(z.strictObject({
@@ -10,7 +11,7 @@
 	vmId: nameSchema.check(z.describe('Name of the VM, unique in the deployment')),
 	failureDomain: nameSchema.check(z.describe('Failure domain that this VM is in')),
 	rack: nameSchema.check(z.describe('Rack that this VM is in')),
-	requestAddress: addressSchema.check(z.describe('Where entries send requests and backend servers announce themselves')),
+	requestAddress: listenAddressSchema.check(z.describe('Where entries send requests and backend servers announce themselves')),
 	entryAddresses: z._default(z.readonly(z.array(addressSchema)), []).check(z.describe('Agent addresses of the entries of this region; needed without `platform`')),
 	entryStreams: z.optional(z.int().check(z.minimum(1))).check(z.describe('Entries that the agent keeps a stream to at once; without it, all of them')),
 	workerUrl: z.optional(z.url()).check(z.describe('Address of the platform\'s worker on this VM; not used beside `platform`')),
@@ -18,24 +19,26 @@
 	logLevel: z._default(z.enum(['debug', 'info', 'warn', 'error']), 'info').check(z.describe('Least severe level that is logged')),
 	metrics: z._default(z.readonly(z.strictObject({
 		statsdAddress: z.optional(addressSchema).check(z.describe('Where StatsD metrics go; none are sent without it')),
-		textAddress: z.optional(addressSchema).check(z.describe('Where metrics are served as text at `/metrics`; none are without it')),
+		textAddress: z.optional(listenAddressSchema).check(z.describe('Where metrics are served as text at `/metrics`; none are without it')),
 		prefix: z._default(z.string(), 'arbutushinge.').check(z.describe('Prefix of every metric name')),
 	})), {prefix: 'arbutushinge.'}),
 	timings: z.prefault(z.readonly(z.strictObject({
-		heartbeatMs: z._default(z.int().check(z.minimum(50)), 1000).check(z.describe('Time between two heartbeats to each entry')),
-		workerPollMs: z._default(z.int().check(z.minimum(50)), 1000).check(z.describe('Time between two reads of the worker\'s tasks and usage')),
-		announceTimeoutMs: z._default(z.int().check(z.minimum(200)), 4000).check(z.describe('Time without an announcement after which a backend server counts as gone')),
-		keyRetentionMs: z._default(z.int().check(z.minimum(1000)), 600_000).check(z.describe('W: how long outcomes of keyed requests are kept')),
-		drainTimeoutMs: z._default(z.int().check(z.minimum(100)), 30_000).check(z.describe('Longest wait for requests in flight at a stop')),
-		workerHoldMs: z._default(z.int().check(z.minimum(500)), 60_000).check(z.describe('Longest time for which the worker is told to run tasks without word from the agent; the lease bounds it as well')),
-		workerTimeoutMs: z._default(z.int().check(z.minimum(200)), 10_000).check(z.describe('Silence of the worker after which its tasks are held no longer')),
-		usageLagMs: z._default(z.int().check(z.minimum(0)), 5000).check(z.describe('Expected lag of the worker\'s usage reports')),
+		heartbeatMs: z._default(z.int().check(z.minimum(50), z.maximum(maxDurationMs)), 1000).check(z.describe('Time between two heartbeats to each entry')),
+		workerPollMs: z._default(z.int().check(z.minimum(50), z.maximum(maxDurationMs)), 1000).check(z.describe('Time between two reads of the worker\'s tasks and usage')),
+		announceTimeoutMs: z._default(z.int().check(z.minimum(200), z.maximum(maxDurationMs)), 4000).check(z.describe('Time without an announcement after which a backend server counts as gone')),
+		keyRetentionMs: z._default(z.int().check(z.minimum(1000), z.maximum(maxDurationMs)), 600_000).check(z.describe('W: how long outcomes of keyed requests are kept')),
+		drainTimeoutMs: z._default(z.int().check(z.minimum(100), z.maximum(maxDurationMs)), 30_000).check(z.describe('Longest wait for requests in flight at a stop')),
+		workerHoldMs: z._default(z.int().check(z.minimum(500), z.maximum(maxDurationMs)), 60_000)
+			.check(z.describe('Longest time for which the worker is told to run tasks without word from the agent; the lease bounds it as well')),
+		workerTimeoutMs: z._default(z.int().check(z.minimum(200), z.maximum(maxDurationMs)), 10_000).check(z.describe('Silence of the worker after which its tasks are held no longer')),
+		usageLagMs: z._default(z.int().check(z.minimum(0), z.maximum(maxDurationMs)), 5000).check(z.describe('Expected lag of the worker\'s usage reports')),
 	})), {}),
-	tasksAtStop: z._default(z.enum(['checkpoint', 'keep']), 'checkpoint').check(z.describe('What a graceful stop does to run-once tasks: `checkpoint` stops them, `keep` leaves them to the next agent on the VM')),
+	tasksAtStop: z._default(z.enum(['checkpoint', 'keep']), 'checkpoint')
+		.check(z.describe('What a graceful stop does to run-once tasks: `checkpoint` stops them, `keep` leaves them to the next agent on the VM')),
 	guards: z.prefault(z.readonly(z.strictObject({
 		enabled: z._default(z.boolean(), true).check(z.describe('Whether batch tasks are throttled and evicted for services')),
 		throttleShareMilli: z._default(z.int().check(z.minimum(50), z.maximum(1000)), 300).check(z.describe('Processor share of a throttled batch task, in thousandths')),
-		recoverAfterMs: z._default(z.int().check(z.minimum(100)), 10_000).check(z.describe('Time within the latency target before a throttle is eased')),
+		recoverAfterMs: z._default(z.int().check(z.minimum(100), z.maximum(maxDurationMs)), 10_000).check(z.describe('Time within the latency target before a throttle is eased')),
 	})), {}),
 	limits: z.prefault(z.readonly(z.strictObject({
 		backendQueueLimit: z._default(z.int().check(z.minimum(0)), 16).check(z.describe('Requests that may wait for a slot of one backend server')),
--- a/src/settings/entry-settings.ts
+++ b/src/settings/entry-settings.ts
@@ -1,14 +1,14 @@
 import {z} from 'zod';
 import {nameSchema} from '../cluster/intent.js';
 import {placementPolicyNames} from '../placement/placement-policy-name.js';
+import {addressSchema, listenAddressSchema} from '../validation/address-schema.js';
 import {entryPlatformSettingsSchema} from './entry-platform-settings.js';
-
-const addressSchema = z.string().regex(/^\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}$/v, 'use an IP number and a port, such as 127.0.0.1:8080');
+import {maxDurationMs} from './max-duration-ms.js';
 
 /** Metrics settings of an entry. */
 export const metricsSettingsSchema = z.strictObject({
-	statsdAddress: addressSchema.optional().describe('Where StatsD metrics go; none are sent without it'),
-	textAddress: addressSchema.optional().describe('Where metrics are served as text at `/metrics`; none are without it'),
+	statsdAddress: z.optional(addressSchema).describe('Where StatsD metrics go; none are sent without it'),
+	textAddress: z.optional(listenAddressSchema).describe('Where metrics are served as text at `/metrics`; none are without it'),
 	prefix: z.string().default('arbutushinge.').describe('Prefix of every metric name'),
 }).readonly();
 
@@ -20,9 +20,9 @@
 	region: nameSchema.default('default').describe('Region that this VM is in'),
 	processors: z.number().positive().default(1).describe('Processors of this VM; entries on large VMs place tasks and keep the agents\' streams'),
 	processorShare: z.number().positive().default(1).describe('Share of each processor that this process may use'),
-	callerAddress: addressSchema.describe('Where callers and the balancer\'s health check connect'),
-	operatorAddress: addressSchema.describe('Where operator commands connect'),
-	agentAddress: addressSchema.describe('Where agents open their stream'),
+	callerAddress: listenAddressSchema.check(z.describe('Where callers and the balancer\'s health check connect')),
+	operatorAddress: listenAddressSchema.check(z.describe('Where operator commands connect')),
+	agentAddress: listenAddressSchema.check(z.describe('Where agents open their stream')),
 	operatorTokenFile: z.string().optional().describe('File that holds the operators\' token; without it the operator interface stays closed'),
 	peerOperatorAddresses: z.array(addressSchema).readonly().default([]).describe('Operator addresses of the other entries, asked for state when the log is down at start'),
 	logServiceUrl: z.url().optional().describe('Address of the platform\'s log service; not used beside `platform`'),
@@ -32,23 +32,24 @@
 	placementPolicy: z.enum(placementPolicyNames).default('least-harm').describe('How VMs are chosen for tasks; `first-fit` and `least-loaded` are baselines meant for comparison'),
 	metrics: metricsSettingsSchema.default({prefix: 'arbutushinge.'}),
 	timings: z.strictObject({
-		appendIntervalMs: z.int().min(1).default(20).describe('Shortest time between two appends of this entry'),
-		pagePauseMs: z.int().min(0).default(0).describe('Pause between two reads of the log while a caller or a queued task waits for this entry'),
-		idlePagePauseMs: z.int().min(0).default(0).describe('Pause between two reads of the log while nobody waits for this entry'),
-		logCloseTimeoutMs: z.int().min(50).default(5000).describe('Longest wait for the log at a graceful stop'),
-		decisionTimeoutMs: z.int().min(100).default(5000).describe('Time after which a caller is told that the outcome of a job or plan is unknown'),
-		entryHeartbeatMs: z.int().min(50).default(300).describe('Time between two entry-alive records'),
-		entryTimeoutMs: z.int().min(200).default(5000).describe('Time without a record after which an entry is declared ended'),
-		heartbeatTimeoutMs: z.int().min(100).default(3000).describe('Time without a heartbeat after which an agent is reported unreachable'),
-		leaseDurationMs: z.int().min(200).default(15_000).describe('D: how long a lease lasts from the sending of the agent\'s heartbeat'),
-		logFreshnessMs: z.int().min(50).default(2000).describe('F: age of the newest read of the log\'s tail up to which leases are granted'),
-		leaseMarginMs: z.int().min(50).default(1000).describe('Margin for clock drift added to F + D before leases count as expired'),
-		commandTakeoverMs: z.int().min(50).default(500).describe('Time after which an entry sends the start of another entry\'s claim'),
-		placementTakeoverMs: z.int().min(50).default(800).describe('Time without a record of the entry that should place a task after which another entry places it; longer than two heartbeats'),
-		minSnapshotIntervalMs: z.int().min(500).default(15_000).describe('Shortest time between two snapshots, which hold the event loop while they are encoded'),
-		snapshotEveryMs: z.int().min(1000).default(60_000).describe('Longest time between two snapshots'),
-		keyRetentionMs: z.int().min(1000).default(600_000).describe('W: how long keys of non-idempotent requests are remembered'),
-		shutdownDelayMs: z.int().min(0).default(2000).describe('Time between not ready and the closing of the callers\' port'),
+		appendIntervalMs: z.int().min(1).max(maxDurationMs).default(20).describe('Shortest time between two appends of this entry'),
+		pagePauseMs: z.int().min(0).max(maxDurationMs).default(0).describe('Pause between two reads of the log while a caller or a queued task waits for this entry'),
+		idlePagePauseMs: z.int().min(0).max(maxDurationMs).default(0).describe('Pause between two reads of the log while nobody waits for this entry'),
+		logCloseTimeoutMs: z.int().min(50).max(maxDurationMs).default(5000).describe('Longest wait for the log at a graceful stop'),
+		decisionTimeoutMs: z.int().min(100).max(maxDurationMs).default(5000).describe('Time after which a caller is told that the outcome of a job or plan is unknown'),
+		entryHeartbeatMs: z.int().min(50).max(maxDurationMs).default(300).describe('Time between two entry-alive records'),
+		entryTimeoutMs: z.int().min(200).max(maxDurationMs).default(5000).describe('Time without a record after which an entry is declared ended'),
+		heartbeatTimeoutMs: z.int().min(100).max(maxDurationMs).default(3000).describe('Time without a heartbeat after which an agent is reported unreachable'),
+		leaseDurationMs: z.int().min(200).max(maxDurationMs).default(15_000).describe('D: how long a lease lasts from the sending of the agent\'s heartbeat'),
+		logFreshnessMs: z.int().min(50).max(maxDurationMs).default(2000).describe('F: age of the newest read of the log\'s tail up to which leases are granted'),
+		leaseMarginMs: z.int().min(50).max(maxDurationMs).default(1000).describe('Margin for clock drift added to F + D before leases count as expired'),
+		commandTakeoverMs: z.int().min(50).max(maxDurationMs).default(500).describe('Time after which an entry sends the start of another entry\'s claim'),
+		placementTakeoverMs: z.int().min(50).max(maxDurationMs).default(800)
+			.describe('Time without a record of the entry that should place a task after which another entry places it; longer than two heartbeats'),
+		minSnapshotIntervalMs: z.int().min(500).max(maxDurationMs).default(15_000).describe('Shortest time between two snapshots, which hold the event loop while they are encoded'),
+		snapshotEveryMs: z.int().min(1000).max(maxDurationMs).default(60_000).describe('Longest time between two snapshots'),
+		keyRetentionMs: z.int().min(1000).max(maxDurationMs).default(600_000).describe('W: how long keys of non-idempotent requests are remembered'),
+		shutdownDelayMs: z.int().min(0).max(maxDurationMs).default(2000).describe('Time between not ready and the closing of the callers\' port'),
 	}).readonly().prefault({}),
 	snapshotEveryRecords: z.int().min(10).default(5000).describe('Records after which a snapshot is written'),
 	limits: z.strictObject({
@@ -56,8 +57,8 @@
 		bodyBytes: z.int().min(1024).default(67_108_864).describe('Largest body of a caller\'s request'),
 		keyedBodyBytes: z.int().min(1024).default(1_048_576).describe('Largest body of a keyed request, which is held in memory'),
 		connections: z.int().min(1).default(4096).describe('Most connections of callers'),
-		idleTimeoutMs: z.int().min(100).default(30_000).describe('Time without a byte after which a caller\'s connection is closed'),
-		defaultDeadlineMs: z.int().min(1).default(10_000).describe('Deadline of a request that names none'),
+		idleTimeoutMs: z.int().min(100).max(maxDurationMs).default(30_000).describe('Time without a byte after which a caller\'s connection is closed'),
+		defaultDeadlineMs: z.int().min(1).max(maxDurationMs).default(10_000).describe('Deadline of a request that names none'),
 	}).readonly().prefault({}),
 }).readonly();
 
--- a/src/settings/load-settings.test.ts
+++ b/src/settings/load-settings.test.ts
@@ -1,5 +1,8 @@
 import test from 'ava';
+import fc from 'fast-check';
+import {jsonWithOddField, oddJson} from '../validation/odd-values.js';
 import {agentSettingsSchema} from './agent-settings.js';
+import {entrySettingsSchema} from './entry-settings.js';
 import {formatProblem, loadSettings, parseSettings} from './load-settings.js';
 
 const valid = `role: agent
@@ -84,3 +87,51 @@
 	const settings = await loadSettings('no-such-directory/agent.yaml', agentSettingsSchema);
 	t.is(settings.isErr && settings.error.kind, 'settings-unreadable');
 });
+
+const agentSettings = {
+	role: 'agent', vmId: 'vm-1', failureDomain: 'a', rack: 'r', requestAddress: '127.0.0.1:0', entryAddresses: ['127.0.0.1:7002'], platform: {
+		storeAddress: '10.0.0.1:80', seedAddresses: ['10.0.0.2:80'], entryAgentPort: 7720, controlAddress: '127.0.0.1:0', workerAddress: '10.0.0.3:80', service: 's',
+	}, timings: {heartbeatMs: 1000},
+};
+
+const entrySettings = {
+	role: 'entry', entryId: 'edge-1', failureDomain: 'a', processors: 2, callerAddress: '127.0.0.1:0', operatorAddress: '127.0.0.1:0', agentAddress: '10.0.0.1:0',
+	peerOperatorAddresses: ['10.0.0.2:80'], platform: {
+		storeAddress: '10.0.0.1:80', queueAddress: '10.0.0.1:0', readinessAddress: '10.0.0.1:0', adviceAddress: '', machinesAddress: '10.0.0.9:80',
+	}, timings: {entryHeartbeatMs: 300},
+};
+
+const problemsOf = (settings: unknown, schema: typeof agentSettingsSchema | typeof entrySettingsSchema): string => {
+	const parsed = parseSettings(JSON.stringify(settings), 'settings.yaml', schema);
+	return parsed.isErr ? parsed.error.problems.map(({field}) => field).join(',') : '';
+};
+
+test('an address to listen at may leave the port to the system, an address of a server may not', t => {
+	t.is(problemsOf(agentSettings, agentSettingsSchema), '');
+	t.is(problemsOf(entrySettings, entrySettingsSchema), '');
+	const {platform} = agentSettings;
+	t.is(problemsOf({...agentSettings, platform: {...platform, storeAddress: '10.0.0.1:0', workerAddress: '10.0.0.3:99999'}}, agentSettingsSchema), 'platform.storeAddress,platform.workerAddress');
+	t.is(problemsOf({...entrySettings, peerOperatorAddresses: ['999.0.0.2:80'], callerAddress: '127.0.0.1:65536'}, entrySettingsSchema), 'callerAddress,peerOperatorAddresses.0');
+	t.is(problemsOf({...entrySettings, platform: {...entrySettings.platform, machinesAddress: '10.0.0.9:99999'}}, entrySettingsSchema), 'platform.machinesAddress');
+});
+
+test('a time that no timer can wait for is refused, since the timer would run at once', t => {
+	t.is(problemsOf({...agentSettings, timings: {heartbeatMs: 9_000_000_000_000_000}}, agentSettingsSchema), 'timings.heartbeatMs');
+	t.is(problemsOf({...entrySettings, timings: {entryHeartbeatMs: 2_147_483_648}}, entrySettingsSchema), 'timings.entryHeartbeatMs');
+});
+
+test('settings that nest without end are refused, not a crash', t => {
+	const parsed = parseSettings(`${valid}platform: ${'['.repeat(50_000)}${']'.repeat(50_000)}`, 'agent.yaml', agentSettingsSchema);
+	t.is(parsed.isErr && parsed.error.kind, 'settings-invalid');
+});
+
+test('whatever a template writes into the settings, they are accepted or refused with a reason', t => {
+	const isAnswered = (text: string): boolean => [agentSettingsSchema, entrySettingsSchema].every(schema => {
+		const parsed = parseSettings(text, 'settings.yaml', schema);
+		return parsed.isOk || parsed.error.message.length > 0;
+	});
+
+	t.notThrows(() => {
+		fc.assert(fc.property(fc.oneof(jsonWithOddField(agentSettings), jsonWithOddField(entrySettings), oddJson()), text => isAnswered(text)));
+	});
+});
--- a/src/settings/load-settings.ts
+++ b/src/settings/load-settings.ts
@@ -190,7 +190,10 @@
 			return issue.format === 'url' ? 'a URL such as http://127.0.0.1:8080' : `another form: ${issue.message}`;
 		}
 
-		case 'custom':
+		case 'custom': {
+			return `another form: ${issue.message}`;
+		}
+
 		case 'invalid_element':
 		case 'invalid_key':
 		case 'invalid_union':
--- a/src/settings/schema-fields.ts
+++ b/src/settings/schema-fields.ts
@@ -1,4 +1,5 @@
 import {toJSONSchema, type JSONSchema, type $ZodType} from 'zod/v4/core';
+import {maxDurationMs} from './max-duration-ms.js';
 
 /** One field of a settings schema, as the documentation and the error messages show it. */
 export type SchemaField = Readonly<{
@@ -52,9 +53,12 @@
 	return schema.type === 'integer' && typeof schema.exclusiveMinimum === 'number' ? schema.exclusiveMinimum + 1 : schema.minimum;
 }
 
-/** Returns the largest allowed value; for an integer without an upper bound, the JSON schema holds the largest safe integer, which is left out. */
+/**
+Returns the largest allowed value. The largest safe integer, which the JSON schema holds for an integer without an upper bound, and the limit of all
+timers are left out.
+*/
 function declaredMaximum(bound: number | undefined): number | undefined {
-	return bound === Number.MAX_SAFE_INTEGER ? undefined : bound;
+	return bound === Number.MAX_SAFE_INTEGER || bound === maxDurationMs ? undefined : bound;
 }
 
 const typeNames: Readonly<Record<string, string>> = {
