Log unhandled rejections and end a process in order after an uncaught exception

A call that failed without anybody awaiting it ended an agent or entry with a stack on standard error and no line of the log, again after each start while the value that caused it stood in the log or among the announcements.

Roles now handle both. An unhandled rejection is the failure of one call, while state changes in the reducer alone: it is logged with a short reason and its place, at most once a second with the number since the start, counted, and the process goes on. After an uncaught exception an event may be half applied: it is logged, the log is flushed for at most a second, and the process ends with status 1, so that its supervisor starts it anew. Metrics as text answer a failure by closing the connection.

--- a/src/entry/agent-stream-server.ts
+++ b/src/entry/agent-stream-server.ts
@@ -53,11 +53,22 @@
 		let vmId: string | undefined;
 		let loggedProblem: string | undefined;
 
-		/** Logs a problem unless it is the same as the last one on the stream; heartbeats repeat theirs. */
-		const logProblem = (event: string, reason: string): void => {
-			if (reason !== loggedProblem) {
-				loggedProblem = reason;
-				eventLog.warn(event, {vmId, sessionId, reason});
+		/** Returns whether a problem differs from the last one on the stream; heartbeats repeat theirs. */
+		const isNewProblem = (reason: string): boolean => {
+			const isNew = reason !== loggedProblem;
+			loggedProblem = reason;
+			return isNew;
+		};
+
+		/** A message that the reducer cannot use must not end the stream, with the messages behind it. */
+		const handleMessage = (message: AgentMessage['message']): void => {
+			try {
+				dispatchMessage(message, sessionId);
+			} catch (error) {
+				const reason = boundedText(messageOf(error));
+				if (isNewProblem(reason)) {
+					eventLog.error('agent-message-unusable', {vmId, sessionId, reason});
+				}
 			}
 		};
 
@@ -65,14 +76,16 @@
 			try {
 				for await (const {message: received} of messages) {
 					const {message, problems} = usableAgentMessage(received);
-					if (problems.length > 0) {
-						logProblem(message === undefined ? 'agent-message-refused' : 'agent-message-odd', boundedText(problems.join('; '), maxProblemLength));
-					}
-
+					const reason = boundedText(problems.join('; '), maxProblemLength);
 					if (message === undefined) {
+						eventLog.warn('agent-message-refused', {vmId, sessionId, reason});
 						break;
 					}
 
+					if (problems.length > 0 && isNewProblem(reason)) {
+						eventLog.warn('agent-message-odd', {vmId, sessionId, reason});
+					}
+
 					if (message.case === 'hello') {
 						vmId = message.value.vmId;
 						const previousQueue = queues.get(vmId);
@@ -85,11 +98,7 @@
 					}
 
 					if (vmId !== undefined) {
-						try {
-							dispatchMessage(message, sessionId);
-						} catch (error) {
-							logProblem('agent-message-unusable', boundedText(messageOf(error)));
-						}
+						handleMessage(message);
 					}
 				}
 			} catch (error: unknown) {
--- a/src/run-role.ts
+++ b/src/run-role.ts
@@ -2,6 +2,7 @@
 import {type Result} from 'true-myth/result';
 import {messageOf} from './errors/message-of.js';
 import {formatError, type TypedError} from './errors/typed-error.js';
+import {handleProcessErrors} from './handle-process-errors.js';
 import {type CommandOutput, type ExitStatus, failWithSettingsProblems} from './operator/command-output.js';
 import {type RoleContext, type RoleProcess, startRole} from './roles.js';
 import {type AgentSettings} from './settings/agent-settings.js';
@@ -12,6 +13,7 @@
 import {createEventLog} from './telemetry/create-event-log.js';
 import {createMetrics} from './telemetry/create-metrics.js';
 import {createTimeline} from './telemetry/create-timeline.js';
+import {monotonicMs} from './worker/monotonic-clock.js';
 
 /**
 Runs the entry until `stopSignal` resolves with the name of the signal.
@@ -63,6 +65,15 @@
 			eventLog.warn('metrics-failed', {reason: error.message});
 		},
 	});
+	handleProcessErrors({
+		emitter: process,
+		eventLog,
+		metrics,
+		exit(exitStatus) {
+			process.exit(exitStatus); // eslint-disable-line unicorn/no-process-exit -- The state may be broken, and open handles would keep the process running.
+		},
+		nowMs: monotonicMs,
+	});
 	// A restarted process numbers its events from 0 again, so its timeline needs a different name.
 	const timeline = createTimeline({process: `${name}@${Date.now().toString(36)}`});
 	let status: ExitStatus = 0;
--- a/src/telemetry/create-text-metrics.ts
+++ b/src/telemetry/create-text-metrics.ts
@@ -1,6 +1,7 @@
 import {createServer} from 'node:http';
 import {once} from 'node:events';
 import type {Counter, Gauge, Histogram} from 'prom-client';
+import {boundedText} from '../validation/bounded-text.js';
 import type {MetricTags, Metrics} from './metrics.js';
 
 /** Upper bounds of the buckets of the latency histograms, in milliseconds. They range from a fast answer of the log to a caller's longest wait. */
@@ -39,8 +40,14 @@
 				return;
 			}
 
-			response.setHeader('content-type', registry.contentType);
-			response.end(await registry.metrics());
+			try {
+				const text = await registry.metrics();
+				response.setHeader('content-type', registry.contentType);
+				response.end(text);
+			} catch (error) {
+				onError(error instanceof Error ? error : new Error(boundedText(error)));
+				response.destroy();
+			}
 		})();
 	});
 	server.on('error', onError);
