Answer an operator's request whose answer cannot be converted to JSON with an error

The request is now answered as internal-error with a line.

Evidence: operator-server-odd-answer.test.ts, with the nested lists in a record, failed before with "RangeError: Maximum call stack size exceeded" and a timeout of the answer's headers.

--- a/src/entry/operator-server.ts
+++ b/src/entry/operator-server.ts
@@ -15,6 +15,7 @@
 } from '../operator/operator-api.js';
 import {type EventLog} from '../telemetry/event-log.js';
 import {type TimelineEvent} from '../telemetry/timeline-event.js';
+import {boundedText} from '../validation/bounded-text.js';
 
 /** State and operations of the entry that the operators' interface uses. */
 export type OperatorBackend = Readonly<{
@@ -77,7 +78,13 @@
 		const answer = hasToken(request, tokenHash)
 			? await answerOf(handler, request, eventLog)
 			: tokenRefused;
-		send(request, response, answer);
+		try {
+			send(request, response, answer);
+		} catch (error) {
+			// An answer from values of the log may be one that JSON cannot hold.
+			eventLog.error('operator-request-failed', {path: boundedText(request.url), error: boundedText(messageOf(error))});
+			send(request, response, internalError);
+		}
 	};
 
 	const routes = createRoutes(backend, bodyBytes);
