Keep a writer of the log going when an append throws

An append that threw, or a record that could not be encoded, ended the writer's queue with an unhandled rejection and took its batch with it. An append that throws counts as one without an answer: the same batch is sent again. A record is encoded when it is given to the writer, whose caller gets the error; the others are written.

Before: 'an append that throws is tried again, and a record that cannot be encoded drops no other one' ends in 'Unhandled rejection: TypeError: Invalid URL'.

--- a/src/log/http-log-service.test.ts
+++ b/src/log/http-log-service.test.ts
@@ -1,6 +1,8 @@
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
 import {once} from 'node:events';
 import test, {type ExecutionContext} from 'ava';
+import fc from 'fast-check';
+import {jsonWithOddField, oddJson} from '../validation/odd-values.js';
 import {createHttpLogService} from './http-log-service.js';
 
 type Handler = (request: IncomingMessage, response: ServerResponse) => void;
@@ -96,3 +98,26 @@
 	t.true(result.isErr && result.error.kind === 'log-unavailable');
 	await unreachable.close();
 });
+
+test('no answer throws, and no offset that is used is out of range', async t => {
+	let answer = '';
+	const service = await start(t, (_request, response) => {
+		response.end(answer);
+	});
+	const page = {
+		records: [{offset: 2, value: 'v'}], nextOffset: 3, firstRetainedOffset: 1, tailOffset: 9, firstOffset: 7,
+	};
+	await fc.assert(fc.asyncProperty(fc.oneof({weight: 4, arbitrary: jsonWithOddField(page)}, oddJson()), async odd => {
+		answer = odd;
+		const read = await service.read('s', 2, {limit: 3, waitMs: 0});
+		const appended = await service.append('s', ['v']);
+		const bounds = await service.bounds('s');
+		const offsets = [
+			...(read.isOk ? [read.value.nextOffset, read.value.tailOffset, read.value.firstRetainedOffset, ...read.value.values.map(({offset}) => offset)] : []),
+			...(appended.isOk ? [appended.value] : []),
+			...(bounds.isOk ? [bounds.value.tailOffset, bounds.value.firstRetainedOffset] : []),
+		];
+		t.true(offsets.every(offset => Number.isSafeInteger(offset) && offset >= 0));
+		t.true([read, appended, bounds].every(result => result.isOk || result.error.message.length < 500));
+	}), {numRuns: 60});
+});
--- a/src/log/log-writer.test.ts
+++ b/src/log/log-writer.test.ts
@@ -3,15 +3,16 @@
 import {createFakeClock} from './fake-clock.js';
 import {createFakeLogService, type Fault} from './fake-log-service.js';
 import {logEnvelopeSchema} from './log-envelope.js';
+import {type LogService} from './log-service.js';
 import {createLogWriter} from './log-writer.js';
 
 const faults = fc.array(fc.constantFrom<Fault>('none', 'unavailable', 'rate-limited', 'lost-answer', 'late'), {maxLength: 20});
 
-function start(maxPendingRecords?: number) {
+function start(maxPendingRecords?: number, changeService = (service: LogService) => service) {
 	const clock = createFakeClock();
 	const log = createFakeLogService(clock);
 	const writer = createLogWriter({
-		service: log.service, stream: 's', writer: 'entry-1', incarnation: 'w1', appendIntervalMs: 20, maxBatchRecords: 5, maxPendingRecords, clock, random: () => 0.5,
+		service: changeService(log.service), stream: 's', writer: 'entry-1', incarnation: 'w1', appendIntervalMs: 20, maxBatchRecords: 5, maxPendingRecords, clock, random: () => 0.5,
 	});
 	return {clock, log, writer};
 }
@@ -85,3 +86,29 @@
 	await closed;
 	t.true(writer.append({kind: 'entry-alive', appliedOffset: 0}).isErr);
 });
+
+test('an append that throws is tried again, and a record that cannot be encoded drops no other one', async t => {
+	let failures = 2;
+	const {clock, log, writer} = start(undefined, service => ({
+		...service,
+		async append(stream, values) {
+			failures--;
+			if (failures >= 0) {
+				throw new TypeError('Invalid URL');
+			}
+
+			return service.append(stream, values);
+		},
+	}));
+	writer.append({kind: 'entry-alive', appliedOffset: 0});
+	t.throws(() => {
+		// @ts-expect-error -- An offset of another type stands for any value that cannot be encoded.
+		writer.append({kind: 'entry-alive', appliedOffset: 1n});
+	}, {instanceOf: TypeError});
+	writer.append({kind: 'entry-alive', appliedOffset: 2});
+	await clock.advance(10_000);
+	t.is(writer.pendingCount(), 0);
+	t.deepEqual(log.values('s').map(({value}) => logEnvelopeSchema.parse(JSON.parse(value))).map(({sequence, record}) => [sequence, record]), [
+		[1, {kind: 'entry-alive', appliedOffset: 0}], [2, {kind: 'entry-alive', appliedOffset: 2}],
+	]);
+});
--- a/src/log/log-writer.ts
+++ b/src/log/log-writer.ts
@@ -2,9 +2,9 @@
 import {err, ok, type Result} from 'true-myth/result';
 import {type ClusterRecord} from '../cluster/cluster-record.js';
 import {type TypedError} from '../errors/typed-error.js';
+import {describeThrown} from '../validation/describe-thrown.js';
 import {backoffMs} from './backoff.js';
 import {systemClock, type Clock} from './clock.js';
-import {type LogEnvelope} from './log-envelope.js';
 import {encodeLogValue} from './log-value.js';
 import {type LogError, type LogService} from './log-service.js';
 
@@ -15,6 +15,9 @@
 	= | Readonly<{kind: 'appended'; firstOffset: number; records: number; failures: number; durationMs: number}>
 		| Readonly<{kind: 'failed'; error: LogError; failures: number; pendingCount: number}>;
 
+/** A record with its encoded form. */
+type PendingRecord = Readonly<{record: ClusterRecord; value: string}>;
+
 export type LogWriterOptions = Readonly<{
 	service: LogService;
 	stream: string;
@@ -34,7 +37,7 @@
 }>;
 
 export type LogWriter = Readonly<{
-	/** Queues a record and returns its sequence. */
+	/** Queues a record and returns its sequence. Throws for a record that cannot be encoded. */
 	append: (record: ClusterRecord) => Result<number, LogWriterError>;
 	/** Number of records whose append is not confirmed, including those in flight. */
 	pendingCount: () => number;
@@ -60,7 +63,7 @@
 	} = options;
 	const queue = new PQueue({concurrency: 1});
 	const closeTimedOut = new AbortController();
-	let waiting: LogEnvelope[] = [];
+	let waiting: PendingRecord[] = [];
 	let inFlightCount = 0;
 	let nextSequence = 1;
 	let isFlushQueued = false;
@@ -69,11 +72,20 @@
 
 	const pendingCount = () => waiting.length + inFlightCount;
 
+	/** An append that throws may have taken effect, so that its batch is sent again like one without an answer. */
+	async function tryToAppend(values: readonly string[]): Promise<Result<number, LogError>> {
+		try {
+			return await service.append(stream, values);
+		} catch (error) {
+			return err({kind: 'log-maybe-applied', message: `an append failed: ${describeThrown(error).reason}`, remedy: 'the same records are sent again'});
+		}
+	}
+
 	async function appendBatch(values: readonly string[]): Promise<void> {
 		for (let failures = 0; !closeTimedOut.signal.aborted;) {
 			const startMs = clock.nowMs();
 			nextAppendMs = startMs + appendIntervalMs;
-			const result = await service.append(stream, values);
+			const result = await tryToAppend(values);
 			if (result.isOk) {
 				onStatus({
 					kind: 'appended', firstOffset: result.value, records: values.length, failures, durationMs: clock.nowMs() - startMs,
@@ -100,7 +112,7 @@
 		waiting = waiting.slice(batch.length);
 		if (batch.length > 0 && !closeTimedOut.signal.aborted) {
 			inFlightCount = batch.length;
-			await appendBatch(batch.map(envelope => encodeLogValue(envelope)));
+			await appendBatch(batch.map(({value}) => value));
 			inFlightCount = 0;
 			queueFlush();
 		}
@@ -127,10 +139,13 @@
 				});
 			}
 
-			const sequence = nextSequence++;
-			waiting.push({
+			const sequence = nextSequence;
+			// A record that cannot be encoded is its caller's to report; it must not take a batch with it.
+			const value = encodeLogValue({
 				writer, incarnation, sequence, record,
 			});
+			nextSequence++;
+			waiting.push({record, value});
 			queueFlush();
 			return ok(sequence);
 		},
