Count no claim on a VM with a silent worker as an active task of its job

A job whose only claimed task is on a VM with a silent worker was not counted as starved until the worker was given up, so that on busy processors it started no other task for seconds. Such a claim no longer counts, as one on an unreachable VM.

Failed before: src/placement/place-queued-tasks.test.ts, 'a job whose only claimed task is on an unreachable or revoked VM, or on one with a silent worker, starts another one' (- 0, + 1).

--- a/src/placement/place-queued-tasks.test.ts
+++ b/src/placement/place-queued-tasks.test.ts
@@ -82,11 +82,11 @@
 	t.is(claimsWithIdleVms(2), 1);
 });
 
-test('a job whose only claimed task is on an unreachable or revoked VM starts another one', t => {
+test('a job whose only claimed task is on an unreachable or revoked VM, or on one with a silent worker, starts another one', t => {
 	const context = busyContext(60_000);
 	const {cluster} = context;
 	const bound = {...cluster.tasks.get('late.0.0.0')!, phase: 'running' as const, claim: {...taskFixture.claim!, vmId: 'vm-away'}};
-	const claimsWith = (away: Partial<Vm>) => placeQueuedTasks(initialPlacement, {
+	const claimsWith = (away: Partial<Vm>, silentVmIds: readonly string[] = []) => placeQueuedTasks({...initialPlacement, silentVmIds: immutableSet(silentVmIds)}, {
 		...context,
 		cluster: {
 			...cluster,
@@ -100,6 +100,7 @@
 	t.is(claimsWith({}), 0);
 	t.is(claimsWith({heardBy: immutableSet()}), 1);
 	t.is(claimsWith({phase: 'revoked'}), 1);
+	t.is(claimsWith({}, ['vm-away']), 1);
 });
 
 test('a job submitted at an entry whose clock is ahead waits no longer than others for its first task', t => {
--- a/src/placement/place-queued-tasks.ts
+++ b/src/placement/place-queued-tasks.ts
@@ -128,7 +128,7 @@
 		return {state: pruned, effects: []};
 	}
 
-	const starved = findStarvedJobs(pruned.waitingJobs, context, () => pass.state.pending);
+	const starved = findStarvedJobs(pruned.waitingJobs, context, () => pass.state.pending, pruned.silentVmIds);
 	const pass: Pass = {
 		context,
 		vms: [],
--- a/src/placement/starved-jobs.ts
+++ b/src/placement/starved-jobs.ts
@@ -1,4 +1,4 @@
-import {type Map as ImmutableMap} from 'immutable';
+import {type Map as ImmutableMap, type Set as ImmutableSet} from 'immutable';
 import {type ClusterState, type Task} from '../cluster/cluster-state.js';
 import {type EntryContext} from '../entry/entry-context.js';
 import {fillingLoadOf} from './filling-work.js';
@@ -29,11 +29,13 @@
 these limits it may not: during an overload every waiting job would take a share of the few free processors from the jobs that can still be in
 time. The wait is the longer of the times since the caller's submission and since this entry's first observation, as the clocks of entries differ.
 
+@param silentVmIds VMs with a silent worker.
+
 @example
-const starved = findStarvedJobs(state.waitingJobs, context, () => pending);
+const starved = findStarvedJobs(state.waitingJobs, context, () => pending, silentVmIds);
 starved.isStarved(task); // => true
 */
-export function findStarvedJobs(waitingBefore: WaitingJobs, context: EntryContext, pending: () => PendingClaims): StarvedJobs {
+export function findStarvedJobs(waitingBefore: WaitingJobs, context: EntryContext, pending: () => PendingClaims, silentVmIds: ImmutableSet<string>): StarvedJobs {
 	const {cluster, nowMs, wallTimeMs} = context;
 	const usageByService = new Map<string, ServiceUsage>();
 	const decided = new Map<string, boolean>();
@@ -47,7 +49,7 @@
 
 	function evaluate(jobId: string): boolean {
 		const workflow = cluster.workflows.get(jobId)?.workflow;
-		if (!workflow || hasActiveTask(jobId, cluster, pending())) {
+		if (!workflow || hasActiveTask(jobId, cluster, pending(), silentVmIds)) {
 			waiting = waiting.delete(jobId);
 			return false;
 		}
@@ -90,14 +92,14 @@
 	return {capacityMilli, committedMilli, fillingMilli};
 }
 
-function hasActiveTask(jobId: string, cluster: ClusterState, pending: PendingClaims): boolean {
-	return (cluster.jobs.get(jobId) ?? []).some(taskId => pending.byTask.has(taskId) || isActive(cluster.tasks.get(taskId), cluster));
+function hasActiveTask(jobId: string, cluster: ClusterState, pending: PendingClaims, silentVmIds: ImmutableSet<string>): boolean {
+	return (cluster.jobs.get(jobId) ?? []).some(taskId => pending.byTask.has(taskId) || isActive(cluster.tasks.get(taskId), cluster, silentVmIds));
 }
 
-/** Returns whether a task is claimed on a VM that is live and reachable. On an unreachable VM the task may have stopped, and its claim may end seconds later. */
-function isActive(task: Task | undefined, cluster: ClusterState): boolean {
+/** Returns whether a task is claimed on a VM that is live and reachable, with a worker that answers. On any other the task may have stopped, and its claim may end seconds later. */
+function isActive(task: Task | undefined, cluster: ClusterState, silentVmIds: ImmutableSet<string>): boolean {
 	const vm = task?.claim && cluster.vms.get(task.claim.vmId);
-	return vm?.phase === 'live' && !vm.heardBy.isEmpty();
+	return vm?.phase === 'live' && !vm.heardBy.isEmpty() && !silentVmIds.has(vm.vmId);
 }
 
 function withoutEndedJobs(waiting: WaitingJobs, {workflows}: ClusterState): WaitingJobs {
