--- a/demo/process-runner.ts
+++ b/demo/process-runner.ts
@@ -31,7 +31,7 @@
 }>;
 
 export type ProcessRunner = Readonly<{
-	/** Starts Node.js with the TypeScript loader and these arguments. */
+	/** Starts Node.js with the runner's common arguments and these. */
 	start: (name: string, nodeArguments: readonly string[]) => RunnerProcess;
 	/** Starts a process with the name and the arguments of an earlier process of this runner. */
 	startAgain: (earlier: RunnerProcess) => RunnerProcess;
@@ -150,7 +150,8 @@
 }
 
 /**
-Creates a runner of Node.js processes. When this process exits, the process groups that still run are killed.
+Creates a runner of Node.js processes, which load TypeScript unless `commonArguments` are given. When this process exits, the process
+groups that still run are killed.
 
 @example
 const runner = createProcessRunner();
@@ -158,7 +159,10 @@
 const [, url] = await log.waitForLine(/^ready url=(\S+)/v, 10_000);
 await runner.killAll();
 */
-export function createProcessRunner(): ProcessRunner {
+export function createProcessRunner({commonArguments = ['--import', 'tsx']}: Readonly<{
+	/** Arguments of Node.js before those of each process. */
+	commonArguments?: readonly string[];
+}> = {}): ProcessRunner {
 	const processes: RunnerProcess[] = [];
 	const argumentsOf = new Map<RunnerProcess, readonly string[]>();
 	let isClosed = false;
@@ -178,7 +182,7 @@
 			throw new Error(`${name} cannot start: the runner is closed`);
 		}
 
-		const child = spawn(process.execPath, ['--import', 'tsx', ...nodeArguments], {detached: true, stdio: ['ignore', 'pipe', 'pipe']});
+		const child = spawn(process.execPath, [...commonArguments, ...nodeArguments], {detached: true, stdio: ['ignore', 'pipe', 'pipe']});
 		const started = wrap(name, child);
 		processes.push(started);
 		argumentsOf.set(started, nodeArguments);
--- a/stand-ins/executor-stand-in.ts
+++ b/stand-ins/executor-stand-in.ts
@@ -1,27 +1,59 @@
 import {once} from 'node:events';
-import {createServer, request as sendRequest} from 'node:http';
+import {createServer, request as sendRequest, type ServerResponse} from 'node:http';
 import {json} from 'node:stream/consumers';
 import * as z from 'zod';
 
-/** A running stand-in of the platform's executor. It implements starts, stops, throttling, lists and announcements; tasks end after a fixed run time. */
+/** What an executor saw; times are of the monotonic clock of its process. */
+export type ExecutorEvent = Readonly<{atMs: number; executorId: string; taskId: string; run: number}> & (
+	| Readonly<{kind: 'started'; payload: string}>
+	| Readonly<{kind: 'ended'; outcome: string}>
+	/** The end is acknowledged. */
+	| Readonly<{kind: 'noted'; outcome: string}>
+);
+
+/** A running stand-in of the platform's executor. It implements starts, stops, leases, fencing, throttling, lists and announcements. */
 export type ExecutorStandIn = Readonly<{
 	/** Returns the number of tasks that have ended so far. */
 	endedCount: () => number;
+	/** Returns the newest announcement, with its `born` and `seq`. */
+	announcement: () => Readonly<{seq: number; born: number; capacity: Readonly<Record<string, number>>} & Record<string, unknown>>;
+	/** Adds JSON texts as rows to the lists, and replaces fields of the answers to list requests by JSON texts. */
+	setOddAnswers: (odd: OddAnswers) => void;
+	/** Ends all tasks without a trace. The executor is gone until `startAgain`. */
+	crash: () => void;
+	/** Starts a new incarnation after a crash. */
+	startAgain: () => void;
 	close: () => Promise<void>;
 }>;
 
+/** JSON texts in the answers to list requests. */
+export type OddAnswers = Readonly<{running?: readonly string[]; finished?: readonly string[]; fields?: Readonly<Record<string, string>>}>;
+
 const bodySchema = z.object({
-	task: z.string().default(''), run: z.number().default(0), percent: z.number().default(100), ackCursor: z.number().default(0), waitMs: z.number().default(0),
+	task: z.string().default(''),
+	run: z.number().default(0),
+	spec: z.string().default(''),
+	percent: z.number().default(100),
+	ackCursor: z.number().default(0),
+	waitMs: z.number().default(0),
+	untilMs: z.number().default(0),
+	fencingToken: z.number().default(0),
 }).readonly();
 
 type Task = Readonly<{attempt: number; endsAtMs: number; percent: number}>;
 type Body = z.infer<typeof bodySchema>;
 type TaskEnd = readonly [endNumber: number, taskId: string, attempt: number, outcome: string, checkpoint: string];
+type Answer = Readonly<{status: number; text: string}>;
 
 /** Interval between two checks for tasks whose run time is over. */
 const endCheckIntervalMs = 20;
 
-const startedAtMs = Date.now();
+/** Longest lease. */
+const maxHoldMs = 10_000;
+
+function toAnswer(status: number, body: Readonly<Record<string, unknown>>): Answer {
+	return {status, text: JSON.stringify({clockMs: Math.round(performance.now()), ...body})};
+}
 
 /**
 Starts a stand-in of the platform's executor that announces itself to an agent.
@@ -30,21 +62,35 @@
 const executor = await createExecutorStandIn({address: '127.0.0.1:8080', controlAddress: '127.0.0.1:8166', service: 'huvo11a', runTimeMs: 300, announceMs: 500});
 await executor.close();
 */
-export async function createExecutorStandIn({address, controlAddress, service, runTimeMs, announceMs}: Readonly<{
+export async function createExecutorStandIn({address, controlAddress, service, runTimeMs, announceMs, executorId = 'i-1', announcedAddress = address, onEvent = () => undefined}: Readonly<{
 	address: string;
 	/** Address at which the agent receives announcements. */
 	controlAddress: string;
 	service: string;
-	runTimeMs: number;
+	/** Run time of all tasks, or of those with a payload. */
+	runTimeMs: number | ((payload: string) => number);
 	announceMs: number;
+	executorId?: string;
+	/** Address in the announcements, if calls reach the executor through another one. */
+	announcedAddress?: string;
+	onEvent?: (event: ExecutorEvent) => void;
 }>): Promise<ExecutorStandIn> {
-	const running = new Map<string, Task>();
+	let running = new Map<string, Task>();
 	const waitingPolls = new Set<() => void>();
+	let newestRuns = new Map<string, number>();
 	let taskEnds: readonly TaskEnd[] = [];
+	let odd: OddAnswers = {};
+	let endCount = 0;
 	let endNumber = 0;
 	let sequence = 0;
+	let fencingToken = 0;
+	let leaseUntilMs = 0;
+	let startedAtMs = Date.now();
+	let isUp = true;
 
-	const clockMs = (): number => Math.round(performance.now());
+	function report(event: Readonly<{taskId: string; run: number}> & (Readonly<{kind: 'started'; payload: string}> | Readonly<{kind: 'ended' | 'noted'; outcome: string}>)): void {
+		onEvent({...event, atMs: performance.now(), executorId});
+	}
 
 	/** Waits until a task ends, for at most `waitMs`. */
 	async function waitForEnd(waitMs: number): Promise<void> {
@@ -60,22 +106,67 @@
 		});
 	}
 
-	const handlers: Readonly<Record<string, (body: Body) => Promise<Readonly<Record<string, unknown>>>>> = {
-		async hold({ackCursor, waitMs}) {
+	function extendLease(untilMs: number): void {
+		leaseUntilMs = Math.max(leaseUntilMs, Math.min(untilMs, performance.now() + maxHoldMs));
+	}
+
+	function listsText(): string {
+		const rows = [...running].map(([taskId, {attempt, percent}]) => JSON.stringify([taskId, attempt, '', percent, 250]));
+		const fields: Readonly<Record<string, string>> = {
+			clockMs: String(Math.round(performance.now())),
+			born: String(startedAtMs),
+			running: `[${[...rows, ...odd.running ?? []].join(',')}]`,
+			finished: `[${[...taskEnds.map(end => JSON.stringify(end)), ...odd.finished ?? []].join(',')}]`,
+			...odd.fields,
+		};
+		return `{${Object.entries(fields).map(([name, text]) => `"${name}":${text}`).join(',')}}`;
+	}
+
+	const handlers: Readonly<Record<string, (body: Body) => Promise<Answer>>> = {
+		async hold({ackCursor, waitMs, untilMs}) {
+			extendLease(untilMs);
+			for (const [number, taskId, run, outcome] of taskEnds) {
+				if (number <= ackCursor) {
+					report({
+						kind: 'noted', taskId, run, outcome,
+					});
+				}
+			}
+
 			taskEnds = taskEnds.filter(([number]) => number > ackCursor);
 			if (taskEnds.length === 0 && waitMs > 0) {
 				await waitForEnd(waitMs);
 			}
 
-			return {born: startedAtMs, running: [...running].map(([taskId, {attempt, percent}]) => [taskId, attempt, '', percent, 250]), finished: taskEnds};
+			return {status: 200, text: listsText()};
 		},
-		async 'run-start'({task, run}) {
-			running.set(task, {attempt: run, endsAtMs: performance.now() + runTimeMs, percent: 100});
-			return {};
+		async 'run-start'({task, run, spec, untilMs}) {
+			if (running.get(task)?.attempt === run) {
+				return toAnswer(200, {});
+			}
+
+			if (run <= (newestRuns.get(task) ?? 0)) {
+				extendLease(untilMs);
+				return toAnswer(409, {reason: 'old'});
+			}
+
+			if (untilMs <= performance.now()) {
+				return toAnswer(409, {reason: 'late'});
+			}
+
+			extendLease(untilMs);
+			const timeMs = typeof runTimeMs === 'number' ? runTimeMs : runTimeMs(spec);
+			running.set(task, {attempt: run, endsAtMs: performance.now() + timeMs, percent: 100});
+			newestRuns.set(task, run);
+			report({
+				kind: 'started', taskId: task, run, payload: spec,
+			});
+			return toAnswer(200, {});
 		},
-		async 'run-stop'({task}) {
+		async 'run-stop'({task, run}) {
+			newestRuns.set(task, Math.max(run, newestRuns.get(task) ?? 0));
 			endTask(task, 'stopped');
-			return {};
+			return toAnswer(200, {});
 		},
 		async pace({task, percent}) {
 			const current = running.get(task);
@@ -83,26 +174,58 @@
 				running.set(task, {...current, percent});
 			}
 
-			return {};
+			return toAnswer(200, {});
 		},
 	};
 
 	function endTask(taskId: string, outcome: string): void {
 		const task = running.get(taskId);
 		if (task && running.delete(taskId)) {
+			endCount++;
 			taskEnds = [...taskEnds, [++endNumber, taskId, task.attempt, outcome, '']];
+			report({
+				kind: 'ended', taskId, run: task.attempt, outcome,
+			});
 			for (const finish of waitingPolls) {
 				finish();
 			}
 		}
 	}
 
+	async function answer(path: string, instance: unknown, body: Body): Promise<Answer> {
+		const handler = handlers[path];
+		if (!handler) {
+			return toAnswer(404, {});
+		}
+
+		if (typeof instance === 'string' && instance !== executorId) {
+			return toAnswer(421, {});
+		}
+
+		if (body.fencingToken < fencingToken) {
+			return toAnswer(409, {reason: 'fence'});
+		}
+
+		fencingToken = body.fencingToken;
+		return handler(body);
+	}
+
+	async function respond(request: AsyncIterable<Uint8Array> & Readonly<{url?: string | undefined; headers: Readonly<Record<string, unknown>>}>, response: ServerResponse): Promise<void> {
+		const incarnation = startedAtMs;
+		const body = bodySchema.safeParse(await json(request));
+		const {status, text} = body.success
+			? await answer(request.url?.split('/').at(-1) ?? '', request.headers['expected-instance'], body.data)
+			: toAnswer(400, {});
+		if (isUp && incarnation === startedAtMs) {
+			response.writeHead(status, {'content-type': 'application/json'});
+			response.end(text);
+		}
+	}
+
 	const server = createServer((request, response) => {
-		void (async () => {
-			const answer = await handlers[request.url?.split('/').at(-1) ?? '']?.(bodySchema.parse(await json(request)));
-			response.writeHead(answer === undefined ? 404 : 200, {'content-type': 'application/json'});
-			response.end(JSON.stringify({clockMs: clockMs(), ...answer}));
-		})();
+		respond(request, response).catch(() => {
+			response.destroy();
+		});
 	});
 	const [host, port] = address.split(':');
 	server.listen(Number(port), host);
@@ -110,33 +233,77 @@
 
 	const endTimer = setInterval(() => {
 		for (const [taskId, {endsAtMs}] of running) {
-			if (endsAtMs <= performance.now()) {
+			if (leaseUntilMs <= performance.now()) {
+				endTask(taskId, 'lapsed');
+			} else if (endsAtMs <= performance.now()) {
 				endTask(taskId, 'done');
 			}
 		}
 	}, endCheckIntervalMs);
+	const announcement = (): ReturnType<ExecutorStandIn['announcement']> => ({
+		service,
+		address: announcedAddress,
+		state: 'ready',
+		seq: sequence,
+		born: startedAtMs,
+		clockMs: Math.round(performance.now()),
+		capacity: {cpu: 16_000, memMb: 60_000, gpu: 0},
+		labels: ['large', 'rack-1'],
+	});
 	const [controlHost, controlPort] = controlAddress.split(':');
 	const announceTimer = setInterval(() => {
-		const announcement = sendRequest({
-			host: controlHost, port: controlPort, path: '/arbutushinge/executors/i-1', method: 'PUT', headers: {'content-type': 'application/json'},
-		}, answer => {
-			answer.resume();
+		if (!isUp) {
+			return;
+		}
+
+		sequence++;
+		const sent = sendRequest({
+			host: controlHost, port: controlPort, path: `/arbutushinge/executors/${executorId}`, method: 'PUT', headers: {'content-type': 'application/json'},
+		}, response => {
+			response.resume();
 		});
 		// The agent may not listen yet; the next announcement is the retry.
-		announcement.on('error', () => undefined);
-		announcement.end(JSON.stringify({
-			service, address, state: 'ready', seq: ++sequence, born: startedAtMs, clockMs: clockMs(), capacity: {cpu: 16_000, memMb: 60_000, gpu: 0}, labels: ['large', 'rack-1'],
-		}));
+		sent.on('error', () => undefined);
+		sent.end(JSON.stringify(announcement()));
 	}, announceMs);
 
 	return {
-		endedCount: () => endNumber,
+		endedCount: () => endCount,
+		announcement,
+		setOddAnswers(next) {
+			odd = next;
+		},
+		crash() {
+			isUp = false;
+			for (const [taskId, {attempt}] of running) {
+				report({
+					kind: 'ended', taskId, run: attempt, outcome: 'crashed',
+				});
+			}
+
+			running = new Map();
+			newestRuns = new Map();
+			taskEnds = [];
+			endNumber = 0;
+			sequence = 0;
+			fencingToken = 0;
+			leaseUntilMs = 0;
+			server.closeAllConnections();
+			server.close();
+		},
+		startAgain() {
+			startedAtMs = Date.now();
+			isUp = true;
+			server.listen(Number(port), host);
+		},
 		async close() {
 			clearInterval(endTimer);
 			clearInterval(announceTimer);
-			server.closeAllConnections();
-			server.close();
-			await once(server, 'close');
+			if (server.listening) {
+				server.closeAllConnections();
+				server.close();
+				await once(server, 'close');
+			}
 		},
 	};
 }
--- a/stand-ins/store-stand-in.ts
+++ b/stand-ins/store-stand-in.ts
@@ -23,7 +23,11 @@
 	/** Drops a topic's records before an offset, as if their time to live had passed. */
 	expire: (topic: string, beforeOffset: number) => void;
 	/** Writes a key to a keyed topic, as an operator does. */
-	putKey: (topic: string, key: string, value: string) => void;
+	putKey: (topic: string, key: string, value: string | Uint8Array) => void;
+	/** Appends a record to a topic, as another writer does. */
+	append: (topic: string, record: string | Uint8Array) => void;
+	/** Returns a topic's records that are still retained. */
+	records: (topic: string) => readonly Buffer[];
 	close: () => Promise<void>;
 }>;
 
@@ -35,6 +39,9 @@
 /** Page size of a read without `maxKb`. */
 const defaultMaxKb = 1024;
 
+/** Largest page of newest records. */
+const maxNewestPageBytes = 1024 * 1024;
+
 function frame(record: Buffer): Buffer {
 	const length = Buffer.alloc(4);
 	length.writeUInt32BE(record.length);
@@ -69,14 +76,18 @@
 }
 
 /**
-Starts a stand-in of the platform's store on a free port of 127.0.0.1.
+Starts a stand-in of the platform's store on a free port of 127.0.0.1. `mapAppended` may change the records that processes append. A
+page of newest records holds two of them unless `newestPageItems` is set, so that readers have to request further pages.
 
 @example
 const store = await createStoreStandIn();
 store.setFaults({losesAnswers: true});
 await store.close();
 */
-export async function createStoreStandIn(): Promise<StoreStandIn> {
+export async function createStoreStandIn({mapAppended = (_topic, record) => record, newestPageItems = 2}: Readonly<{
+	mapAppended?: (topic: string, record: Buffer) => Buffer;
+	newestPageItems?: number;
+}> = {}): Promise<StoreStandIn> {
 	const topics = new Map<string, Topic>();
 	let faults: StoreFaults = {};
 
@@ -95,8 +106,9 @@
 
 	const handlers: Readonly<Record<string, (query: URLSearchParams, request: IncomingMessage, response: ServerResponse) => Promise<void>>> = {
 		async '/arbutushinge/log-append'(query, request, response) {
-			const topic = topicOf(query.get('topic')!);
-			const records = unframe(await buffer(request));
+			const name = query.get('topic')!;
+			const topic = topicOf(name);
+			const records = unframe(await buffer(request)).map(record => mapAppended(name, record));
 			const offset = endOf(topic);
 			topic.records.push(...records);
 			if (!faults.losesAnswers) {
@@ -132,14 +144,22 @@
 			const topic = topicOf(query.get('topic')!);
 			const newest = new Map<string, Readonly<{key: string; value: string; offset: number}>>();
 			for (const [index, record] of topic.records.entries()) {
+				if (record.length === 0) {
+					continue;
+				}
+
 				const keyEnd = 1 + record[0]!;
 				const key = record.subarray(1, keyEnd).toString();
 				newest.set(key, {key, value: record.subarray(keyEnd).toString('base64'), offset: topic.first + index});
 			}
 
-			// Pages hold two items, so that readers have to request further pages.
 			const items = [...newest.values()].toSorted((left, right) => left.key < right.key ? -1 : 1).filter(({key}) => key > (query.get('dependsOn') ?? ''));
-			sendJson(response, 200, {items: items.slice(0, 2), hasMore: items.length > 2, end: endOf(topic)});
+			let pageBytes = 0;
+			const page = items.filter(({value}, index) => {
+				pageBytes += value.length;
+				return index < newestPageItems && (index === 0 || pageBytes <= maxNewestPageBytes);
+			});
+			sendJson(response, 200, {items: page, hasMore: items.length > page.length, end: endOf(topic)});
 		},
 	};
 
@@ -174,8 +194,13 @@
 			topic.first = Math.max(topic.first, beforeOffset);
 		},
 		putKey(name, key, value) {
-			topicOf(name).records.push(Buffer.concat([Buffer.from([key.length]), Buffer.from(key), Buffer.from(value)]));
+			const keyBytes = Buffer.from(key);
+			topicOf(name).records.push(Buffer.concat([Buffer.from([keyBytes.length]), keyBytes, Buffer.from(value)]));
+		},
+		append(name, record) {
+			topicOf(name).records.push(Buffer.from(record));
 		},
+		records: name => topicOf(name).records,
 		async close() {
 			server.closeAllConnections();
 			server.close();
