Add a randomized fault soak of the real programs

It checks what callers and executors see: accepted jobs are known and completed, refused ones never start, no task runs twice or after an acknowledged end, tasks that last run again within 9 s when it is calm, requests that were read get an answer, and no process ends by itself. Odd entries of the known faults are left out until those are fixed.

--- /dev/null
+++ b/soak/faults.ts
@@ -0,0 +1,126 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import fc from 'fast-check';
+import {type StoreFaults} from '../stand-ins/store-stand-in.js';
+import {type FaultProxy, type LinkFault} from './fault-proxy.js';
+import {knownFaults, oddEntriesByCase} from './odd-entries.js';
+import {type Site, type SiteAgent, type SiteEntry} from './site.js';
+
+/** A fault from outside; `inject` resolves when it is over and what it ended runs again. */
+export type Fault = Readonly<{atMs: number; description: string; inject: () => Promise<void>}>;
+
+/** Returns a number from `low` to `high`. */
+export type RandomInt = (low: number, high: number) => number;
+
+/** Faults begin within this time. */
+export const faultsMs = 6000;
+
+const minFaults = 4;
+const maxFaults = 12;
+
+/** The platform ends a process this long after SIGTERM. */
+const graceMs = 6000;
+
+const storeFaults: readonly StoreFaults[] = [{refuseWith: 503}, {refuseWith: 429}, {isSilent: true}, {losesAnswers: true}];
+
+type Injection = Readonly<{description: string; inject: () => Promise<void>}>;
+
+/**
+Plans the faults of a seed. Faults of one process or link never overlap; those of different ones may.
+
+@example
+const faults = planFaults(site, {randomInt, seed: 1});
+*/
+export function planFaults(site: Site, {randomInt, seed}: Readonly<{randomInt: RandomInt; seed: number}>): readonly Fault[] {
+	const pick = <Value>(values: readonly Value[]): Value => values[randomInt(0, values.length - 1)]!;
+	const busy = new Set<unknown>();
+
+	/** Skips a fault while another one of the same target lasts. */
+	function once(target: unknown, description: string, inject: () => Promise<void>): Injection {
+		return {
+			description,
+			async inject() {
+				if (!busy.has(target)) {
+					busy.add(target);
+					await inject();
+					busy.delete(target);
+				}
+			},
+		};
+	}
+
+	function pickProcess(): SiteEntry | SiteAgent {
+		return pick<SiteEntry | SiteAgent>([...site.entries, ...site.agents]);
+	}
+
+	const planners: Readonly<Record<string, () => Injection>> = {
+		link() {
+			const {name, links} = pickProcess();
+			const [linkName, link] = pick<readonly [string, FaultProxy]>(Object.entries(links));
+			const fault = pick<LinkFault>([{kind: 'delay', delayMs: randomInt(50, 400)}, {kind: 'cut-to-target'}, {kind: 'cut-from-target'}, {kind: 'silence'}, {kind: 'reset'}]);
+			const durationMs = randomInt(200, 4000);
+			return once(link, `${fault.kind} between ${name} and its ${linkName} for ${durationMs} ms`, async () => {
+				link.setFault(fault);
+				await delay(durationMs);
+				link.setFault({kind: 'none'});
+			});
+		},
+		kill() {
+			const target = pickProcess();
+			const durationMs = randomInt(0, 2000);
+			return once(target, `SIGKILL of ${target.name} for ${durationMs} ms`, async () => {
+				target.kill();
+				await delay(durationMs);
+				await target.startAgain();
+			});
+		},
+		pause() {
+			const target = pickProcess();
+			const durationMs = randomInt(200, 3500);
+			return once(target, `SIGSTOP of ${target.name} for ${durationMs} ms`, async () => {
+				target.current().pause();
+				await delay(durationMs);
+				target.current().resume();
+			});
+		},
+		terminate() {
+			const target = pickProcess();
+			return once(target, `SIGTERM of ${target.name}`, async () => {
+				target.terminate();
+				await target.current().waitForExit(graceMs).catch(() => {
+					target.kill();
+				});
+				await target.startAgain();
+			});
+		},
+		store() {
+			const faults = pick(storeFaults);
+			const durationMs = randomInt(200, 3000);
+			return once(site.store, `store ${JSON.stringify(faults)} for ${durationMs} ms`, async () => {
+				site.store.setFaults(faults);
+				await delay(durationMs);
+				site.store.setFaults({});
+			});
+		},
+		executor() {
+			const {executor, executorId} = pick(site.agents);
+			const durationMs = randomInt(200, 3000);
+			return once(executor, `crash of ${executorId} for ${durationMs} ms`, async () => {
+				executor.crash();
+				await delay(durationMs);
+				executor.startAgain();
+			});
+		},
+		odd() {
+			const [title, {leave}] = pick(Object.entries(oddEntriesByCase).filter(([name]) => !knownFaults.has(name)));
+			return once(leave, `odd entries: ${title}`, async () => {
+				// A process that receives them may be down.
+				await Promise.resolve(leave(site, (arbitrary, count) => fc.sample(arbitrary, {seed, numRuns: count}))).catch(() => undefined);
+			});
+		},
+		configuration: () => once('configuration', 'new configuration', async () => {
+			site.configure();
+		}),
+	};
+	return Array.from({length: randomInt(minFaults, maxFaults)}, () => ({atMs: randomInt(0, faultsMs), ...planners[pick(Object.keys(planners))]!()}))
+		.toSorted((left, right) => left.atMs - right.atMs);
+}
--- /dev/null
+++ b/soak/main.ts
@@ -0,0 +1,54 @@
+import {
+	mkdir, mkdtemp, rm, writeFile,
+} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+import cac from 'cac';
+import PQueue from 'p-queue';
+import {bundlePrograms} from '../scripts/bundle-programs.js';
+import {runSoak, type SoakResult} from './run-soak.js';
+
+const cli = cac('soak');
+cli.option('--seeds <range>', 'First and last seed', {default: '1-10'});
+cli.option('--jobs <number>', 'Seeds that run at the same time', {default: 1});
+cli.option('--logs <directory>', 'Where the logs of failing seeds are written', {default: 'soak-logs'});
+cli.option('--bundles <directory>', 'Programs to run in place of those of this tree');
+cli.help();
+const {options} = cli.parse();
+
+async function writeLogs(directory: string, {journal, logs, failures}: SoakResult): Promise<void> {
+	await mkdir(directory, {recursive: true});
+	await writeFile(path.join(directory, 'journal.txt'), [...failures, ...journal].join('\n'));
+	await Promise.all([...logs].map(async ([name, lines]) => writeFile(path.join(directory, `${name}.log`), lines.join('\n'))));
+}
+
+if (options.help !== true) {
+	// Exiting kills the processes that this one has started.
+	for (const signal of ['SIGINT', 'SIGTERM']) {
+		process.on(signal, () => {
+			process.exit(1);
+		});
+	}
+
+	const [first = 1, last = first] = String(options.seeds).split('-').map(Number);
+	const built = await mkdtemp(path.join(tmpdir(), 'arbutushinge-bundle-'));
+	const bundleDirectory = options.bundles === undefined ? built : path.resolve(String(options.bundles));
+	if (options.bundles === undefined) {
+		await bundlePrograms(built);
+	}
+
+	const queue = new PQueue({concurrency: Number(options.jobs)});
+	await queue.addAll(Array.from({length: last - first + 1}, (_, index) => async () => {
+		const seed = first + index;
+		const result = await runSoak({seed, bundleDirectory});
+		const {failures, jobs, faults, durationMs} = result;
+		process.stdout.write(`seed=${seed} jobs=${jobs} faults=${faults} durationS=${(durationMs / 1000).toFixed(1)} failures=${failures.length}\n`);
+		if (failures.length > 0) {
+			process.exitCode = 1;
+			process.stdout.write(`${failures.slice(0, 10).map(failure => `  ${failure}`).join('\n')}\n`);
+			await writeLogs(path.join(String(options.logs), String(seed)), result);
+		}
+	}));
+	await rm(built, {recursive: true, force: true});
+}
--- /dev/null
+++ b/soak/outcome.ts
@@ -0,0 +1,90 @@
+import {type ExecutorEvent} from '../stand-ins/executor-stand-in.js';
+
+/** A period of faults; times are of the monotonic clock. */
+export type FaultPeriod = Readonly<{fromMs: number; untilMs: number}>;
+
+/** What clients and executors saw in a run. */
+export type Observations = Readonly<{
+	events: readonly ExecutorEvent[];
+	/** Jobs all of whose submissions were refused with 429 or 503. */
+	refusedJobs: ReadonlySet<string>;
+	/** Tasks that last, with the time from which they were accepted. */
+	lastingTasks: ReadonlySet<string>;
+	faults: readonly FaultPeriod[];
+	endMs: number;
+}>;
+
+/** A task that lasts runs again this long after its last run, when the time before was calm. */
+const restartBoundMs = 9000;
+
+/** The last 3 s of the bound and the 4 s before them have to be calm. */
+const calmMs = 7000;
+
+const stepMs = 100;
+
+type Gap = Readonly<{taskId: string; fromMs: number; untilMs: number}>;
+
+/** Returns the times in which no executor ran a task, after its first run. */
+function gapsOf(taskId: string, events: readonly ExecutorEvent[], endMs: number): readonly Gap[] {
+	const gaps: Gap[] = [];
+	let endedAtMs: number | undefined;
+	for (const event of events.filter(event => event.taskId === taskId)) {
+		if (event.kind === 'ended') {
+			endedAtMs = event.atMs;
+		} else if (event.kind === 'started' && endedAtMs !== undefined) {
+			gaps.push({taskId, fromMs: endedAtMs, untilMs: event.atMs});
+			endedAtMs = undefined;
+		}
+	}
+
+	return endedAtMs === undefined ? gaps : [...gaps, {taskId, fromMs: endedAtMs, untilMs: endMs}];
+}
+
+function findForbiddenGaps({events, lastingTasks, faults, endMs}: Observations): readonly string[] {
+	const isCalm = (atMs: number): boolean => faults.every(({fromMs, untilMs}) => untilMs < atMs - calmMs || fromMs > atMs);
+	return [...lastingTasks].flatMap(taskId => gapsOf(taskId, events, endMs)).flatMap(({taskId, fromMs, untilMs}) => {
+		for (let atMs = fromMs + restartBoundMs; atMs < untilMs; atMs += stepMs) {
+			if (isCalm(atMs)) {
+				return [`${taskId} lasts and did not run for ${Math.round(untilMs - fromMs)} ms, the last ${calmMs} of them calm`];
+			}
+		}
+
+		return [];
+	});
+}
+
+/**
+Returns the promises that were broken, from what executors saw.
+
+@example
+findBrokenPromises({events, refusedJobs: new Set(), lastingTasks: new Set(), faults: [], endMs: performance.now()}); // => []
+*/
+export function findBrokenPromises(observations: Observations): readonly string[] {
+	const {events, refusedJobs} = observations;
+	const broken: string[] = [];
+	const runningOn = new Map<string, string>();
+	const finished = new Set<string>();
+	for (const {kind, taskId, executorId, run, ...event} of events) {
+		if (kind === 'started') {
+			if (runningOn.has(taskId)) {
+				broken.push(`run ${run} of ${taskId} started on ${executorId} while ${runningOn.get(taskId)!} ran it`);
+			}
+
+			if (finished.has(taskId)) {
+				broken.push(`run ${run} of ${taskId} started on ${executorId} after an acknowledged end`);
+			}
+
+			if (refusedJobs.has(taskId.split('.')[0]!)) {
+				broken.push(`${taskId} started although its job was refused`);
+			}
+
+			runningOn.set(taskId, executorId);
+		} else if (kind === 'ended') {
+			runningOn.delete(taskId);
+		} else if ('outcome' in event && event.outcome === 'done') {
+			finished.add(taskId);
+		}
+	}
+
+	return [...broken, ...findForbiddenGaps(observations)];
+}
--- /dev/null
+++ b/soak/run-soak.test.ts
@@ -0,0 +1,20 @@
+import {mkdtemp, rm} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import test from 'ava';
+import {bundlePrograms} from '../scripts/bundle-programs.js';
+import {runSoak} from './run-soak.js';
+
+for (const seed of [2]) {
+	test(`the real programs keep their promises to callers while faults come from outside, seed ${seed}`, async t => {
+		const bundleDirectory = await mkdtemp(path.join(tmpdir(), 'arbutushinge-bundle-'));
+		try {
+			await bundlePrograms(bundleDirectory);
+			const {failures, jobs, faults} = await runSoak({seed, bundleDirectory});
+			t.deepEqual(failures, []);
+			t.true(jobs > 0 && faults > 0);
+		} finally {
+			await rm(bundleDirectory, {recursive: true, force: true});
+		}
+	});
+}
--- /dev/null
+++ b/soak/run-soak.ts
@@ -0,0 +1,150 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import {uniformInt} from 'pure-rand/distribution/uniformInt';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {type ExecutorEvent} from '../stand-ins/executor-stand-in.js';
+import {createClients, type Call} from './clients.js';
+import {
+	faultsMs, planFaults, type Fault, type RandomInt,
+} from './faults.js';
+import {findBrokenPromises, type FaultPeriod} from './outcome.js';
+import {goodTaskMs, runGoodJob} from './run-good-job.js';
+import {startSite} from './site.js';
+
+/** Result of one seed; without failures every promise was kept. */
+export type SoakResult = Readonly<{
+	failures: readonly string[];
+	/** Planned faults, calls and what executors saw, in the order of time. */
+	journal: readonly string[];
+	logs: ReadonlyMap<string, readonly string[]>;
+	jobs: number;
+	faults: number;
+	durationMs: number;
+}>;
+
+const startTimeoutMs = 20_000;
+
+/** Accepted jobs are completed this long after the last fault. A VM that is gone with its agent frees its tasks after 16 s. */
+const completionBoundMs = 20_000;
+
+/** Tasks that last are watched for this long after the last fault. */
+const watchMs = 8000;
+
+/** A job may be unknown to other entries for this long after its acknowledgement. */
+const visibleMs = 3000;
+
+/** A request without an answer whose channel ended sooner than this may not have been read. */
+const lossSlackMs = 200;
+
+/** Keeps the generators of consecutive seeds apart. */
+const seedFactor = 0x9E_37_79_B1;
+
+const submitPauseMs = 120;
+const lastingPayload = 'lasts';
+const lastingJobIds = ['00000000000000a1', '00000000000000a2'];
+const lastingCount = 2;
+
+function runTimeMsOf(payload: string): number {
+	return payload === lastingPayload ? Number.POSITIVE_INFINITY : Number(/^runs-(?<ms>\d+)$/v.exec(payload)?.groups?.ms ?? goodTaskMs);
+}
+
+function findUnkeptAnswers(calls: readonly Call[], acceptedAtMs: ReadonlyMap<string, number>, faults: ReadonlyArray<FaultPeriod & Readonly<{description: string}>>): readonly string[] {
+	return calls.flatMap(({entry, method, jobId, sentAtMs, endedAtMs, status, text}) => {
+		const call = `${method} ${jobId} at ${entry.name}, sent at ${Math.round(sentAtMs)}`;
+		if (status === 410 && sentAtMs > (acceptedAtMs.get(jobId) ?? Number.POSITIVE_INFINITY) + visibleMs) {
+			return [`accepted job answered 410: ${call}`];
+		}
+
+		const isExcused = faults.some(({description, fromMs, untilMs}) =>
+			(description.startsWith('SIGKILL') || description.startsWith('SIGSTOP')) && description.includes(entry.name) && fromMs <= endedAtMs && untilMs >= sentAtMs);
+		return status === undefined && endedAtMs - sentAtMs > lossSlackMs && !isExcused ? [`no whole answer (${text}) after ${Math.round(endedAtMs - sentAtMs)} ms: ${call}`] : [];
+	});
+}
+
+/**
+Runs the real programs for one seed with faults from outside, and checks what callers and executors saw.
+
+@example
+const {failures} = await runSoak({seed: 1, bundleDirectory: 'dist'});
+*/
+export async function runSoak({seed, bundleDirectory}: Readonly<{seed: number; bundleDirectory: string}>): Promise<SoakResult> {
+	const beginMs = performance.now();
+	const generator = xoroshiro128plus(Math.imul(seed, seedFactor));
+	const randomInt: RandomInt = (low, high) => uniformInt(generator, low, high);
+	const clientGenerator = xoroshiro128plus(Math.imul(seed, seedFactor) + 1);
+	const events: ExecutorEvent[] = [];
+	const site = await startSite({
+		bundleDirectory, runTimeMs: runTimeMsOf, onEvent(event) {
+			events.push(event);
+		},
+	});
+	const clients = createClients(site.entries, {pick: values => values[uniformInt(clientGenerator, 0, values.length - 1)]!});
+	const periods: Array<FaultPeriod & Readonly<{description: string}>> = [];
+	const failures: string[] = [];
+
+	async function inject({atMs, description, inject: run}: Fault, startMs: number): Promise<void> {
+		await delay(Math.max(0, startMs + atMs - performance.now()));
+		const fromMs = performance.now();
+		const index = periods.push({description, fromMs, untilMs: Number.POSITIVE_INFINITY}) - 1;
+		await run();
+		periods[index] = {description, fromMs, untilMs: performance.now()};
+	}
+
+	try {
+		for (const entry of site.entries) {
+			await runGoodJob(site, entry, {timeoutMs: startTimeoutMs});
+		}
+
+		const startMs = performance.now();
+		for (const jobId of lastingJobIds) {
+			clients.submit({jobId, isLasting: true}, {
+				spec: lastingPayload, steps: [{
+					count: lastingCount, cpu: 500, memMb: 10, longRunning: true,
+				}],
+			});
+		}
+
+		const faults = planFaults(site, {randomInt, seed});
+		let jobs = 0;
+		const submitting = (async () => {
+			while (performance.now() < startMs + faultsMs) {
+				const runMs = uniformInt(clientGenerator, 20, 600);
+				clients.submit({jobId: (++jobs).toString(16).padStart(16, 'b'), isLasting: false}, {
+					spec: `runs-${runMs}`, steps: [{
+						count: uniformInt(clientGenerator, 1, 3), cpu: 200, memMb: 10, estimatedMs: runMs,
+					}],
+				});
+				await delay(submitPauseMs);
+			}
+		})();
+		await Promise.all([submitting, ...faults.map(async fault => inject(fault, startMs))]);
+		for (const {executor} of site.agents) {
+			executor.setOddAnswers({});
+		}
+
+		const [unfinished] = await Promise.all([clients.waitForCompletion(completionBoundMs), delay(watchMs)]);
+		failures.push(...unfinished.map(jobId => `accepted job ${jobId} is not completed ${completionBoundMs} ms after the faults`));
+		const endMs = performance.now();
+		await clients.close();
+		const lastingTasks = new Set(lastingJobIds.filter(jobId => clients.acceptedAtMs().has(jobId)).flatMap(jobId => Array.from({length: lastingCount}, (_, index) => `${jobId}.0.0.${index}`)));
+		failures.push(
+			...findUnkeptAnswers(clients.calls(), clients.acceptedAtMs(), periods),
+			...findBrokenPromises({
+				events, refusedJobs: clients.refusedJobs(), lastingTasks, faults: periods, endMs,
+			}),
+			...[...lastingTasks].filter(taskId => !events.some(event => event.taskId === taskId)).map(taskId => `${taskId} never ran`),
+		);
+		return {
+			jobs, faults: faults.length, failures: [...failures, ...site.ownEnds()], logs: site.logs(), durationMs: performance.now() - beginMs,
+			journal: [
+				...periods.map(({description, fromMs, untilMs}) => ({atMs: fromMs, text: `fault: ${description} (until ${Math.round(untilMs)})`})),
+				...clients.calls().map(({entry, method, jobId, sentAtMs, endedAtMs, status, text}) => ({
+					atMs: sentAtMs, text: `${method} ${jobId} at ${entry.name}: ${status ?? 'none'} ${text.slice(0, 80)} after ${Math.round(endedAtMs - sentAtMs)} ms`,
+				})),
+				...events.map(({atMs, ...event}) => ({atMs, text: Object.entries(event).map(([name, value]) => `${name}=${value}`).join(' ')})),
+			].toSorted((left, right) => left.atMs - right.atMs).map(({atMs, text}) => `${Math.round(atMs)} ${new Date(performance.timeOrigin + atMs).toISOString()} ${text}`),
+		};
+	} finally {
+		await clients.close();
+		await site.close();
+	}
+}
