--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check';
 import {type StoreFaults} from '../stand-ins/store-stand-in.js';
 import {type FaultProxy, type LinkFault} from './fault-proxy.js';
-import {knownFaults, oddEntriesByCase} from './odd-entries.js';
+import {oddEntriesByCase} from './odd-entries.js';
 import {type Site, type SiteAgent, type SiteEntry} from './site.js';
 
 /** A fault from outside; `inject` resolves when it is over and what it ended runs again. */
@@ -111,7 +111,7 @@
 			});
 		},
 		odd() {
-			const [title, {leave}] = pick(Object.entries(oddEntriesByCase).filter(([name]) => !knownFaults.has(name)));
+			const [title, {leave}] = pick(Object.entries(oddEntriesByCase));
 			return once(leave, `odd entries: ${title}`, async () => {
 				// A process that receives them may be down.
 				await Promise.resolve(leave(site, (arbitrary, count) => fc.sample(arbitrary, {seed, numRuns: count}))).catch(() => undefined);
--- a/soak/odd-entries.test.ts
+++ b/soak/odd-entries.test.ts
@@ -5,7 +5,7 @@
 import test from 'ava';
 import PQueue from 'p-queue';
 import {bundlePrograms} from '../scripts/bundle-programs.js';
-import {knownFaults, leaveOddEntries, oddEntriesByCase} from './odd-entries.js';
+import {leaveOddEntries, oddEntriesByCase} from './odd-entries.js';
 import {goodTaskMs, runGoodJob} from './run-good-job.js';
 import {startSite, type Site} from './site.js';
 
@@ -40,8 +40,7 @@
 });
 
 for (const [title, oddEntries] of Object.entries(oddEntriesByCase)) {
-	const declare = knownFaults.has(title) ? test.failing : test;
-	declare(`${title}, seed ${seed}`, async t => {
+	test(`${title}, seed ${seed}`, async t => {
 		const ends = await queue.add(async () => {
 			const site = idleSites.pop() ?? await startReadySite();
 			try {
--- a/soak/odd-entries.ts
+++ b/soak/odd-entries.ts
@@ -148,19 +148,6 @@
 const restartEntry = ({entries}: Site): readonly SiteEntry[] => [entries[0]!];
 const restartAgent = ({agents}: Site): readonly SiteAgent[] => [agents[0]!];
 
-/** Cases that end or stop a process; see `KNOWN-RED.txt`. */
-export const knownFaults: ReadonlySet<string> = new Set([
-	'a log record whose kind is nested deeply ends no entry',
-	'a snapshot that covers more records than there are stops no entry',
-	'a snapshot that cannot be decoded hides no good one',
-	'an entry\'s announcement with an address that cannot be used ends no agent',
-	'odd announcements of entries keep no agent from the good ones',
-	'a configuration with a version out of range does not stay in force',
-	'an announcement that was born far ahead or has a number out of range ends no life of the executor',
-	'odd rows in the lists of an executor stop no agent',
-	'lists of an executor with odd fields stop no agent',
-]);
-
 /** Odd entries by the place where they are left and the failure that they may cause. */
 export const oddEntriesByCase: Readonly<Record<string, OddEntries>> = {
 	'a log record whose kind is nested deeply ends no entry': {
