Keep records and batches within the sizes that the log takes

A record or a batch that was larger than the store takes was refused and sent again unchanged after every refusal, so that everything behind it waited, also `entry-alive`, until other entries declared the entry ended.

Nothing knew the sizes. A log service now names them (`limits`). A job whose record would be too large is answered 413 with its size before anything is queued. Each record is encoded once; the check of a job encodes the job once more. The stand-in of the store refuses sizes beyond the platform's with 400.

--- a/src/entry/entry-process.ts
+++ b/src/entry/entry-process.ts
@@ -156,7 +156,7 @@
 	};
 
 	const jobs = createJobInterface({
-		state: loop.state, requestDecision, nowMs: () => performance.now(), logFreshnessMs: settings.timings.logFreshnessMs,
+		state: loop.state, requestDecision, nowMs: () => performance.now(), logFreshnessMs: settings.timings.logFreshnessMs, maxRecordBytes: logService.limits.recordBytes,
 	});
 
 	const callers = createCallerServer({
--- a/src/entry/job-interface.test.ts
+++ b/src/entry/job-interface.test.ts
@@ -17,7 +17,7 @@
 
 function jobsThatAnswer(answer: DeferredAnswer, state: EntryState = initialState): JobInterface {
 	return createJobInterface({
-		state: () => state, requestDecision: async () => answer, nowMs: () => 10_000, logFreshnessMs: 2000,
+		state: () => state, requestDecision: async () => answer, nowMs: () => 10_000, logFreshnessMs: 2000, maxRecordBytes: 261_120,
 	});
 }
 
@@ -40,3 +40,24 @@
 	const missing = await jobsThatAnswer(answer, fresh).find('job');
 	t.like(missing.isErr && missing.error, {status: 404, error: {kind: 'job-unknown'}});
 });
+
+test('a job whose record the log does not take is refused at once with its size', async t => {
+	let requested = 0;
+	const jobs = createJobInterface({
+		state: () => initialState,
+		async requestDecision() {
+			requested++;
+			return {result: 'accepted', offset: 0, reason: ''};
+		},
+		nowMs: () => 10_000,
+		logFreshnessMs: 2000,
+		maxRecordBytes: 261_120,
+	});
+	const withTasks = (count: number) => ({...job, tasks: Array.from({length: count}, (_, index) => ({...job.tasks[0], taskId: `task-${index}`, payload: 'x'.repeat(1000)}))});
+	const refused = await jobs.submit(withTasks(240));
+	t.is(requested, 0);
+	t.like(refused.isErr && refused.error, {status: 413, error: {kind: 'job-too-large'}});
+	t.regex(refused.isErr ? refused.error.error.message : '', /^job job takes 2\d{5} bytes in the log, where at most 260096 fit$/v);
+	const accepted = await jobs.submit(withTasks(220));
+	t.true(accepted.isOk);
+});
--- a/src/entry/job-interface.ts
+++ b/src/entry/job-interface.ts
@@ -1,6 +1,7 @@
+import {Buffer} from 'node:buffer';
 import {err, ok, type Result} from 'true-myth/result';
 import {type ClusterState, type Task, type WorkflowPhase} from '../cluster/cluster-state.js';
-import {jobSchema, nameSchema} from '../cluster/intent.js';
+import {jobSchema, nameSchema, type Job} from '../cluster/intent.js';
 import {type CallerJobError, type CallerJobs} from './caller-server.js';
 import {type DeferredAnswer} from './control-effect.js';
 import {type DeferredSubject} from './entry-event.js';
@@ -24,6 +25,9 @@
 	unknown: {status: 504, kind: 'job-outcome-unknown'},
 };
 
+/** Size of a job's record in addition to the job, in bytes: the names of the writer, the sequence and the names of the fields. */
+const recordOverheadBytes = 1024;
+
 /** Retry time for callers while this entry cannot read the log: outages of the log last seconds, and other entries may reach it. */
 const logRetryAfterMs = 1000;
 
@@ -31,14 +35,16 @@
 Creates the functions behind the callers' job paths.
 
 @example
-const jobs = createJobInterface({state, ask, nowMs: () => performance.now(), logFreshnessMs: 2000});
+const jobs = createJobInterface({state, ask, nowMs: () => performance.now(), logFreshnessMs: 2000, maxRecordBytes: 261_120});
 await jobs.find('panel-17');
 */
-export function createJobInterface({state, requestDecision, nowMs, logFreshnessMs}: Readonly<{
+export function createJobInterface({state, requestDecision, nowMs, logFreshnessMs, maxRecordBytes}: Readonly<{
 	state: () => EntryState;
 	requestDecision: (subject: DeferredSubject) => Promise<DeferredAnswer>;
 	nowMs: () => number;
 	logFreshnessMs: number;
+	/** Largest record that the log takes, in bytes; larger jobs are refused. */
+	maxRecordBytes: number;
 }>): JobInterface {
 	const isFresh = (): boolean => nowMs() - state().log.tailConfirmedSentAtMs <= logFreshnessMs;
 
@@ -60,6 +66,12 @@
 				});
 			}
 
+			const jobBytes = Buffer.byteLength(JSON.stringify(job.data));
+			const maxJobBytes = maxRecordBytes - recordOverheadBytes;
+			if (jobBytes > maxJobBytes) {
+				return err(jobTooLarge(job.data, jobBytes, maxJobBytes));
+			}
+
 			const {jobId} = job.data;
 			const answer = await requestDecision({kind: 'job', job: job.data});
 			return toResult(jobId, answer);
@@ -127,6 +139,17 @@
 	};
 }
 
+function jobTooLarge({jobId}: Job, jobBytes: number, maxJobBytes: number): CallerJobError {
+	return {
+		status: 413,
+		error: {
+			kind: 'job-too-large',
+			message: `job ${jobId} takes ${jobBytes} bytes in the log, where at most ${maxJobBytes} fit`,
+			remedy: 'split it into smaller jobs',
+		},
+	};
+}
+
 function unknownJob(jobId: string): CallerJobError {
 	return {
 		status: 404,
--- a/src/entry/log-connection.test.ts
+++ b/src/entry/log-connection.test.ts
@@ -3,6 +3,7 @@
 import {encodeClusterState} from '../cluster/cluster-state-codec.js';
 import {emptyClusterState} from '../cluster/reduce-cluster.js';
 import {createFakeLogService} from '../log/fake-log-service.js';
+import {type LogService} from '../log/log-service.js';
 import {systemClock} from '../log/clock.js';
 import {createSnapshotStore, type SnapshotStore} from '../log/snapshot-store.js';
 import {entrySettingsSchema} from '../settings/entry-settings.js';
@@ -20,7 +21,7 @@
 });
 
 /** Creates a connection to an in-memory log, with the events and the lines of the log that it causes. */
-function setUp(t: ExecutionContext, changes: Partial<SnapshotStore> = {}) {
+function setUp(t: ExecutionContext, changes: Partial<SnapshotStore> = {}, serviceChanges: Partial<LogService> = {}) {
 	const log = createFakeLogService(systemClock);
 	const snapshots = createSnapshotStore({service: log.service, stream: `${settings.logStream}-snapshots`});
 	const events: EntryEvent[] = [];
@@ -36,7 +37,7 @@
 	const connection = createLogConnection({
 		settings,
 		token: undefined,
-		logService: log.service,
+		logService: {...log.service, ...serviceChanges},
 		snapshots: {...snapshots, ...changes},
 		eventLog,
 		metrics: {
@@ -95,3 +96,21 @@
 	t.deepEqual(events, [{kind: 'snapshot-written', coversOffset: -1}]);
 	t.is(lines.at(-1)?.fields?.reason, 'RangeError: Invalid string length');
 });
+
+test('a record that the log does not take is logged once with its size, and the one behind it is written', async t => {
+	const {log, lines, connection} = setUp(t, {}, {limits: {recordBytes: 1000, appendBytes: 1000}});
+	await connection.start('own');
+	connection.append({kind: 'tasks-cancelled', taskIds: Array.from({length: 100}, () => 'x'.repeat(100))});
+	connection.append({kind: 'entry-alive', appliedOffset: 7});
+	while (connection.pendingAppends() > 0) {
+		await delay(5);
+	}
+
+	t.deepEqual(log.values(settings.logStream).map(({value}) => JSON.parse(value) as unknown), [{
+		writer: 'entry-1', incarnation: 'own', sequence: 1, record: {kind: 'entry-alive', appliedOffset: 7},
+	}]);
+	const refused = lines.filter(({event}) => event === 'log-record-refused');
+	t.is(refused.length, 1);
+	t.is(refused[0]?.fields?.record, 'tasks-cancelled');
+	t.regex(String(refused[0]?.fields?.reason), /has 10\d{3} bytes; the log takes 1000$/v);
+});
--- a/src/entry/log-connection.ts
+++ b/src/entry/log-connection.ts
@@ -14,6 +14,7 @@
 import {createLineLimit} from '../telemetry/line-limit.js';
 import {type Metrics} from '../telemetry/metrics.js';
 import {ownsPlacement} from '../placement/placement-owner.js';
+import {boundedText} from '../validation/bounded-text.js';
 import {describeThrown} from '../validation/describe-thrown.js';
 import {type EntryEvent} from './entry-event.js';
 import {type EntryMonitor} from './entry-monitor.js';
@@ -39,6 +40,8 @@
 const snapshotRetryDelayMs = 300;
 /** A reader that starts anew meets the same values again, so that their lines are limited. */
 const skippedLinesPerSecond = 5;
+/** A refused record is decided on again and again, so that its lines are limited. */
+const refusedLinesPerSecond = 5;
 
 /** Returns whether the next read is urgent: an operator or a caller waits for a decision, or this entry is a placement owner. */
 function isReadAwaited({cluster, deferred, incarnation}: EntryState): boolean {
@@ -79,6 +82,7 @@
 	let writer: LogWriter | undefined;
 	let reader: LogReader | undefined;
 	let isLeaving = false;
+	const refusedLimit = createLineLimit({linesPerSecond: refusedLinesPerSecond});
 	const skippedLimit = createLineLimit({linesPerSecond: skippedLinesPerSecond});
 
 	function openWriter(incarnation: string): void {
@@ -101,6 +105,17 @@
 		});
 	}
 
+	function append(record: ClusterRecord): void {
+		const appended = writer?.append(record);
+		const {isAllowed, omitted} = appended?.isErr ? refusedLimit(performance.now()) : {isAllowed: false, omitted: 0};
+		if (appended?.isErr && isAllowed) {
+			const {message, remedy} = appended.error;
+			eventLog.warn('log-record-refused', {
+				record: record.kind, reason: boundedText(message), remedy, omitted,
+			});
+		}
+	}
+
 	/** The log is read although one of its values is no record, so this is no outage. */
 	function skipRecord(reason: string): void {
 		metrics.increment('log.values.skipped');
@@ -218,7 +233,7 @@
 		},
 		append(record) {
 			if (!isLeaving) {
-				writer?.append(record);
+				append(record);
 			}
 		},
 		pendingAppends: () => writer?.pendingCount() ?? 0,
@@ -238,7 +253,7 @@
 		},
 		async leave(entryId) {
 			const {incarnation} = state();
-			writer?.append({
+			append({
 				kind: 'entry-ended', entryId, incarnation, reason: 'graceful stop',
 			});
 			isLeaving = true;
--- a/src/log/fake-log-service.ts
+++ b/src/log/fake-log-service.ts
@@ -62,6 +62,7 @@
 	};
 
 	const service: LogService = {
+		limits: {recordBytes: Number.POSITIVE_INFINITY, appendBytes: Number.POSITIVE_INFINITY},
 		async append(stream, values) {
 			appends.push({atMs: clock.nowMs(), values});
 			const fault = appendFaults.shift() ?? 'none';
--- a/src/log/http-log-service.ts
+++ b/src/log/http-log-service.ts
@@ -1,7 +1,12 @@
 import {err, ok, type Result} from 'true-myth/result';
 import {Pool} from 'undici';
 import {z} from 'zod';
-import {type LogError, type LogErrorKind, type LogService} from './log-service.js';
+import {
+	type LogError, type LogErrorKind, type LogLimits, type LogService,
+} from './log-service.js';
+
+/** A record holds the largest job of a caller, and an append the largest snapshot. */
+const limits: LogLimits = {recordBytes: 2 * 1024 * 1024, appendBytes: 9 * 1024 * 1024};
 
 const appendAnswerSchema = z.object({firstOffset: z.int().min(0)});
 
@@ -92,6 +97,7 @@
 
 	const pathOf = (stream: string) => `/streams/${encodeURIComponent(stream)}`;
 	return {
+		limits,
 		async append(stream, values) {
 			const answer = await call({
 				method: 'POST', path: `${pathOf(stream)}/records`, body: JSON.stringify({records: values}), timeoutMs: options.timeoutMs,
--- a/src/log/log-service.ts
+++ b/src/log/log-service.ts
@@ -19,8 +19,20 @@
 	firstRetainedOffset: number;
 }>;
 
+/** Largest sizes that a log service takes, in bytes of UTF-8. */
+export type LogLimits = Readonly<{
+	/** Of one value. */
+	recordBytes: number;
+	/** Of all values of one append, each with {@link recordOverheadBytes}; at least that of one value. */
+	appendBytes: number;
+}>;
+
+/** Counted for each value of an append in addition to its text, such as for a length or a separator. */
+export const recordOverheadBytes = 16;
+
 /** The platform's append-only log service. Every call resolves; failures are values. */
 export type LogService = Readonly<{
+	limits: LogLimits;
 	/** Appends all values or none; returns the offset of the first. */
 	append: (stream: string, values: readonly string[]) => Promise<Result<number, LogError>>;
 	/** Reads from `fromOffset`; waits up to `waitMs` for a first value when there is none. */
--- a/src/log/log-writer.ts
+++ b/src/log/log-writer.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import PQueue from 'p-queue';
 import {err, ok, type Result} from 'true-myth/result';
 import {type ClusterRecord} from '../cluster/cluster-record.js';
@@ -6,9 +7,9 @@
 import {backoffMs} from './backoff.js';
 import {systemClock, type Clock} from './clock.js';
 import {encodeLogValue} from './log-value.js';
-import {type LogError, type LogService} from './log-service.js';
+import {recordOverheadBytes, type LogError, type LogService} from './log-service.js';
 
-export type LogWriterError = TypedError<'log-writer-full' | 'log-writer-closed'>;
+export type LogWriterError = TypedError<'log-writer-full' | 'log-writer-closed' | 'log-record-too-large'>;
 
 /** Result of one append attempt; `failures` counts the failed attempts of the batch so far. */
 export type LogWriterStatus
@@ -16,7 +17,7 @@
 		| Readonly<{kind: 'failed'; error: LogError; failures: number; pendingCount: number}>;
 
 /** A record with its encoded form. */
-type PendingRecord = Readonly<{record: ClusterRecord; value: string}>;
+type PendingRecord = Readonly<{record: ClusterRecord; value: string; bytes: number}>;
 
 export type LogWriterOptions = Readonly<{
 	service: LogService;
@@ -26,6 +27,10 @@
 	/** Shortest time between the starts of two appends, in milliseconds. */
 	appendIntervalMs: number;
 	maxBatchRecords: number;
+	/** Largest encoded record, in bytes; that of the service by default. */
+	maxRecordBytes?: number;
+	/** Largest batch, in bytes, with the overhead of each record; that of the service by default. A batch has at least one record. */
+	maxBatchBytes?: number;
 	/** Most pending records, including those in flight. */
 	maxPendingRecords?: number;
 	/** How long `close` continues to append, in milliseconds. */
@@ -37,7 +42,7 @@
 }>;
 
 export type LogWriter = Readonly<{
-	/** Queues a record and returns its sequence. Throws for a record that cannot be encoded. */
+	/** Queues a record and returns its sequence. Throws for a record that cannot be encoded. A record that the log does not take (`log-record-too-large`) is not queued and has no sequence. */
 	append: (record: ClusterRecord) => Result<number, LogWriterError>;
 	/** Number of records whose append is not confirmed, including those in flight. */
 	pendingCount: () => number;
@@ -59,6 +64,7 @@
 export function createLogWriter(options: LogWriterOptions): LogWriter {
 	const {
 		service, stream, writer, incarnation, appendIntervalMs, maxBatchRecords, maxPendingRecords = 50_000, closeTimeoutMs = 5000,
+		maxRecordBytes = service.limits.recordBytes, maxBatchBytes = service.limits.appendBytes,
 		onStatus = () => undefined, clock = systemClock, random = Math.random,
 	} = options;
 	const queue = new PQueue({concurrency: 1});
@@ -101,6 +107,16 @@
 		}
 	}
 
+	/** Returns how many of the waiting records the next batch takes. */
+	function countForBatch(): number {
+		let batchBytes = 0;
+		const end = waiting.slice(0, maxBatchRecords).findIndex(({bytes}, index) => {
+			batchBytes += bytes + recordOverheadBytes;
+			return index > 0 && batchBytes > maxBatchBytes;
+		});
+		return end === -1 ? maxBatchRecords : end;
+	}
+
 	async function flush(): Promise<void> {
 		const waitMs = nextAppendMs - clock.nowMs();
 		if (waitMs > 0) {
@@ -108,7 +124,7 @@
 		}
 
 		isFlushQueued = false;
-		const batch = waiting.slice(0, maxBatchRecords);
+		const batch = waiting.slice(0, countForBatch());
 		waiting = waiting.slice(batch.length);
 		if (batch.length > 0 && !closeTimedOut.signal.aborted) {
 			inFlightCount = batch.length;
@@ -144,8 +160,17 @@
 			const value = encodeLogValue({
 				writer, incarnation, sequence, record,
 			});
+			const bytes = Buffer.byteLength(value);
+			if (bytes > maxRecordBytes) {
+				return err({
+					kind: 'log-record-too-large',
+					message: `a record ${record.kind} has ${bytes} bytes; the log takes ${maxRecordBytes}`,
+					remedy: 'split what it records into smaller parts',
+				});
+			}
+
 			nextSequence++;
-			waiting.push({record, value});
+			waiting.push({record, value, bytes});
 			queueFlush();
 			return ok(sequence);
 		},
--- a/stand-ins/store-stand-in.ts
+++ b/stand-ins/store-stand-in.ts
@@ -32,6 +32,10 @@
 /** Interval between two checks for new records while a read waits. */
 const pollMs = 5;
 
+/** Largest record, and largest total of the records of one append, in bytes. */
+const maxRecordBytes = 262_144;
+const maxCallBytes = 2_097_152;
+
 /** Page size of a read without `maxKb`. */
 const defaultMaxKb = 1024;
 
@@ -97,6 +101,12 @@
 		async '/arbutushinge/log-append'(query, request, response) {
 			const topic = topicOf(query.get('topic')!);
 			const records = unframe(await buffer(request));
+			const totalBytes = records.reduce((total, {length}) => total + length, 0);
+			if (totalBytes > maxCallBytes || records.some(({length}) => length > maxRecordBytes)) {
+				sendJson(response, 400, {reason: 'size'});
+				return;
+			}
+
 			const offset = endOf(topic);
 			topic.records.push(...records);
 			if (!faults.losesAnswers) {
