--- a/stand-ins/store-stand-in.ts
+++ b/stand-ins/store-stand-in.ts
@@ -36,6 +36,10 @@
 /** Interval between two checks for new records while a read waits. */
 const pollMs = 5;
 
+/** Largest record, and largest total of the records of one append, in bytes. */
+const maxRecordBytes = 262_144;
+const maxCallBytes = 2_097_152;
+
 /** Page size of a read without `maxKb`. */
 const defaultMaxKb = 1024;
 
@@ -108,7 +112,14 @@
 		async '/arbutushinge/log-append'(query, request, response) {
 			const name = query.get('topic')!;
 			const topic = topicOf(name);
-			const records = unframe(await buffer(request)).map(record => mapAppended(name, record));
+			const sent = unframe(await buffer(request));
+			const totalBytes = sent.reduce((total, {length}) => total + length, 0);
+			if (totalBytes > maxCallBytes || sent.some(({length}) => length > maxRecordBytes)) {
+				sendJson(response, 400, {reason: 'size'});
+				return;
+			}
+
+			const records = sent.map(record => mapAppended(name, record));
 			const offset = endOf(topic);
 			topic.records.push(...records);
 			if (!faults.losesAnswers) {
