--- a/src/log/log-reader.test.ts
+++ b/src/log/log-reader.test.ts
@@ -3,21 +3,34 @@
 import fc from 'fast-check';
 import {ok} from 'true-myth/result';
 import {jsonWithOddField, oddBytes, oddJson} from '../validation/odd-values.js';
+import {systemClock, type Clock} from './clock.js';
 import {createFakeClock} from './fake-clock.js';
 import {createFakeLogService} from './fake-log-service.js';
 import {
 	createLogReader, type LogPage, type LogReaderError, type LogReaderOptions,
 } from './log-reader.js';
-import {type LogService, type StreamPage} from './log-service.js';
+import {type LogService, type StreamPage, type StreamValue} from './log-service.js';
 
 const value = (sequence: number) => JSON.stringify({
 	writer: 'entry-1', incarnation: 'w1', sequence, record: {kind: 'entry-alive', appliedOffset: 0},
 });
 
 /** Replaces parts of the reader's options, for instance by ones that throw. */
-type Changes = Readonly<{service?: (service: LogService) => LogService; onRetentionPassed?: LogReaderOptions['onRetentionPassed']; onPage?: (page: LogPage) => void}>;
+type Changes = Readonly<{
+	service?: (service: LogService) => LogService;
+	readerClock?: (clock: Clock) => Clock;
+	onRetentionPassed?: LogReaderOptions['onRetentionPassed'];
+	onPage?: (page: LogPage) => void;
+	pauseMs?: () => number;
+}>;
 
-function start({service = original => original, onPage = () => undefined, onRetentionPassed = firstRetainedOffset => firstRetainedOffset + 1}: Changes = {}) {
+function start({
+	service = original => original,
+	readerClock = original => original,
+	onPage = () => undefined,
+	onRetentionPassed = firstRetainedOffset => firstRetainedOffset + 1,
+	pauseMs,
+}: Changes = {}) {
 	const clock = createFakeClock();
 	const log = createFakeLogService(clock);
 	const pages: LogPage[] = [];
@@ -27,7 +40,8 @@
 		stream: 's',
 		fromOffset: 0,
 		pageLimit: 3,
-		clock,
+		pauseMs,
+		clock: readerClock(clock),
 		random: () => 0.5,
 		onPage(page) {
 			pages.push(page);
@@ -190,6 +204,91 @@
 	await stop();
 });
 
+test('a value that cannot even be looked at is skipped, and the records behind it are delivered', async t => {
+	const unusable: StreamValue = {
+		offset: 0,
+		get value(): string {
+			throw new RangeError('Invalid string length');
+		},
+	};
+	const {clock, log, errors, reader, offsets, stop} = start({
+		service: original => ({
+			...original,
+			async read(...parameters) {
+				const read = await original.read(...parameters);
+				return read.map(page => ({...page, values: page.values.map(item => item.offset === 0 ? unusable : item)}));
+			},
+		}),
+	});
+	await log.service.append('s', [1, 2].map(sequence => value(sequence)));
+	await clock.advance(1000);
+	const confirmation = await reader.confirmTail();
+	t.true(confirmation.isOk);
+	t.deepEqual(offsets(), [1]);
+	t.is(reader.unreadableCount(), 1);
+	t.deepEqual(errors.map(({kind}) => kind), ['log-record-unreadable']);
+	await stop();
+});
+
+test('a pause whose length or clock throws does not end the reads', async t => {
+	let pauseFailures = 2;
+	let sleepFailures = 3;
+	const {clock, log, errors, offsets, stop} = start({
+		pauseMs() {
+			if (pauseFailures-- > 0) {
+				throw new RangeError('out of range');
+			}
+
+			return 10;
+		},
+		readerClock: original => ({
+			...original,
+			async sleep(...parameters) {
+				if (sleepFailures-- > 0) {
+					throw new TypeError('Invalid time');
+				}
+
+				return original.sleep(...parameters);
+			},
+		}),
+	});
+	for (const sequence of [1, 2, 3, 4]) {
+		await log.service.append('s', [value(sequence)]);
+		for (let tries = 0; tries < 500 && offsets().length < sequence; tries++) {
+			await clock.advance(100);
+			await systemClock.sleep(5);
+		}
+	}
+
+	t.deepEqual(offsets(), [0, 1, 2, 3]);
+	t.true(errors.length > 0 && errors.every(({kind}) => kind === 'log-page-failed'));
+	await stop();
+});
+
+test('a call that waits for the tail is answered with an error when its read throws, and the next call with the tail', async t => {
+	let failures = 0;
+	const {clock, log, reader, stop} = start({
+		readerClock: original => ({
+			...original,
+			nowMs() {
+				if (failures-- > 0) {
+					throw new TypeError('Invalid time');
+				}
+
+				return original.nowMs();
+			},
+		}),
+	});
+	await clock.advance(1);
+	failures = 1;
+	const failed = await Promise.race([reader.confirmTail(), systemClock.sleep(5000)]);
+	t.is(failed?.isErr && failed.error.kind, 'log-page-failed');
+	await log.service.append('s', [value(1)]);
+	const confirmation = await Promise.race([reader.confirmTail(), systemClock.sleep(5000)]);
+	t.is(confirmation?.isOk && confirmation.value.tailOffset, 1);
+	await stop();
+});
+
 test('a snapshot that cannot be loaded after a loss of records is tried again', async t => {
 	let failures = 2;
 	const {clock, log, offsets, stop} = start({
--- a/src/log/log-reader.ts
+++ b/src/log/log-reader.ts
@@ -86,6 +86,11 @@
 		});
 }
 
+function describePollFailure(error: unknown): LogReaderError {
+	const {reason, at} = describeThrown(error);
+	return {kind: 'log-page-failed', message: `a step of reading the log failed: ${reason} (${at})`, remedy: 'report the failure; the reads go on after a pause'};
+}
+
 /** Reads of the tail that may bring neither a record nor the tail, after which the call fails. */
 const maxEmptyTailReads = 3;
 
@@ -108,10 +113,23 @@
 	let waiters: Waiter[] = [];
 	let confirming: Promise<void> | undefined;
 
+	/** Returns `undefined` for a value that was delivered before. */
+	function tryToParse(value: StreamValue, page: StreamPage): Result<LoggedRecord, LogReaderError> | undefined {
+		try {
+			return value.offset < position ? undefined : parse(value, page);
+		} catch (error) {
+			return err({
+				kind: 'log-record-unreadable',
+				message: `a value of the page before offset ${page.nextOffset} cannot be decoded: ${describeThrown(error).reason}`,
+				remedy: 'report the failure; the value is skipped',
+			});
+		}
+	}
+
 	function deliver(page: StreamPage, readSentAtMs: number): void {
 		const records: LoggedRecord[] = [];
 		for (const value of page.values) {
-			const parsed = value.offset < position ? undefined : parse(value, page);
+			const parsed = tryToParse(value, page);
 			if (parsed?.isOk) {
 				records.push(parsed.value);
 			} else if (parsed) {
@@ -164,34 +182,65 @@
 		}
 	}
 
-	async function longPoll(): Promise<void> {
-		let failures = 0;
-		while (!closed.signal.aborted) {
-			const readSentAtMs = clock.nowMs();
-			const fromOffset = position;
-			const result = await readPage(fromOffset, waitMs);
-			if (closed.signal.aborted) {
-				return;
+	/** Reads and delivers one page and pauses; returns the number of failures in a row. */
+	async function poll(failuresBefore: number): Promise<number> {
+		const readSentAtMs = clock.nowMs();
+		const fromOffset = position;
+		const result = await readPage(fromOffset, waitMs);
+		if (closed.signal.aborted) {
+			return failuresBefore;
+		}
+
+		if (result.isErr) {
+			report(result.error);
+			await backOff(failuresBefore + 1);
+			return failuresBefore + 1;
+		}
+
+		const {values, firstRetainedOffset, tailOffset} = result.value;
+		if (firstRetainedOffset > fromOffset && firstRetainedOffset > position) {
+			position = await continueFrom(firstRetainedOffset);
+			if (position >= firstRetainedOffset) {
+				return 0;
 			}
 
-			if (result.isErr) {
+			await backOff(failuresBefore + 1);
+			return failuresBefore + 1;
+		}
+
+		deliver(result.value, readSentAtMs);
+		// An answer without the records that it names is not repeated at once.
+		if (position === fromOffset && tailOffset > position) {
+			await backOff(failuresBefore + 1);
+			return failuresBefore + 1;
+		}
+
+		const pause = values.length > 0 ? pauseMs() : 0;
+		if (pause > 0) {
+			await clock.sleep(pause, closed.signal);
+		}
+
+		return 0;
+	}
+
+	/** Waits after a failure; never rejects, and waits also when the options' clock fails. */
+	async function backOff(failures: number): Promise<void> {
+		try {
+			await clock.sleep(backoffMs(failures, random()), closed.signal);
+		} catch (error) {
+			report(describePollFailure(error));
+			await systemClock.sleep(backoffMs(failures, 1), closed.signal);
+		}
+	}
+
+	async function longPoll(): Promise<void> {
+		for (let failures = 0; !closed.signal.aborted;) {
+			try {
+				failures = await poll(failures);
+			} catch (error) {
 				failures++;
-				report(result.error);
-				await clock.sleep(backoffMs(failures, random()), closed.signal);
-			} else if (result.value.firstRetainedOffset > fromOffset && result.value.firstRetainedOffset > position) {
-				position = await continueFrom(result.value.firstRetainedOffset);
-				failures = position < result.value.firstRetainedOffset ? failures + 1 : 0;
-				if (failures > 0) {
-					await clock.sleep(backoffMs(failures, random()), closed.signal);
-				}
-			} else {
-				deliver(result.value, readSentAtMs);
-				// An answer without the records that it names is not repeated at once.
-				failures = position === fromOffset && result.value.tailOffset > position ? failures + 1 : 0;
-				const pause = failures > 0 ? backoffMs(failures, random()) : (result.value.values.length > 0 ? pauseMs() : 0);
-				if (pause > 0) {
-					await clock.sleep(pause, closed.signal);
-				}
+				report(describePollFailure(error));
+				await backOff(failures);
 			}
 		}
 	}
@@ -237,13 +286,21 @@
 		return err({kind: 'log-reader-closed', message: 'the log reader was closed', remedy: 'ask another entry'});
 	}
 
+	async function tryToReadTail(): Promise<Result<TailConfirmation, LogReaderError>> {
+		try {
+			return await readTail();
+		} catch (error) {
+			return err(describePollFailure(error));
+		}
+	}
+
 	async function confirm(): Promise<void> {
 		// Calls in the same turn of the event loop share the read.
 		await Promise.resolve();
 		while (waiters.length > 0) {
 			const sharing = waiters;
 			waiters = [];
-			const result = await readTail();
+			const result = await tryToReadTail();
 			for (const waiter of sharing) {
 				waiter(result);
 			}
