--- a/src/cluster/intent.ts
+++ b/src/cluster/intent.ts
@@ -1,12 +1,10 @@
 import {z} from 'zod';
 import {maxTimeMs} from '../validation/bounds.js';
 import {countSchema, timeMsSchema} from '../validation/bounds-schema.js';
+import {namePattern} from '../validation/name.js';
 import {resourcesSchema} from './resources-schema.js';
 import {findInvalidDependency, workflowSchema} from './workflow.js';
 
-/** Names of services, jobs, teams, VMs and other entities. The characters need no escaping in a URL path segment. */
-export const namePattern = /^[\w.:\-]{1,128}$/v;
-
 /** A name; see {@link namePattern}. */
 export const nameSchema = z.string().regex(namePattern, 'use 1 to 128 letters, digits, dots, colons, hyphens or underscores');
 
--- a/src/dispatch/task-event-relay.ts
+++ b/src/dispatch/task-event-relay.ts
@@ -1,9 +1,9 @@
 import {type ClusterRecordOf} from '../cluster/cluster-record.js';
 import {type ClusterState} from '../cluster/cluster-state.js';
-import {namePattern} from '../cluster/intent.js';
 import {type ControlEffect} from '../entry/control-effect.js';
 import {type EntryContext} from '../entry/entry-context.js';
 import {type TaskEvent, TaskOutcome} from '../generated/arbutushinge/v1/agent_pb.js';
+import {isName} from '../validation/name.js';
 import {type AgentLink} from './agent-link.js';
 
 type TaskRecord = ClusterRecordOf<'task-started' | 'task-ended' | 'task-checkpointed'>;
@@ -109,7 +109,7 @@
 
 /** Returns the record of an event, or undefined for one that no claim can have and that readers of the log would refuse; it is only acknowledged. */
 function toRecord(event: TaskEvent, agentIncarnation: string): TaskRecord | undefined {
-	if (!namePattern.test(event.taskId) || event.attempt === 0) {
+	if (!isName(event.taskId) || event.attempt === 0) {
 		return undefined;
 	}
 
--- a/src/entry/usable-agent-message.ts
+++ b/src/entry/usable-agent-message.ts
@@ -1,4 +1,3 @@
-import {namePattern} from '../cluster/intent.js';
 import {isUsablePress} from '../agent/latency-impact-estimates.js';
 import type {
 	AgentMessage, Heartbeat, Hello, TaskEvent,
@@ -6,6 +5,7 @@
 import {isAddress} from '../validation/address.js';
 import {boundedText} from '../validation/bounded-text.js';
 import {maxTimeMs} from '../validation/bounds.js';
+import {isName} from '../validation/name.js';
 
 type Body = AgentMessage['message'];
 
@@ -25,8 +25,6 @@
 /** Longest checkpoint that the log holds, in characters. */
 const maxCheckpointLength = 1024;
 
-const isName = (text: string): boolean => namePattern.test(text);
-
 /** Fields of a hello without which the VM cannot be registered. */
 const helloChecks: Readonly<Record<string, (hello: Hello) => boolean>> = {
 	vmId: ({vmId}) => isName(vmId),
--- a/src/log/log-value.ts
+++ b/src/log/log-value.ts
@@ -2,13 +2,13 @@
 import {
 	maxIdLength, maxPolicyLength, type ClusterRecord, type ClusterRecordOf, type PlacementDecision, type ScoreInputs,
 } from '../cluster/cluster-record.js';
-import {namePattern} from '../cluster/intent.js';
 import {describePlacement} from '../cluster/describe-placement.js';
 import {cutFreeText} from '../cluster/free-text.js';
 import {type Resources} from '../cluster/resources.js';
 import {boundedText} from '../validation/bounded-text.js';
 import {isCount, isResourceAmount} from '../validation/bounds.js';
 import {describeIssues} from '../validation/describe-issues.js';
+import {isName} from '../validation/name.js';
 import {parseJson} from '../validation/parse-json.js';
 import {type LogEnvelope, logEnvelopeSchema} from './log-envelope.js';
 
@@ -24,7 +24,6 @@
 	unpack: (fields: readonly unknown[]) => ClusterRecordOf<Kind> | undefined;
 }>;
 
-const isName = (value: unknown): value is string => typeof value === 'string' && namePattern.test(value);
 const isString = (value: unknown): value is string => typeof value === 'string';
 const isInt = (value: unknown): value is number => Number.isSafeInteger(value);
 const isAmount = (value: unknown): value is number => isInt(value) && value >= 0;
--- a/src/validation/name.ts
+++ b/src/validation/name.ts
@@ -1,12 +1,12 @@
-const namePattern = /^[\w.:\-]{1,128}$/v;
+/** Names of VMs, tasks and other entities, as the log records them. The characters need no escaping in a URL path segment. */
+export const namePattern = /^[\w.:\-]{1,128}$/v;
 
 /**
-Returns whether a text is a name of a VM, task or other entity: 1 to 128 letters, digits, dots, colons, hyphens or underscores. Without zod, so that an
-agent can use it.
+Returns whether a value is a name; see {@link namePattern}.
 
 @example
-isName('vm-1'); // => true
+isName('5c0e7a21d94b36f8.0.1.17'); // => true
 */
-export function isName(text: string): boolean {
-	return namePattern.test(text);
+export function isName(value: unknown): value is string {
+	return typeof value === 'string' && namePattern.test(value);
 }
