--- a/src/entry/log-connection.test.ts
+++ b/src/entry/log-connection.test.ts
@@ -85,6 +85,23 @@
 	t.deepEqual(lines.filter(({event}) => event === 'snapshot-invalid').map(({fields}) => fields?.coversOffset), [50, 41]);
 });
 
+test('a snapshot that is written while the entry starts is used, also when the log has grown since', async t => {
+	const stateAt = (offset: number) => encodeClusterState({...emptyClusterState, offset});
+	const {log, snapshots, events, lines, connection} = setUp(t, {
+		async loadNewestUsable(options) {
+			// Another entry appends and writes a snapshot after this one has begun to load.
+			await log.service.append(settings.logStream, Array.from({length: 30}, (_, index) => heartbeat(index + 21)));
+			await snapshots.write({snapshotId: 's45', coversOffset: 45, value: stateAt(45)});
+			return snapshots.loadNewestUsable(options);
+		},
+	});
+	await log.service.append(settings.logStream, Array.from({length: 20}, (_, index) => heartbeat(index + 1)));
+	await snapshots.write({snapshotId: 's10', coversOffset: 10, value: stateAt(10)});
+	await connection.start('own');
+	t.deepEqual(events.flatMap(event => event.kind === 'snapshot-loaded' ? [event.cluster.offset] : []), [45]);
+	t.deepEqual(lines.filter(({event}) => event === 'snapshot-invalid'), []);
+});
+
 test('a snapshot that cannot be written is reported, so that the next one is written', async t => {
 	const {events, lines, connection} = setUp(t, {
 		async write() {
--- a/src/entry/log-connection.ts
+++ b/src/entry/log-connection.ts
@@ -182,12 +182,17 @@
 			});
 	}
 
+	async function useSnapshot(snapshot: Snapshot, tailOffset: number): Promise<Result<ClusterState, string>> {
+		// A snapshot beyond the tail may have been written after the tail was read.
+		return decodeSnapshot(snapshot, snapshot.coversOffset < tailOffset ? tailOffset : await readTailOffset());
+	}
+
 	/** Retries if peers cannot be used in place of the snapshot: without either, the entry has to read the whole retained log. */
 	async function loadSnapshot(): Promise<Result<ClusterState | undefined, LogError>> {
 		for (let tries = 1; ; tries++) {
 			const tailRead = readTailOffset();
 			const loaded = await snapshots.loadNewestUsable({
-				use: async snapshot => decodeSnapshot(snapshot, await tailRead),
+				use: async snapshot => useSnapshot(snapshot, await tailRead),
 				onPassedOver({coversOffset, reason}) {
 					eventLog.error('snapshot-invalid', {coversOffset, reason});
 				},
