Wait for events in tests instead of a fixed time

Found in review: under load the events had not arrived yet when the fixed time was over; one of these tests failed so beside a busy machine. The checks are the same.

--- a/src/agent/request-server-odd-values.test.ts
+++ b/src/agent/request-server-odd-values.test.ts
@@ -129,7 +129,10 @@
 	client.run(exchange, {
 		kind: 'run-request', requestId: 'r1', keyed: false, backendServerId: 'b1', address: '127.0.0.1:5', slots: 1, connections: 1,
 	});
-	await delay(20);
+	while (lines.length === 0) {
+		await delay(5);
+	}
+
 	t.deepEqual(lines, ['request-result-unusable']);
 	t.is(response.statusCode, 504);
 	await client.close();
--- a/src/agent/worker-driver-odd.test.ts
+++ b/src/agent/worker-driver-odd.test.ts
@@ -91,7 +91,10 @@
 	});
 	await t.notThrowsAsync(driver.poll());
 	void driver.poll();
-	await delay(20);
+	while (kinds().length < 4) {
+		await delay(5);
+	}
+
 	t.deepEqual(kinds(), ['worker-tasks', 'worker-look-failed', 'worker-tasks', 'worker-usage']);
 	t.deepEqual(lines, ['worker-answer-unusable']);
 });
@@ -131,7 +134,10 @@
 		driver.execute({kind: 'throttle-task', taskId: 't1', shareMilli: 500});
 		driver.execute({kind: 'set-lease', deadlineMonotonicMs: 1});
 		driver.execute({kind: 'delete-task', taskId: 't1'});
-		await delay(400);
+		while (deleted.length === 0) {
+			await delay(5);
+		}
+
 		t.deepEqual(deleted, ['t1']);
 		t.like(events.find(({kind}) => kind === 'start-answered'), {taskId: 't1', attempt: 1, result: 'unknown'});
 		t.true(events.some(({kind}) => kind === 'throttle-failed'));
--- a/src/entry/log-connection.test.ts
+++ b/src/entry/log-connection.test.ts
@@ -64,7 +64,10 @@
 	const {log, events, lines, counts, connection} = setUp(t);
 	await log.service.append(settings.logStream, [...Array.from({length: 100}, () => '[['), heartbeat(1)]);
 	await connection.start('own');
-	await delay(100);
+	while (!events.some(event => event.kind === 'log-page' && event.records.length > 0)) {
+		await delay(5);
+	}
+
 	t.deepEqual(events.filter(({kind}) => kind === 'log-failed'), []);
 	t.deepEqual(events.flatMap(event => event.kind === 'log-page' ? event.records.map(({offset}) => offset) : []), [100]);
 	t.is(counts.get('log.values.skipped'), 100);
@@ -109,7 +112,10 @@
 		},
 	});
 	connection.writeSnapshot();
-	await delay(20);
+	while (events.length === 0) {
+		await delay(5);
+	}
+
 	t.deepEqual(events, [{kind: 'snapshot-written', coversOffset: -1}]);
 	t.is(lines.at(-1)?.fields?.reason, 'RangeError: Invalid string length');
 });
