--- a/src/handle-process-errors.ts
+++ b/src/handle-process-errors.ts
@@ -1,10 +1,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import type {ClosableEventLog} from './telemetry/create-event-log.js';
 import type {Metrics} from './telemetry/metrics.js';
-import {boundedText} from './validation/bounded-text.js';
-
-/** Longest reason in a line, in characters. */
-const maxReasonLength = 300;
+import {describeThrown} from './validation/describe-thrown.js';
 
 /** Time between two lines on unhandled rejections. */
 const logIntervalMs = 1000;
@@ -14,12 +11,6 @@
 
 type ErrorEvent = 'unhandledRejection' | 'uncaughtException';
 
-function fieldsOf(error: unknown): Readonly<{reason: string; at: string | undefined}> {
-	return error instanceof Error
-		? {reason: boundedText(error.message, maxReasonLength), at: boundedText(error.stack?.split('\n').find(line => line.startsWith('    at '))?.trim() ?? '', maxReasonLength)}
-		: {reason: boundedText(error, maxReasonLength), at: undefined};
-}
-
 /**
 Handles the errors that nothing else in a process handles. An unhandled rejection is the failure of one call that nobody awaits, while state
 changes in the reducer alone: it is logged and counted, and the process goes on. Without a handler it would end the process, again after each
@@ -54,11 +45,11 @@
 		metrics.increment('process.rejections.unhandled');
 		if (nowMs() - loggedAtMs >= logIntervalMs) {
 			loggedAtMs = nowMs();
-			eventLog.error('rejection-unhandled', {...fieldsOf(error), count: rejections});
+			eventLog.error('rejection-unhandled', {...describeThrown(error), count: rejections});
 		}
 	});
 	emitter.on('uncaughtException', error => {
-		eventLog.error('exception-uncaught', fieldsOf(error));
+		eventLog.error('exception-uncaught', describeThrown(error));
 		if (!isEnding) {
 			isEnding = true;
 			void end();
