--- a/src/entry/entry-platform.ts
+++ b/src/entry/entry-platform.ts
@@ -6,7 +6,12 @@
 export type EntryPlatform = Readonly<{
 	logService: LogService;
 	/** Opens the interfaces through which the platform uses the entry. */
-	open: (parts: Readonly<{jobs: JobInterface; readiness: () => Readiness}>) => Promise<void>;
+	open: (parts: Readonly<{
+		jobs: JobInterface;
+		readiness: () => Readiness;
+		/** Time of day in Unix milliseconds, without the short jumps of the VM's clock. */
+		wallTimeMs: () => number;
+	}>) => Promise<void>;
 	/** Returns whether the configuration that the platform's operator published has been read. */
 	isConfigured: () => boolean;
 	/** Accepts no new connections, completes the requests in flight and closes. */
--- a/src/entry/entry-process.ts
+++ b/src/entry/entry-process.ts
@@ -33,6 +33,7 @@
 import {startOperatorServer} from './operator-server.js';
 import {reduceEntry} from './reduce-entry.js';
 import {reportGauges} from './report-gauges.js';
+import {createSettledWallClock} from './settled-wall-clock.js';
 import {createRequestHistory} from './request-history.js';
 import {createRequestForwarder} from './request-forwarder.js';
 
@@ -67,6 +68,7 @@
 	platform?: EntryPlatform;
 }>): Promise<Result<EntryProcess, TypedError>> {
 	let isStopping = false;
+	const wallClock = createSettledWallClock({wallMs: Date.now, steadyMs: () => performance.now()});
 	const token = settings.operatorTokenFile === undefined ? ok(undefined) : await readTokenFile(settings.operatorTokenFile);
 	if (token.isErr) {
 		return err(token.error);
@@ -97,7 +99,7 @@
 		initialState: initialEntryState(incarnation),
 		reduce: (state, event) => monitor.measureTransition(event.kind, () => reduceEntry(state, event, {
 			nowMs: performance.now(),
-			wallTimeMs: Date.now(),
+			wallTimeMs: wallClock.nowMs(),
 			seed: randomInt(0x7F_FF_FF_FF),
 			pendingAppends: logConnection.pendingAppends(),
 			measurePart: monitor.measurePart,
@@ -193,13 +195,14 @@
 				requestHistory,
 				metrics,
 				nowMs: () => performance.now(),
+				wallTimeMs: wallClock.nowMs,
 				computePlan: intent => computePlan(loop.state().cluster, intent, {
-					planId: randomUUID(), nowMs: Date.now(), expiresInMs: planExpiresInMs,
+					planId: randomUUID(), nowMs: wallClock.nowMs(), expiresInMs: planExpiresInMs,
 				}),
 			}),
 		});
 	await callers.listen();
-	await platform?.open({jobs, readiness});
+	await platform?.open({jobs, readiness, wallTimeMs: wallClock.nowMs});
 	const tickTimer = setInterval(() => {
 		monitor.recordTick();
 		dispatch({kind: 'tick'});
--- a/src/entry/operator-backend.ts
+++ b/src/entry/operator-backend.ts
@@ -24,9 +24,9 @@
 Creates the backend of the operators' interface from the parts of an entry.
 
 @example
-const backend = createOperatorBackend({settings, state, requestDecision, logService, snapshots, timeline, requestHistory, metrics, nowMs, computePlan});
+const backend = createOperatorBackend({settings, state, requestDecision, logService, snapshots, timeline, requestHistory, metrics, nowMs, wallTimeMs, computePlan});
 */
-export function createOperatorBackend({settings, state, requestDecision, logService, snapshots, timeline, requestHistory, metrics, nowMs, computePlan}: Readonly<{
+export function createOperatorBackend({settings, state, requestDecision, logService, snapshots, timeline, requestHistory, metrics, nowMs, wallTimeMs, computePlan}: Readonly<{
 	settings: EntrySettings;
 	state: () => EntryState;
 	requestDecision: (subject: DeferredSubject) => Promise<DeferredAnswer>;
@@ -36,13 +36,15 @@
 	requestHistory: RequestHistory;
 	metrics: Metrics;
 	nowMs: () => number;
+	/** Time of day in Unix milliseconds, without the short jumps of the VM's clock. */
+	wallTimeMs: () => number;
 	computePlan: (intent: Intent) => Result<Plan, TypedError>;
 }>): OperatorBackend {
 	return {
 		state: () => state().cluster,
 		computePlan,
 		async confirm(plan) {
-			const isExpired = Date.now() > plan.expiresAtMs && !state().cluster.planDecisions.has(plan.planId);
+			const isExpired = wallTimeMs() > plan.expiresAtMs && !state().cluster.planDecisions.has(plan.planId);
 			const answer: DeferredAnswer = isExpired
 				? {result: 'rejected', offset: -1, reason: 'the plan has expired; ask for a new plan'}
 				: await requestDecision({kind: 'plan', plan});
--- a/src/log/log-reader.ts
+++ b/src/log/log-reader.ts
@@ -1,5 +1,6 @@
 import {err, ok, type Result} from 'true-myth/result';
 import {type TypedError} from '../errors/typed-error.js';
+import {isOffset} from '../validation/bounds.js';
 import {describeThrown} from '../validation/describe-thrown.js';
 import {backoffMs} from './backoff.js';
 import {systemClock, type Clock} from './clock.js';
@@ -71,8 +72,6 @@
 		}));
 }
 
-const isOffset = (value: number): boolean => Number.isSafeInteger(value) && value >= 0;
-
 /** Returns an error for a page with offsets that cannot be true: they would move the reader past records. */
 function checkPage({values, nextOffset, tailOffset, firstRetainedOffset}: StreamPage, fromOffset: number): Result<void, LogReaderError> {
 	const isPossible = [nextOffset, tailOffset, firstRetainedOffset].every(offset => isOffset(offset))
--- a/src/validation/bounds.ts
+++ b/src/validation/bounds.ts
@@ -40,3 +40,13 @@
 export function isCount(value: unknown): value is number {
 	return isWholeNumber(value) && value >= 1 && value <= maxCount;
 }
+
+/**
+Returns whether a value is the offset of a record: a whole number from 0.
+
+@example
+isOffset(-1); // => false
+*/
+export function isOffset(value: unknown): value is number {
+	return isWholeNumber(value) && value >= 0;
+}
