Keep an end until readers of the log have taken it for the new incarnation

Cause: an executor's new life lists the end of an attempt that was started on it before the agent knew of that life. The agent sends the end to one entry and registers anew at all. When another entry's registration came first in the log, the claim had passed to the new incarnation, and readers ignored the end, which named the former one; the entry then acknowledged it. The claim stayed, the job was shown as running, and the next registration of the VM started finished work again.

An end is acknowledged only once the claim is gone, and an agent repeats its unacknowledged events behind each registration. The test in task-event-relay.test.ts fails without the change.

--- a/src/agent/reduce-agent.ts
+++ b/src/agent/reduce-agent.ts
@@ -98,7 +98,8 @@
 	const connected = [...state.entries.entries()].filter(([, link]) => link.connected).map(([address]) => address);
 	return transition(
 		{...state, entries: state.entries.map(link => ({...closedLink, connected: link.connected}))},
-		...connected.map((entryAddress): AgentEffect => ({kind: 'send', entryAddress, message: helloMessage(state)})),
+		// An entry forgets the events of a former incarnation with its link, and may not have recorded them.
+		...connected.flatMap((entryAddress): readonly AgentEffect[] => [{kind: 'send', entryAddress, message: helloMessage(state)}, ...repeatTaskEvents(state, entryAddress)]),
 	);
 }
 
--- a/src/dispatch/task-event-relay.test.ts
+++ b/src/dispatch/task-event-relay.test.ts
@@ -6,7 +6,7 @@
 import {emptyStateFixture, taskFixture, vmFixture} from '../operator/state-fixture.js';
 import {entrySettingsSchema} from '../settings/entry-settings.js';
 import {type AgentLink} from './agent-link.js';
-import {relayTaskEvents} from './task-event-relay.js';
+import {acknowledgeTaskEvents, relayTaskEvents} from './task-event-relay.js';
 
 const settings = entrySettingsSchema.parse({
 	role: 'entry', entryId: 'e1', failureDomain: 'a', callerAddress: '127.0.0.1:1', operatorAddress: '127.0.0.1:2', agentAddress: '127.0.0.1:3',
@@ -49,3 +49,17 @@
 	t.is(appends(repeated), 0, 'the record may be in the unread part of the log');
 	t.is(appends(relayTaskEvents(repeated.link, [event], contextAt(8000, 7900))), 1, 'the record is not in the log');
 });
+
+test('an end whose record was overtaken by the registration of a new incarnation is not acknowledged, and is appended for that incarnation', t => {
+	const formerLink: AgentLink = {...newLink, agentIncarnation: 'former'};
+	const vm = {...vmFixture, formerAgentIncarnations: ['former']};
+	const context = {...contextAt(2000, 1900), cluster: {...contextAt(2000, 1900).cluster, vms: immutableMap([[vm.vmId, vm]])}};
+	const formerTask = {...taskFixture, claim: {...taskFixture.claim!, agentIncarnation: 'former'}};
+	const before = contextAt(1000, 900);
+	const overtaken = relayTaskEvents(formerLink, [event], {...before, cluster: {...before.cluster, tasks: immutableMap([[formerTask.spec.taskId, formerTask]])}});
+	t.is(appends(overtaken), 1);
+	t.deepEqual(acknowledgeTaskEvents(overtaken.link, context).effects, [], 'readers ignored the record, since the claim had passed to the new incarnation');
+	const repeated = relayTaskEvents(newLink, [event], context);
+	t.is(appends(repeated), 1);
+	t.like(repeated.effects[0], {record: {kind: 'task-ended', agentIncarnation: newLink.agentIncarnation}});
+});
--- a/src/dispatch/task-event-relay.ts
+++ b/src/dispatch/task-event-relay.ts
@@ -98,9 +98,10 @@
 		return true;
 	}
 
-	// The claim passes to the agent's new incarnation when the log registers that incarnation.
+	// The claim passes to the agent's new incarnation when the log registers that incarnation. Readers of the log ignore an end behind the
+	// registration that names the former one, so that the agent has to report it again.
 	if (task.claim.agentIncarnation !== link.agentIncarnation) {
-		return isRegistered;
+		return isRegistered && event.outcome.case === 'started';
 	}
 
 	// An end or a checkpoint removes the claim, so while the claim exists, neither is in the log.
