Pause the reads of the log by what a page costs

Cause: on 0.12 cores a page takes 100 to 850 ms of wall time, and a reader that asks again after 20 ms gets small pages, whose fixed costs leave no time for anything else.

--- a/src/log/log-reader.test.ts
+++ b/src/log/log-reader.test.ts
@@ -341,3 +341,31 @@
 		}
 	});
 }
+
+test('a reader whose pages take long to handle leaves time for other work, and pauses for a bounded time only', async t => {
+	for (const [handlingMs, expectedPauseMs] of [[1, 20], [30, 60], [5000, 150]] as const) {
+		const pauses: number[] = [];
+		let skippedMs = 0;
+		const {clock, log, stop} = start({
+			pauseMs: () => 20,
+			readerClock: original => ({
+				nowMs: () => original.nowMs() + skippedMs,
+				async sleep(durationMs, signal) {
+					pauses.push(durationMs);
+					return original.sleep(durationMs, signal);
+				},
+			}),
+			onPage({records}) {
+				skippedMs += records.length > 0 ? handlingMs : 0;
+			},
+		});
+		await log.service.append('s', [value(1)]);
+		for (let tries = 0; tries < 500 && pauses.length === 0; tries++) {
+			await clock.advance(100);
+			await systemClock.sleep(5);
+		}
+
+		t.is(pauses[0], expectedPauseMs);
+		await stop();
+	}
+});
--- a/src/log/log-reader.ts
+++ b/src/log/log-reader.ts
@@ -90,6 +90,13 @@
 	return {kind: 'log-page-failed', message: `a step of reading the log failed: ${reason} (${at})`, remedy: 'report the failure; the reads go on after a pause'};
 }
 
+/**
+Shortest pause after a page, as a factor on the time that its handling took. On a slow or throttled processor, a reader that asks for the
+next records at once gets small pages, whose fixed costs leave no time for anything else.
+*/
+const pausePerHandling = 2;
+const maxHandlingPauseMs = 150;
+
 /** Reads of the tail that may bring neither a record nor the tail, after which the call fails. */
 const maxEmptyTailReads = 3;
 
@@ -207,14 +214,16 @@
 			return failuresBefore + 1;
 		}
 
+		const deliveredAtMs = clock.nowMs();
 		deliver(result.value, readSentAtMs);
+		const handlingMs = clock.nowMs() - deliveredAtMs;
 		// An answer without the records that it names is not repeated at once.
 		if (position === fromOffset && tailOffset > position) {
 			await backOff(failuresBefore + 1);
 			return failuresBefore + 1;
 		}
 
-		const pause = values.length > 0 ? pauseMs() : 0;
+		const pause = values.length > 0 ? Math.max(pauseMs(), Math.min(maxHandlingPauseMs, pausePerHandling * handlingMs)) : 0;
 		if (pause > 0) {
 			await clock.sleep(pause, closed.signal);
 		}
