Let few entries decide for all, and the others relay to them

All entries announce their role in the store. The log decides between deciders, as it did between entries, so that one too many costs processor time alone. Fronts hold no state: they decode callers' requests by the operator's configuration and relay jobs to a decider over kept connections, at most once as far as the caller can tell: 'has not run' only when every attempt was refused or not sent. A decider that cannot read the log relays as well, so that an entry that the store turns away goes on serving.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -39,6 +39,21 @@
 			return runTankwright;
 		},
 	},
+	'entry-cost': {
+		description: 'Processor time of entries and agents by part, as separate processes under a steady load',
+		options: [
+			['--entries <count>', 'Entries (default: 6)'],
+			['--agents <count>', 'Agents (default: 18)'],
+			['--deciders <count>', 'Entries that decide (default: all)'],
+			['--seconds <number>', 'Length of the load (default: 30)'],
+			['--jobs <number>', 'Jobs of eight tasks a second (default: 4)'],
+			['--keep <directory>', 'Existing empty directory in which the profiles are kept'],
+		],
+		async load() {
+			const {runEntryCost} = await import('./entry-cost.js');
+			return runEntryCost;
+		},
+	},
 	outage: {
 		description: 'The log service down for longer than a lease, then back',
 		async load() {
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -12,6 +12,8 @@
 const cli = cac('soak');
 cli.option('--seeds <range>', 'First and last seed', {default: '1-10'});
 cli.option('--jobs <number>', 'Seeds that run at the same time', {default: 1});
+cli.option('--entries <number>', 'Entries of the site', {default: 2});
+cli.option('--deciders <number>', 'Entries that decide; all of them without it');
 cli.option('--logs <directory>', 'Where the logs of failing seeds are written', {default: 'soak-logs'});
 cli.option('--bundles <directory>', 'Programs to run in place of those of this tree');
 cli.help();
@@ -41,7 +43,9 @@
 	const queue = new PQueue({concurrency: Number(options.jobs)});
 	await queue.addAll(Array.from({length: last - first + 1}, (_, index) => async () => {
 		const seed = first + index;
-		const result = await runSoak({seed, bundleDirectory});
+		const result = await runSoak({
+			seed, bundleDirectory, entryCount: Number(options.entries), ...(options.deciders !== undefined && {deciderCount: Number(options.deciders)}),
+		});
 		const {failures, jobs, faults, durationMs} = result;
 		process.stdout.write(`seed=${seed} jobs=${jobs} faults=${faults} durationS=${(durationMs / 1000).toFixed(1)} failures=${failures.length}\n`);
 		if (failures.length > 0) {
--- a/soak/run-soak.test.ts
+++ b/soak/run-soak.test.ts
@@ -5,12 +5,15 @@
 import {bundlePrograms} from '../scripts/bundle-programs.js';
 import {runSoak} from './run-soak.js';
 
-for (const seed of [8]) {
-	test(`the real programs keep their promises to callers while faults come from outside, seed ${seed}`, async t => {
+for (const [seed, size, title] of [
+	[8, {}, 'two entries that decide'],
+	[9, {entryCount: 4, deciderCount: 2}, 'two entries that decide and two that relay'],
+] as const) {
+	test(`the real programs keep their promises to callers while faults come from outside, with ${title}, seed ${seed}`, async t => {
 		const bundleDirectory = await mkdtemp(path.join(tmpdir(), 'arbutushinge-bundle-'));
 		try {
 			await bundlePrograms(bundleDirectory);
-			const {failures, jobs, faults} = await runSoak({seed, bundleDirectory});
+			const {failures, jobs, faults} = await runSoak({seed, bundleDirectory, ...size});
 			t.deepEqual(failures, []);
 			t.true(jobs > 0 && faults > 0);
 		} finally {
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -66,14 +66,20 @@
 @example
 const {failures} = await runSoak({seed: 1, bundleDirectory: 'dist'});
 */
-export async function runSoak({seed, bundleDirectory}: Readonly<{seed: number; bundleDirectory: string}>): Promise<SoakResult> {
+export async function runSoak({seed, bundleDirectory, ...size}: Readonly<{
+	seed: number;
+	bundleDirectory: string;
+	entryCount?: number;
+	/** Entries that decide; all of them without it. */
+	deciderCount?: number;
+}>): Promise<SoakResult> {
 	const beginMs = performance.now();
 	const generator = xoroshiro128plus(Math.imul(seed, seedFactor));
 	const randomInt: RandomInt = (low, high) => uniformInt(generator, low, high);
 	const clientGenerator = xoroshiro128plus(Math.imul(seed, seedFactor) + 1);
 	const events: ExecutorEvent[] = [];
 	const site = await startSite({
-		bundleDirectory, runTimeMs: runTimeMsOf, onEvent(event) {
+		...size, bundleDirectory, runTimeMs: runTimeMsOf, onEvent(event) {
 			events.push(event);
 		},
 	});
--- a/soak/site.ts
+++ b/soak/site.ts
@@ -5,6 +5,7 @@
 import {findFreeAddresses} from '../demo/free-addresses.js';
 import {createProcessRunner, type ProcessRunner, type RunnerProcess} from '../demo/process-runner.js';
 import {entriesTopic} from '../platform/entry-registry.js';
+import {entryRolesTopic} from '../platform/entry-role-registry.js';
 import {createExecutorStandIn, type ExecutorEvent, type ExecutorStandIn} from '../stand-ins/executor-stand-in.js';
 import {createStoreStandIn, type StoreStandIn} from '../stand-ins/store-stand-in.js';
 import {createFaultProxy, type FaultProxy} from './fault-proxy.js';
@@ -22,7 +23,7 @@
 	startAgain: () => Promise<void>;
 }>;
 
-export type SiteEntry = SiteProcess<'store' | 'agents'> & Readonly<{queueAddress: string; readinessAddress: string}>;
+export type SiteEntry = SiteProcess<'store' | 'agents' | 'relay'> & Readonly<{queueAddress: string; readinessAddress: string}>;
 export type SiteAgent = SiteProcess<'store' | 'executor' | 'control'> & Readonly<{controlAddress: string; executor: ExecutorStandIn; executorId: string; workerAddress: string}>;
 
 /** Entries and agents as separate processes, with the stand-ins of the platform in this process. */
@@ -44,9 +45,6 @@
 export const service = 'site';
 export const queuePrefix = '/q/';
 
-const entryCount = 2;
-const agentCount = 2;
-
 /** Failed attempts of a task after which its job fails, so that faults of executors end no job. */
 const maxAttempts = 50;
 
@@ -76,23 +74,31 @@
 }
 
 /**
-Starts a site on the loopback interface from the bundles in a directory. `prepareStore` may fill the store before the processes start.
+Starts a site on the loopback interface from the bundles in a directory, by default with two entries and two agents. `prepareStore` may fill the store before the processes start.
 
 @example
 await bundlePrograms('dist');
 const site = await startSite({bundleDirectory: 'dist', runTimeMs: () => 100});
 await site.close();
 */
-export async function startSite({bundleDirectory, runTimeMs, onEvent = () => undefined, prepareStore = () => undefined}: Readonly<{
+export async function startSite({
+	bundleDirectory, runTimeMs, onEvent = () => undefined, prepareStore = () => undefined, entryCount = 2, agentCount = 2, deciderCount, nodeArguments = {entry: [], agent: []},
+}: Readonly<{
 	bundleDirectory: string;
 	/** Run time of a task by its payload. */
 	runTimeMs: (payload: string) => number;
 	onEvent?: (event: ExecutorEvent) => void;
 	prepareStore?: (store: StoreStandIn) => void;
+	entryCount?: number;
+	agentCount?: number;
+	/** Entries that decide; all of them without it. */
+	deciderCount?: number;
+	/** Arguments of Node.js by role. */
+	nodeArguments?: Readonly<Record<'entry' | 'agent', readonly string[]>>;
 }>): Promise<Site> {
 	const runner: ProcessRunner = createProcessRunner({commonArguments: []});
 	const directory = await mkdtemp(path.join(tmpdir(), 'arbutushinge-soak-'));
-	const addresses = [...await findFreeAddresses(1 + (entryCount * 6) + (agentCount * 6))];
+	const addresses = [...await findFreeAddresses(1 + (entryCount * 8) + (agentCount * 6))];
 	const nextAddress = (): string => addresses.pop()!;
 	const agentPort = Number(nextAddress().split(':')[1]);
 	const announcedAddresses = new Map<string, string>();
@@ -112,16 +118,16 @@
 		onEvent(event);
 	}
 
-	/** Puts the address of an entry's proxy into its announcement, so that agents reach it through the proxy. */
+	/** Puts the address of an entry's proxy into its announcement, so that agents and other entries reach it through the proxy. */
 	function announceProxy(record: Buffer): Buffer {
 		const text = record.toString('latin1');
-		const address = /"agentAddress":"(?<address>[^"]*)"/v.exec(text)?.groups?.address ?? '';
+		const address = /"(?:agent|relay)Address":"(?<address>[^"]*)"/v.exec(text)?.groups?.address ?? '';
 		return Buffer.from(text.replace(address, announcedAddresses.get(address) ?? address), 'latin1');
 	}
 
 	const store = await createStoreStandIn({
 		newestPageItems: 500,
-		mapAppended: (topic, record) => topic === entriesTopic ? announceProxy(record) : record,
+		mapAppended: (topic, record) => topic === entriesTopic || topic === entryRolesTopic ? announceProxy(record) : record,
 	});
 
 	async function proxy(targetAddress: string, address = nextAddress()): Promise<Readonly<{address: string; link: FaultProxy}>> {
@@ -139,7 +145,7 @@
 		const file = path.join(directory, `${name}.yaml`);
 		await writeFile(file, JSON.stringify(settings));
 		const start = (): RunnerProcess => {
-			const child = runner.start(name, [path.join(bundleDirectory, 'launcher.cjs'), role, '--settings', file]);
+			const child = runner.start(name, [...nodeArguments[role], path.join(bundleDirectory, 'launcher.cjs'), role, '--settings', file]);
 			started.push({name, child});
 			return child;
 		};
@@ -165,12 +171,14 @@
 	}
 
 	async function startEntry(index: number): Promise<SiteEntry> {
-		const [callerAddress, operatorAddress, agentAddress, queueAddress, readinessAddress] = [nextAddress(), nextAddress(), nextAddress(), nextAddress(), nextAddress()];
+		const [callerAddress, operatorAddress, agentAddress, queueAddress, readinessAddress, relayAddress] = [nextAddress(), nextAddress(), nextAddress(), nextAddress(), nextAddress(), nextAddress()];
 		const toStore = await proxy(store.address);
 		const fromAgents = await proxy(agentAddress, `127.0.0.${index + 2}:${agentPort}`);
+		const fromFronts = await proxy(relayAddress);
 		announcedAddresses.set(agentAddress, fromAgents.address);
+		announcedAddresses.set(relayAddress, fromFronts.address);
 		const name = `entry-${index + 1}`;
-		const started = await startProcess('entry', name, {store: toStore.link, agents: fromAgents.link}, {
+		const started = await startProcess('entry', name, {store: toStore.link, agents: fromAgents.link, relay: fromFronts.link}, {
 			role: 'entry',
 			entryId: name,
 			failureDomain: `zone-${index + 1}`,
@@ -178,6 +186,7 @@
 			operatorAddress,
 			agentAddress,
 			platform: {storeAddress: toStore.address, queueAddress, readinessAddress},
+			...(deciderCount !== undefined && {deciders: {count: deciderCount, relayAddress}}),
 			snapshotEveryRecords: 20_000,
 			timings: entryTimings,
 		});
--- a/src/entry/entry-platform.ts
+++ b/src/entry/entry-platform.ts
@@ -1,10 +1,12 @@
 import {type LogService} from '../log/log-service.js';
+import {type EntryRegistry} from '../membership/entry-registry.js';
 import {type Readiness} from './caller-server.js';
 import {type JobInterface} from './job-interface.js';
 
-/** What the users' platform provides to an entry that runs on it: its log service, used in place of the HTTP log service, and additional interfaces. */
+/** What the users' platform provides to an entry that runs on it: its log service, a registry of entries, and interfaces for callers and agents. */
 export type EntryPlatform = Readonly<{
 	logService: LogService;
+	registry: EntryRegistry;
 	/** Opens the interfaces through which the platform uses the entry. */
 	open: (parts: Readonly<{
 		jobs: JobInterface;
@@ -12,6 +14,8 @@
 		/** Time of day in Unix milliseconds, without the short jumps of the VM's clock. */
 		wallTimeMs: () => number;
 	}>) => Promise<void>;
+	/** Announces the address for agents' streams; called once the entry takes them. */
+	announceToAgents: () => void;
 	/** Returns whether the configuration that the platform's operator published has been read. */
 	isConfigured: () => boolean;
 	/** Accepts no new connections, completes the requests in flight and closes. */
--- a/src/entry/entry-process.ts
+++ b/src/entry/entry-process.ts
@@ -24,28 +24,29 @@
 import {createEntryEffectExecutor} from './entry-effect-executor.js';
 import {createEntryMonitor} from './entry-monitor.js';
 import {type EntryEvent} from './entry-event.js';
-import {type EntryPlatform} from './entry-platform.js';
 import {type EntryState, initialEntryState} from './entry-state.js';
-import {createJobInterface} from './job-interface.js';
+import {createJobInterface, type JobInterface} from './job-interface.js';
 import {createLogConnection} from './log-connection.js';
 import {logPartFailures} from './log-part-failures.js';
 import {createOperatorBackend} from './operator-backend.js';
 import {startOperatorServer} from './operator-server.js';
 import {reduceEntry} from './reduce-entry.js';
 import {reportGauges} from './report-gauges.js';
-import {createSettledWallClock} from './settled-wall-clock.js';
+import {createSystemWallClock, type SettledWallClock} from './settled-wall-clock.js';
 import {createRequestHistory} from './request-history.js';
 import {createRequestForwarder} from './request-forwarder.js';
 
 /** A running entry. */
 export type EntryProcess = Readonly<{
+	jobs: JobInterface;
+	readiness: () => Readiness;
 	/** Stops gracefully: reports not ready, then accepts no new connections, then waits for the requests in flight. */
 	stop: () => Promise<void>;
 }>;
 
 const tickMs = 50;
 const logRequestTimeoutMs = 2000;
-/** Age of the newest read of the log's tail after which an entry on the users' platform is not ready and the load balancer uses others: three failed long polls. */
+/** Age of the newest read of the log's tail after which an entry whose requests all need the log is not ready, and the load balancer uses others: three failed long polls. */
 const notReadyAfterMs = 3000;
 const forwardConcurrency = 4096;
 const planExpiresInMs = 600_000;
@@ -60,21 +61,22 @@
 const entry = await startEntry({settings, eventLog, metrics, timeline});
 await entry.stop();
 */
-export async function startEntry({settings, eventLog, metrics, timeline, platform}: Readonly<{
+export async function startEntry({settings, eventLog, metrics, timeline, platformLog, wallClock = createSystemWallClock()}: Readonly<{
 	settings: EntrySettings;
 	eventLog: EventLog;
 	metrics: Metrics;
 	timeline: Timeline;
-	platform?: EntryPlatform;
+	/** The log of the users' platform, in place of the HTTP log service; whoever passes it closes the entry's interfaces on the platform before `stop`. */
+	platformLog?: LogService;
+	wallClock?: SettledWallClock;
 }>): Promise<Result<EntryProcess, TypedError>> {
 	let isStopping = false;
-	const wallClock = createSettledWallClock({wallMs: Date.now, steadyMs: () => performance.now()});
 	const token = settings.operatorTokenFile === undefined ? ok(undefined) : await readTokenFile(settings.operatorTokenFile);
 	if (token.isErr) {
 		return err(token.error);
 	}
 
-	const logService = platform?.logService ?? createLogService(settings);
+	const logService = platformLog ?? createLogService(settings);
 	if (logService === undefined) {
 		return err({kind: 'log-service-missing', message: 'the settings name no log service', remedy: 'set logServiceUrl, or platform on the users\' platform'});
 	}
@@ -142,17 +144,13 @@
 			return {isReady: false, reason: 'the entry is stopping'};
 		}
 
-		if (platform && !platform.isConfigured()) {
-			return {isReady: false, reason: 'the entry has not read the operator\'s configuration yet'};
-		}
-
 		const {cluster, log} = loop.state();
 		if (cluster.offset < 0 && log.tailConfirmedSentAtMs === Number.NEGATIVE_INFINITY) {
 			return {isReady: false, reason: 'the entry has not read its configuration yet'};
 		}
 
 		// On the platform every request needs the log, so callers should use entries that can read it.
-		return platform && performance.now() - log.tailConfirmedSentAtMs > notReadyAfterMs
+		return platformLog && performance.now() - log.tailConfirmedSentAtMs > notReadyAfterMs
 			? {isReady: false, reason: `the log was not read for ${notReadyAfterMs} ms`}
 			: {isReady: true, reason: ''};
 	};
@@ -202,7 +200,6 @@
 			}),
 		});
 	await callers.listen();
-	await platform?.open({jobs, readiness, wallTimeMs: wallClock.nowMs});
 	const tickTimer = setInterval(() => {
 		monitor.recordTick();
 		dispatch({kind: 'tick'});
@@ -221,12 +218,17 @@
 	eventLog.info('entry-started', {entryId: settings.entryId, incarnation});
 
 	return ok({
+		jobs,
+		readiness,
 		async stop() {
 			isStopping = true;
 			eventLog.info('entry-stopping', {entryId: settings.entryId});
-			// Gives the load balancer time to notice that the entry is no longer ready.
-			await delay(settings.timings.shutdownDelayMs);
-			await Promise.all([callers.close(), platform?.close()]);
+			if (!platformLog) {
+				// Gives the load balancer time to notice that the entry is no longer ready.
+				await delay(settings.timings.shutdownDelayMs);
+			}
+
+			await callers.close();
 			await operators?.close();
 			await logConnection.leave(settings.entryId);
 			clearInterval(tickTimer);
--- a/src/entry/job-interface.test.ts
+++ b/src/entry/job-interface.test.ts
@@ -35,7 +35,8 @@
 	const answer: DeferredAnswer = {result: 'accepted', offset: 0, reason: ''};
 	const stale = await jobsThatAnswer(answer).find('job');
 	t.is(stale.isErr && stale.error.status, 503);
-	t.true(jobsThatAnswer(answer).countPending('q').isErr);
+	const counted = await jobsThatAnswer(answer).countPending('q');
+	t.true(counted.isErr);
 	const fresh: EntryState = {...initialState, log: {tailConfirmedSentAtMs: 9000, reachable: true}};
 	const missing = await jobsThatAnswer(answer, fresh).find('job');
 	t.like(missing.isErr && missing.error, {status: 404, error: {kind: 'job-unknown'}});
--- a/src/entry/job-interface.ts
+++ b/src/entry/job-interface.ts
@@ -16,7 +16,7 @@
 export type JobInterface = Omit<CallerJobs, 'find'> & Readonly<{
 	find: (jobId: string) => Promise<Result<JobReport, CallerJobError>>;
 	/** Returns the number of accepted jobs of a queue of which no task has started. */
-	countPending: (queue: string) => Result<number, CallerJobError>;
+	countPending: (queue: string) => Promise<Result<number, CallerJobError>>;
 }>;
 
 const refusals: Readonly<Record<Exclude<DeferredAnswer['result'], 'accepted'>, Readonly<{status: number; kind: string}>>> = {
@@ -89,7 +89,7 @@
 
 			return toResult(jobId, await requestDecision({kind: 'cancel-job', jobId}));
 		},
-		countPending(queue) {
+		async countPending(queue) {
 			if (!isFresh()) {
 				return err(staleState());
 			}
--- a/src/entry/settled-wall-clock.ts
+++ b/src/entry/settled-wall-clock.ts
@@ -37,3 +37,13 @@
 		},
 	};
 }
+
+/**
+Creates a settled time of day from the clocks of this process.
+
+@example
+createSystemWallClock().nowMs(); // => 1796490000000
+*/
+export function createSystemWallClock(): SettledWallClock {
+	return createSettledWallClock({wallMs: Date.now, steadyMs: () => performance.now()});
+}
--- a/src/roles.ts
+++ b/src/roles.ts
@@ -18,15 +18,17 @@
 /** Functions that start each role. They load its modules only when called, so that an agent has none of the entry's modules in memory. */
 export const startRole: Readonly<{entry: StartRole<EntrySettings>; agent: StartRole<AgentSettings>}> = {
 	async entry(context) {
-		const {startEntry} = await import('./entry/entry-process.js');
 		const {settings, eventLog, metrics} = context;
 		if (!settings.platform) {
+			const {startEntry} = await import('./entry/entry-process.js');
 			return startEntry(context);
 		}
 
-		const [{openEntryPlatform}, {processorsMilliOf}] = await Promise.all([import('../platform/open-entry-platform.js'), import('./settings/processors-milli.js')]);
+		const [{startPlatformEntry}, {openEntryPlatform}, {processorsMilliOf}] = await Promise.all([
+			import('./entry/platform-entry.js'), import('../platform/open-entry-platform.js'), import('./settings/processors-milli.js'),
+		]);
 		const {entryId, agentAddress} = settings;
-		return startEntry({
+		return startPlatformEntry({
 			...context,
 			platform: openEntryPlatform({
 				settings: settings.platform, entryId, agentAddress, processorsMilli: processorsMilliOf(settings), eventLog, metrics,
--- a/src/settings/entry-settings.ts
+++ b/src/settings/entry-settings.ts
@@ -12,6 +12,9 @@
 	prefix: z.string().default('arbutushinge.').describe('Prefix of every metric name'),
 }).readonly();
 
+/** Most entries that hold the cluster state; each of them costs what the whole site costs. */
+const maxDeciders = 100;
+
 /** Settings of `arbutushinge entry`. */
 export const entrySettingsSchema = z.strictObject({
 	role: z.literal('entry').describe('Role that this file is for'),
@@ -23,6 +26,10 @@
 	callerAddress: listenAddressSchema.check(z.describe('Where callers and the balancer\'s health check connect')),
 	operatorAddress: listenAddressSchema.check(z.describe('Where operator commands connect')),
 	agentAddress: listenAddressSchema.check(z.describe('Where agents open their stream')),
+	deciders: z.strictObject({
+		count: z.int().min(1).max(maxDeciders).describe('Entries that hold the cluster state'),
+		relayAddress: listenAddressSchema.check(z.describe('Where this entry takes the requests that other entries relay, once it decides')),
+	}).readonly().optional().describe('On the users\' platform: entries that decide for all; the others relay callers\' requests to them. Without it, every entry decides'),
 	operatorTokenFile: z.string().optional().describe('File that holds the operators\' token; without it the operator interface stays closed'),
 	peerOperatorAddresses: z.array(addressSchema).readonly().default([]).describe('Operator addresses of the other entries, asked for state when the log is down at start'),
 	logServiceUrl: z.url().optional().describe('Address of the platform\'s log service; not used beside `platform`'),
