Space placement passes by what they cost

Cause: a pass follows each page of the log and each tick. Passes now take a fifth of the owner's time at most, and one is made at least every 250 ms.

--- a/src/entry/entry-event.ts
+++ b/src/entry/entry-event.ts
@@ -39,6 +39,8 @@
 	pendingAppends: number;
 	/** Measures the duration of a part of the reduction for the metrics; it does not affect the result. */
 	measurePart?: MeasurePart;
+	/** Duration of the newest placement pass in milliseconds; 0 without it. */
+	newestPassMs?: number;
 	/** Called with a part of the reduction that threw and is left out. Without it, the error is thrown to the caller. */
 	onPartFailed?: (failure: PartFailure) => void;
 }>;
--- a/src/entry/entry-monitor.ts
+++ b/src/entry/entry-monitor.ts
@@ -19,6 +19,8 @@
 	/** Runs a transition of the reducer and records its duration. */
 	measureTransition: <Result>(event: string, run: () => Result) => Result;
 	measurePart: MeasurePart;
+	/** Returns the duration of the newest placement pass in milliseconds; 0 before the first. */
+	newestPassMs: () => number;
 	report: (inputs: Readonly<{state: EntryState; pendingAppends: number}>) => void;
 }>;
 
@@ -45,6 +47,7 @@
 	let longestStepMs = 0;
 	let longestStepEvent = '';
 	let longestPassMs = 0;
+	let newestPassMs = 0;
 
 	function sampleOf(state: EntryState, pendingAppends: number): LagSample {
 		const atMs = nowMs();
@@ -102,8 +105,10 @@
 			const passMs = nowMs() - startMs;
 			metrics.timingMs('placement.pass', passMs);
 			longestPassMs = Math.max(longestPassMs, passMs);
+			newestPassMs = passMs;
 			return result;
 		},
+		newestPassMs: () => newestPassMs,
 		report({state, pendingAppends}) {
 			const sample = sampleOf(state, pendingAppends);
 			reportGauges(sample);
--- a/src/entry/entry-process.ts
+++ b/src/entry/entry-process.ts
@@ -105,6 +105,7 @@
 			seed: randomInt(0x7F_FF_FF_FF),
 			pendingAppends: logConnection.pendingAppends(),
 			measurePart: monitor.measurePart,
+			newestPassMs: monitor.newestPassMs(),
 			onPartFailed,
 		}, settings)),
 		execute(effect) {
--- a/src/entry/entry-state.ts
+++ b/src/entry/entry-state.ts
@@ -38,6 +38,7 @@
 	appendGuard: AppendGuard;
 	snapshot: Readonly<{coversOffset: number; writtenAtMs: number; isWriting: boolean}>;
 	lastControlTickMs: number;
+	lastPassAtMs: number;
 }>;
 
 /**
@@ -64,5 +65,6 @@
 		appendGuard: emptyAppendGuard,
 		snapshot: {coversOffset: -1, writtenAtMs: Number.NEGATIVE_INFINITY, isWriting: false},
 		lastControlTickMs: Number.NEGATIVE_INFINITY,
+		lastPassAtMs: Number.NEGATIVE_INFINITY,
 	};
 }
--- a/src/entry/reduce-entry.test.ts
+++ b/src/entry/reduce-entry.test.ts
@@ -263,3 +263,28 @@
 	], 5000);
 	t.deepEqual(state.placement.failedStarts.get(taskId), {attempt: 2, failures: 2, readAtMs: 5000});
 });
+
+test('placement passes that take long leave time for the records that they wait for, and no queued task waits for more than a few of them', t => {
+	let passes = 0;
+	const entry = createEntry({
+		newestPassMs: 30,
+		measurePart(_part, run) {
+			passes++;
+			return run();
+		},
+	});
+	for (let nowMs = 0; nowMs < 3000; nowMs += 10) {
+		if (nowMs % 50 === 0) {
+			entry.dispatch({kind: 'tick'}, nowMs);
+		}
+
+		entry.read('other', [{kind: 'entry-alive', appliedOffset: 0}], nowMs);
+	}
+
+	t.is(passes, 20, 'one pass of 30 ms in 150 ms');
+	const slow = createEntry({newestPassMs: 5000});
+	slow.dispatch({kind: 'tick'}, 0);
+	const before = slow.state().lastPassAtMs;
+	slow.dispatch({kind: 'tick'}, 250);
+	t.deepEqual([before, slow.state().lastPassAtMs], [0, 250]);
+});
--- a/src/entry/reduce-entry.ts
+++ b/src/entry/reduce-entry.ts
@@ -40,6 +40,13 @@
 /** Time between two evaluations of liveness, key expiry, snapshots and due commands. */
 const controlTickMs = 250;
 
+/**
+Shortest time between the starts of two placement passes, as a factor on the duration of the newest one, and the limit of this time. A pass follows
+each page of the log; with many VMs and queued tasks, passes would otherwise take all of the owner's time while the records that it waits for pile up.
+*/
+const pausePerPass = 5;
+const maxPassPauseMs = 250;
+
 /** Phases in which an agent refuses new requests for a backend server. */
 const refusingPhases: ReadonlySet<BackendServerPhase> = new Set([BackendServerPhase.LEAVING, BackendServerPhase.DRAINED]);
 
@@ -273,10 +280,15 @@
 }
 
 function runPlacementPass(state: EntryState, inputs: EventInputs, settings: EntrySettings): EntryTransition {
+	// A pass that was left out here is made up for by a later tick.
+	if (inputs.nowMs - state.lastPassAtMs < Math.min(maxPassPauseMs, pausePerPass * (inputs.newestPassMs ?? 0))) {
+		return {state, effects: []};
+	}
+
 	const context = contextOf(state, inputs, settings);
 	const pass = (): ReturnType<typeof placeQueuedTasks> => placeQueuedTasks(state.placement, context);
 	const transition = inputs.measurePart ? inputs.measurePart('placement', pass) : pass();
-	return {state: {...state, placement: transition.state}, effects: transition.effects};
+	return {state: {...state, placement: transition.state, lastPassAtMs: inputs.nowMs}, effects: transition.effects};
 }
 
 function resolveDeferred(state: EntryState, inputs: EventInputs, settings: EntrySettings): EntryTransition {
