--- a/bench/cost-by-part.ts
+++ b/bench/cost-by-part.ts
@@ -14,7 +14,7 @@
 export type Profile = z.infer<typeof profileSchema>;
 
 /** Functions that tell which part of a process a sample belongs to; the one nearest to the top of the stack decides. */
-const partByFunction: Readonly<Record<string, string>> = {
+const partByFunction: ReadonlyMap<string, string> = new Map(Object.entries({
 	applyRecords: 'applyRecords',
 	decodeLogValue: 'decodeRecords',
 	decodeRecords: 'decodeRecords',
@@ -40,22 +40,32 @@
 	timingMs: 'metrics',
 	gauge: 'metrics',
 	increment: 'metrics',
-};
+}));
 
 const idleNames: ReadonlySet<string> = new Set(['(idle)']);
-const ownNames: Readonly<Record<string, string>> = {'(garbage collector)': 'garbageCollection', '(program)': 'nativeCode'};
+const ownNames: ReadonlyMap<string, string> = new Map([['(garbage collector)', 'garbageCollection'], ['(program)', 'nativeCode']]);
 
-/** Returns the part of a module's functions that have no part by name. */
-function partByModule(url: string): string | undefined {
-	if (url.startsWith('node:internal/modules') || url.startsWith('node:internal/bootstrap')) {
-		return 'startUp';
-	}
+/** Parts by the names of Node.js modules, for functions below none of `partByFunction`. */
+const partByModule: ReadonlyArray<readonly [module: RegExp, part: string]> = [
+	[/^node:internal\/(?:modules|bootstrap|main)\//v, 'startUp'],
+	[/http2/v, 'streams'],
+	[/_http|net$|stream/v, 'httpAndSockets'],
+	[/timers|abort_controller/v, 'timers'],
+	[/^node:/v, 'runtime'],
+];
+
+/** Returns the part of a module's functions; undefined for those of the program. */
+function partOfModule(url: string): string | undefined {
+	return partByModule.find(([module]) => module.test(url))?.[1];
+}
 
-	if (url.includes('http2')) {
-		return 'streams';
+function partOfFrame({functionName, url}: Profile['nodes'][number]['callFrame'], inherited: string): string {
+	if (idleNames.has(functionName)) {
+		return 'idle';
 	}
 
-	return url.startsWith('node:') ? /\w+$/v.exec(url)?.[0] ?? url : undefined;
+	const named = ownNames.get(functionName) ?? partByFunction.get(functionName);
+	return named ?? (inherited === 'other' ? partOfModule(url) ?? inherited : inherited);
 }
 
 /**
@@ -68,8 +78,8 @@
 	const partById = new Map<number, string>();
 	const nodeById = new Map(nodes.map(node => [node.id, node]));
 	const visit = (id: number, inherited: string): void => {
-		const {callFrame: {functionName, url}, children = []} = nodeById.get(id)!;
-		const part = idleNames.has(functionName) ? 'idle' : (ownNames[functionName] ?? partByFunction[functionName] ?? (inherited === 'other' ? partByModule(url) ?? inherited : inherited));
+		const {callFrame, children = []} = nodeById.get(id)!;
+		const part = partOfFrame(callFrame, inherited);
 		partById.set(id, part);
 		for (const child of children) {
 			visit(child, part);
