Refuse jobs until the log has taken the registration of an entry

Cause: readers of the log ignore what a writer appends before its registration. An entry that has just begun to decide, or began a new incarnation, took jobs in that time; their callers were told after 1.5 s that the outcome is unknown. Such a job is now refused at once as not run, or relayed to another decider.

An entry that cannot start to decide ends its process, since parts of it run.

--- a/src/entry/deferred-answers.ts
+++ b/src/entry/deferred-answers.ts
@@ -34,6 +34,12 @@
 		return {state, effects: [{kind: 'answer-deferred', replyId, answer: {result: 'rejected', offset: context.cluster.offset, reason}}]};
 	}
 
+	if (!context.cluster.entries.has(context.incarnation)) {
+		// Readers of the log ignore what a writer appends before its registration.
+		const reason = 'the log service has not confirmed the registration of this entry yet, so nothing was written; ask again';
+		return {state, effects: [{kind: 'answer-deferred', replyId, answer: {result: 'rejected', offset: context.cluster.offset, reason}}]};
+	}
+
 	const record = recordFor(subject, context.cluster);
 	if (!record) {
 		const reason = 'the job is not known; check the job id with status';
--- a/src/entry/platform-entry.ts
+++ b/src/entry/platform-entry.ts
@@ -125,7 +125,7 @@
 		announcedAtMs = nowMs();
 	}
 
-	/** Reads the roles of all entries, and begins to decide when this entry is chosen. */
+	/** Reads the roles of all entries and evaluates that of this one. */
 	async function reviewRole(deciderCount: number): Promise<void> {
 		const read = await platform.registry.read();
 		if (read.isErr) {
@@ -138,26 +138,33 @@
 		roleState = evaluateRole(roleState, {
 			entryId, deciderCount, announced, unreachableIds: relay.unreachableIds(), nowMs: nowMs(),
 		});
-		if (roleState.role === 'decider' && !decider) {
-			const started = await startDeciding();
-			if (started.isErr) {
-				eventLog.error('entry-cannot-decide', {reason: formatError(started.error)});
-			}
+	}
 
-			announcedAtMs = Number.NEGATIVE_INFINITY;
+	async function reviewAndAnnounce({count, relayAddress}: NonNullable<EntrySettings['deciders']>): Promise<void> {
+		try {
+			await reviewRole(count);
+			// The announcement of the former life tells whether this entry decided, so that it is read first.
+			const isStarting = roleState.role === 'decider' && !decider;
+			if (roleState.hasRead && !isStarting && nowMs() - announcedAtMs >= announceIntervalMs) {
+				await announce(relayAddress);
+			}
+		} catch (error) {
+			eventLog.error('role-review-failed', {reason: describeThrown(error).reason});
 		}
 	}
 
-	async function run({count, relayAddress}: NonNullable<EntrySettings['deciders']>): Promise<void> {
+	async function run(roles: NonNullable<EntrySettings['deciders']>): Promise<void> {
 		while (!stopping.signal.aborted) {
-			try {
-				await reviewRole(count);
-				// The announcement of the former life tells whether this entry decided, so that it is read first.
-				if (roleState.hasRead && nowMs() - announcedAtMs >= announceIntervalMs) {
-					await announce(relayAddress);
+			await reviewAndAnnounce(roles);
+			if (roleState.role === 'decider' && !decider) {
+				const started = await startDeciding();
+				if (started.isErr) {
+					// Parts of it may run, so that only a new process can try again.
+					throw new Error(formatError(started.error));
 				}
-			} catch (error) {
-				eventLog.error('role-review-failed', {reason: describeThrown(error).reason});
+
+				announcedAtMs = Number.NEGATIVE_INFINITY;
+				continue;
 			}
 
 			await delay(roleState.shortSinceMs === undefined && roleState.hasRead ? readIntervalMs : shortReadIntervalMs);
@@ -167,7 +174,12 @@
 	await platform.open({jobs, readiness, wallTimeMs: wallClock.nowMs});
 	await relayServer?.listen();
 	if (deciders) {
-		void run(deciders);
+		run(deciders).catch((error: unknown) => {
+			// An exception that nobody handles ends the process.
+			setImmediate(() => {
+				throw error;
+			});
+		});
 	} else {
 		const started = await startDeciding();
 		if (started.isErr) {
--- a/src/relay/job-relay.test.ts
+++ b/src/relay/job-relay.test.ts
@@ -3,6 +3,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
 import {err, ok} from 'true-myth/result';
+import {findFreeAddresses} from '../../demo/free-addresses.js';
 import {type Readiness} from '../entry/caller-server.js';
 import {type JobInterface} from '../entry/job-interface.js';
 import {type EventLog} from '../telemetry/event-log.js';
@@ -29,10 +30,7 @@
 }
 
 async function freeAddress(): Promise<string> {
-	const server = createTcpServer();
-	const address = await listenOn(server);
-	server.close();
-	await once(server, 'close');
+	const [address = ''] = await findFreeAddresses(1);
 	return address;
 }
 
@@ -93,7 +91,7 @@
 	const submitted = await relay.jobs.submit({jobId: 'j'});
 	t.true(submitted.isOk);
 	t.deepEqual(decider.accepted, [{jobId: 'j'}]);
-	const [found, counted] = await Promise.all([relay.jobs.find('j'), relay.jobs.countPending('q')]); // eslint-disable-line unicorn/no-array-callback-reference -- `find` is no method of an array.
+	const [found, counted] = await Promise.all([relay.jobs.find('j'), relay.jobs.countPending('q')]);
 	t.deepEqual(found.unwrapOr(undefined), {jobId: 'j', phase: 'running', tasks: []});
 	t.is(counted.unwrapOr(-1), 7);
 	const cancelled = await relay.jobs.cancel('j');
