Claim no task for a VM whose agent would not receive the start

Callers would see a task that lasts stand still for up to 17 s after its executor was gone, with room elsewhere. Cause: until a VM is revoked, 5 s after its agent is gone, it attracted claims as an empty VM does; an agent that stops says so in its heartbeats, and its closed stream tells the entry, but neither was used (a closed stream even took a silent worker off the list). Nobody delivers the start of such a claim, and it binds its task until the leases have expired.

Now a VM gets no claim while no entry hears its agent, while the agent says that it stops, and from a closed stream or two missed heartbeats on until the others have had time to report it. What an entry's own streams tell is left out when it is true of most VMs: then the entry is the one that is cut off.

--- a/src/entry/entry-state.ts
+++ b/src/entry/entry-state.ts
@@ -3,6 +3,7 @@
 import {emptyClusterState} from '../cluster/reduce-cluster.js';
 import {type AgentLink} from '../dispatch/agent-link.js';
 import {type EntryLivenessState, initialEntryLiveness} from '../membership/entry-liveness.js';
+import {type ClosedStreams, noClosedStreams} from '../membership/unheard-vms.js';
 import {initialVmLiveness, type VmLivenessState} from '../membership/vm-liveness.js';
 import {type FailureAttributionState, initialFailureAttribution} from '../placement/failure-attribution.js';
 import {initialPlacement, type PlacementState} from '../placement/place-queued-tasks.js';
@@ -24,6 +25,7 @@
 	cluster: ClusterState;
 	log: LogReadState;
 	links: Map<string, AgentLink>;
+	closedStreams: ClosedStreams;
 	/** VM ID by session ID of each open stream. */
 	vmIdBySession: Map<string, string>;
 	/** When claims of other entries were read, by `TASK_ID/ATTEMPT`. */
@@ -53,6 +55,7 @@
 		cluster: emptyClusterState,
 		log: {tailConfirmedSentAtMs: Number.NEGATIVE_INFINITY, reachable: true},
 		links: Map(),
+		closedStreams: noClosedStreams,
 		vmIdBySession: Map(),
 		claimReadTimes: Map(),
 		entryLiveness: initialEntryLiveness,
--- a/src/entry/reduce-agent-event.ts
+++ b/src/entry/reduce-agent-event.ts
@@ -9,6 +9,7 @@
 import {acknowledgeTaskEvents, relayTaskEvents} from '../dispatch/task-event-relay.js';
 import {type Heartbeat, type Hello} from '../generated/arbutushinge/v1/agent_pb.js';
 import {answerHeartbeat} from '../membership/lease-grant.js';
+import {recordClosedStream} from '../membership/unheard-vms.js';
 import {recordAgentMessage} from '../membership/vm-liveness.js';
 import {observeUsage} from '../placement/observe-usage.js';
 import {type EntrySettings} from '../settings/entry-settings.js';
@@ -72,7 +73,7 @@
 			};
 			return {
 				state: {
-					...state, vmIdBySession, links: state.links.delete(link.vmId), placement,
+					...state, vmIdBySession, links: state.links.delete(link.vmId), closedStreams: recordClosedStream(state.closedStreams, link, context), placement,
 				}, effects: [],
 			};
 		}
@@ -180,7 +181,10 @@
 	};
 	const vmLiveness = recordAgentMessage(state.vmLiveness, hello.vmId, hello.agentIncarnation, context.nowMs);
 	const vmIdBySession = state.vmIdBySession.set(sessionId, hello.vmId);
-	return refreshLink({...withLink(state, link), vmLiveness, vmIdBySession}, link, context);
+	const closedStreams = state.closedStreams.delete(hello.vmId);
+	return refreshLink({
+		...withLink(state, link), vmLiveness, vmIdBySession, closedStreams,
+	}, link, context);
 }
 
 function recordHeartbeat(state: EntryState, link: AgentLink, heartbeat: Heartbeat, context: EntryContext): ControlTransition {
--- a/src/entry/reduce-entry.ts
+++ b/src/entry/reduce-entry.ts
@@ -4,6 +4,7 @@
 import {BackendServerPhase} from '../generated/arbutushinge/v1/agent_pb.js';
 import {type LoggedRecord} from '../log/log-envelope.js';
 import {tickEntryLiveness, resetEntryObservation} from '../membership/entry-liveness.js';
+import {unheardVmIds} from '../membership/unheard-vms.js';
 import {tickVmLiveness} from '../membership/vm-liveness.js';
 import {recordAttemptEnds, tickFailureAttribution} from '../placement/failure-attribution.js';
 import {placeQueuedTasks} from '../placement/place-queued-tasks.js';
@@ -286,7 +287,7 @@
 	}
 
 	const context = contextOf(state, inputs, settings);
-	const pass = (): ReturnType<typeof placeQueuedTasks> => placeQueuedTasks(state.placement, context);
+	const pass = (): ReturnType<typeof placeQueuedTasks> => placeQueuedTasks(state.placement, {...context, unheardVmIds: unheardVmIds(state, context)});
 	const transition = inputs.measurePart ? inputs.measurePart('placement', pass) : pass();
 	return {state: {...state, placement: transition.state, lastPassAtMs: inputs.nowMs}, effects: transition.effects};
 }
--- a/src/placement/place-queued-tasks.ts
+++ b/src/placement/place-queued-tasks.ts
@@ -108,27 +108,31 @@
 	state: PlacementState;
 };
 
+/** What a placement pass reads; `unheardVmIds` names the VMs whose agent would probably not receive a start. */
+export type PlacementContext = EntryContext & Readonly<{unheardVmIds?: ImmutableSet<string>}>;
+
 /**
 Claims VMs for queued tasks, the most urgent class first.
 
 @example
 const {state, effects} = placeQueuedTasks(initialPlacement, context);
 */
-export function placeQueuedTasks(state: PlacementState, context: EntryContext): Transition<PlacementState> {
+export function placeQueuedTasks(state: PlacementState, context: PlacementContext): Transition<PlacementState> {
 	const owners = evaluatePlacementOwners(state.ownersSeen, context);
 	const pending = prunePendingClaims(state.pending, context.cluster, context.nowMs);
+	const silentVmIds = state.silentVmIds.union(context.unheardVmIds ?? []);
 	const pruned: PlacementState = {
 		...state,
 		pending,
 		fleetGrowth: observeFleetGrowth(state.fleetGrowth, context),
 		ownersSeen: owners.ownersSeen(),
-		reservations: retainValidReservations(state.reservations, {cluster: context.cluster, pending, nowMs: context.nowMs}, state.silentVmIds),
+		reservations: retainValidReservations(state.reservations, {cluster: context.cluster, pending, nowMs: context.nowMs}, silentVmIds),
 	};
 	if (!isLogFresh(context) || context.cluster.queued.every(tasks => tasks.isEmpty())) {
 		return {state: pruned, effects: []};
 	}
 
-	const starved = findStarvedJobs(pruned.waitingJobs, context, () => pass.state.pending, pruned.silentVmIds);
+	const starved = findStarvedJobs(pruned.waitingJobs, context, () => pass.state.pending, silentVmIds);
 	const pass: Pass = {
 		context,
 		vms: [],
@@ -147,7 +151,7 @@
 		return {state: {...pass.state, ownersSeen: owners.ownersSeen()}, effects: []};
 	}
 
-	pass.vms = [...context.cluster.vms.values()].filter(vm => acceptsNewTasks(vm, context.cluster) && !pruned.silentVmIds.has(vm.vmId));
+	pass.vms = [...context.cluster.vms.values()].filter(vm => acceptsNewTasks(vm, context.cluster) && !silentVmIds.has(vm.vmId));
 	for (const priority of priorityClassesForPass(context.seed, context.cluster.configuration.requestLimits.floorMilliByClass)) {
 		placeClass(pass, priority);
 	}
--- a/src/placement/reservations.ts
+++ b/src/placement/reservations.ts
@@ -48,7 +48,7 @@
 /**
 Removes the reservations of tasks that are no longer queued, of VMs that may not run their task any more, and those that have expired.
 
-@param silentVmIds VMs with a silent worker.
+@param silentVmIds VMs with a silent worker or agent.
 
 @example
 retainValidReservations(reservations, {cluster, pending, nowMs}, silentVmIds); // => the same reservations while all of them are valid
--- a/src/placement/starved-jobs.ts
+++ b/src/placement/starved-jobs.ts
@@ -29,7 +29,7 @@
 these limits it may not: during an overload every waiting job would take a share of the few free processors from the jobs that can still be in
 time. The wait is the longer of the times since the caller's submission and since this entry's first observation, as the clocks of entries differ.
 
-@param silentVmIds VMs with a silent worker.
+@param silentVmIds VMs with a silent worker or agent.
 
 @example
 const starved = findStarvedJobs(state.waitingJobs, context, () => pending, silentVmIds);
