Free the tasks of a VM that nobody hears when its agent has stopped them

Cause: the only proof that no task runs any more was the longest lease that an entry might have granted until the revocation was read, F + D + margin after it; entries granted also while they had reported the agent as unreachable.

The agent stops leased tasks S after its newest heartbeat that was answered in contact. An entry is in contact only while the log lists it as hearing the agent and it has not withdrawn. The observer counts from the withdrawals. New facts are records of their own, which earlier versions skip; entries and agents of earlier versions leave the bound as it was.

The fleet property checks at each vm-lease-expired that takes effect that no agent holds a lease and no worker runs a task. One entry in two of five runs is of an earlier version.

--- a/src/agent/entry-messages.ts
+++ b/src/agent/entry-messages.ts
@@ -54,6 +54,7 @@
 			labels: [...state.worker.labels],
 			workerStartedAtMs: BigInt(state.worker.startedAtMs),
 			workerLost: state.worker.lost,
+			contactLimitMs: settings.timings.contactLimitMs,
 			capacity: wireResources(state.ledger.capacity),
 			runningTasks: [...state.tasks.values()]
 				.filter(task => holdsClaim(state, task))
--- a/src/agent/lease.ts
+++ b/src/agent/lease.ts
@@ -13,12 +13,18 @@
 export type Lease = Readonly<{
 	/** Sending time of each recent heartbeat by sequence. */
 	sentAtMs: ImmutableMap<number, number>;
-	/** Undefined until the first grant. */
+	/** End of the longest grant; undefined until the first one. */
+	grantedUntilMs: number | undefined;
+	/** Time until which the entries count on the agent being in contact; undefined until the first answer in contact. */
+	contactUntilMs: number | undefined;
+	/** The earlier of both, when leased tasks stop; undefined until the first grant. */
 	deadlineMs: number | undefined;
 }>;
 
 /** The lease of a new incarnation: nothing granted, no heartbeat sent. */
-export const noLease: Lease = {sentAtMs: immutableMap(), deadlineMs: undefined};
+export const noLease: Lease = {
+	sentAtMs: immutableMap(), grantedUntilMs: undefined, contactUntilMs: undefined, deadlineMs: undefined,
+};
 
 /**
 Records when a heartbeat was sent.
@@ -50,19 +56,31 @@
 	return lease.deadlineMs !== undefined && nowMs >= lease.deadlineMs;
 }
 
+/** An entry's answer to a heartbeat. Without `inContact`, it is in contact when it grants a lease. */
+export type HeartbeatAnswer = Readonly<{sequence: number; durationMs: number; inContact?: boolean | undefined}>;
+
 /**
-Extends the lease to `durationMs` after the sending of the heartbeat that the grant echoes. The deadline never
-moves back, an expired lease stays expired, and a grant for a heartbeat of another incarnation changes nothing.
+Extends the grant to `durationMs` and the contact to `contactLimitMs` after the sending of the heartbeat that the answer echoes. The deadline
+never moves back, an expired lease stays expired, and an answer that is not in contact, or for a heartbeat of another incarnation, changes nothing.
 
 @example
-grantLease(recordHeartbeatSent(noLease, 1, 5000), {sequence: 1, durationMs: 15_000}, 5003).deadlineMs; // => 20000
+extendLease(recordHeartbeatSent(noLease, 1, 5000), {sequence: 1, durationMs: 15_000}, {nowMs: 5003, contactLimitMs: 12_500}).deadlineMs; // => 17500
 */
-export function grantLease(lease: Lease, grant: Readonly<{sequence: number; durationMs: number}>, nowMs: number): Lease {
-	const sentAtMs = lease.sentAtMs.get(grant.sequence);
-	if (sentAtMs === undefined || isLeaseExpired(lease, nowMs)) {
+export function extendLease(
+	lease: Lease,
+	{sequence, durationMs, inContact = durationMs > 0}: HeartbeatAnswer,
+	{nowMs, contactLimitMs}: Readonly<{nowMs: number; contactLimitMs: number}>,
+): Lease {
+	const sentAtMs = lease.sentAtMs.get(sequence);
+	if (sentAtMs === undefined || !inContact || sentAtMs + contactLimitMs <= nowMs || isLeaseExpired(lease, nowMs)) {
 		return lease;
 	}
 
-	const deadlineMs = sentAtMs + grant.durationMs;
-	return deadlineMs <= nowMs || deadlineMs <= (lease.deadlineMs ?? 0) ? lease : {...lease, deadlineMs};
+	const contactUntilMs = Math.max(sentAtMs + contactLimitMs, lease.contactUntilMs ?? 0);
+	const grantedUntilMs = sentAtMs + durationMs > nowMs ? Math.max(sentAtMs + durationMs, lease.grantedUntilMs ?? 0) : lease.grantedUntilMs;
+	return contactUntilMs === lease.contactUntilMs && grantedUntilMs === lease.grantedUntilMs
+		? lease
+		: {
+			...lease, contactUntilMs, grantedUntilMs, deadlineMs: grantedUntilMs === undefined ? undefined : Math.min(grantedUntilMs, contactUntilMs),
+		};
 }
--- a/src/agent/reduce-agent.ts
+++ b/src/agent/reduce-agent.ts
@@ -16,7 +16,7 @@
 import {updateGuard} from './guard.js';
 import {expireKeyResults} from './key-table.js';
 import {
-	grantLease, recordHeartbeatSent, isLeaseExpired, maxLeaseMs, noLease,
+	extendLease, recordHeartbeatSent, isLeaseExpired, maxLeaseMs, noLease,
 } from './lease.js';
 import {
 	applyFillingShares, applyTraits, throttledTasksOf, fillingMeasurementOf, throttleFailed,
@@ -289,8 +289,10 @@
 		return leaveOut(state, 'leaseGrant', {durationMs: value.durationMs});
 	}
 
-	const lease = grantLease(state.lease, {sequence: Number(value.heartbeatSequence), durationMs: value.durationMs}, nowMs);
-	return lease.deadlineMs === undefined || lease === state.lease
+	const {heartbeatSequence, durationMs, inContact} = value;
+	const {contactLimitMs} = state.settings.timings;
+	const lease = extendLease(state.lease, {sequence: Number(heartbeatSequence), durationMs, inContact}, {nowMs, contactLimitMs});
+	return lease === state.lease
 		? transition(state)
 		: renewWorkerLease(nowMs)({...state, lease});
 }
--- a/src/cluster/check-cluster-state.ts
+++ b/src/cluster/check-cluster-state.ts
@@ -55,8 +55,9 @@
 	return checkOffset(state, Math.max(submittedOffset, changedOffset, claim?.claimOffset ?? -1), name);
 }
 
-function checkVm(state: ClusterState, {vmId, taskIds, waitingTaskIds, backendServerIds}: Vm): string | undefined {
+function checkVm(state: ClusterState, {vmId, taskIds, waitingTaskIds, backendServerIds, contact}: Vm): string | undefined {
 	const name = `VM ${boundedText(vmId)}`;
 	return firstOf([...taskIds, ...waitingTaskIds], taskId => state.tasks.get(taskId)?.claim?.vmId === vmId ? undefined : `${name} has task ${boundedText(taskId)}, which is not claimed for it`)
-		?? firstOf(backendServerIds, id => state.backendServers.get(id)?.vmId === vmId ? undefined : `${name} has backend server ${boundedText(id)}, which is not on it`);
+		?? firstOf(backendServerIds, id => state.backendServers.get(id)?.vmId === vmId ? undefined : `${name} has backend server ${boundedText(id)}, which is not on it`)
+		?? checkOffset(state, Math.max(contact.withdrawnOffset ?? -1, contact.endedOffset ?? -1), name);
 }
--- a/src/cluster/cluster-record.ts
+++ b/src/cluster/cluster-record.ts
@@ -60,6 +60,8 @@
 		/** Processors of the entry's VM in thousandths; left out by versions that did not record it. */
 		processorsMilli: z.optional(countSchema),
 	}),
+	/** The writer bounds the contact of agents: it withdraws only after this time without a message, and neither grants leases nor answers in contact from then on. */
+	z.strictObject({kind: z.literal('entry-bounds-contact'), withdrawsAfterMs: timeMsSchema}),
 	/** A heartbeat; the writer had applied all records through `appliedOffset`. */
 	z.strictObject({kind: z.literal('entry-alive'), appliedOffset: z.int().min(-1)}),
 	z.strictObject({
@@ -82,6 +84,8 @@
 		/** The agent reports its worker as lost: the worker's tasks have certainly stopped. */
 		workerLost: z.literal(true).optional(),
 	}),
+	/** The agent stops leased tasks this long after the sending of its newest heartbeat that was answered in contact. */
+	agentSchema.extend({kind: z.literal('vm-bounds-contact'), limitMs: timeMsSchema}),
 	/** The worker announced that it will stop. The VM accepts no new tasks; long-running tasks and those with checkpoints are evicted. */
 	agentSchema.extend({kind: z.literal('vm-leaving')}),
 	agentSchema.extend({kind: z.literal('vm-unreachable')}),
--- a/src/cluster/cluster-state-codec.ts
+++ b/src/cluster/cluster-state-codec.ts
@@ -10,12 +10,13 @@
 import {checkClusterState} from './check-cluster-state.js';
 import {scoreInputsSchema} from './cluster-record.js';
 import {
-	type BackendServer, type ClusterState, type Task, type TaskClaim, type Vm,
+	type BackendServer, type ClusterState, type EntryMember, type Task, type TaskClaim, type Vm,
 } from './cluster-state.js';
 import {
 	priorityClassSchema, requestLimitsSchema, serviceSchema, weightsSchema,
 } from './intent.js';
 import {type Resources} from './resources.js';
+import {unboundedContact, type VmContact} from './vm-contact.js';
 import {addVmOffer, type VmOffer} from './vm-offer.js';
 import {workflowSchema} from './workflow.js';
 
@@ -80,6 +81,10 @@
 	labels: strings,
 	workerStartedAtMs: timeMsSchema,
 	heardBy: strings,
+	/** Missing in snapshots of versions that did not store it. */
+	contact: z.object({
+		isBounded: z.boolean(), limitMs: z.optional(timeMsSchema), silenceMs: z.optional(timeMsSchema), withdrawnOffset: offset.optional(), endedOffset: offset.optional(),
+	}).default(unboundedContact),
 	taskIds: strings,
 	backendServerIds: strings,
 	waitingTaskIds: strings,
@@ -105,6 +110,7 @@
 	entries: z.array(z.object({
 		entryId: z.string(), incarnation: z.string(), failureDomain: z.string(), operatorAddress: z.string(), processorsMilli: countSchema, lastOffset: offset, appliedOffset: offset,
 		readLag: z.object({unreadOffsets: z.array(offset).readonly(), isBehind: z.boolean()}).optional(),
+		withdrawsAfterMs: z.optional(timeMsSchema),
 	})),
 	endedIncarnations: strings,
 	sequences: z.array(z.tuple([z.string(), total])),
@@ -283,6 +289,18 @@
 	}];
 }
 
+const packMember = ({readLag, withdrawsAfterMs, ...member}: EntryMember): EncodedClusterState['entries'][number] => ({
+	...member, ...(readLag && {readLag}), ...(withdrawsAfterMs !== undefined && {withdrawsAfterMs}),
+});
+
+const packContact = ({isBounded, limitMs, silenceMs, withdrawnOffset, endedOffset}: VmContact): EncodedClusterState['vms'][number]['contact'] => ({
+	isBounded,
+	...(limitMs !== undefined && {limitMs}),
+	...(silenceMs !== undefined && {silenceMs}),
+	...(withdrawnOffset !== undefined && {withdrawnOffset}),
+	...(endedOffset !== undefined && {endedOffset}),
+});
+
 const packVm = (value: Vm): EncodedClusterState['vms'][number] => ({
 	...value,
 	formerAgentIncarnations: [...value.formerAgentIncarnations],
@@ -290,6 +308,7 @@
 	capacity: packResources(value.capacity),
 	committed: packResources(value.committed),
 	heardBy: sorted(value.heardBy),
+	contact: packContact(value.contact),
 	taskIds: sorted(value.taskIds),
 	backendServerIds: sorted(value.backendServerIds),
 	waitingTaskIds: [...value.waitingTaskIds],
@@ -331,7 +350,7 @@
 	return {
 		version: VERSION,
 		offset: state.offset,
-		entries: sortedValues(state.entries),
+		entries: sortedValues(state.entries).map(member => packMember(member)),
 		endedIncarnations: [...state.endedIncarnations],
 		sequences: sortedEntries(state.sequences),
 		vms: sortedValues(state.vms).map(value => packVm(value)),
--- a/src/cluster/cluster-state.ts
+++ b/src/cluster/cluster-state.ts
@@ -7,6 +7,7 @@
 } from './intent.js';
 import {type ReadLag} from './read-lag.js';
 import {type Resources} from './resources.js';
+import {type VmContact} from './vm-contact.js';
 import {type VmOffer} from './vm-offer.js';
 import {type TaskPosition, type Workflow} from './workflow.js';
 
@@ -24,6 +25,11 @@
 	appliedOffset: number;
 	/** How far the entry lags behind the log, as shown by its heartbeats; left out before the first heartbeat and in snapshots of versions that did not store it. */
 	readLag?: ReadLag;
+	/**
+	Time without a message after which this entry withdraws from hearing an agent. It then neither grants the agent leases nor answers it in contact until the log
+	lists it as hearing the agent again. Left out by versions that did not do so.
+	*/
+	withdrawsAfterMs?: number | undefined;
 }>;
 
 /** `live`: accepts work; `revoked`: its leases are not renewed; `expired`: its leases have certainly expired, so none of its leased tasks runs. */
@@ -57,6 +63,7 @@
 	workerStartedAtMs: number;
 	/** Incarnations of the entries that receive the agent's messages. */
 	heardBy: Set<string>;
+	contact: VmContact;
 	/** Tasks whose current attempt is claimed for this VM and has not ended. */
 	taskIds: Set<string>;
 	backendServerIds: Set<string>;
--- a/src/cluster/entry-handlers.ts
+++ b/src/cluster/entry-handlers.ts
@@ -2,12 +2,14 @@
 import {noReadLag, recordEntryHeartbeat} from './read-lag.js';
 import {type RecordHandlers} from './record-handler.js';
 import {MAX_ENDED_INCARNATIONS} from './state-limits.js';
+import {removeEndedHearer} from './vm-contact.js';
 
 /** Processors of an entry whose version does not record them, in thousandths. */
 const defaultProcessorsMilli = 1000;
 
 /** Ends an entry's incarnation. Its later records are ignored, and it no longer counts as an entry that receives messages of agents. */
-function endIncarnation(state: ClusterState, incarnation: string): ClusterState {
+function endIncarnation(state: ClusterState, incarnation: string, offset: number): ClusterState {
+	const member = state.entries.get(incarnation);
 	const ended = state.endedIncarnations.add(incarnation);
 	return {
 		...state,
@@ -16,8 +18,9 @@
 		endedIncarnations: ended.size > MAX_ENDED_INCARNATIONS ? ended.delete(ended.first()!) : ended,
 		vms: state.vms.withMutations(vms => {
 			for (const vm of state.vms.values()) {
-				if (vm.heardBy.has(incarnation)) {
-					vms.set(vm.vmId, {...vm, heardBy: vm.heardBy.delete(incarnation)});
+				const next = member ? removeEndedHearer(vm, member, offset) : vm;
+				if (next !== vm) {
+					vms.set(vm.vmId, next);
 				}
 			}
 		}),
@@ -25,7 +28,7 @@
 }
 
 /** Handlers of records about the entries themselves. */
-export const entryHandlers: RecordHandlers<'entry-registered' | 'entry-alive' | 'entry-ended'> = {
+export const entryHandlers: RecordHandlers<'entry-registered' | 'entry-bounds-contact' | 'entry-alive' | 'entry-ended'> = {
 	'entry-registered'(state, record, {offset, writerIncarnation}) {
 		if (state.entries.has(writerIncarnation)) {
 			return state;
@@ -35,7 +38,7 @@
 		let next = state;
 		for (const former of state.entries.values()) {
 			if (former.entryId === record.entryId) {
-				next = endIncarnation(next, former.incarnation);
+				next = endIncarnation(next, former.incarnation, offset);
 			}
 		}
 
@@ -52,6 +55,10 @@
 			}),
 		};
 	},
+	'entry-bounds-contact'(state, {withdrawsAfterMs}, {writerIncarnation}) {
+		const member = state.entries.get(writerIncarnation);
+		return member ? {...state, entries: state.entries.set(writerIncarnation, {...member, withdrawsAfterMs})} : state;
+	},
 	'entry-alive'(state, {appliedOffset}, {offset, writerIncarnation}) {
 		const member = state.entries.get(writerIncarnation);
 		return member
@@ -63,7 +70,7 @@
 			}
 			: state;
 	},
-	'entry-ended'(state, record) {
-		return state.endedIncarnations.has(record.incarnation) ? state : endIncarnation(state, record.incarnation);
+	'entry-ended'(state, record, {offset}) {
+		return state.endedIncarnations.has(record.incarnation) ? state : endIncarnation(state, record.incarnation, offset);
 	},
 };
--- a/src/cluster/random-log.ts
+++ b/src/cluster/random-log.ts
@@ -9,6 +9,7 @@
 
 const commandKinds = [
 	'register-vm',
+	'bound-contact',
 	'unreachable',
 	'reachable',
 	'revoke',
@@ -120,6 +121,7 @@
 						.map(taskId => ({taskId, attempt: state.tasks.get(taskId)?.attempt ?? 1})),
 				}),
 		}),
+		'bound-contact': () => ({kind: 'vm-bounds-contact', ...agent, limitMs: 1000 * (c % 8)}),
 		unreachable: () => ({kind: 'vm-unreachable', ...agent}),
 		reachable: () => ({kind: 'vm-reachable', ...agent}),
 		revoke: () => ({kind: 'vm-revoked', ...agent, reason: 'test'}),
@@ -209,6 +211,10 @@
 		write(writer, {
 			kind: 'entry-registered', entryId: `entry-${writer}`, failureDomain: 'domain-0', operatorAddress: '127.0.0.1:7001',
 		});
+		// The third entry is of a version that does not bound the contact.
+		if (writer < 2) {
+			write(writer, {kind: 'entry-bounds-contact', withdrawsAfterMs: 1000 * (writer + 1)});
+		}
 	}
 
 	const start = ['register-vm', 'submit', 'submit'] as const;
--- a/src/cluster/vm-handlers.ts
+++ b/src/cluster/vm-handlers.ts
@@ -8,6 +8,7 @@
 import {addResources, fitsInto, noResources} from './resources.js';
 import {MAX_EXPIRED_VMS, MAX_FORMER_INCARNATIONS} from './state-limits.js';
 import {evictTask, handleLostAttempt} from './task-transitions.js';
+import {newContact, unboundedContact, withdrawHearer} from './vm-contact.js';
 import {addVmOffer} from './vm-offer.js';
 import {stepOf} from './workflow-progress.js';
 
@@ -130,6 +131,7 @@
 		labels: description.labels ?? [],
 		workerStartedAtMs: description.workerStartedAtMs ?? 0,
 		heardBy: immutableSet([writerIncarnation]),
+		contact: newContact,
 		taskIds: reconciled.vms.get(record.vmId)?.taskIds ?? immutableSet(),
 		backendServerIds: immutableSet(),
 		waitingTaskIds: [],
@@ -196,7 +198,7 @@
 
 /** Handlers of records about VMs and their agents. */
 export const vmHandlers: RecordHandlers<
-	'vm-registered' | 'vm-leaving' | 'vm-unreachable' | 'vm-reachable' | 'vm-revoked' | 'vm-lease-expired' | 'vm-quarantined' | 'vm-unquarantined'
+	'vm-registered' | 'vm-bounds-contact' | 'vm-leaving' | 'vm-unreachable' | 'vm-reachable' | 'vm-revoked' | 'vm-lease-expired' | 'vm-quarantined' | 'vm-unquarantined'
 > = {
 	'vm-registered'(state, record, context) {
 		const {offset} = context;
@@ -207,9 +209,16 @@
 		}
 
 		return former && mayStillRunTasks(state, former, record)
-			? revokeVm(state, former, 'another worker registered under the name of the VM', offset)
+			// The entries have not withdrawn, so nothing bounds the contact of the former incarnation.
+			? revokeVm(state, {...former, contact: unboundedContact}, 'another worker registered under the name of the VM', offset)
 			: registerIncarnation(state, record, former, context);
 	},
+	'vm-bounds-contact'(state, record) {
+		const vm = vmOfCurrentAgent(state, record);
+		return vm?.phase === 'live' && vm.contact.isBounded && vm.contact.limitMs === undefined
+			? {...state, vms: state.vms.set(vm.vmId, {...vm, contact: {...vm.contact, limitMs: record.limitMs}})}
+			: state;
+	},
 	'vm-leaving'(state, record, {offset}) {
 		const vm = vmOfCurrentAgent(state, record);
 		if (!vm || vm.leaving) {
@@ -228,10 +237,10 @@
 
 		return next;
 	},
-	'vm-unreachable'(state, record, {writerIncarnation}) {
+	'vm-unreachable'(state, record, {offset, writerIncarnation}) {
 		const vm = vmOfCurrentAgent(state, record);
 		return vm
-			? {...state, vms: state.vms.set(vm.vmId, {...vm, heardBy: vm.heardBy.delete(writerIncarnation)})}
+			? {...state, vms: state.vms.set(vm.vmId, withdrawHearer(vm, state.entries.get(writerIncarnation) ?? {incarnation: writerIncarnation}, offset))}
 			: state;
 	},
 	'vm-reachable'(state, record, {writerIncarnation}) {
--- a/src/entry/reduce-agent-event.ts
+++ b/src/entry/reduce-agent-event.ts
@@ -8,7 +8,7 @@
 import {recordsForBackendServers} from '../dispatch/backend-server-relay.js';
 import {acknowledgeTaskEvents, relayTaskEvents} from '../dispatch/task-event-relay.js';
 import {type Heartbeat, type Hello} from '../generated/arbutushinge/v1/agent_pb.js';
-import {answerHeartbeat} from '../membership/lease-grant.js';
+import {answerHeartbeat, grantFirstLease} from '../membership/lease-grant.js';
 import {recordAgentMessage} from '../membership/vm-liveness.js';
 import {observeUsage} from '../placement/observe-usage.js';
 import {type EntrySettings} from '../settings/entry-settings.js';
@@ -107,6 +107,30 @@
 	return {state: next, effects};
 }
 
+/**
+Grants a lease to the agents whose registration was just read, before the commands that need one.
+
+@param before the log as it was read before; all that was read since was appended after `tailSentAtMs`.
+
+@example
+grantFirstLeases(state, {cluster, tailSentAtMs: 2000}, inputs, settings);
+*/
+export function grantFirstLeases(
+	state: EntryState,
+	before: Readonly<{cluster: EntryState['cluster']; tailSentAtMs: number}>,
+	inputs: EventInputs,
+	settings: EntrySettings,
+): ControlTransition {
+	const context = contextOf(state, inputs, settings);
+	const effects = [...state.links.values()].flatMap(({vmId, agentIncarnation, heartbeatSequence}) => {
+		const isNew = state.cluster.vms.get(vmId)?.agentIncarnation === agentIncarnation && before.cluster.vms.get(vmId)?.agentIncarnation !== agentIncarnation;
+		return isNew && heartbeatSequence !== undefined
+			? grantFirstLease({vmId, agentIncarnation, sequence: heartbeatSequence}, {context, tailSentBeforeMs: before.tailSentAtMs})
+			: [];
+	});
+	return {state, effects};
+}
+
 /**
 Sends the commands for the given tasks, by VM, and acknowledges the task events that the cluster state now reflects. Sufficient
 after a page whose records only claim, start or end attempts.
@@ -204,7 +228,7 @@
 	const refreshed = refreshLink({...withLink(state, updatedLink), vmLiveness, placement}, updatedLink, context);
 	const answers = answerHeartbeat(
 		{vmId: link.vmId, agentIncarnation: link.agentIncarnation, sequence: heartbeat.sequence},
-		context,
+		{context, vmLiveness},
 	);
 	return {state: refreshed.state, effects: [...answers, ...refreshed.effects]};
 }
@@ -259,7 +283,13 @@
 				...(hello.workerLost && {workerLost: true as const}),
 				...(hello.service !== '' && {service: hello.service, labels: hello.labels, workerStartedAtMs: Number(hello.workerStartedAtMs)}),
 			},
-		}],
+		}, ...(hello.contactLimitMs > 0
+			? [{
+				kind: 'append-record', record: {
+					kind: 'vm-bounds-contact', vmId: hello.vmId, agentIncarnation: hello.agentIncarnation, limitMs: hello.contactLimitMs,
+				},
+			} satisfies ControlEffect]
+			: [])],
 	};
 }
 
@@ -267,12 +297,7 @@
 	const isRegistered = context.cluster.vms.get(link.vmId)?.agentIncarnation === link.agentIncarnation;
 	return link.isHelloChecked || !isRegistered
 		? {link, effects: []}
-		: {link: {...link, isHelloChecked: true}, effects: [...grantFirstLease(link, context), ...cancelUnclaimedTasks(link, context), ...sendClaimedTraits(link, context)]};
-}
-
-/** Answers the last heartbeat again: before the registration it was answered without a lease, and tasks may be placed on the VM from now on. */
-function grantFirstLease({vmId, agentIncarnation, heartbeatSequence}: AgentLink, context: EntryContext): readonly ControlEffect[] {
-	return heartbeatSequence === undefined ? [] : answerHeartbeat({vmId, agentIncarnation, sequence: heartbeatSequence}, context);
+		: {link: {...link, isHelloChecked: true}, effects: [...cancelUnclaimedTasks(link, context), ...sendClaimedTraits(link, context)]};
 }
 
 function reportLeavingWorker(state: EntryState, link: AgentLink, context: EntryContext): ControlTransition {
--- a/src/entry/reduce-entry.ts
+++ b/src/entry/reduce-entry.ts
@@ -12,7 +12,7 @@
 import {reduceRequests} from '../requests/reduce-requests.js';
 import {type EntrySettings} from '../settings/entry-settings.js';
 import {
-	startAndAcknowledgeTasks, linkOf, reduceAgentEvent, refreshLinks,
+	grantFirstLeases, startAndAcknowledgeTasks, linkOf, reduceAgentEvent, refreshLinks,
 } from './reduce-agent-event.js';
 import {requestDeferredAnswer, resolveDeferredAnswers} from './deferred-answers.js';
 import {type EntryContext} from './entry-context.js';
@@ -133,13 +133,13 @@
 		},
 		effects: [],
 	};
-	return runParts(applied, event.records.length > 0 ? [...readBackParts(event, before, inputs, settings), ...tailParts(event, inputs, settings)] : tailParts(event, inputs, settings), inputs);
+	return runParts(applied, event.records.length > 0 ? [...readBackParts(event, {cluster: before, tailSentAtMs: state.log.tailConfirmedSentAtMs}, inputs, settings), ...tailParts(event, inputs, settings)] : tailParts(event, inputs, settings), inputs);
 }
 
 /** Returns the parts that follow the records of a page. */
 function readBackParts(
 	event: Extract<EntryEvent, {kind: 'log-page'}>,
-	before: EntryState['cluster'],
+	{cluster: before, tailSentAtMs}: Readonly<{cluster: EntryState['cluster']; tailSentAtMs: number}>,
 	inputs: EventInputs,
 	settings: EntrySettings,
 ): readonly Part[] {
@@ -152,6 +152,7 @@
 		})],
 		['timeline', state => ({state, effects: recordTimeline(event.records, before, state.cluster, state.incarnation)})],
 		['failed-jobs', state => ({state, effects: logFailedJobs(event.records, {before, after: state.cluster}, state.incarnation)})],
+		['first-leases', state => grantFirstLeases(state, {cluster: before, tailSentAtMs}, inputs, settings)],
 		['agent-commands', state => commandAgents(state, {event, before}, inputs, settings)],
 		['deferred-answers', state => resolveDeferred(state, inputs, settings)],
 		['requests', state => withRequest(state, {kind: 'cluster-advanced', readBackKeyHashes: ownKeyHashes(event, state.incarnation)}, inputs, settings)],
--- a/src/invariants.test.ts
+++ b/src/invariants.test.ts
@@ -5,6 +5,7 @@
 import type {AgentEvent, AgentEventKind, AgentEventPayloads} from './agent/agent-event.js';
 import {initialAgentState, type AgentState} from './agent/agent-state.js';
 import {reduceAgent} from './agent/reduce-agent.js';
+import {isLeaseLive} from './agent/lease.js';
 import type {ClusterState} from './cluster/cluster-state.js';
 import {computePlan} from './cluster/compute-plan.js';
 import type {Intent, Job} from './cluster/intent.js';
@@ -16,6 +17,7 @@
 import type {EntryEvent} from './entry/entry-event.js';
 import {initialEntryState, type EntryState} from './entry/entry-state.js';
 import {checkClusterState} from './cluster/check-cluster-state.js';
+import {applyRecord, emptyClusterState} from './cluster/reduce-cluster.js';
 import {reduceEntry} from './entry/reduce-entry.js';
 import {AgentMessageSchema, EntryMessageSchema} from './generated/arbutushinge/v1/agent_pb.js';
 import type {LogEnvelope} from './log/log-envelope.js';
@@ -31,6 +33,9 @@
 
 const entryAddresses = ['127.0.0.1:1', '127.0.0.1:2'];
 
+/** Limits of the agents' contact; the last is far beyond the leases, as of an agent without one. */
+const contactLimitsMs = [2500, 4000, 60_000];
+
 const service = {
 	service: 's', teamId: 'team', latencyTargetMs: 100, demandPerBackendServer: {processorsMilli: 1000, memoryMb: 64, accelerators: 0},
 };
@@ -70,6 +75,8 @@
 	inFlight: LogEnvelope[];
 	isReading: boolean;
 	cutFromLog: boolean;
+	/** Grants leases as versions did that did not bound the contact. */
+	isEarlierVersion: boolean;
 };
 
 type Run = {taskId: string; attempt: number; vmId: string; incarnations: Set<string>; phase: WorkerTask['phase']; checkpoint: string};
@@ -116,15 +123,18 @@
 	readonly replies = new Map<string, Reply>();
 	readonly accepted = new Map<string, Job>();
 	jobs: Job[] = [];
+	/** VMs whose tasks were freed, by whether the agent then held no lease because of its limit of contact alone. */
+	readonly freed = {sooner: 0, all: 0};
 	#ids = 0;
+	#applied: ClusterState = emptyClusterState;
 
-	constructor() {
+	constructor(earlierVersion?: number) {
 		// Each process has its own clock; their rates differ by less than the lease's margin allows.
 		this.entries = entryAddresses.map((agentAddress, index) => this.#startEntry(entrySettingsSchema.parse({
 			role: 'entry', entryId: `entry-${index + 1}`, failureDomain: 'a', callerAddress: '127.0.0.1:3', operatorAddress: '127.0.0.1:4', agentAddress, operatorTokenFile: 'token', logServiceUrl: 'http://127.0.0.1:5', timings: {
-				entryHeartbeatMs: 500, entryTimeoutMs: 2000, heartbeatTimeoutMs: 1000, leaseDurationMs: 3000, logFreshnessMs: 800, leaseMarginMs: 300,
+				entryHeartbeatMs: 500, entryTimeoutMs: 2000, heartbeatTimeoutMs: 1000, leaseDurationMs: 6000, logFreshnessMs: 800, leaseMarginMs: 300,
 			},
-		}), new Process(() => (this.nowMs * (index === 0 ? 1.02 : 0.99)) + (index * 77_000))));
+		}), new Process(() => (this.nowMs * (index === 0 ? 1.02 : 0.99)) + (index * 77_000)), index === earlierVersion));
 		this.vms = [0, 1, 2].map(index => {
 			const clock = () => (this.nowMs * (1 + (index / 100))) + (index * 5000);
 			return {
@@ -162,6 +172,7 @@
 			this.#advanceAgent(vm);
 		}
 
+		this.#checkFreedTasks();
 		this.#checkCapacities();
 	}
 
@@ -225,7 +236,7 @@
 	restartKilled(): void {
 		for (const [index, entry] of this.entries.entries()) {
 			if (!entry.process.alive) {
-				this.entries[index] = this.#startEntry(entry.settings, new Process(entry.process.clock));
+				this.entries[index] = this.#startEntry(entry.settings, new Process(entry.process.clock), entry.isEarlierVersion);
 			}
 		}
 
@@ -302,15 +313,15 @@
 			.map(task => `${task.spec.taskId} is ${task.phase}`));
 	}
 
-	#startEntry(settings: Entry['settings'], process: Process): Entry {
+	#startEntry(settings: Entry['settings'], process: Process, isEarlierVersion: boolean): Entry {
 		return {
-			process, settings, state: initialEntryState(this.id('e')), sequence: 0, waiting: [], inFlight: [], isReading: false, cutFromLog: false,
+			process, settings, state: initialEntryState(this.id('e')), sequence: 0, waiting: [], inFlight: [], isReading: false, cutFromLog: false, isEarlierVersion,
 		};
 	}
 
 	#agentState(index: number): AgentState {
 		return initialAgentState(agentSettingsSchema.parse({
-			role: 'agent', vmId: `vm-${index + 1}`, failureDomain: `domain-${index + 1}`, rack: 'r', requestAddress: `127.0.0.1:1${index}`, entryAddresses, workerUrl: 'http://127.0.0.1:6', guards: {enabled: false},
+			role: 'agent', vmId: `vm-${index + 1}`, failureDomain: `domain-${index + 1}`, rack: 'r', requestAddress: `127.0.0.1:1${index}`, entryAddresses, workerUrl: 'http://127.0.0.1:6', guards: {enabled: false}, timings: {contactLimitMs: contactLimitsMs[index]},
 		}), this.id('a'));
 	}
 
@@ -403,6 +414,10 @@
 	#executeEntry(entry: Entry, effect: EntryEffect): void {
 		switch (effect.kind) {
 			case 'append-record': {
+				if (entry.isEarlierVersion && effect.record.kind === 'entry-bounds-contact') {
+					break;
+				}
+
 				entry.sequence += 1;
 				entry.waiting.push({
 					writer: entry.settings.entryId, incarnation: entry.state.incarnation, sequence: entry.sequence, record: effect.record,
@@ -419,9 +434,10 @@
 				const vmIndex = this.vms.findIndex(({vmId}) => vmId === effect.vmId);
 				const vm = this.vms[vmIndex]!;
 				const link = this.links[vmIndex]![this.entries.indexOf(entry)];
-				this.commands.push({vm, command: effect.command});
+				const command = entry.isEarlierVersion ? this.#earlierCommand(entry, vm, effect.command) : effect.command;
+				this.commands.push({vm, command});
 				link?.toAgent.push(() => {
-					this.#deliverCommand(vm, entry.settings.agentAddress, effect.command);
+					this.#deliverCommand(vm, entry.settings.agentAddress, command);
 				});
 				break;
 			}
@@ -465,6 +481,18 @@
 		}
 	}
 
+	#earlierCommand({state, settings: {timings}, process}: Entry, {vmId}: Vm, command: AgentCommand): AgentCommand {
+		if (command.case !== 'leaseGrant') {
+			return command;
+		}
+
+		const mayGrant = state.cluster.entries.has(state.incarnation)
+			&& process.clock() - state.log.tailConfirmedSentAtMs <= timings.logFreshnessMs
+			&& state.cluster.vms.get(vmId)?.phase === 'live'
+			&& state.cluster.vms.get(vmId)?.agentIncarnation === state.links.get(vmId)?.agentIncarnation;
+		return {case: 'leaseGrant', value: {heartbeatSequence: command.value.heartbeatSequence, durationMs: mayGrant ? timings.leaseDurationMs : 0}};
+	}
+
 	#forward(entry: Entry, effect: Extract<EntryEffect, {kind: 'forward-request'}>): void {
 		const vmIndex = this.vms.findIndex(({vmId}) => vmId === effect.vmId);
 		const vm = this.vms[vmIndex]!;
@@ -723,6 +751,26 @@
 		}
 	}
 
+	/** Checks, at the moment when the log frees the tasks of a VM, that nothing on it may run them any more. */
+	#checkFreedTasks(): void {
+		for (const [index, envelope] of this.log.slice(this.#applied.offset + 1).entries()) {
+			const before = this.#applied;
+			this.#applied = applyRecord(before, {offset: before.offset + 1, envelope});
+			const {record} = envelope;
+			if (record.kind !== 'vm-lease-expired' || before.vms.get(record.vmId)?.phase !== 'revoked' || this.#applied.vms.get(record.vmId)?.phase !== 'expired') {
+				continue;
+			}
+
+			const vm = this.vms.find(({vmId}) => vmId === record.vmId)!;
+			const nowMs = vm.process.clock();
+			const {incarnation, lease} = vm.state;
+			ensure(incarnation !== record.agentIncarnation || !vm.process.alive || !isLeaseLive(lease, nowMs), `the tasks of ${vm.vmId} are free while its agent holds a lease (${index})`);
+			ensure([...vm.worker.values()].every(({phase}) => phase !== 'running'), `the tasks of ${vm.vmId} are free while its worker runs one`);
+			this.freed.all++;
+			this.freed.sooner += (lease.grantedUntilMs ?? 0) > nowMs ? 1 : 0;
+		}
+	}
+
 	#checkCapacities(): void {
 		for (const vm of this.vms) {
 			let sum = vm.state.ledger.holders.get(`backend-server/b-${vm.vmId}`) ?? noResources;
@@ -861,9 +909,10 @@
 /** Guards against broken invariants under every fault that the harness can simulate at the reducers' interfaces, alone and combined. */
 test('no sequence of faults breaks an invariant, and every task that can run ends after the faults', t => {
 	let finished = 0;
+	const freed = {sooner: 0, all: 0};
 	t.notThrows(() => {
-		fc.assert(fc.property(fc.array(actions, {minLength: 20, maxLength: 60}), list => {
-			const fleet = new Fleet();
+		fc.assert(fc.property(fc.array(actions, {minLength: 20, maxLength: 60}), fc.constantFrom(undefined, undefined, undefined, 0, 1), (list, earlierVersion) => {
+			const fleet = new Fleet(earlierVersion);
 			advanceBy(fleet, 8);
 			fleet.confirm(0, {kind: 'admit-service', service});
 			advanceBy(fleet, 8);
@@ -889,8 +938,11 @@
 			}
 
 			finished += fleet.runs.filter(run => run.phase === 'finished').length;
+			freed.all += fleet.freed.all;
+			freed.sooner += fleet.freed.sooner;
 		}), {includeErrorInReport: true});
 	});
-	t.log({finished});
+	t.log({finished, ...freed});
 	t.true(finished > 0);
+	t.true(freed.all > 0);
 });
--- a/src/membership/entry-liveness.ts
+++ b/src/membership/entry-liveness.ts
@@ -66,7 +66,7 @@
 				operatorAddress: settings.operatorAddress,
 				processorsMilli: processorsMilliOf(settings),
 			},
-		}],
+		}, {kind: 'append-record', record: {kind: 'entry-bounds-contact', withdrawsAfterMs: settings.timings.heartbeatTimeoutMs}}],
 	};
 }
 
--- a/src/membership/vm-liveness.test.ts
+++ b/src/membership/vm-liveness.test.ts
@@ -4,7 +4,9 @@
 import {type EntryContext} from '../entry/entry-context.js';
 import {emptyStateFixture, vmFixture} from '../operator/state-fixture.js';
 import {entrySettingsSchema} from '../settings/entry-settings.js';
-import {initialVmLiveness, recordAgentMessage, tickVmLiveness} from './vm-liveness.js';
+import {
+	hasWithdrawn, initialVmLiveness, recordAgentMessage, tickVmLiveness,
+} from './vm-liveness.js';
 
 const settings = entrySettingsSchema.parse({
 	role: 'entry', entryId: 'e1', failureDomain: 'a', callerAddress: '127.0.0.1:1', operatorAddress: '127.0.0.1:2', agentAddress: '127.0.0.1:3',
@@ -86,3 +88,24 @@
 		t.deepEqual(transition.effects, []);
 	}
 });
+
+test('a withdrawal stands until it is read back and a report follows it, although the agent is heard again meanwhile', t => {
+	const {vmId, agentIncarnation} = vmFixture;
+	const kindsAt = (nowMs: number, heardBy: readonly string[]): readonly string[] => {
+		const transition = tickVmLiveness(state, contextAt(nowMs, heardBy));
+		state = transition.state;
+		return transition.effects.map(effect => effect.kind === 'append-record' ? effect.record.kind : effect.kind);
+	};
+
+	let state = reachableState;
+	for (let nowMs = 1250; nowMs <= 4000; nowMs += 250) {
+		t.deepEqual(kindsAt(nowMs, ['own']), []);
+	}
+
+	t.deepEqual(kindsAt(4250, ['own']), ['vm-unreachable']);
+	state = recordAgentMessage(state, vmId, agentIncarnation, 4300);
+	t.deepEqual(kindsAt(4500, ['own']), []);
+	t.true(hasWithdrawn(state, vmId, agentIncarnation));
+	t.deepEqual(kindsAt(4750, []), ['vm-reachable']);
+	t.false(hasWithdrawn(state, vmId, agentIncarnation));
+});
--- a/src/membership/vm-liveness.ts
+++ b/src/membership/vm-liveness.ts
@@ -5,6 +5,7 @@
 } from '../entry/append-guard.js';
 import {type ControlEffect, type Transition} from '../entry/control-effect.js';
 import {type EntryContext, isLogFresh} from '../entry/entry-context.js';
+import {type ContactObservations, leaseExpiry, observeContact} from './lease-expiry.js';
 
 /**
 Time between the moment when no entry reports an agent as reachable and the revocation of its VM. Within it, an agent that lost its entry opens a
@@ -20,13 +21,16 @@
 	unreachable: Map<string, Readonly<{agentIncarnation: string; sinceMs: number}>>;
 	/** When this entry read the revocation of each agent incarnation. */
 	revoked: Map<string, Readonly<{agentIncarnation: string; readAtMs: number}>>;
+	/** Agent incarnation by VM from this entry's `vm-unreachable` until its next `vm-reachable`, which it writes only after it has read the first one back. */
+	withdrawn: Map<string, string>;
+	contacts: ContactObservations;
 	guard: AppendGuard;
 	/** Time of the last tick; missing before the first. */
 	tickedAtMs: number | undefined;
 }>;
 
 export const initialVmLiveness: VmLivenessState = {
-	lastSeen: Map(), unreachable: Map(), revoked: Map(), guard: emptyAppendGuard, tickedAtMs: undefined,
+	lastSeen: Map(), unreachable: Map(), revoked: Map(), withdrawn: Map(), contacts: Map(), guard: emptyAppendGuard, tickedAtMs: undefined,
 };
 
 /** A longer interval between ticks, which are 250 ms apart, is a pause of this entry: messages may wait unread in its sockets. */
@@ -55,11 +59,21 @@
 	return {...state, lastSeen: state.lastSeen.set(vmId, {agentIncarnation, atMs: nowMs})};
 }
 
+/**
+Returns whether this entry has withdrawn from hearing an agent incarnation. From then on it must not extend the agent's lease.
+
+@example
+hasWithdrawn(initialVmLiveness, 'vm-1', 'f3a9…'); // => false
+*/
+export function hasWithdrawn({withdrawn}: VmLivenessState, vmId: string, agentIncarnation: string): boolean {
+	return withdrawn.get(vmId) === agentIncarnation;
+}
+
 type Observation = Readonly<{state: VmLivenessState; effects: ControlEffect[]}>;
 
 /**
 Writes records about the agents: which of them reach this entry, the revocation of VMs whose agents no entry receives messages of, and
-the expiry of their leases. The leases expire `logFreshnessMs` + `leaseDurationMs` + `leaseMarginMs` after this entry read the revocation.
+the expiry of their leases, by `leaseExpiry`.
 
 @example
 const {state, effects} = tickVmLiveness(initialVmLiveness, context);
@@ -83,7 +97,7 @@
 };
 
 function observeLiveVm(observation: Observation, vm: Vm, context: EntryContext): Observation {
-	const {state} = observation;
+	const state = {...observation.state, contacts: observeContact(observation.state.contacts, vm, context.nowMs)};
 	const {nowMs, incarnation, tailConfirmedSentAtMs, settings: {timings: {heartbeatTimeoutMs}}} = context;
 	const subject = {vmId: vm.vmId, agentIncarnation: vm.agentIncarnation};
 	const lastSeen = state.lastSeen.get(vm.vmId);
@@ -93,9 +107,18 @@
 		return {...observation, state: recordAgentMessage(state, vm.vmId, vm.agentIncarnation, nowMs)};
 	}
 
-	const isReachable = lastSeen?.agentIncarnation === vm.agentIncarnation && nowMs - lastSeen.atMs <= heartbeatTimeoutMs;
+	const isHeard = lastSeen?.agentIncarnation === vm.agentIncarnation && nowMs - lastSeen.atMs <= heartbeatTimeoutMs;
+	// A withdrawal stands until it is read back, since another entry may have acted on it by then.
+	const isReachable = isHeard && !(isReportedReachable && hasWithdrawn(state, vm.vmId, vm.agentIncarnation));
 	if (isReachable !== isReportedReachable) {
-		return append(observation, context, {kind: 'append-record', record: {kind: isReachable ? 'vm-reachable' : 'vm-unreachable', ...subject}});
+		const appended = append({...observation, state}, context, {kind: 'append-record', record: {kind: isReachable ? 'vm-reachable' : 'vm-unreachable', ...subject}});
+		return appended.effects.length === observation.effects.length
+			? appended
+			: {
+				...appended, state: {
+					...appended.state, withdrawn: isReachable ? appended.state.withdrawn.delete(vm.vmId) : appended.state.withdrawn.set(vm.vmId, vm.agentIncarnation),
+				},
+			};
 	}
 
 	if (!vm.heardBy.isEmpty()) {
@@ -109,30 +132,38 @@
 
 	// The last entry with a stream of the agent may have ended. Another one reports the agent within a tick; only a later read of the log shows that none did.
 	return tailConfirmedSentAtMs - unreachable.sinceMs < revocationDelayMs
-		? observation
-		: append(observation, context, {
+		? {...observation, state}
+		: append({...observation, state}, context, {
 			kind: 'append-record',
 			record: {kind: 'vm-revoked', ...subject, reason: 'no entry hears the agent'},
 		});
 }
 
 function observeRevokedVm(observation: Observation, vm: Vm, context: EntryContext): Observation {
-	const {timings} = context.settings;
-	const read = observation.state.revoked.get(vm.vmId);
-	if (read?.agentIncarnation !== vm.agentIncarnation) {
-		const revoked = observation.state.revoked.set(vm.vmId, {agentIncarnation: vm.agentIncarnation, readAtMs: context.nowMs});
-		return {...observation, state: {...observation.state, revoked}};
+	const {cluster, nowMs, settings: {timings}} = context;
+	const {vmId, agentIncarnation} = vm;
+	const state = {...observation.state, contacts: observeContact(observation.state.contacts, vm, nowMs)};
+	const read = state.revoked.get(vmId);
+	if (read?.agentIncarnation !== agentIncarnation) {
+		return {...observation, state: {...state, revoked: state.revoked.set(vmId, {agentIncarnation, readAtMs: nowMs})}};
 	}
 
-	const expiresAtMs = read.readAtMs + timings.logFreshnessMs + timings.leaseDurationMs + timings.leaseMarginMs;
-	if (context.nowMs < expiresAtMs) {
-		return observation;
+	const observed = state.contacts.get(vmId);
+	const {atMs, proof} = leaseExpiry(vm, {observed, revokedAtMs: read.readAtMs}, {cluster, timings});
+	if (nowMs < atMs) {
+		return {...observation, state};
 	}
 
-	return append(observation, context, {
-		kind: 'append-record',
-		record: {kind: 'vm-lease-expired', vmId: vm.vmId, agentIncarnation: vm.agentIncarnation},
-	});
+	const appended = append({...observation, state}, context, {kind: 'append-record', record: {kind: 'vm-lease-expired', vmId, agentIncarnation}});
+	return appended.effects.length === observation.effects.length
+		? appended
+		: {
+			...appended, effects: [...appended.effects, {
+				kind: 'log-event', level: 'info', event: 'vm-tasks-freed', fields: {
+					vmId, agentIncarnation, proof, revokedMs: Math.round(nowMs - read.readAtMs), silenceMs: vm.contact.silenceMs, limitMs: vm.contact.limitMs,
+				},
+			}],
+		};
 }
 
 function append(
--- a/src/operator/state-fixture.ts
+++ b/src/operator/state-fixture.ts
@@ -31,6 +31,7 @@
 	labels: [],
 	workerStartedAtMs: 0,
 	heardBy: ImmutableSet(['entry-1']),
+	contact: {isBounded: true},
 	taskIds: ImmutableSet(['task-1']),
 	backendServerIds: ImmutableSet(),
 	waitingTaskIds: [],
--- a/src/requests/request-fixture.ts
+++ b/src/requests/request-fixture.ts
@@ -35,6 +35,7 @@
 		labels: [],
 		workerStartedAtMs: 0,
 		heardBy: immutableSet(['entry-1']),
+		contact: {isBounded: true},
 		taskIds: immutableSet(),
 		backendServerIds: immutableSet(),
 		waitingTaskIds: [],
--- a/src/settings/agent-settings.ts
+++ b/src/settings/agent-settings.ts
@@ -30,6 +30,8 @@
 		drainTimeoutMs: z._default(z.int().check(z.minimum(100), z.maximum(maxDurationMs)), 30_000).check(z.describe('Longest wait for requests in flight at a stop')),
 		workerHoldMs: z._default(z.int().check(z.minimum(500), z.maximum(maxDurationMs)), 60_000)
 			.check(z.describe('Longest time for which the worker is told to run tasks without word from the agent; the lease bounds it as well')),
+		contactLimitMs: z._default(z.int().check(z.minimum(500), z.maximum(maxDurationMs)), 12_500)
+			.check(z.describe('S: how long leased tasks run from the sending of the newest heartbeat that an entry answered; several heartbeats and less than the entries\' D')),
 		workerTimeoutMs: z._default(z.int().check(z.minimum(200), z.maximum(maxDurationMs)), 10_000).check(z.describe('Silence of the worker after which its tasks are held no longer')),
 		usageLagMs: z._default(z.int().check(z.minimum(0), z.maximum(maxDurationMs)), 5000).check(z.describe('Expected lag of the worker\'s usage reports')),
 	})), {}),
