Prove the end of a worker before its agent stops

What callers would see: on the users' platform an executor that leaves is followed by SIGTERM to the agent on its VM. An agent that had not proved the end by then left its tasks claimed until the leases lapsed, 16 s, and tasks that last broke LOST.

Cause: with tasksAtStop=keep the stop finished as soon as the events were acknowledged. That the worker had announced its leaving, or refused connections, did not count, although nobody else can prove its end once the VM is gone. With tasksAtStop=checkpoint a worker that is lost during the stop had the same gap: the agent went before its registration without the worker was in the log.

Change: advanceStop, now in its own file, waits while tasks may still run and the worker leaves, has failed the newest poll or is silent; then until an entry grants the new incarnation a lease, which it does only once it has read the registration in the log; then for the acknowledgements, all of it within the new setting timings.workerEndTimeoutMs (4000; the platform's graceS is 6 s, and a stop is looked at once a second at worst). What counts as a proof is unchanged: refused polls a second apart, with no announcement for 2 s unless the executor leaves, or the end of the hold. Without a proof no task is freed. A worker that answers is not waited for, and neither is one that leaves with no task.

An agent stopped before its executor ends: one whose executor has announced that it leaves stays with it, up to the 4 s. Its heartbeat has announced the leaving, so that the log evicts what is long-running or checkpoints, and the stopping agent carries the evictions out and reports the ends. Evicting the rest as well was weighed and left: it would throw away work that may still end in time. If the executor has announced nothing and answers, a stop cannot be told from a restart, in which the tasks run on under the hold; that one stays as it is.

A restart within a second of the executor's end: the process that stops now brings the proof itself, while it still has the executor's last announcement and the series of refusals, so that the next one need not start from nothing. For a process that is killed it stays at 3 to 4 s (2 s without an announcement, then refusals a second apart). Letting the second of refusals run within the 2 s would save 1 s and asks for the same two observations; it was not done, because it changes what counts as a proof for every crash, and nothing measured asks for it.

Tests, failing before but for the one that guards the quick stop: advance-stop.test.ts (4 of 5 failed; the stop was finished at its own event, at 1000 of the test's clock) and agent-process.test.ts (the last hello had workerLost false). On the change they pass, with all tests of src/agent and src/settings and those of the executor.

--- a/src/agent/agent-process.test.ts
+++ b/src/agent/agent-process.test.ts
@@ -187,3 +187,36 @@
 	backendServer.closeAllConnections();
 	backendServer.close();
 });
+
+test('an agent that is stopped within a second of its worker\'s end registers without the worker before it goes', async t => {
+	const received: AgentMessage[] = [];
+	const entry = await openEntry(received);
+	t.teardown(entry.close);
+	const {worker} = memoryWorker();
+	let hasEnded = false;
+	const agent = await startAgent({
+		settings: agentSettingsSchema.parse({
+			role: 'agent', vmId: 'vm-1', failureDomain: 'a', rack: 'r1', requestAddress: '127.0.0.1:0', entryAddresses: [`127.0.0.1:${entry.port}`], workerUrl: 'http://127.0.0.1:1', tasksAtStop: 'keep', timings: {heartbeatMs: 50, workerPollMs: 50},
+		}),
+		eventLog: {
+			debug: nothing, info: nothing, warn: nothing, error: nothing,
+		},
+		metrics: {
+			increment: nothing, gauge: nothing, timingMs: nothing, close: async () => undefined,
+		},
+		timeline: {record: nothing, read: () => []},
+		worker: {
+			...worker,
+			listTasks: async () => hasEnded ? Result.err({kind: 'worker-gone', message: 'refused', remedy: ''}) : worker.listTasks(),
+		},
+	});
+	await until(() => received.some(({message}) => message.case === 'taskEvents' && message.value.events.some(event => event.outcome.case === 'started')));
+	hasEnded = true;
+	await until(() => received.some(({message}) => message.case === 'heartbeat' && message.value.workerSilent));
+	if (agent.isOk) {
+		await agent.value.stop();
+	}
+
+	const hellos = received.flatMap(({message}) => message.case === 'hello' ? [message.value] : []);
+	t.like(hellos.at(-1), {workerLost: true, runningTasks: []});
+});
--- a/src/agent/reduce-agent.ts
+++ b/src/agent/reduce-agent.ts
@@ -2,6 +2,7 @@
 import type {AgentConfiguration, LeaseGrant} from '../generated/arbutushinge/v1/agent_pb.js';
 import {boundedText} from '../validation/bounded-text.js';
 import {isName} from '../validation/name.js';
+import {advanceStop} from './advance-stop.js';
 import {noResources} from './no-resources.js';
 import type {AgentEffect} from './agent-effect.js';
 import type {AgentEvent, AgentEventKind, AgentEventOf} from './agent-event.js';
@@ -34,9 +35,6 @@
 
 type StateUpdate = (state: AgentState) => Transition;
 
-/** Longest wait for entries to acknowledge the last task events at a graceful stop. */
-const acknowledgementTimeoutMs = 3000;
-
 /** Ends the incarnation: its run-once tasks are stopped before a new incarnation registers. */
 function endIncarnation(state: AgentState, nowMs: number, reason: string): Transition {
 	return chain(
@@ -208,39 +206,6 @@
 	};
 }
 
-/**
-Advances a graceful stop: waits for requests in flight, then stops run-once tasks, then waits for acknowledgements. When `tasksAtStop` is
-`keep`, no task is stopped.
-*/
-function advanceStop(nowMs: number): StateUpdate {
-	return state => {
-		const {stop} = state;
-		if (stop === undefined || stop.finished) {
-			return transition(state);
-		}
-
-		const {drainTimeoutMs} = state.settings.timings;
-		if (!stop.tasksStopped && state.settings.tasksAtStop === 'keep') {
-			const isDone = state.events.pending.size === 0 && !state.requests.some(request => request.runs);
-			return isDone || nowMs - stop.sinceMs >= acknowledgementTimeoutMs
-				? transition({...state, stop: {...stop, finished: true}}, {kind: 'finish-stop'})
-				: transition(state);
-		}
-
-		if (!stop.tasksStopped) {
-			return state.requests.some(request => request.runs) && nowMs - stop.sinceMs < drainTimeoutMs
-				? transition(state)
-				: checkpointRunOnceTasks({...state, stop: {...stop, tasksStopped: true, sinceMs: nowMs}}, 'the agent stops');
-		}
-
-		const isReported = !hasRunOnceTasks(state) && state.events.pending.size === 0;
-		const limitMs = hasRunOnceTasks(state) ? drainTimeoutMs : acknowledgementTimeoutMs;
-		return isReported || nowMs - stop.sinceMs >= limitMs
-			? transition({...state, stop: {...stop, finished: true}}, {kind: 'finish-stop'})
-			: transition(state);
-	};
-}
-
 /** Leaves a message without effect because a value is one that no entry sends. */
 function leaveOut(state: AgentState, message: string, fields: Readonly<Record<string, string | number>>): Transition {
 	return transition(state, {
--- a/src/agent/task-handlers.ts
+++ b/src/agent/task-handlers.ts
@@ -541,3 +541,12 @@
 	return state.tasks.some(task => isLive(task) && !task.latencyCritical);
 }
 
+/**
+Returns whether any attempt may still run on this VM.
+
+@example
+hasLiveTasks(state);
+*/
+export function hasLiveTasks(state: AgentState): boolean {
+	return state.tasks.some(task => isLive(task));
+}
--- a/src/agent/worker-view.ts
+++ b/src/agent/worker-view.ts
@@ -20,13 +20,15 @@
 	connectionRefused: Readonly<{sinceMs: number; untilMs: number}> | undefined;
 	/** Whether no connection was made for the newest poll. It says nothing of the worker's tasks. */
 	isUnreached: boolean;
+	/** Whether the newest poll returned no task list. */
+	isPollFailing: boolean;
 	/** Whether the worker is lost: its tasks have certainly stopped, and it has sent no list since. */
 	lost: boolean;
 }>;
 
 /** A worker that has not listed its tasks yet. */
 export const initialWorkerView: WorkerView = {
-	incarnation: '', service: '', labels: [], rack: '', startedAtMs: 0, leaving: false, lastSeenAtMs: Number.NEGATIVE_INFINITY, workerLeaseDeadlineMs: 0, connectionRefused: undefined, isUnreached: false, lost: false,
+	incarnation: '', service: '', labels: [], rack: '', startedAtMs: 0, leaving: false, lastSeenAtMs: Number.NEGATIVE_INFINITY, workerLeaseDeadlineMs: 0, connectionRefused: undefined, isUnreached: false, isPollFailing: false, lost: false,
 };
 
 /**
@@ -38,7 +40,7 @@
 export function recordWorkerList(worker: WorkerView, list: WorkerTasks, nowMs: number): WorkerView {
 	const {workerIncarnation, service = '', labels = [], rack = '', startedAtMs = 0, leaving = false} = list;
 	return {
-		...worker, incarnation: workerIncarnation, service, labels, rack, startedAtMs, leaving, lastSeenAtMs: nowMs, connectionRefused: undefined, isUnreached: false, lost: false,
+		...worker, incarnation: workerIncarnation, service, labels, rack, startedAtMs, leaving, lastSeenAtMs: nowMs, connectionRefused: undefined, isUnreached: false, isPollFailing: false, lost: false,
 	};
 }
 
@@ -50,7 +52,9 @@
 recordFailedPoll(initialWorkerView, {isConnectionRefused: true, nowMs: 5000}).connectionRefused; // => {sinceMs: 5000, untilMs: 5000}
 */
 export function recordFailedPoll(worker: WorkerView, {isConnectionRefused, isUnreached = false, nowMs}: Readonly<{isConnectionRefused: boolean; isUnreached?: boolean; nowMs: number}>): WorkerView {
-	return {...worker, isUnreached, connectionRefused: isConnectionRefused ? {sinceMs: worker.connectionRefused?.sinceMs ?? nowMs, untilMs: nowMs} : undefined};
+	return {
+		...worker, isUnreached, isPollFailing: true, connectionRefused: isConnectionRefused ? {sinceMs: worker.connectionRefused?.sinceMs ?? nowMs, untilMs: nowMs} : undefined,
+	};
 }
 
 /**
--- a/src/settings/agent-settings.ts
+++ b/src/settings/agent-settings.ts
@@ -28,6 +28,8 @@
 		announceTimeoutMs: z._default(z.int().check(z.minimum(200), z.maximum(maxDurationMs)), 4000).check(z.describe('Time without an announcement after which a backend server counts as gone')),
 		keyRetentionMs: z._default(z.int().check(z.minimum(1000), z.maximum(maxDurationMs)), 600_000).check(z.describe('W: how long outcomes of keyed requests are kept')),
 		drainTimeoutMs: z._default(z.int().check(z.minimum(100), z.maximum(maxDurationMs)), 30_000).check(z.describe('Longest wait for requests in flight at a stop')),
+		workerEndTimeoutMs: z._default(z.int().check(z.minimum(0), z.maximum(maxDurationMs)), 4000)
+			.check(z.describe('Longest wait, at a stop that keeps the tasks, for the end of a worker that leaves or does not answer; the process must not be killed before')),
 		workerHoldMs: z._default(z.int().check(z.minimum(500), z.maximum(maxDurationMs)), 60_000)
 			.check(z.describe('Longest time for which the worker is told to run tasks without word from the agent; the lease bounds it as well')),
 		workerTimeoutMs: z._default(z.int().check(z.minimum(200), z.maximum(maxDurationMs)), 10_000).check(z.describe('Silence of the worker after which its tasks are held no longer')),
