Place the other tasks when one makes the placement throw

What callers would see: one queued task or one VM with a value that makes the placement throw stopped it at every tick. The entry kept writing its heartbeats, so that it stayed the placement owner: no task of its services was placed, and nobody noticed but for the lines of reducer-part-failed.

Cause: a part of the reducer that throws is left out as a whole, and the other entries judge an owner by its heartbeats and by how far it has read the log, which both go on.

Change, in two steps: - A task, or a VM as a candidate for a task, that throws is left out of the pass, and the others are placed. It is counted (placement.failures) and logged with its ID (placement-failed), at most five lines a second. - An entry all of whose passes throw for a second gives the placement up (placement-given-up): it forgets what it alone knows of the placement, and its heartbeats name the offset that was applied at the first failed pass. It takes part again after 10 s without a failed pass; a pass of an entry that does not place cannot fail, and would otherwise take the turn back at once. A failure between passes that succeed gives nothing up.

Weighed: ending the process or the incarnation. It costs the streams of all agents and the requests under way, comes again after each start when the cause is in the log, and would end one entry after the other. With a poison in the shared state that is not one task's or one VM's, every entry gives up in turn; when all count as behind, the first one by rank stays the owner, as before. That case still places nothing, and is logged.

No record changes: entry-alive names an offset that its writer had applied, only not the newest one.

Tests, failing before: placement-failures.test.ts (both tests: "RangeError thrown" out of the pass) and one of reduce-entry.test.ts ("given up at no time"). They pass now, with those of src/placement, src/entry/reduce-entry and src/invariants.

Open: vm-liveness and the other control parts still stop as a whole on the entry where they throw; a VM that only this entry hears is then not revoked.

--- a/src/entry/entry-state.ts
+++ b/src/entry/entry-state.ts
@@ -9,6 +9,7 @@
 import {initialRequestState, type RequestState} from '../requests/request-state.js';
 import {type AppendGuard, emptyAppendGuard} from './append-guard.js';
 import {type DeferredAnswers, noDeferredAnswers} from './deferred-answers.js';
+import {type FailingPlacement} from './failing-placement.js';
 import {initialKeyExpiry, type KeyExpiryState} from './key-expiry.js';
 
 /** Whether an entry can read the log, and how recent its newest read is. */
@@ -39,6 +40,8 @@
 	snapshot: Readonly<{coversOffset: number; writtenAtMs: number; isWriting: boolean}>;
 	lastControlTickMs: number;
 	lastPassAtMs: number;
+	/** Set while all placement passes fail, and for a time after they made this entry give the placement up. */
+	failingPlacement: FailingPlacement | undefined;
 }>;
 
 /**
@@ -66,5 +69,6 @@
 		snapshot: {coversOffset: -1, writtenAtMs: Number.NEGATIVE_INFINITY, isWriting: false},
 		lastControlTickMs: Number.NEGATIVE_INFINITY,
 		lastPassAtMs: Number.NEGATIVE_INFINITY,
+		failingPlacement: undefined,
 	};
 }
--- a/src/entry/reduce-entry.test.ts
+++ b/src/entry/reduce-entry.test.ts
@@ -2,6 +2,7 @@
 import {create} from '@bufbuild/protobuf';
 import {type ClusterRecord} from '../cluster/cluster-record.js';
 import {HeartbeatSchema, HelloSchema} from '../generated/arbutushinge/v1/agent_pb.js';
+import {firstUpToDate, placementRankOf} from '../placement/placement-owner.js';
 import {entrySettingsSchema} from '../settings/entry-settings.js';
 import {type EntryEvent, type EventInputs, type PartFailure} from './entry-event.js';
 import {initialEntryState} from './entry-state.js';
@@ -288,3 +289,56 @@
 	slow.dispatch({kind: 'tick'}, 250);
 	t.deepEqual([before, slow.state().lastPassAtMs], [0, 250]);
 });
+
+test('an entry whose placement passes all fail leaves the placement to another one while its heartbeats go on', t => {
+	const failures: PartFailure[] = [];
+	let isPoisoned = false;
+	const entry = createEntry({
+		onPartFailed(failure) {
+			failures.push(failure);
+		},
+		measurePart(_part, run) {
+			if (isPoisoned) {
+				throw new RangeError('out of range');
+			}
+
+			return run();
+		},
+	});
+	entry.read('own', [{
+		kind: 'entry-registered', entryId: 'entry-1', failureDomain: 'domain-1', operatorAddress: '127.0.0.1:2',
+	}], 0);
+	entry.read('other', [{
+		kind: 'entry-registered', entryId: 'entry-2', failureDomain: 'domain-1', operatorAddress: '127.0.0.1:5',
+	}], 0);
+	const {cluster} = entry.state();
+	const subject = Array.from({length: 64}, (_, index) => `job-${index}`).find(each => placementRankOf(each, cluster)[0] === 'own')!;
+	const ownerNow = (): string | undefined => firstUpToDate(placementRankOf(subject, entry.state().cluster), entry.state().cluster);
+	/** Passes a time in ticks of 50 ms, in which both entries write their heartbeats and this one reads all records. Returns when the owner changed. */
+	const passTo = (fromMs: number, toMs: number): number | undefined => {
+		const before = ownerNow();
+		let changedMs: number | undefined;
+		for (let nowMs = fromMs; nowMs < toMs; nowMs += 50) {
+			const own = entry.dispatch({kind: 'tick'}, nowMs).effects.flatMap(effect => effect.kind === 'append-record' && effect.record.kind === 'entry-alive' ? [effect.record] : []);
+			entry.read('own', own, nowMs);
+			if (nowMs % 300 === 0) {
+				entry.read('other', [{kind: 'entry-alive', appliedOffset: entry.state().cluster.offset}], nowMs);
+			}
+
+			changedMs ??= ownerNow() === before ? undefined : nowMs;
+		}
+
+		return changedMs;
+	};
+
+	t.is(passTo(50, 3000), undefined);
+	t.is(ownerNow(), 'own');
+	isPoisoned = true;
+	const changedMs = passTo(3000, 9000);
+	t.true(changedMs !== undefined && changedMs < 7500, `given up at ${changedMs ?? 'no time'}`);
+	t.is(ownerNow(), 'other');
+	isPoisoned = false;
+	t.is(passTo(9000, 18_000), undefined, 'a pass of an entry that does not place shows nothing');
+	t.not(passTo(18_000, 21_000), undefined);
+	t.is(ownerNow(), 'own');
+});
--- a/src/entry/reduce-entry.ts
+++ b/src/entry/reduce-entry.ts
@@ -6,7 +6,7 @@
 import {tickEntryLiveness, resetEntryObservation} from '../membership/entry-liveness.js';
 import {tickVmLiveness} from '../membership/vm-liveness.js';
 import {recordAttemptEnds, tickFailureAttribution} from '../placement/failure-attribution.js';
-import {placeQueuedTasks} from '../placement/place-queued-tasks.js';
+import {initialPlacement, placeQueuedTasks} from '../placement/place-queued-tasks.js';
 import {recordFailedStarts} from '../placement/restart-pauses.js';
 import {type RequestEvent} from '../requests/request-event.js';
 import {reduceRequests} from '../requests/reduce-requests.js';
@@ -20,6 +20,9 @@
 import {type EntryEffect} from './entry-effect.js';
 import {type EntryEvent, type EventInputs} from './entry-event.js';
 import {type EntryState} from './entry-state.js';
+import {
+	giveUpInHeartbeats, hasGivenPlacementUp, recordFailedPass, recordPass,
+} from './failing-placement.js';
 import {tickKeyExpiry} from './key-expiry.js';
 import {logFailedJobs} from './log-failed-job.js';
 import {recordTimeline} from './record-timeline.js';
@@ -155,7 +158,7 @@
 		['agent-commands', state => commandAgents(state, {event, before}, inputs, settings)],
 		['deferred-answers', state => resolveDeferred(state, inputs, settings)],
 		['requests', state => withRequest(state, {kind: 'cluster-advanced', readBackKeyHashes: ownKeyHashes(event, state.incarnation)}, inputs, settings)],
-		['placement', state => runPlacementPass(state, inputs, settings)],
+		['placement', state => placeOrGiveUp(state, inputs, settings)],
 	];
 }
 
@@ -205,7 +208,7 @@
 	const isControlDue = inputs.nowMs - state.lastControlTickMs >= controlTickMs;
 	return runParts({state, effects: []}, [
 		['requests', current => withRequest(current, {kind: 'tick'}, inputs, settings)],
-		['placement', current => runPlacementPass(current, inputs, settings)],
+		['placement', current => placeOrGiveUp(current, inputs, settings)],
 		...(isControlDue ? controlParts(inputs, settings) : []),
 	], inputs);
 }
@@ -216,7 +219,7 @@
 		['control-tick', state => ({state: {...state, lastControlTickMs: inputs.nowMs}, effects: []})],
 		['entry-liveness', state => {
 			const {state: entryLiveness, effects} = tickEntryLiveness(state.entryLiveness, contextOf(state, inputs, settings));
-			return {state: {...state, entryLiveness}, effects};
+			return {state: {...state, entryLiveness}, effects: giveUpInHeartbeats(effects, state.failingPlacement)};
 		}],
 		['vm-liveness', state => {
 			const {state: vmLiveness, effects} = tickVmLiveness(state.vmLiveness, contextOf(state, inputs, settings));
@@ -288,7 +291,37 @@
 	const context = contextOf(state, inputs, settings);
 	const pass = (): ReturnType<typeof placeQueuedTasks> => placeQueuedTasks(state.placement, context);
 	const transition = inputs.measurePart ? inputs.measurePart('placement', pass) : pass();
-	return {state: {...state, placement: transition.state, lastPassAtMs: inputs.nowMs}, effects: transition.effects};
+	return {
+		state: {
+			...state, placement: transition.state, lastPassAtMs: inputs.nowMs, failingPlacement: recordPass(state.failingPlacement, inputs.nowMs),
+		},
+		effects: transition.effects,
+	};
+}
+
+/** Runs a placement pass. An entry whose passes all fail gives the placement up, and forgets what it alone knows, which may be the cause. */
+function placeOrGiveUp(state: EntryState, inputs: EventInputs, settings: EntrySettings): EntryTransition {
+	try {
+		return runPlacementPass(state, inputs, settings);
+	} catch (error) {
+		if (inputs.onPartFailed === undefined) {
+			throw error;
+		}
+
+		inputs.onPartFailed({part: 'placement', error});
+		const failingPlacement = recordFailedPass(state.failingPlacement, {nowMs: inputs.nowMs, offset: state.cluster.offset});
+		return hasGivenPlacementUp(failingPlacement) && !hasGivenPlacementUp(state.failingPlacement)
+			? {
+				state: {...state, failingPlacement, placement: initialPlacement},
+				effects: [{
+					kind: 'log-event',
+					level: 'error',
+					event: 'placement-given-up',
+					fields: {failingMs: Math.round(failingPlacement.untilMs - failingPlacement.sinceMs), offset: failingPlacement.offset},
+				}],
+			}
+			: {state: {...state, failingPlacement}, effects: []};
+	}
 }
 
 function resolveDeferred(state: EntryState, inputs: EventInputs, settings: EntrySettings): EntryTransition {
--- a/src/placement/place-queued-tasks.ts
+++ b/src/placement/place-queued-tasks.ts
@@ -26,6 +26,7 @@
 import {
 	addPendingClaim, noPendingClaims, type PendingClaims, prunePendingClaims, siblingsKeyOf,
 } from './pending-claims.js';
+import {createPlacementFailures, type PlacementFailures} from './placement-failures.js';
 import {placementPolicies} from './placement-policies.js';
 import {findStarvedJobs, type StarvedJobs, type WaitingJobs} from './starved-jobs.js';
 import {evaluatePlacementOwners, type OwnersSeen, type PlacementOwners} from './evaluate-placement-owners.js';
@@ -61,6 +62,8 @@
 	fleetGrowth: FleetGrowth;
 	/** Long-running tasks that fail soon after their start, which pause before the next one. */
 	failedStarts: FailedStarts;
+	/** When tasks and VMs that a pass left out because they made it throw were last logged. */
+	failuresLoggedAtMs: number;
 }>;
 
 export const initialPlacement: PlacementState = {
@@ -75,6 +78,7 @@
 	reservations: noReservations,
 	fleetGrowth: noFleetSeen,
 	failedStarts: noFailedStarts,
+	failuresLoggedAtMs: Number.NEGATIVE_INFINITY,
 };
 
 /** VMs sampled first for one task; all VMs are scanned only when none of the sample fits. */
@@ -102,6 +106,7 @@
 	readonly harms: Map<string, Map<string, ExpectedHarm>>;
 	readonly starved: StarvedJobs;
 	readonly claims: ControlEffect[];
+	readonly failures: PlacementFailures;
 	reservationAttempts: number;
 	/** Estimates of the resources that tasks will release, for the VMs compared for a reservation. */
 	readonly releaseEstimates: Map<string, ReleaseEstimate>;
@@ -139,6 +144,7 @@
 		harms: new Map(),
 		starved,
 		claims: [],
+		failures: createPlacementFailures(),
 		reservationAttempts: 0,
 		releaseEstimates: new Map(),
 		state: pruned,
@@ -152,7 +158,13 @@
 		placeClass(pass, priority);
 	}
 
-	return {state: {...pass.state, ownersSeen: owners.ownersSeen(), waitingJobs: starved.waiting()}, effects: pass.claims};
+	const {loggedAtMs, effects} = pass.failures.report(pass.state.failuresLoggedAtMs, context.nowMs);
+	return {
+		state: {
+			...pass.state, ownersSeen: owners.ownersSeen(), waitingJobs: starved.waiting(), failuresLoggedAtMs: loggedAtMs,
+		},
+		effects: [...pass.claims, ...effects],
+	};
 }
 
 function placeClass(pass: Pass, priority: PriorityClass): void {
@@ -180,7 +192,9 @@
 			return;
 		}
 
-		placeTask(pass, cluster.tasks.get(taskId)!);
+		pass.failures.isolate('task', taskId, () => {
+			placeTask(pass, cluster.tasks.get(taskId)!);
+		});
 	}
 }
 
@@ -360,18 +374,28 @@
 	const requiredIdleMilli = requiredIdleMilliOf(pass, task);
 	const step = stepOf(cluster, task);
 	const offerContext = {cluster, pending: pass.state.pending, fillingRoomByVm: pass.state.fillingRoomByVm};
-	for (const vm of vms) {
+	const candidateOn = (vm: Vm): FeasibleVm | undefined => {
 		const free = freeResourcesOf(vm, pass.state.pending.committedByVm.get(vm.vmId, noResources));
 		const offered = fillingMilli === 0 ? free : {...free, processorsMilli: offeredMilliOf(vm, offerContext, free)};
-		if (fitsInto(task.spec.demand, unreservedResourcesFor(pass.state.reservations, task, {vmId: vm.vmId, free}, cluster)) && offered.processorsMilli >= requiredIdleMilli && isAllowed(pass, task, step, vm)) {
-			const latencyImpactMilli = latencyImpactOn(pass, task, vm);
-			if (requiredIdleMilli === 0 || latencyImpactMilli <= maxLatencyImpactMilli) {
-				found.push({
-					vm, candidate: toCandidate(pass, task, vm, {
-						room: offered, evictions: 0, step, latencyImpactMilli,
-					}), evictTaskIds: [],
-				});
+		const unreserved = unreservedResourcesFor(pass.state.reservations, task, {vmId: vm.vmId, free}, cluster);
+		if (!fitsInto(task.spec.demand, unreserved) || offered.processorsMilli < requiredIdleMilli || !isAllowed(pass, task, step, vm)) {
+			return undefined;
+		}
+
+		const latencyImpactMilli = latencyImpactOn(pass, task, vm);
+		return requiredIdleMilli === 0 || latencyImpactMilli <= maxLatencyImpactMilli
+			? {
+				vm, candidate: toCandidate(pass, task, vm, {
+					room: offered, evictions: 0, step, latencyImpactMilli,
+				}), evictTaskIds: [],
 			}
+			: undefined;
+	};
+
+	for (const vm of vms) {
+		const candidate = pass.failures.isolate('vm', vm.vmId, () => candidateOn(vm));
+		if (candidate) {
+			found.push(candidate);
 		}
 	}
 
