Replace deciders that answer but cannot read the log

When the store turned all deciders away and served the others, nobody placed tasks until the deciders' announcements had expired. A front counted a decider as reachable when it answered the checks at all, also when the answer was that it has not read the log for 3 s. Now one that has given no good answer for 3 s counts as unavailable, so that others decide when fewer than half serve.

The new test of the relay fails without the change: only the silent decider was listed. `unreachableIds` is renamed to `unavailableIds`, in a test as well; nothing else changed there.

--- a/src/membership/entry-role.test.ts
+++ b/src/membership/entry-role.test.ts
@@ -44,7 +44,7 @@
 			entryId: entry.entryId,
 			deciderCount,
 			announced: [...store.values()].map(announced => ({...announced, age: ageById.get(announced.entryId)!})),
-			unreachableIds: new Set(entries.filter(({isUp, state}) => !isUp || state.role === 'front').map(({entryId}) => entryId)),
+			unavailableIds: new Set(entries.filter(({isUp, state}) => !isUp || state.role === 'front').map(({entryId}) => entryId)),
 			nowMs,
 		});
 		if (nowMs >= entry.nextAnnounceMs || entry.state.role !== before) {
--- a/src/membership/entry-role.ts
+++ b/src/membership/entry-role.ts
@@ -20,8 +20,8 @@
 	deciderCount: number;
 	/** All announcements of one read, this entry's included. */
 	announced: readonly AnnouncedEntry[];
-	/** Deciders that have not answered this entry for seconds. */
-	unreachableIds: ReadonlySet<string>;
+	/** Deciders that have not served this entry for seconds: they did not answer, or said that they cannot read the log. */
+	unavailableIds: ReadonlySet<string>;
 	nowMs: number;
 }>;
 
@@ -59,11 +59,11 @@
 replaced, so that all entries are back at once after a loss of power.
 
 @example
-const next = evaluateRole(state, {entryId: 'edge-1', deciderCount: 4, announced, unreachableIds: new Set(), nowMs: performance.now()});
+const next = evaluateRole(state, {entryId: 'edge-1', deciderCount: 4, announced, unavailableIds: new Set(), nowMs: performance.now()});
 next.role; // => 'front'
 */
 export function evaluateRole(state: RoleState, inputs: RoleInputs): RoleState {
-	const {entryId, deciderCount, announced, unreachableIds, nowMs} = inputs;
+	const {entryId, deciderCount, announced, unavailableIds, nowMs} = inputs;
 	const own = announced.find(entry => entry.entryId === entryId);
 	if (state.role === 'decider' || (!state.hasRead && mayResume(own, inputs))) {
 		return {...keepRole(state), role: 'decider'};
@@ -71,7 +71,7 @@
 
 	const fresh = announced.filter(({age}) => age === 'fresh');
 	const deciders = fresh.filter(entry => entry.role === 'decider' && entry.entryId !== entryId);
-	const reachable = deciders.filter(decider => !unreachableIds.has(decider.entryId));
+	const reachable = deciders.filter(decider => !unavailableIds.has(decider.entryId));
 	// One that only this entry cannot reach is of use to others; when it reaches few, it does not wait for the announcements of the others to expire.
 	const present = 2 * reachable.length < deciders.length ? reachable : deciders;
 	if (present.length >= deciderCount) {
--- a/src/relay/job-relay.test.ts
+++ b/src/relay/job-relay.test.ts
@@ -199,3 +199,22 @@
 	t.is(submitted.isErr && submitted.error.status, 504);
 	t.true(performance.now() - startMs < 200);
 });
+
+test('a decider that cannot read the log counts as unavailable like one that does not answer, until it can', async t => {
+	let isReady = false;
+	const turnedAway = await startDecider(t, {readiness: () => isReady ? ready : {isReady: false, reason: 'the log was not read'}});
+	const good = await startDecider(t);
+	const relay = relayTo(t, [turnedAway.address, good.address, await startSilent(t)]);
+	const waitFor = async (ids: readonly string[]): Promise<void> => {
+		const sorted = (): readonly string[] => [...relay.unavailableIds()].toSorted();
+		for (let tries = 0; tries < 100 && sorted().join(',') !== ids.join(','); tries++) {
+			await delay(100);
+		}
+
+		t.deepEqual(sorted(), ids);
+	};
+
+	await waitFor(['d0', 'd2']);
+	isReady = true;
+	await waitFor(['d2']);
+});
--- a/src/relay/job-relay.ts
+++ b/src/relay/job-relay.ts
@@ -28,8 +28,8 @@
 	setDeciders: (deciders: readonly DeciderAddress[]) => void;
 	/** A front is ready while a decider answers it. */
 	readiness: () => Readiness;
-	/** Returns the deciders that have not answered for `unreachableAfterMs`. */
-	unreachableIds: () => ReadonlySet<string>;
+	/** Returns the deciders that have not served this front for `unavailableAfterMs`; one that cannot read the log says so in its answers to the checks. */
+	unavailableIds: () => ReadonlySet<string>;
 	/** Ends all connections; calls without an answer end at once, as unknown. */
 	close: () => void;
 }>;
@@ -37,7 +37,7 @@
 type DeciderState = {
 	readonly connections: HttpConnections;
 	readonly relayAddress: string;
-	lastAnsweredAtMs: number;
+	servedAtMs: number;
 	failedAtMs: number;
 };
 
@@ -66,8 +66,8 @@
 /** Time without an answer of any decider after which a front is not ready: two failed checks. */
 const notReadyAfterMs = 2500;
 
-/** Time without an answer after which a decider counts as unreachable. */
-const unreachableAfterMs = 3000;
+/** Time without a good answer after which a decider counts as unavailable. */
+const unavailableAfterMs = 3000;
 
 /** Retries that a front may make before its calls have earned any, in thousandths. */
 const initialRetriesMilli = 10_000;
@@ -97,12 +97,9 @@
 
 	function recordEnd(decider: DeciderState, end: AttemptEnd): void {
 		const isGood = end.kind === 'answered' && !(end.answer.result === 'error' && end.answer.error.status >= 503);
-		if (end.kind === 'answered') {
-			decider.lastAnsweredAtMs = nowMs();
-		}
-
 		decider.failedAtMs = isGood ? Number.NEGATIVE_INFINITY : nowMs();
 		if (isGood) {
+			decider.servedAtMs = nowMs();
 			lastAnsweredAtMs = nowMs();
 		}
 	}
@@ -202,7 +199,7 @@
 			for (const [id, relayAddress] of addressById) {
 				if (!deciders.has(id)) {
 					const state: DeciderState = {
-						connections: createHttpConnections({address: relayAddress, connections}), relayAddress, lastAnsweredAtMs: nowMs(), failedAtMs: Number.NEGATIVE_INFINITY,
+						connections: createHttpConnections({address: relayAddress, connections}), relayAddress, servedAtMs: nowMs(), failedAtMs: Number.NEGATIVE_INFINITY,
 					};
 					deciders.set(id, state);
 					void attempt(state, {kind: 'check'}, checkTimeoutMs);
@@ -220,7 +217,7 @@
 				? {isReady: true, reason: ''}
 				: {isReady: false, reason: `no entry that decides has answered for ${notReadyAfterMs} ms`};
 		},
-		unreachableIds: () => new Set([...deciders].filter(([, {lastAnsweredAtMs: atMs}]) => nowMs() - atMs > unreachableAfterMs).map(([id]) => id)),
+		unavailableIds: () => new Set([...deciders].filter(([, {servedAtMs}]) => nowMs() - servedAtMs > unavailableAfterMs).map(([id]) => id)),
 		close() {
 			isClosed = true;
 			clearInterval(checkTimer);
