Let a store that refuses announcements make no further entry a decider

While the store refused writes and served reads (it may be down partly), no announcement got through, all deciders expired for all readers after 12 s, and the count of missing deciders grew by one each 4 s. The first fronts whose announcements got through afterwards, or that had announced themselves last before, then decided at once, and stayed. Every decider carries the cost of the whole site.

An entry whose own reads or announcements have not got through for 5 s or 8 s judges nobody until 5 s after they do, and no decider is added while twice as many as wanted are announced.

--- a/src/entry/platform-entry.ts
+++ b/src/entry/platform-entry.ts
@@ -136,7 +136,7 @@
 		const announced: readonly AnnouncedEntry[] = read.value.map(entry => ({...entry, age: ageById.get(entry.entryId) ?? 'expired'}));
 		relay.setDeciders(announced.filter(({role, age, entryId: id}) => role === 'decider' && age !== 'expired' && id !== entryId));
 		roleState = evaluateRole(roleState, {
-			entryId, deciderCount, announced, unavailableIds: relay.unavailableIds(), nowMs: nowMs(),
+			entryId, deciderCount, announced, unavailableIds: relay.unavailableIds(), announcedAtMs, nowMs: nowMs(),
 		});
 	}
 
--- a/src/membership/entry-role.test.ts
+++ b/src/membership/entry-role.test.ts
@@ -45,6 +45,7 @@
 			deciderCount,
 			announced: [...store.values()].map(announced => ({...announced, age: ageById.get(announced.entryId)!})),
 			unavailableIds: new Set(entries.filter(({isUp, state}) => !isUp || state.role === 'front').map(({entryId}) => entryId)),
+			announcedAtMs: entry.nextAnnounceMs - announceMs,
 			nowMs,
 		});
 		if (nowMs >= entry.nextAnnounceMs || entry.state.role !== before) {
--- a/src/membership/entry-role.ts
+++ b/src/membership/entry-role.ts
@@ -22,6 +22,8 @@
 	announced: readonly AnnouncedEntry[];
 	/** Deciders that have not served this entry for seconds: they did not answer, or said that they cannot read the log. */
 	unavailableIds: ReadonlySet<string>;
+	/** When the store last took an announcement of this entry; `-Infinity` before. */
+	announcedAtMs: number;
 	nowMs: number;
 }>;
 
@@ -31,9 +33,16 @@
 	hasRead: boolean;
 	/** Since when there have been too few deciders; undefined while there are enough. */
 	shortSinceMs: number | undefined;
+	/** When the announcements were read first and last; `Infinity` before the first read. */
+	firstReadAtMs: number;
+	readAtMs: number;
+	/** When this entry last found that its reads or announcements do not get through. */
+	disturbedAtMs: number;
 }>;
 
-export const initialRoleState: RoleState = {role: 'front', hasRead: false, shortSinceMs: undefined};
+export const initialRoleState: RoleState = {
+	role: 'front', hasRead: false, shortSinceMs: undefined, firstReadAtMs: Number.POSITIVE_INFINITY, readAtMs: Number.POSITIVE_INFINITY, disturbedAtMs: Number.NEGATIVE_INFINITY,
+};
 
 /**
 Time for which there must be too few deciders before a front becomes one. All entries of a deployment start within it, so that the largest
@@ -44,6 +53,28 @@
 /** Time after which one more front becomes a decider: one of those chosen before may be frozen or cut from the store. */
 const nextCandidateMs = 4000;
 
+/** Longest time between two reads, and between two announcements of this entry, while the store serves it, slowly perhaps; it reads each 2 s and announces itself each 4 s. */
+const maxReadGapMs = 5000;
+const maxAnnouncementGapMs = 8000;
+
+/** Time after a disturbance of the store within which the others have announced themselves again. */
+const recoveryMs = 5000;
+
+/** Factor on the number of deciders from which on no further one is added while all are announced, so that a fault that all see alike does not make every entry decide. */
+const maxDecidersFactor = 2;
+
+/**
+Records whether this entry's reads and announcements get through. While they do not, the announcements of all others age as well, so that
+they tell nothing of the others.
+*/
+function recordDisturbance(state: RoleState, {announcedAtMs, nowMs}: RoleInputs): RoleState {
+	const firstReadAtMs = Math.min(state.firstReadAtMs, nowMs);
+	const isDisturbed = nowMs - state.readAtMs > maxReadGapMs || nowMs - Math.max(announcedAtMs, firstReadAtMs) > maxAnnouncementGapMs;
+	return {
+		...state, firstReadAtMs, readAtMs: nowMs, disturbedAtMs: isDisturbed ? nowMs : state.disturbedAtMs,
+	};
+}
+
 function keepRole(state: RoleState): RoleState {
 	return {...state, hasRead: true, shortSinceMs: undefined};
 }
@@ -59,22 +90,23 @@
 replaced, so that all entries are back at once after a loss of power.
 
 @example
-const next = evaluateRole(state, {entryId: 'edge-1', deciderCount: 4, announced, unavailableIds: new Set(), nowMs: performance.now()});
+const next = evaluateRole(state, {entryId: 'edge-1', deciderCount: 4, announced, unavailableIds: new Set(), announcedAtMs, nowMs: performance.now()});
 next.role; // => 'front'
 */
-export function evaluateRole(state: RoleState, inputs: RoleInputs): RoleState {
+export function evaluateRole(before: RoleState, inputs: RoleInputs): RoleState {
 	const {entryId, deciderCount, announced, unavailableIds, nowMs} = inputs;
 	const own = announced.find(entry => entry.entryId === entryId);
+	const state = recordDisturbance(before, inputs);
 	if (state.role === 'decider' || (!state.hasRead && mayResume(own, inputs))) {
 		return {...keepRole(state), role: 'decider'};
 	}
 
 	const fresh = announced.filter(({age}) => age === 'fresh');
 	const deciders = fresh.filter(entry => entry.role === 'decider' && entry.entryId !== entryId);
-	const reachable = deciders.filter(decider => !unavailableIds.has(decider.entryId));
-	// One that only this entry cannot reach is of use to others; when it reaches few, it does not wait for the announcements of the others to expire.
-	const present = 2 * reachable.length < deciders.length ? reachable : deciders;
-	if (present.length >= deciderCount) {
+	const available = deciders.filter(decider => !unavailableIds.has(decider.entryId));
+	// One that serves only this entry not is of use to others; when few serve it, it does not wait for the announcements of the others to expire.
+	const present = 2 * available.length < deciders.length ? available : deciders;
+	if (present.length >= deciderCount || deciders.length >= maxDecidersFactor * deciderCount || nowMs - state.disturbedAtMs < recoveryMs) {
 		return keepRole(state);
 	}
 
