Do not answer a cancellation as unknown before the tail of the log is read

A caller that cancels through another entry than the one that accepted its job could get 410 while the job ran on: a decider that had not read the job's record answered from its state as long as that was at most 1.5 s old, and the caller does not cancel a job that is unknown. Fronts prefer different deciders, so that the two calls of one caller often meet two of them.

A cancellation of an unknown job waits for a read of the tail that was sent after its arrival, at most 0.7 s, below the 0.9 s after which a front tries the next decider; without it the answer is 503 and nothing was done. A GET still answers from the state: users allow 3 s there.

--- a/src/entry/entry-process.ts
+++ b/src/entry/entry-process.ts
@@ -157,7 +157,12 @@
 	};
 
 	const jobs = createJobInterface({
-		state: loop.state, requestDecision, nowMs: () => performance.now(), logFreshnessMs: settings.timings.logFreshnessMs, maxRecordBytes: logService.limits.recordBytes,
+		state: loop.state,
+		requestDecision,
+		confirmTail: logConnection.confirmTail,
+		nowMs: () => performance.now(),
+		logFreshnessMs: settings.timings.logFreshnessMs,
+		maxRecordBytes: logService.limits.recordBytes,
 	});
 
 	const callers = createCallerServer({
--- a/src/entry/job-interface.ts
+++ b/src/entry/job-interface.ts
@@ -1,4 +1,5 @@
 import {Buffer} from 'node:buffer';
+import {setTimeout as delay} from 'node:timers/promises';
 import {err, ok, type Result} from 'true-myth/result';
 import {type ClusterState, type Task, type WorkflowPhase} from '../cluster/cluster-state.js';
 import {jobSchema, nameSchema, type Job} from '../cluster/intent.js';
@@ -31,16 +32,24 @@
 /** Retry time for callers while this entry cannot read the log: outages of the log last seconds, and other entries may reach it. */
 const logRetryAfterMs = 1000;
 
+/** Longest wait for a read of the tail before a cancellation of an unknown job is answered, in milliseconds; fronts try another entry after 900 ms. */
+const tailTimeoutMs = 700;
+
+const tailCheckIntervalMs = 10;
+
 /**
 Creates the functions behind the callers' job paths.
 
+@param confirmTail requests a read of the log's tail.
+
 @example
-const jobs = createJobInterface({state, ask, nowMs: () => performance.now(), logFreshnessMs: 2000, maxRecordBytes: 261_120});
+const jobs = createJobInterface({state, requestDecision, confirmTail, nowMs: () => performance.now(), logFreshnessMs: 2000, maxRecordBytes: 261_120});
 await jobs.find('panel-17');
 */
-export function createJobInterface({state, requestDecision, nowMs, logFreshnessMs, maxRecordBytes}: Readonly<{
+export function createJobInterface({state, requestDecision, confirmTail, nowMs, logFreshnessMs, maxRecordBytes}: Readonly<{
 	state: () => EntryState;
 	requestDecision: (subject: DeferredSubject) => Promise<DeferredAnswer>;
+	confirmTail: () => void;
 	nowMs: () => number;
 	logFreshnessMs: number;
 	/** Largest record that the log takes, in bytes; larger jobs are refused. */
@@ -51,6 +60,23 @@
 	/** Returns the error for a job that the state does not hold; while the state is stale, another entry may have accepted the job. */
 	const missingJobError = (jobId: string): CallerJobError => isFresh() ? unknownJob(jobId) : staleState();
 
+	const isRecorded = (jobId: string): boolean => state().cluster.jobs.has(jobId) || state().cluster.finishedWorkflows.has(jobId);
+
+	/** Waits until the state covers the log's tail as of the call. Returns undefined then, and the error of a stale state when it does not in time. */
+	async function coverTail(): Promise<CallerJobError | undefined> {
+		const calledAtMs = nowMs();
+		confirmTail();
+		for (let waitedMs = 0; waitedMs < tailTimeoutMs && isFresh(); waitedMs += tailCheckIntervalMs) {
+			if (state().log.tailConfirmedSentAtMs >= calledAtMs) {
+				return undefined;
+			}
+
+			await delay(tailCheckIntervalMs);
+		}
+
+		return staleState();
+	}
+
 	return {
 		async submit(body) {
 			const job = jobSchema.safeParse(body);
@@ -81,10 +107,16 @@
 			return report ? ok(report) : err(missingJobError(jobId));
 		},
 		async cancel(jobId) {
-			const {cluster} = state();
-			const isRecorded = cluster.jobs.has(jobId) || cluster.finishedWorkflows.has(jobId);
-			if (!nameSchema.safeParse(jobId).success || !isRecorded) {
-				return err(missingJobError(jobId));
+			if (!nameSchema.safeParse(jobId).success) {
+				return err(unknownJob(jobId));
+			}
+
+			if (!isRecorded(jobId)) {
+				// Another entry may have accepted the job since the newest read, and its caller would not cancel it again.
+				const stale = await coverTail();
+				if (!isRecorded(jobId)) {
+					return err(stale ?? unknownJob(jobId));
+				}
 			}
 
 			return toResult(jobId, await requestDecision({kind: 'cancel-job', jobId}));
