Tell operators of too few deciders, unseen waits and agents without a lease

Four conditions could last with nobody told:

- An entry saw too few deciders, or none that served it: gauges `deciders.announced`, `deciders.available` and `deciders.short-time`, lines `deciders-short` and `deciders-enough` with who decides and who is unavailable.
- An entry did not read the roles of the others: a failed read was dropped without a line; now `roles-not-read` and `roles-read`.
- A task that lasts waited and the entry that should place it did not see it: `placement.longest-lasting-wait` was 0 on all entries but the placement owner.
Now every decider measures it, and those that do not place log `lasting-task-waiting` with the reason from 6 s on, at most each 3 s.
- An agent had a stream to no entry that grants it a lease: `entries-unusable` and `entries-usable`.

A lack is logged once it has lasted 3 s (agents 4 s), then each 10 s, and at its end.

--- a/src/agent/entry-sessions.test.ts
+++ b/src/agent/entry-sessions.test.ts
@@ -9,12 +9,17 @@
 	const reachable = new Set(addresses);
 	const granting = new Set(addresses);
 	const nothing = (): void => undefined;
+	const lines: string[] = [];
+	const record = (event: string): void => {
+		lines.push(event);
+	};
+
 	const sessions = createEntrySessions({
 		count,
 		nowMs: () => nowMs,
 		onChange: nothing,
 		eventLog: {
-			debug: nothing, info: nothing, warn: nothing, error: nothing,
+			debug: nothing, info: record, warn: record, error: record,
 		},
 		open(entryAddress, handlers) {
 			open.set(entryAddress, handlers);
@@ -33,6 +38,7 @@
 	return {
 		reachable,
 		granting,
+		lines,
 		freeze(address: string): void {
 			granting.delete(address);
 			frozen.set(address, 0);
@@ -135,3 +141,14 @@
 	const {pass} = startSessions(['10.1.0.13:99999', '10.1.0.13:-1', '10.1.0.13', '', 'x'.repeat(200_000), ...all], 3);
 	t.deepEqual(pass(3), [first, second, third]);
 });
+
+test('an agent that no entry grants a lease to says so, and when it is over', t => {
+	const {granting, lines, pass} = startSessions(all, 3);
+	pass(10);
+	t.deepEqual(lines.filter(event => event.startsWith('entries-')), []);
+	granting.clear();
+	pass(14);
+	granting.add(second);
+	pass(1);
+	t.deepEqual(lines.filter(event => event.startsWith('entries-')), ['entries-unusable', 'entries-usable']);
+});
--- a/src/agent/entry-sessions.ts
+++ b/src/agent/entry-sessions.ts
@@ -1,5 +1,6 @@
 import type {EventLog} from '../telemetry/event-log.js';
 import {isAddress} from '../validation/address.js';
+import {createLackLog} from '../telemetry/lack-log.js';
 import {boundedText} from '../validation/bounded-text.js';
 import type {EntrySession, EntrySessionHandlers} from './entry-session.js';
 import {selectEntries} from './select-entries.js';
@@ -13,6 +14,10 @@
 /** Usefulness of an entry that grants no lease: it still relays the agent's reports. When no entry grants one, the number of streams only doubles. */
 const usefulnessWithoutLease = 0.5;
 
+/** Time without a lease from any entry after which it is logged, and time between two lines. */
+const lackAfterMs = 4000;
+const lackRepeatMs = 10_000;
+
 type SessionState = {
 	readonly session: EntrySession;
 	isConnected: boolean;
@@ -58,6 +63,9 @@
 	let unusable: readonly string[] = [];
 	let openAddresses: readonly string[] = [];
 	let isClosed = false;
+	const recordLack = createLackLog({
+		began: {event: 'entries-unusable'}, ended: {event: 'entries-usable'}, afterMs: lackAfterMs, repeatMs: lackRepeatMs, nowMs, eventLog,
+	});
 
 	/** Returns the usefulness of an entry, from 0 to 1; an entry that was not tried yet counts as useful. */
 	function usefulnessOf(entryAddress: string): number {
@@ -129,6 +137,9 @@
 				}
 			}
 
+			const states = [...sessionStates.entries()];
+			const useful = states.filter(([address, {isConnected}]) => isConnected && usefulnessOf(address) === 1);
+			recordLack(useful.length === 0, {streams: states.filter(([, {isConnected}]) => isConnected).length, tried: states.length, known: ranked.length});
 			updateSessions();
 		},
 		recordGrant(entryAddress) {
--- a/src/entry/platform-entry.ts
+++ b/src/entry/platform-entry.ts
@@ -13,6 +13,7 @@
 import {boundedText} from '../validation/bounded-text.js';
 import {describeThrown} from '../validation/describe-thrown.js';
 import {type CallerJobError, type Readiness} from './caller-server.js';
+import {createDeciderMonitor} from './decider-monitor.js';
 import {type EntryPlatform} from './entry-platform.js';
 import {type EntryProcess} from './entry-process.js';
 import {type JobInterface} from './job-interface.js';
@@ -55,6 +56,7 @@
 		entryId, nowMs, eventLog, metrics,
 	});
 	const ages = createAnnouncementAges({lifetimeMs: announcementLifetimeMs, steadyMs: nowMs});
+	const monitor = createDeciderMonitor({nowMs, eventLog, metrics});
 	const stopping = new AbortController();
 	let decider: EntryProcess | undefined;
 	let roleState = initialRoleState;
@@ -129,14 +131,19 @@
 	async function reviewRole(deciderCount: number): Promise<void> {
 		const read = await platform.registry.read();
 		if (read.isErr) {
+			monitor.recordFailedRead(read.error.message);
 			return;
 		}
 
 		const ageById = ages.evaluate(read.value.map(({entryId: key, offset}) => ({key, offset})));
 		const announced: readonly AnnouncedEntry[] = read.value.map(entry => ({...entry, age: ageById.get(entry.entryId) ?? 'expired'}));
 		relay.setDeciders(announced.filter(({role, age, entryId: id}) => role === 'decider' && age !== 'expired' && id !== entryId));
+		const unavailableIds = relay.unavailableIds();
 		roleState = evaluateRole(roleState, {
-			entryId, deciderCount, announced, unavailableIds: relay.unavailableIds(), announcedAtMs, nowMs: nowMs(),
+			entryId, deciderCount, announced, unavailableIds, announcedAtMs, nowMs: nowMs(),
+		});
+		monitor.record({
+			entryId, deciderCount, announced, unavailableIds, isDecider: decider !== undefined,
 		});
 	}
 
--- a/src/placement/log-long-placement-waits.test.ts
+++ b/src/placement/log-long-placement-waits.test.ts
@@ -196,3 +196,12 @@
 	t.is(lines.length, 1);
 	t.like(lines[0], {longestLastingReason: 'claimed', lastingTasks: 1});
 });
+
+test('a long-running task that the placement owner does not see waiting is reported by the other entries', t => {
+	const before = clusterOf([small, {...small, longRunning: true}]);
+	const lines = linesOf({...before, jobs: before.jobs.set('j1', ['j1.0.0.0'])}, {seconds: 10, isOwner: false, event: 'lasting-task-waiting'});
+	t.deepEqual(lines.map(({longestLastingWaitMs}) => longestLastingWaitMs), [6000, 9000]);
+	t.like(lines[0], {
+		lastingTasks: 1, longestLastingTaskId: 'j1.0.0.0', longestLastingReason: 'passedOver', longestLastingDemandMilli: 1000, largestRoomMilli: 12_000,
+	});
+});
--- a/src/placement/log-long-placement-waits.ts
+++ b/src/placement/log-long-placement-waits.ts
@@ -34,6 +34,9 @@
 const longWaitMs = 3000;
 /** Minimum time between two log lines. */
 const logIntervalMs = 1000;
+/** The same for entries that do not place: they tell of waits only that the one that places should have ended. */
+const longWaitOfOthersMs = 6000;
+const logIntervalOfOthersMs = 3000;
 /** Queued tasks whose waits are tracked; the rest of the queues is only counted. */
 const maxTrackedTasks = 4096;
 /** Tasks of each class, from the head of the queue, that are checked against every VM. */
@@ -46,7 +49,7 @@
 the oldest one, what prevents the longest waiting tasks from being claimed, the job that has had no claimed task for longest, and the
 long-running task that has not run for longest, with its demand and the most free processors of one VM. When filling tasks have waited long,
 `filling-work-waiting` reports what the VMs offer to them. Meant to be called once a second; the cost is bounded whatever the length of the
-queues. After a takeover, waits count from the new owner's first call.
+queues. An entry that does not place logs `lasting-task-waiting` for the long-running task that has not run for longest.
 
 @example
 const {state, effects} = logLongPlacementWaits(initialPlacementWait, {cluster, pending, fillingRoomByVm, isOwner: true, nowMs, longestPassMs: 12});
@@ -58,12 +61,7 @@
 	longestPassMs: number;
 }>): Readonly<{state: PlacementWaitState; effects: readonly ControlEffect[]; oldestWaitMs: number; longestLastingWaitMs: number}> {
 	if (!isOwner) {
-		return {
-			state: state.seenAtMs.size + state.longRunningWaits.size === 0 ? state : {...initialPlacementWait, lastLoggedAtMs: state.lastLoggedAtMs},
-			effects: [],
-			oldestWaitMs: 0,
-			longestLastingWaitMs: 0,
-		};
+		return observeLongRunningTasks(state, nowMs, offerContext);
 	}
 
 	const {cluster, pending} = offerContext;
@@ -114,6 +112,30 @@
 	};
 }
 
+/**
+Tracks the long-running tasks alone, on an entry that does not place: it tells of those that wait when the entry that should place them is none,
+or does not see it. After a takeover, the waits of the queues count from the first call of the new owner.
+*/
+function observeLongRunningTasks(state: PlacementWaitState, nowMs: number, offerContext: OfferContext): ReturnType<typeof logLongPlacementWaits> {
+	const longRunningWaits = trackLongRunningWaits(state.longRunningWaits, offerContext.cluster, nowMs);
+	const [longest] = [...longRunningWaits].toSorted(([, left], [, right]) => left.sinceMs - right.sinceMs);
+	const longestLastingWaitMs = longest === undefined ? 0 : Math.round(nowMs - longest[1].sinceMs);
+	const isDue = longest !== undefined && longestLastingWaitMs >= longWaitOfOthersMs && nowMs - state.lastLoggedAtMs >= logIntervalOfOthersMs;
+	const vms = isDue ? [...offerContext.cluster.vms.values()].filter(vm => acceptsNewTasks(vm, offerContext.cluster)) : [];
+	return {
+		state: {...initialPlacementWait, longRunningWaits, lastLoggedAtMs: isDue ? nowMs : state.lastLoggedAtMs},
+		effects: isDue
+			? [{
+				kind: 'log-event', level: 'info', event: 'lasting-task-waiting', fields: {
+					lastingTasks: longRunningWaits.size, ...longRunningFieldsOf(offerContext.cluster.tasks.get(longest[0])!, vms, offerContext), longestLastingWaitMs, vms: vms.length,
+				},
+			}]
+			: [],
+		oldestWaitMs: 0,
+		longestLastingWaitMs,
+	};
+}
+
 /** Kinds of steps as they are logged; the first one that applies counts. */
 const stepKinds: ReadonlyArray<readonly [kind: string, applies: (step: Step) => boolean | undefined]> = [
 	['lasting', step => step.longRunning],
