Lose VMs for good in the soak, and check that tasks that last run again

The check now counts from the acceptance of a task, where it began with its first end; a task that never ran was seen at the end only. Each seed prints the longest wait.

--- a/demo/process-runner.ts
+++ b/demo/process-runner.ts
@@ -22,6 +22,8 @@
 	waitForExit: (timeoutMs: number) => Promise<ProcessExit>;
 	/** Sends SIGTERM to the process. */
 	terminate: () => void;
+	/** Sends SIGHUP to the process. */
+	hangUp: () => void;
 	/** Sends SIGKILL to the process group. */
 	kill: () => void;
 	/** Sends SIGSTOP to the process group. */
@@ -137,6 +139,9 @@
 		terminate() {
 			child.kill('SIGTERM');
 		},
+		hangUp() {
+			child.kill('SIGHUP');
+		},
 		kill() {
 			signalGroup(pid, 'SIGKILL');
 		},
--- a/soak/clients.ts
+++ b/soak/clients.ts
@@ -1,5 +1,5 @@
 import {setTimeout as delay} from 'node:timers/promises';
-import {Pool} from 'undici';
+import {Client} from 'undici';
 import {messageOf} from '../src/errors/message-of.js';
 import {isConnectFailure} from '../src/worker/http-connections.js';
 import {queuePrefix, type SiteEntry} from './site.js';
@@ -39,9 +39,10 @@
 clients.submit({jobId: '5c0e7a21d94b36f8', isLasting: false}, {spec: '', steps: [{count: 1}]});
 */
 export function createClients(entries: readonly SiteEntry[], {pick}: Readonly<{pick: <Value>(values: readonly Value[]) => Value}>): Clients {
-	const pools = new Map(entries.map(entry => [entry, new Pool(`http://${entry.queueAddress}`, {
-		connections, headersTimeout: 0, bodyTimeout: 0, keepAliveTimeout: 60_000,
-	})]));
+	const connectionsOf = new Map(entries.map(entry => [entry, Array.from({length: connections}, () => new Client(`http://${entry.queueAddress}`, {
+		headersTimeout: 0, bodyTimeout: 0, keepAliveTimeout: 60_000,
+	}))]));
+	const busyConnections = new Set<Client>();
 	const calls: Call[] = [];
 	const acceptedAtMs = new Map<string, number>();
 	const lastingJobs = new Set<string>();
@@ -50,13 +51,22 @@
 	const closing = new AbortController();
 	const {signal} = closing;
 
+	/** Returns any of the idle connections, so that all of them stay in use, also while the entry stops. */
+	function pickConnection(entry: SiteEntry): Client {
+		const all = connectionsOf.get(entry)!;
+		const idle = all.filter(connection => !busyConnections.has(connection));
+		return pick(idle.length > 0 ? idle : all);
+	}
+
 	async function call(entry: SiteEntry, method: 'GET' | 'POST', jobId: string, body?: unknown): Promise<Call> {
 		const begun = {
 			entry, pid: entry.current().pid, method, jobId, sentAtMs: performance.now(),
 		};
 		let answer: Pick<Call, 'status' | 'text'>;
+		const connection = pickConnection(entry);
+		busyConnections.add(connection);
 		try {
-			const response = await pools.get(entry)!.request({
+			const response = await connection.request({
 				method, path: `${queuePrefix}${jobId}`, signal: AbortSignal.timeout(callTimeoutMs),
 				...(body !== undefined && {headers: {'content-type': 'application/json'}, body: JSON.stringify(body)}),
 			});
@@ -66,6 +76,8 @@
 			if (isConnectFailure(error)) {
 				return {...begun, ...answer, endedAtMs: performance.now()};
 			}
+		} finally {
+			busyConnections.delete(connection);
 		}
 
 		const ended: Call = {...begun, ...answer, endedAtMs: performance.now()};
@@ -149,7 +161,7 @@
 		async close() {
 			closing.abort();
 			await Promise.all(open);
-			await Promise.all([...pools.values()].map(async pool => pool.destroy()));
+			await Promise.all([...connectionsOf.values()].flat().map(async connection => connection.destroy()));
 		},
 	};
 }
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -2,11 +2,25 @@
 import fc from 'fast-check';
 import {type StoreFaults} from '../stand-ins/store-stand-in.js';
 import {type FaultProxy, type LinkFault} from './fault-proxy.js';
+import {planLosses} from './losses.js';
 import {oddEntriesByCase} from './odd-entries.js';
+import {graceMs, planConfigurations, planSignals} from './series.js';
 import {type Site, type SiteAgent, type SiteEntry} from './site.js';
 
 /** A fault from outside; `inject` resolves when it is over and what it ended runs again. */
-export type Fault = Readonly<{atMs: number; description: string; inject: () => Promise<void>}>;
+export type Fault = Readonly<{
+	atMs: number;
+	description: string;
+	/** Process whose open calls may end without an answer. */
+	breaksCallsOf?: string;
+	inject: () => Promise<void>;
+}>;
+
+/** What faults are injected into; a target that is taken is left alone by other faults until it is free. */
+export type FaultTargets = Readonly<{isTaken: (target: unknown) => boolean; take: (target: unknown) => Promise<void>; free: (target: unknown) => void}>;
+
+/** `losses` begin after all `faults` are over. */
+export type FaultPlan = Readonly<{faults: readonly Fault[]; losses: readonly Fault[]}>;
 
 /** Returns a number from `low` to `high`. */
 export type RandomInt = (low: number, high: number) => number;
@@ -17,32 +31,53 @@
 const minFaults = 4;
 const maxFaults = 12;
 
-/** The platform ends a process this long after SIGTERM. */
-const graceMs = 6000;
+/** Processes of a site for which this number of faults is drawn once more. */
+const processesPerDraw = 8;
+
+const takeCheckMs = 20;
 
 const storeFaults: readonly StoreFaults[] = [{refuseWith: 503}, {refuseWith: 429}, {isSilent: true}, {losesAnswers: true}];
 
-type Injection = Readonly<{description: string; inject: () => Promise<void>}>;
+type Injection = Omit<Fault, 'atMs'>;
+
+function createFaultTargets(): FaultTargets {
+	const taken = new Set<unknown>();
+	return {
+		isTaken: target => taken.has(target),
+		async take(target) {
+			while (taken.has(target)) {
+				await delay(takeCheckMs);
+			}
+
+			taken.add(target);
+		},
+		free(target) {
+			taken.delete(target);
+		},
+	};
+}
 
 /**
-Plans the faults of a seed. Faults of one process or link never overlap; those of different ones may.
+Plans the faults of a seed. Faults of one process or link never overlap, but for series of signals to one process; those of different
+ones may. `hasLosses` adds such series and losses for good.
 
 @example
-const faults = planFaults(site, {randomInt, seed: 1});
+const {faults} = planFaults(site, {randomInt, seed: 1});
 */
-export function planFaults(site: Site, {randomInt, seed}: Readonly<{randomInt: RandomInt; seed: number}>): readonly Fault[] {
+export function planFaults(site: Site, {randomInt, seed, hasLosses = false}: Readonly<{randomInt: RandomInt; seed: number; hasLosses?: boolean}>): FaultPlan {
 	const pick = <Value>(values: readonly Value[]): Value => values[randomInt(0, values.length - 1)]!;
-	const busy = new Set<unknown>();
+	const targets = createFaultTargets();
 
 	/** Skips a fault while another one of the same target lasts. */
-	function once(target: unknown, description: string, inject: () => Promise<void>): Injection {
+	function once(target: unknown, description: string, inject: () => Promise<void>, breaksCallsOf?: string): Injection {
 		return {
 			description,
+			...(breaksCallsOf !== undefined && {breaksCallsOf}),
 			async inject() {
-				if (!busy.has(target)) {
-					busy.add(target);
+				if (!targets.isTaken(target)) {
+					await targets.take(target);
 					await inject();
-					busy.delete(target);
+					targets.free(target);
 				}
 			},
 		};
@@ -71,7 +106,7 @@
 				target.kill();
 				await delay(durationMs);
 				await target.startAgain();
-			});
+			}, target.name);
 		},
 		pause() {
 			const target = pickProcess();
@@ -80,7 +115,7 @@
 				target.current().pause();
 				await delay(durationMs);
 				target.current().resume();
-			});
+			}, target.name);
 		},
 		terminate() {
 			const target = pickProcess();
@@ -121,6 +156,22 @@
 			site.configure();
 		}),
 	};
-	return Array.from({length: randomInt(minFaults, maxFaults)}, () => ({atMs: randomInt(0, faultsMs), ...planners[pick(Object.keys(planners))]!()}))
+	const allPlanners: typeof planners = hasLosses
+		? {
+			...planners,
+			signals() {
+				const target = pickProcess();
+				const {description, inject, breaksCallsOf} = planSignals(target, {randomInt});
+				return once(target, description, inject, breaksCallsOf);
+			},
+			configurations() {
+				const {description, inject} = planConfigurations(site, {randomInt});
+				return once('configuration', description, inject);
+			},
+		}
+		: planners;
+	const draws = Math.max(1, Math.floor((site.entries.length + site.agents.length) / processesPerDraw));
+	const faults = Array.from({length: randomInt(minFaults, maxFaults) * draws}, () => ({atMs: randomInt(0, faultsMs), ...allPlanners[pick(Object.keys(allPlanners))]!()}))
 		.toSorted((left, right) => left.atMs - right.atMs);
+	return {faults, losses: hasLosses ? planLosses(site, {randomInt, targets}) : []};
 }
--- /dev/null
+++ b/soak/losses.ts
@@ -0,0 +1,65 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import {type Fault, type FaultTargets, type RandomInt} from './faults.js';
+import {type Site, type SiteAgent} from './site.js';
+
+/** Losses begin within this time after the other faults. */
+const lossesMs = 3000;
+
+/** Losses in a run, beside which at least half of the VMs stay. */
+const maxLosses = 3;
+
+async function loseExecutor({executor, links}: SiteAgent): Promise<void> {
+	executor.crash();
+	// A connection to the address of a process that is gone is refused.
+	await links.executor.close();
+}
+
+/**
+Plans losses for good on different VMs: an executor, a VM with its agent, or an executor whose agent is stopped soon after and comes back.
+
+@example
+const losses = planLosses(site, {randomInt, targets});
+*/
+export function planLosses({agents}: Site, {randomInt, targets}: Readonly<{randomInt: RandomInt; targets: FaultTargets}>): readonly Fault[] {
+	const remaining = [...agents];
+	const planners: ReadonlyArray<(agent: SiteAgent) => Omit<Fault, 'atMs'>> = [
+		agent => ({
+			description: `loss of ${agent.executorId}`,
+			async inject() {
+				await targets.take(agent.executor);
+				await loseExecutor(agent);
+			},
+		}),
+		agent => ({
+			description: `loss of ${agent.executorId} with ${agent.name}`,
+			async inject() {
+				await targets.take(agent.executor);
+				await targets.take(agent);
+				agent.kill();
+				await Promise.all([loseExecutor(agent), agent.links.control.close()]);
+			},
+		}),
+		agent => {
+			const [terminateMs, killMs, startMs] = [randomInt(0, 1500), randomInt(0, 1500), randomInt(0, 1000)];
+			return {
+				description: `loss of ${agent.executorId}, SIGTERM of ${agent.name} after ${terminateMs} ms, SIGKILL after ${killMs} ms, back after ${startMs} ms`,
+				async inject() {
+					await targets.take(agent.executor);
+					await targets.take(agent);
+					await loseExecutor(agent);
+					await delay(terminateMs);
+					agent.terminate();
+					await delay(killMs);
+					agent.kill();
+					await delay(startMs);
+					await agent.startAgain();
+					targets.free(agent);
+				},
+			};
+		},
+	];
+	return Array.from({length: randomInt(1, Math.min(maxLosses, Math.floor(agents.length / 2)))}, () => {
+		const [agent] = remaining.splice(randomInt(0, remaining.length - 1), 1);
+		return {atMs: randomInt(0, lossesMs), ...planners[randomInt(0, planners.length - 1)]!(agent!)};
+	});
+}
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -13,6 +13,8 @@
 cli.option('--seeds <range>', 'First and last seed', {default: '1-10'});
 cli.option('--jobs <number>', 'Seeds that run at the same time', {default: 1});
 cli.option('--entries <number>', 'Entries of the site', {default: 2});
+cli.option('--vms <number>', 'VMs of the site; 2 without it, or 6 with --losses');
+cli.option('--losses', 'Loses VMs for good and sends signals in series; a calm follows in which tasks that last have to run again');
 cli.option('--deciders <number>', 'Entries that decide; all of them without it');
 cli.option('--logs <directory>', 'Where the logs of failing seeds are written', {default: 'soak-logs'});
 cli.option('--bundles <directory>', 'Programs to run in place of those of this tree');
@@ -44,10 +46,11 @@
 	await queue.addAll(Array.from({length: last - first + 1}, (_, index) => async () => {
 		const seed = first + index;
 		const result = await runSoak({
-			seed, bundleDirectory, entryCount: Number(options.entries), ...(options.deciders !== undefined && {deciderCount: Number(options.deciders)}),
+			seed, bundleDirectory, entryCount: Number(options.entries), hasLosses: options.losses === true,
+			...(options.vms !== undefined && {agentCount: Number(options.vms)}), ...(options.deciders !== undefined && {deciderCount: Number(options.deciders)}),
 		});
-		const {failures, jobs, faults, durationMs} = result;
-		process.stdout.write(`seed=${seed} jobs=${jobs} faults=${faults} durationS=${(durationMs / 1000).toFixed(1)} failures=${failures.length}\n`);
+		const {failures, jobs, faults, durationMs, longestWaitMs} = result;
+		process.stdout.write(`seed=${seed} jobs=${jobs} faults=${faults} longestWaitS=${(longestWaitMs / 1000).toFixed(1)} durationS=${(durationMs / 1000).toFixed(1)} failures=${failures.length}\n`);
 		if (failures.length > 0) {
 			process.exitCode = 1;
 			process.stdout.write(`${failures.slice(0, 10).map(failure => `  ${failure}`).join('\n')}\n`);
--- a/soak/outcome.test.ts
+++ b/soak/outcome.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import {type ExecutorEvent} from '../stand-ins/executor-stand-in.js';
-import {findBrokenPromises, type Observations} from './outcome.js';
+import {findBrokenPromises, longestWaitMs, type Observations} from './outcome.js';
 
 const taskId = 'a.0.0.0';
 const started = (atMs: number, executorId = 'i-1'): ExecutorEvent => ({
@@ -10,7 +10,7 @@
 	kind, atMs, executorId: 'i-1', taskId, run: 1, outcome: 'done',
 });
 const countBroken = (events: readonly ExecutorEvent[], fields: Partial<Observations> = {}): number => findBrokenPromises({
-	events, refusedJobs: new Set(), lastingTasks: new Set(), faults: [], endMs: 20_000, ...fields,
+	events, refusedJobs: new Set(), lastingTasks: new Map(), faults: [], endMs: 20_000, ...fields,
 }).length;
 
 test('a task that runs twice at a time, or again after its acknowledged end, breaks a promise', t => {
@@ -21,9 +21,33 @@
 });
 
 test('a task that lasts and waits for over 9 s breaks a promise unless faults were near', t => {
-	const lastingTasks = new Set([taskId]);
+	const lastingTasks = new Map([[taskId, 0]]);
 	t.is(countBroken([started(0), ended(1000)], {lastingTasks}), 1);
 	t.is(countBroken([started(0), ended(1000), started(9900)], {lastingTasks}), 0);
 	t.is(countBroken([started(0), ended(1000), started(11_000)], {lastingTasks, faults: [{fromMs: 3500, untilMs: 4500}]}), 0);
 	t.is(countBroken([started(0), ended(1000), started(11_700)], {lastingTasks, faults: [{fromMs: 3500, untilMs: 4500}]}), 1);
 });
+
+test('a task that lasts and waits for over 9 s after its acceptance, or to the end of the run, breaks a promise', t => {
+	const lastingTasks = new Map([[taskId, 1000]]);
+	t.is(countBroken([started(10_300)], {lastingTasks}), 1);
+	t.is(countBroken([started(9900)], {lastingTasks}), 0);
+	t.is(countBroken([], {lastingTasks}), 1);
+	t.is(countBroken([started(500), ended(12_000)], {lastingTasks}), 0);
+	t.is(countBroken([started(500), ended(9900)], {lastingTasks}), 1);
+});
+
+test('the calm before a wait of over 9 s begins with the end of the last fault, and a loss lasts no longer than the moment of it', t => {
+	const lastingTasks = new Map([[taskId, 0]]);
+	const loss = {fromMs: 1000, untilMs: 1000};
+	t.is(countBroken([started(0), ended(1000), started(10_200)], {lastingTasks, faults: [loss]}), 1);
+	t.is(countBroken([started(0), ended(1000), started(10_200)], {lastingTasks, faults: [loss, {fromMs: 2000, untilMs: 3400}]}), 0);
+	t.is(countBroken([started(0), ended(1000)], {lastingTasks, faults: [loss, {fromMs: 9000, untilMs: Number.POSITIVE_INFINITY}]}), 0);
+});
+
+test('the longest wait counts in faults too', t => {
+	const observations: Observations = {
+		events: [started(100), ended(1000), started(3500), ended(19_000)], refusedJobs: new Set(), lastingTasks: new Map([[taskId, 0]]), faults: [{fromMs: 0, untilMs: 9000}], endMs: 20_000,
+	};
+	t.is(longestWaitMs(observations), 2500);
+});
--- a/soak/outcome.ts
+++ b/soak/outcome.ts
@@ -8,8 +8,8 @@
 	events: readonly ExecutorEvent[];
 	/** Jobs all of whose submissions were refused with 429 or 503. */
 	refusedJobs: ReadonlySet<string>;
-	/** Tasks that last, with the time from which they were accepted. */
-	lastingTasks: ReadonlySet<string>;
+	/** Tasks that last, with the time at which they were accepted. */
+	lastingTasks: ReadonlyMap<string, number>;
 	faults: readonly FaultPeriod[];
 	endMs: number;
 }>;
@@ -24,10 +24,10 @@
 
 type Gap = Readonly<{taskId: string; fromMs: number; untilMs: number}>;
 
-/** Returns the times in which no executor ran a task, after its first run. */
-function gapsOf(taskId: string, events: readonly ExecutorEvent[], endMs: number): readonly Gap[] {
+/** Returns the times in which no executor ran a task, from when it was accepted. */
+function gapsOf(taskId: string, acceptedAtMs: number, events: readonly ExecutorEvent[], endMs: number): readonly Gap[] {
 	const gaps: Gap[] = [];
-	let endedAtMs: number | undefined;
+	let endedAtMs: number | undefined = acceptedAtMs;
 	for (const event of events.filter(event => event.taskId === taskId)) {
 		if (event.kind === 'ended') {
 			endedAtMs = event.atMs;
@@ -40,12 +40,27 @@
 	return endedAtMs === undefined ? gaps : [...gaps, {taskId, fromMs: endedAtMs, untilMs: endMs}];
 }
 
-function findForbiddenGaps({events, lastingTasks, faults, endMs}: Observations): readonly string[] {
+function gapsOfAll({events, lastingTasks, endMs}: Observations): readonly Gap[] {
+	return [...lastingTasks].flatMap(([taskId, acceptedAtMs]) => gapsOf(taskId, acceptedAtMs, events, endMs));
+}
+
+/**
+Returns the longest time for which a task that lasts did not run, in faults or not.
+
+@example
+longestWaitMs({events, refusedJobs: new Set(), lastingTasks: new Map([['a.0.0.0', 0]]), faults: [], endMs: 9000}); // => 4210
+*/
+export function longestWaitMs(observations: Observations): number {
+	return Math.max(0, ...gapsOfAll(observations).map(({fromMs, untilMs}) => untilMs - fromMs));
+}
+
+function findForbiddenGaps(observations: Observations): readonly string[] {
+	const {faults} = observations;
 	const isCalm = (atMs: number): boolean => faults.every(({fromMs, untilMs}) => untilMs < atMs - calmMs || fromMs > atMs);
-	return [...lastingTasks].flatMap(taskId => gapsOf(taskId, events, endMs)).flatMap(({taskId, fromMs, untilMs}) => {
+	return gapsOfAll(observations).flatMap(({taskId, fromMs, untilMs}) => {
 		for (let atMs = fromMs + restartBoundMs; atMs < untilMs; atMs += stepMs) {
 			if (isCalm(atMs)) {
-				return [`${taskId} lasts and did not run for ${Math.round(untilMs - fromMs)} ms, the last ${calmMs} of them calm`];
+				return [`${taskId} lasts and did not run for ${Math.round(untilMs - fromMs)} ms from ${Math.round(fromMs)}, at ${Math.round(atMs)} after a calm of ${calmMs}`];
 			}
 		}
 
@@ -57,7 +72,7 @@
 Returns the promises that were broken, from what executors saw.
 
 @example
-findBrokenPromises({events, refusedJobs: new Set(), lastingTasks: new Set(), faults: [], endMs: performance.now()}); // => []
+findBrokenPromises({events, refusedJobs: new Set(), lastingTasks: new Map(), faults: [], endMs: performance.now()}); // => []
 */
 export function findBrokenPromises(observations: Observations): readonly string[] {
 	const {events, refusedJobs} = observations;
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -6,7 +6,9 @@
 import {
 	faultsMs, planFaults, type Fault, type RandomInt,
 } from './faults.js';
-import {findBrokenPromises, type FaultPeriod} from './outcome.js';
+import {
+	findBrokenPromises, longestWaitMs, type FaultPeriod, type Observations,
+} from './outcome.js';
 import {goodTaskMs, runGoodJob} from './run-good-job.js';
 import {startSite} from './site.js';
 
@@ -18,17 +20,28 @@
 	logs: ReadonlyMap<string, readonly string[]>;
 	jobs: number;
 	faults: number;
+	/** Longest time for which a task that lasts did not run. */
+	longestWaitMs: number;
 	durationMs: number;
 }>;
 
 const startTimeoutMs = 20_000;
 
+/** Each process of a larger site lengthens its start by up to this. */
+const startTimeoutPerProcessMs = 500;
+
 /** Accepted jobs are completed this long after the last fault. A VM that is gone with its agent frees its tasks after 16 s. */
 const completionBoundMs = 20_000;
 
 /** Tasks that last are watched for this long after the last fault. */
 const watchMs = 8000;
 
+/** As `watchMs` after losses: the 9 s within which they have to run again, and the time to see that they do not. */
+const watchAfterLossesMs = 11_000;
+
+/** VMs of a site that loses some. */
+const agentCountWithLosses = 6;
+
 /** A job may be unknown to other entries for this long after its acknowledgement. */
 const visibleMs = 3000;
 
@@ -40,22 +53,23 @@
 
 const submitPauseMs = 120;
 const lastingPayload = 'lasts';
-const lastingJobIds = ['00000000000000a1', '00000000000000a2'];
+const lastingJobCount = 2;
 const lastingCount = 2;
 
 function runTimeMsOf(payload: string): number {
 	return payload === lastingPayload ? Number.POSITIVE_INFINITY : Number(/^runs-(?<ms>\d+)$/v.exec(payload)?.groups?.ms ?? goodTaskMs);
 }
 
-function findUnkeptAnswers(calls: readonly Call[], acceptedAtMs: ReadonlyMap<string, number>, faults: ReadonlyArray<FaultPeriod & Readonly<{description: string}>>): readonly string[] {
+type InjectedFault = FaultPeriod & Omit<Fault, 'atMs' | 'inject'>;
+
+function findUnkeptAnswers(calls: readonly Call[], acceptedAtMs: ReadonlyMap<string, number>, faults: readonly InjectedFault[]): readonly string[] {
 	return calls.flatMap(({entry, method, jobId, sentAtMs, endedAtMs, status, text}) => {
 		const call = `${method} ${jobId} at ${entry.name}, sent at ${Math.round(sentAtMs)}`;
 		if (status === 410 && sentAtMs > (acceptedAtMs.get(jobId) ?? Number.POSITIVE_INFINITY) + visibleMs) {
 			return [`accepted job answered 410: ${call}`];
 		}
 
-		const isExcused = faults.some(({description, fromMs, untilMs}) =>
-			(description.startsWith('SIGKILL') || description.startsWith('SIGSTOP')) && description.includes(entry.name) && fromMs <= endedAtMs && untilMs >= sentAtMs);
+		const isExcused = faults.some(({breaksCallsOf, fromMs, untilMs}) => breaksCallsOf === entry.name && fromMs <= endedAtMs && untilMs >= sentAtMs);
 		return status === undefined && endedAtMs - sentAtMs > lossSlackMs && !isExcused ? [`no whole answer (${text}) after ${Math.round(endedAtMs - sentAtMs)} ms: ${call}`] : [];
 	});
 }
@@ -66,10 +80,13 @@
 @example
 const {failures} = await runSoak({seed: 1, bundleDirectory: 'dist'});
 */
-export async function runSoak({seed, bundleDirectory, ...size}: Readonly<{
+export async function runSoak({seed, bundleDirectory, hasLosses = false, ...size}: Readonly<{
 	seed: number;
 	bundleDirectory: string;
+	/** Loses VMs for good, and checks in a calm after it that tasks that last run again. */
+	hasLosses?: boolean;
 	entryCount?: number;
+	agentCount?: number;
 	/** Entries that decide; all of them without it. */
 	deciderCount?: number;
 }>): Promise<SoakResult> {
@@ -79,37 +96,39 @@
 	const clientGenerator = xoroshiro128plus(Math.imul(seed, seedFactor) + 1);
 	const events: ExecutorEvent[] = [];
 	const site = await startSite({
-		...size, bundleDirectory, runTimeMs: runTimeMsOf, onEvent(event) {
+		...(hasLosses && {agentCount: agentCountWithLosses}), ...size, bundleDirectory, runTimeMs: runTimeMsOf, onEvent(event) {
 			events.push(event);
 		},
 	});
 	const clients = createClients(site.entries, {pick: values => values[uniformInt(clientGenerator, 0, values.length - 1)]!});
-	const periods: Array<FaultPeriod & Readonly<{description: string}>> = [];
+	const periods: InjectedFault[] = [];
 	const failures: string[] = [];
 
-	async function inject({atMs, description, inject: run}: Fault, startMs: number): Promise<void> {
+	async function inject({atMs, inject: run, ...fault}: Fault, startMs: number): Promise<void> {
 		await delay(Math.max(0, startMs + atMs - performance.now()));
 		const fromMs = performance.now();
-		const index = periods.push({description, fromMs, untilMs: Number.POSITIVE_INFINITY}) - 1;
+		const index = periods.push({...fault, fromMs, untilMs: Number.POSITIVE_INFINITY}) - 1;
 		await run();
-		periods[index] = {description, fromMs, untilMs: performance.now()};
+		periods[index] = {...fault, fromMs, untilMs: performance.now()};
 	}
 
 	try {
 		for (const entry of site.entries) {
-			await runGoodJob(site, entry, {timeoutMs: startTimeoutMs});
+			await runGoodJob(site, entry, {timeoutMs: startTimeoutMs + ((site.entries.length + site.agents.length) * startTimeoutPerProcessMs)});
 		}
 
 		const startMs = performance.now();
+		// With losses as many tasks that last as run on each VM.
+		const lastingJobIds = Array.from({length: hasLosses ? site.agents.length : lastingJobCount}, (_, index) => `a${index + 1}`.padStart(16, '0'));
 		for (const jobId of lastingJobIds) {
 			clients.submit({jobId, isLasting: true}, {
 				spec: lastingPayload, steps: [{
-					count: lastingCount, cpu: 500, memMb: 10, longRunning: true,
+					count: lastingCount, cpu: 500, memMb: 10, longRunning: true, ...(hasLosses && {antiAffinity: 1}),
 				}],
 			});
 		}
 
-		const faults = planFaults(site, {randomInt, seed});
+		const {faults, losses} = planFaults(site, {randomInt, seed, hasLosses});
 		let jobs = 0;
 		const submitting = (async () => {
 			while (performance.now() < startMs + faultsMs) {
@@ -127,20 +146,27 @@
 			executor.setOddAnswers({});
 		}
 
-		const [unfinished] = await Promise.all([clients.waitForCompletion(completionBoundMs), delay(watchMs)]);
+		const lossesStartMs = performance.now();
+		await Promise.all(losses.map(async loss => inject(loss, lossesStartMs)));
+		const [unfinished] = await Promise.all([clients.waitForCompletion(completionBoundMs), delay(hasLosses ? watchAfterLossesMs : watchMs)]);
 		failures.push(...unfinished.map(jobId => `accepted job ${jobId} is not completed ${completionBoundMs} ms after the faults`));
 		const endMs = performance.now();
 		await clients.close();
-		const lastingTasks = new Set(lastingJobIds.filter(jobId => clients.acceptedAtMs().has(jobId)).flatMap(jobId => Array.from({length: lastingCount}, (_, index) => `${jobId}.0.0.${index}`)));
+		const lastingTasks = new Map(lastingJobIds.flatMap(jobId => {
+			const acceptedAtMs = clients.acceptedAtMs().get(jobId);
+			return acceptedAtMs === undefined ? [] : Array.from({length: lastingCount}, (_, index) => [`${jobId}.0.0.${index}`, acceptedAtMs] as const);
+		}));
+		const observations: Observations = {
+			events, refusedJobs: clients.refusedJobs(), lastingTasks, faults: periods, endMs,
+		};
 		failures.push(
 			...findUnkeptAnswers(clients.calls(), clients.acceptedAtMs(), periods),
-			...findBrokenPromises({
-				events, refusedJobs: clients.refusedJobs(), lastingTasks, faults: periods, endMs,
-			}),
-			...[...lastingTasks].filter(taskId => !events.some(event => event.taskId === taskId)).map(taskId => `${taskId} never ran`),
+			...findBrokenPromises(observations),
+			...[...lastingTasks.keys()].filter(taskId => !events.some(event => event.taskId === taskId)).map(taskId => `${taskId} never ran`),
 		);
 		return {
-			jobs, faults: faults.length, failures: [...failures, ...site.ownEnds()], logs: site.logs(), durationMs: performance.now() - beginMs,
+			jobs, faults: faults.length + losses.length, longestWaitMs: longestWaitMs(observations),
+			failures: [...failures, ...site.ownEnds()], logs: site.logs(), durationMs: performance.now() - beginMs,
 			journal: [
 				...periods.map(({description, fromMs, untilMs}) => ({atMs: fromMs, text: `fault: ${description} (until ${Math.round(untilMs)})`})),
 				...clients.calls().map(({entry, method, jobId, sentAtMs, endedAtMs, status, text}) => ({
