--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check';
 import {type StoreFaults} from '../stand-ins/store-stand-in.js';
 import {type FaultProxy, type LinkFault} from './fault-proxy.js';
-import {planLosses} from './losses.js';
+import {planLosses, type LossKind} from './losses.js';
 import {oddEntriesByCase} from './odd-entries.js';
 import {graceMs, planConfigurations, planSignals} from './series.js';
 import {type Site, type SiteAgent, type SiteEntry} from './site.js';
@@ -59,12 +59,12 @@
 
 /**
 Plans the faults of a seed. Faults of one process or link never overlap, but for series of signals to one process; those of different
-ones may. `hasLosses` adds such series and losses for good.
+ones may. `losses` adds such series and losses for good.
 
 @example
 const {faults} = planFaults(site, {randomInt, seed: 1});
 */
-export function planFaults(site: Site, {randomInt, seed, hasLosses = false}: Readonly<{randomInt: RandomInt; seed: number; hasLosses?: boolean}>): FaultPlan {
+export function planFaults(site: Site, {randomInt, seed, losses}: Readonly<{randomInt: RandomInt; seed: number; losses?: readonly LossKind[] | undefined}>): FaultPlan {
 	const pick = <Value>(values: readonly Value[]): Value => values[randomInt(0, values.length - 1)]!;
 	const targets = createFaultTargets();
 
@@ -156,7 +156,7 @@
 			site.configure();
 		}),
 	};
-	const allPlanners: typeof planners = hasLosses
+	const allPlanners: typeof planners = losses
 		? {
 			...planners,
 			signals() {
@@ -173,5 +173,5 @@
 	const draws = Math.max(1, Math.floor((site.entries.length + site.agents.length) / processesPerDraw));
 	const faults = Array.from({length: randomInt(minFaults, maxFaults) * draws}, () => ({atMs: randomInt(0, faultsMs), ...allPlanners[pick(Object.keys(allPlanners))]!()}))
 		.toSorted((left, right) => left.atMs - right.atMs);
-	return {faults, losses: hasLosses ? planLosses(site, {randomInt, targets}) : []};
+	return {faults, losses: losses ? planLosses(site, {kinds: losses, randomInt, targets}) : []};
 }
--- a/soak/losses.ts
+++ b/soak/losses.ts
@@ -8,6 +8,10 @@
 /** Losses in a run, beside which at least half of the VMs stay. */
 const maxLosses = 3;
 
+/** An executor, a VM with its agent, or an executor whose agent is stopped soon after and comes back. */
+export const lossKinds = ['executor', 'vm', 'stop'] as const;
+export type LossKind = typeof lossKinds[number];
+
 async function loseExecutor({executor, links}: SiteAgent): Promise<void> {
 	executor.crash();
 	// A connection to the address of a process that is gone is refused.
@@ -15,22 +19,22 @@
 }
 
 /**
-Plans losses for good on different VMs: an executor, a VM with its agent, or an executor whose agent is stopped soon after and comes back.
+Plans losses for good on different VMs.
 
 @example
-const losses = planLosses(site, {randomInt, targets});
+const losses = planLosses(site, {kinds: ['executor'], randomInt, targets});
 */
-export function planLosses({agents}: Site, {randomInt, targets}: Readonly<{randomInt: RandomInt; targets: FaultTargets}>): readonly Fault[] {
+export function planLosses({agents}: Site, {kinds, randomInt, targets}: Readonly<{kinds: readonly LossKind[]; randomInt: RandomInt; targets: FaultTargets}>): readonly Fault[] {
 	const remaining = [...agents];
-	const planners: ReadonlyArray<(agent: SiteAgent) => Omit<Fault, 'atMs'>> = [
-		agent => ({
+	const planners: Readonly<Record<LossKind, (agent: SiteAgent) => Omit<Fault, 'atMs'>>> = {
+		executor: agent => ({
 			description: `loss of ${agent.executorId}`,
 			async inject() {
 				await targets.take(agent.executor);
 				await loseExecutor(agent);
 			},
 		}),
-		agent => ({
+		vm: agent => ({
 			description: `loss of ${agent.executorId} with ${agent.name}`,
 			async inject() {
 				await targets.take(agent.executor);
@@ -39,7 +43,7 @@
 				await Promise.all([loseExecutor(agent), agent.links.control.close()]);
 			},
 		}),
-		agent => {
+		stop(agent) {
 			const [terminateMs, killMs, startMs] = [randomInt(0, 1500), randomInt(0, 1500), randomInt(0, 1000)];
 			return {
 				description: `loss of ${agent.executorId}, SIGTERM of ${agent.name} after ${terminateMs} ms, SIGKILL after ${killMs} ms, back after ${startMs} ms`,
@@ -57,9 +61,9 @@
 				},
 			};
 		},
-	];
+	};
 	return Array.from({length: randomInt(1, Math.min(maxLosses, Math.floor(agents.length / 2)))}, () => {
 		const [agent] = remaining.splice(randomInt(0, remaining.length - 1), 1);
-		return {atMs: randomInt(0, lossesMs), ...planners[randomInt(0, planners.length - 1)]!(agent!)};
+		return {atMs: randomInt(0, lossesMs), ...planners[kinds[randomInt(0, kinds.length - 1)]!](agent!)};
 	});
 }
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -7,6 +7,7 @@
 import cac from 'cac';
 import PQueue from 'p-queue';
 import {bundlePrograms} from '../scripts/bundle-programs.js';
+import {lossKinds, type LossKind} from './losses.js';
 import {runSoak, type SoakResult} from './run-soak.js';
 
 const cli = cac('soak');
@@ -14,13 +15,28 @@
 cli.option('--jobs <number>', 'Seeds that run at the same time', {default: 1});
 cli.option('--entries <number>', 'Entries of the site', {default: 2});
 cli.option('--vms <number>', 'VMs of the site; 2 without it, or 6 with --losses');
-cli.option('--losses', 'Loses VMs for good and sends signals in series; a calm follows in which tasks that last have to run again');
+cli.option('--losses [kinds]', `Losses for good (${lossKinds.join(', ')}) and signals in series; a calm follows in which tasks that last have to run again`);
 cli.option('--deciders <number>', 'Entries that decide; all of them without it');
 cli.option('--logs <directory>', 'Where the logs of failing seeds are written', {default: 'soak-logs'});
 cli.option('--bundles <directory>', 'Programs to run in place of those of this tree');
 cli.help();
 const {options} = cli.parse();
 
+/** Returns the kinds of losses that `--losses` names, or all of them. */
+function lossesOf(option: unknown): readonly LossKind[] {
+	if (option === true) {
+		return lossKinds;
+	}
+
+	const names = new Set(String(option).split(','));
+	const kinds = lossKinds.filter(kind => names.has(kind));
+	if (kinds.length < names.size) {
+		throw new Error(`--losses takes ${lossKinds.join(', ')}`);
+	}
+
+	return kinds;
+}
+
 async function writeLogs(directory: string, {journal, logs, failures}: SoakResult): Promise<void> {
 	await mkdir(directory, {recursive: true});
 	await writeFile(path.join(directory, 'journal.txt'), [...failures, ...journal].join('\n'));
@@ -46,7 +62,7 @@
 	await queue.addAll(Array.from({length: last - first + 1}, (_, index) => async () => {
 		const seed = first + index;
 		const result = await runSoak({
-			seed, bundleDirectory, entryCount: Number(options.entries), hasLosses: options.losses === true,
+			seed, bundleDirectory, entryCount: Number(options.entries), ...(options.losses !== undefined && {losses: lossesOf(options.losses)}),
 			...(options.vms !== undefined && {agentCount: Number(options.vms)}), ...(options.deciders !== undefined && {deciderCount: Number(options.deciders)}),
 		});
 		const {failures, jobs, faults, durationMs, longestWaitMs} = result;
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -6,6 +6,7 @@
 import {
 	faultsMs, planFaults, type Fault, type RandomInt,
 } from './faults.js';
+import {type LossKind} from './losses.js';
 import {
 	findBrokenPromises, longestWaitMs, type FaultPeriod, type Observations,
 } from './outcome.js';
@@ -80,17 +81,18 @@
 @example
 const {failures} = await runSoak({seed: 1, bundleDirectory: 'dist'});
 */
-export async function runSoak({seed, bundleDirectory, hasLosses = false, ...size}: Readonly<{
+export async function runSoak({seed, bundleDirectory, losses: lossKinds, ...size}: Readonly<{
 	seed: number;
 	bundleDirectory: string;
-	/** Loses VMs for good, and checks in a calm after it that tasks that last run again. */
-	hasLosses?: boolean;
+	/** Kinds of losses for good; a calm follows in which tasks that last have to run again. */
+	losses?: readonly LossKind[];
 	entryCount?: number;
 	agentCount?: number;
 	/** Entries that decide; all of them without it. */
 	deciderCount?: number;
 }>): Promise<SoakResult> {
 	const beginMs = performance.now();
+	const hasLosses = lossKinds !== undefined;
 	const generator = xoroshiro128plus(Math.imul(seed, seedFactor));
 	const randomInt: RandomInt = (low, high) => uniformInt(generator, low, high);
 	const clientGenerator = xoroshiro128plus(Math.imul(seed, seedFactor) + 1);
@@ -128,7 +130,7 @@
 			});
 		}
 
-		const {faults, losses} = planFaults(site, {randomInt, seed, hasLosses});
+		const {faults, losses} = planFaults(site, {randomInt, seed, losses: lossKinds});
 		let jobs = 0;
 		const submitting = (async () => {
 			while (performance.now() < startMs + faultsMs) {
