--- a/soak/losses.ts
+++ b/soak/losses.ts
@@ -8,16 +8,28 @@
 /** Losses in a run, beside which at least half of the VMs stay. */
 const maxLosses = 3;
 
-/** An executor, a VM with its agent, or an executor whose agent is stopped soon after and comes back. */
-export const lossKinds = ['executor', 'vm', 'stop'] as const;
+/** An executor, a VM with its agent, or an executor whose agent is stopped soon after, for good or to come back. */
+export const lossKinds = ['executor', 'vm', 'stop', 'restart'] as const;
 export type LossKind = typeof lossKinds[number];
 
+/** Longest time from the loss of an executor to SIGTERM of its agent, and from there to SIGKILL. */
+const maxStepMs = 1500;
+
+const maxStartMs = 1000;
+
 async function loseExecutor({executor, links}: SiteAgent): Promise<void> {
 	executor.crash();
 	// A connection to the address of a process that is gone is refused.
 	await links.executor.close();
 }
 
+async function stopAgent(agent: SiteAgent, {terminateMs, killMs}: Readonly<{terminateMs: number; killMs: number}>): Promise<void> {
+	await delay(terminateMs);
+	agent.terminate();
+	await delay(killMs);
+	agent.kill();
+}
+
 /**
 Plans losses for good on different VMs.
 
@@ -44,17 +56,27 @@
 			},
 		}),
 		stop(agent) {
-			const [terminateMs, killMs, startMs] = [randomInt(0, 1500), randomInt(0, 1500), randomInt(0, 1000)];
+			const [terminateMs, killMs] = [randomInt(0, maxStepMs), randomInt(0, maxStepMs)];
+			return {
+				description: `loss of ${agent.executorId}, SIGTERM of ${agent.name} after ${terminateMs} ms, SIGKILL after ${killMs} ms`,
+				async inject() {
+					await targets.take(agent.executor);
+					await targets.take(agent);
+					await loseExecutor(agent);
+					await stopAgent(agent, {terminateMs, killMs});
+					await agent.links.control.close();
+				},
+			};
+		},
+		restart(agent) {
+			const [terminateMs, killMs, startMs] = [randomInt(0, maxStepMs), randomInt(0, maxStepMs), randomInt(0, maxStartMs)];
 			return {
 				description: `loss of ${agent.executorId}, SIGTERM of ${agent.name} after ${terminateMs} ms, SIGKILL after ${killMs} ms, back after ${startMs} ms`,
 				async inject() {
 					await targets.take(agent.executor);
 					await targets.take(agent);
 					await loseExecutor(agent);
-					await delay(terminateMs);
-					agent.terminate();
-					await delay(killMs);
-					agent.kill();
+					await stopAgent(agent, {terminateMs, killMs});
 					await delay(startMs);
 					await agent.startAgain();
 					targets.free(agent);
--- a/soak/run-soak.test.ts
+++ b/soak/run-soak.test.ts
@@ -8,6 +8,7 @@
 for (const [seed, size, title] of [
 	[8, {}, 'two entries that decide'],
 	[9, {entryCount: 4, deciderCount: 2}, 'two entries that decide and two that relay'],
+	[301, {losses: ['executor', 'restart']}, 'executors that are gone for good and a calm in which tasks that last run again'],
 ] as const) {
 	test(`the real programs keep their promises to callers while faults come from outside, with ${title}, seed ${seed}`, async t => {
 		const bundleDirectory = await mkdtemp(path.join(tmpdir(), 'arbutushinge-bundle-'));
