Open a further connection when all of a soak client's are busy

Its client sent 11 requests to entry-6 at once over 8 connections, and the call waited behind one that was answered with 504 after 3,001 ms; the entry logged it as abandoned at an age of 1,937 ms. The check counted the wait in the client as the entry's. No call waits for another one now.

--- a/soak/clients.ts
+++ b/soak/clients.ts
@@ -26,11 +26,16 @@
 const retryPauseMs = 300;
 const maxTries = 3;
 const pollMs = 150;
+/** Connections to each entry; more are opened when all of them are busy. */
 const connections = 8;
 
 /** Mean time between two requests for the state of an accepted job. */
 const statePauseMs = 100;
 
+function connect({queueAddress}: SiteEntry): Client {
+	return new Client(`http://${queueAddress}`, {headersTimeout: 0, bodyTimeout: 0, keepAliveTimeout: 60_000});
+}
+
 /**
 Creates clients that keep their connections to all entries open.
 
@@ -39,9 +44,7 @@
 clients.submit({jobId: '5c0e7a21d94b36f8', isLasting: false}, {spec: '', steps: [{count: 1}]});
 */
 export function createClients(entries: readonly SiteEntry[], {pick}: Readonly<{pick: <Value>(values: readonly Value[]) => Value}>): Clients {
-	const connectionsOf = new Map(entries.map(entry => [entry, Array.from({length: connections}, () => new Client(`http://${entry.queueAddress}`, {
-		headersTimeout: 0, bodyTimeout: 0, keepAliveTimeout: 60_000,
-	}))]));
+	const connectionsOf = new Map(entries.map(entry => [entry, Array.from({length: connections}, () => connect(entry))]));
 	const busyConnections = new Set<Client>();
 	const calls: Call[] = [];
 	const acceptedAtMs = new Map<string, number>();
@@ -51,11 +54,17 @@
 	const closing = new AbortController();
 	const {signal} = closing;
 
-	/** Returns any of the idle connections, so that all of them stay in use, also while the entry stops. */
+	/** Returns any of the idle connections, so that all of them stay in use, also while the entry stops. No call waits for another one. */
 	function pickConnection(entry: SiteEntry): Client {
 		const all = connectionsOf.get(entry)!;
 		const idle = all.filter(connection => !busyConnections.has(connection));
-		return pick(idle.length > 0 ? idle : all);
+		if (idle.length > 0) {
+			return pick(idle);
+		}
+
+		const added = connect(entry);
+		all.push(added);
+		return added;
 	}
 
 	async function call(entry: SiteEntry, method: 'GET' | 'POST', jobId: string, body?: unknown): Promise<Call> {
