--- a/soak/main.ts
+++ b/soak/main.ts
@@ -65,8 +65,11 @@
 			seed, bundleDirectory, entryCount: Number(options.entries), ...(options.losses !== undefined && {losses: lossesOf(options.losses)}),
 			...(options.vms !== undefined && {agentCount: Number(options.vms)}), ...(options.deciders !== undefined && {deciderCount: Number(options.deciders)}),
 		});
-		const {failures, jobs, faults, durationMs, longestWaitMs} = result;
-		process.stdout.write(`seed=${seed} jobs=${jobs} faults=${faults} longestWaitS=${(longestWaitMs / 1000).toFixed(1)} durationS=${(durationMs / 1000).toFixed(1)} failures=${failures.length}\n`);
+		const {failures, jobs, faults, durationMs, longestWaitMs, ownLagMs} = result;
+		const fields = {
+			seed, jobs, faults, longestWaitS: (longestWaitMs / 1000).toFixed(1), ownLagMs: ownLagMs.toFixed(0), durationS: (durationMs / 1000).toFixed(1), failures: failures.length,
+		};
+		process.stdout.write(`${Object.entries(fields).map(([name, value]) => `${name}=${value}`).join(' ')}\n`);
 		if (failures.length > 0) {
 			process.exitCode = 1;
 			process.stdout.write(`${failures.slice(0, 10).map(failure => `  ${failure}`).join('\n')}\n`);
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -1,3 +1,4 @@
+import {monitorEventLoopDelay} from 'node:perf_hooks';
 import {setTimeout as delay} from 'node:timers/promises';
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
@@ -23,6 +24,8 @@
 	faults: number;
 	/** Longest time for which a task that lasts did not run. */
 	longestWaitMs: number;
+	/** Delay of this process's event loop, which the stand-ins and the proxies share, in 1% of the time. */
+	ownLagMs: number;
 	durationMs: number;
 }>;
 
@@ -52,6 +55,9 @@
 /** Keeps the generators of consecutive seeds apart. */
 const seedFactor = 0x9E_37_79_B1;
 
+const ownLagPercentile = 99;
+const nanosecondsPerMs = 1_000_000;
+
 const submitPauseMs = 120;
 const lastingPayload = 'lasts';
 const lastingJobCount = 2;
@@ -92,6 +98,8 @@
 	deciderCount?: number;
 }>): Promise<SoakResult> {
 	const beginMs = performance.now();
+	const lag = monitorEventLoopDelay();
+	lag.enable();
 	const hasLosses = lossKinds !== undefined;
 	const generator = xoroshiro128plus(Math.imul(seed, seedFactor));
 	const randomInt: RandomInt = (low, high) => uniformInt(generator, low, high);
@@ -167,7 +175,7 @@
 			...[...lastingTasks.keys()].filter(taskId => !events.some(event => event.taskId === taskId)).map(taskId => `${taskId} never ran`),
 		);
 		return {
-			jobs, faults: faults.length + losses.length, longestWaitMs: longestWaitMs(observations),
+			jobs, faults: faults.length + losses.length, longestWaitMs: longestWaitMs(observations), ownLagMs: lag.percentile(ownLagPercentile) / nanosecondsPerMs,
 			failures: [...failures, ...site.ownEnds()], logs: site.logs(), durationMs: performance.now() - beginMs,
 			journal: [
 				...periods.map(({description, fromMs, untilMs}) => ({atMs: fromMs, text: `fault: ${description} (until ${Math.round(untilMs)})`})),
@@ -178,6 +186,7 @@
 			].toSorted((left, right) => left.atMs - right.atMs).map(({atMs, text}) => `${Math.round(atMs)} ${new Date(performance.timeOrigin + atMs).toISOString()} ${text}`),
 		};
 	} finally {
+		lag.disable();
 		await clients.close();
 		await site.close();
 	}
