Do not lift the bound of a revoked VM when an entry of an earlier version ends

Found by the review of the contact lease. An entry of an earlier version grants leases without being listed as hearing the agent, so its presence keeps the bound of the revocation. When it ended after the revocation, nothing recorded it, and the tasks were free up to 6 s before the agent had to stop them: a task could run twice during a rolling upgrade. The VM's contact now counts as unbounded then.

The new case of lease-expiry.test.ts fails without the change ('silence' in place of 'revocation').

--- a/src/cluster/vm-contact.ts
+++ b/src/cluster/vm-contact.ts
@@ -52,7 +52,10 @@
 removeEndedHearer(vm, {incarnation: 'a81f…', withdrawsAfterMs: 3000}, 17).contact.endedOffset; // => 17
 */
 export function removeEndedHearer(vm: Vm, {incarnation, withdrawsAfterMs}: Pick<EntryMember, 'incarnation' | 'withdrawsAfterMs'>, offset: number): Vm {
-	return vm.heardBy.has(incarnation) || withdrawsAfterMs === undefined
-		? {...vm, heardBy: vm.heardBy.delete(incarnation), contact: vm.phase === 'live' ? {...vm.contact, endedOffset: offset} : vm.contact}
-		: vm;
+	const heardBy = vm.heardBy.delete(incarnation);
+	if (vm.phase !== 'live') {
+		return {...vm, heardBy, contact: withdrawsAfterMs === undefined ? unboundedContact : vm.contact};
+	}
+
+	return vm.heardBy.has(incarnation) || withdrawsAfterMs === undefined ? {...vm, heardBy, contact: {...vm.contact, endedOffset: offset}} : vm;
 }
--- a/src/membership/lease-expiry.test.ts
+++ b/src/membership/lease-expiry.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import {Map as immutableMap} from 'immutable';
-import {type VmContact} from '../cluster/vm-contact.js';
+import {removeEndedHearer, type VmContact} from '../cluster/vm-contact.js';
 import {emptyStateFixture, vmFixture} from '../operator/state-fixture.js';
 import {entrySettingsSchema} from '../settings/entry-settings.js';
 import {leaseExpiry, observeContact, type ContactObservations} from './lease-expiry.js';
@@ -61,3 +61,9 @@
 	t.deepEqual(expiryOf({...withdrawn, limitMs: 2000}), {atMs: 25_000, proof: 'silence'});
 	t.is(expiryOf({...withdrawn, limitMs: 60_000}).atMs, 29_500);
 });
+
+test('the end of an entry of an earlier version, which may have granted unlisted, does not lift the bound of a VM that is revoked already', t => {
+	const revoked = {...vmFixture, contact: withdrawn, phase: 'revoked' as const};
+	t.is(expiryOf(removeEndedHearer(revoked, {incarnation: 'old'}, 9).contact).proof, 'revocation');
+	t.is(expiryOf(removeEndedHearer(revoked, {incarnation: 'new', withdrawsAfterMs: 3000}, 9).contact).proof, 'silence');
+});
