Report agents as heard only once an entry is registered itself

In the tick in which an entry sees that its incarnation was declared ended, it reported the agents that it hears under the new incarnation, before its registration. Readers ignore such records, and the guard against repeated appends held the next report for 3 s. Since the contact lease an entry grants only when the log lists it, so that each restarted incarnation granted nothing for about 4 s, and tasks whose hearers were all cut from the store for 8 s were thrown away.

An entry that the log does not list writes nothing about agents now, the guards start anew with the incarnation and name the agent's incarnation, and the last heartbeat is answered again when the log begins to list the entry, in place of waiting for the next one.

The new case of vm-liveness.test.ts fails without the change. The test of a whole restart passes with and without it, since its log is read back at once.

--- a/src/entry/reduce-agent-event.ts
+++ b/src/entry/reduce-agent-event.ts
@@ -109,7 +109,7 @@
 }
 
 /**
-Grants a lease to the agents whose registration was just read, before the commands that need one.
+Grants a lease to the agents whose registration was just read, before the commands that need one, and to those that the log now lists as heard by this entry.
 
 @param before the log as it was read before; all that was read since was appended after `tailSentAtMs`.
 
@@ -124,10 +124,18 @@
 ): ControlTransition {
 	const context = contextOf(state, inputs, settings);
 	const effects = [...state.links.values()].flatMap(({vmId, agentIncarnation, heartbeatSequence}) => {
-		const isNew = state.cluster.vms.get(vmId)?.agentIncarnation === agentIncarnation && before.cluster.vms.get(vmId)?.agentIncarnation !== agentIncarnation;
-		return isNew && heartbeatSequence !== undefined
-			? grantFirstLease({vmId, agentIncarnation, sequence: heartbeatSequence}, {context, tailSentBeforeMs: before.tailSentAtMs})
-			: [];
+		const vm = state.cluster.vms.get(vmId);
+		const former = before.cluster.vms.get(vmId);
+		if (heartbeatSequence === undefined || vm?.agentIncarnation !== agentIncarnation) {
+			return [];
+		}
+
+		const heartbeat = {vmId, agentIncarnation, sequence: heartbeatSequence};
+		if (former?.agentIncarnation !== agentIncarnation) {
+			return grantFirstLease(heartbeat, {context, tailSentBeforeMs: before.tailSentAtMs});
+		}
+
+		return vm.heardBy.has(state.incarnation) && !former.heardBy.has(state.incarnation) ? answerHeartbeat(heartbeat, {context, vmLiveness: state.vmLiveness}) : [];
 	});
 	return {state, effects};
 }
@@ -265,7 +273,9 @@
 	const vm = context.cluster.vms.get(link.vmId);
 	const isRecorded = vm?.agentIncarnation === hello.agentIncarnation
 		|| (vm?.formerAgentIncarnations.includes(hello.agentIncarnation) ?? false);
-	if (isRecorded || !mayAppend(state.appendGuard, subject, context.tailConfirmedSentAtMs)) {
+	// Readers ignore what an entry writes before its own registration.
+	const isOwnRegistered = context.cluster.entries.has(context.incarnation);
+	if (isRecorded || !isOwnRegistered || !mayAppend(state.appendGuard, subject, context.tailConfirmedSentAtMs)) {
 		return {state, effects: []};
 	}
 
--- a/src/entry/reduce-entry.ts
+++ b/src/entry/reduce-entry.ts
@@ -15,6 +15,7 @@
 import {
 	grantFirstLeases, startAndAcknowledgeTasks, linkOf, reduceAgentEvent, refreshLinks,
 } from './reduce-agent-event.js';
+import {emptyAppendGuard} from './append-guard.js';
 import {requestDeferredAnswer, resolveDeferredAnswers} from './deferred-answers.js';
 import {type EntryContext} from './entry-context.js';
 import {contextOf} from './context-of.js';
@@ -74,7 +75,13 @@
 		},
 		effects: [],
 	}),
-	'incarnation-started': (state, event) => ({state: {...state, incarnation: event.incarnation}, effects: []}),
+	'incarnation-started': (state, event) => ({
+		// What the former incarnation appended may have been ignored.
+		state: {
+			...state, incarnation: event.incarnation, appendGuard: emptyAppendGuard, vmLiveness: {...state.vmLiveness, guard: emptyAppendGuard},
+		},
+		effects: [],
+	}),
 	'agent-hello': reduceAgentEvent,
 	'agent-heartbeat'(state, event, inputs, settings) {
 		const transition = reduceAgentEvent(state, event, inputs, settings);
--- a/src/membership/vm-liveness.test.ts
+++ b/src/membership/vm-liveness.test.ts
@@ -109,3 +109,10 @@
 	t.deepEqual(kindsAt(4750, []), ['vm-reachable']);
 	t.false(hasWithdrawn(state, vmId, agentIncarnation));
 });
+
+test('an entry that the log does not list yet writes nothing about agents, which readers would ignore', t => {
+	const context = contextAt(1250, ['other']);
+	const unlisted: EntryContext = {...context, cluster: {...context.cluster, entries: context.cluster.entries.delete('own')}};
+	t.deepEqual(tickVmLiveness(reachableState, unlisted).effects, []);
+	t.is(tickVmLiveness(reachableState, context).effects.length, 1);
+});
--- a/src/membership/vm-liveness.ts
+++ b/src/membership/vm-liveness.ts
@@ -171,10 +171,10 @@
 	context: EntryContext,
 	effect: Extract<ControlEffect, {kind: 'append-record'}>,
 ): Observation {
-	const vmId = 'vmId' in effect.record ? effect.record.vmId : '';
-	const subject = `${effect.record.kind}/${vmId}`;
-	// During an outage of the log the state may be stale, and records written after it would be out of date.
-	if (!isLogFresh(context) || !mayAppend(observation.state.guard, subject, context.tailConfirmedSentAtMs)) {
+	const agent = 'vmId' in effect.record && 'agentIncarnation' in effect.record ? `${effect.record.vmId}/${effect.record.agentIncarnation}` : '';
+	const subject = `${effect.record.kind}/${agent}`;
+	// Readers ignore what an entry writes before its registration. During an outage of the log the state may be stale, and records written after it would be out of date.
+	if (!context.cluster.entries.has(context.incarnation) || !isLogFresh(context) || !mayAppend(observation.state.guard, subject, context.tailConfirmedSentAtMs)) {
 		return observation;
 	}
 
