Count the suspension of a VM against its lease

The platform may suspend a machine for seconds, and its steady clock does not count that time. An entry that was suspended took its newest read of the log for recent and went on granting.

Both now compare the time of day with the steady clock at each event.

New tests; they have no failing run, since the functions are new.

--- a/src/agent/agent-event.ts
+++ b/src/agent/agent-event.ts
@@ -40,6 +40,8 @@
 	'stop-answered': Readonly<{taskId: string}>;
 	/** The worker did not apply a processor share, or its answer was lost. */
 	'throttle-failed': Readonly<{taskId: string}>;
+	/** The VM was suspended; its monotonic clock did not count the time. */
+	'vm-resumed': Readonly<{suspendedMs: number}>;
 	'incarnation-created': Readonly<{incarnation: string}>;
 	'backend-server-announced': Readonly<{announcement: Announcement}>;
 	'backend-server-leaving': Readonly<{backendServerId: string}>;
--- a/src/agent/agent-process.ts
+++ b/src/agent/agent-process.ts
@@ -3,6 +3,7 @@
 import {type TypedError} from '../errors/typed-error.js';
 import {createEventLoop} from '../event-loop/create-event-loop.js';
 import {logLoopFailures} from '../event-loop/log-loop-failures.js';
+import {createSuspensionDetector} from '../event-loop/suspension-detector.js';
 import {monotonicMs} from '../worker/monotonic-clock.js';
 import type {AgentSettings} from '../settings/agent-settings.js';
 import type {EventLog} from '../telemetry/event-log.js';
@@ -112,7 +113,14 @@
 		initialState: initialAgentState(settings, randomUUID()), reduce: reduceAgent, execute, onFailure: logLoopFailures({eventLog, metrics, nowMs: monotonicMs}),
 	});
 
+	const suspensions = createSuspensionDetector({wallTimeMs: Date.now, steadyMs: monotonicMs});
+
 	function dispatch(event: AgentEvent): void {
+		const suspendedMs = suspensions.suspendedMs();
+		if (suspendedMs > 0) {
+			loop.dispatch({kind: 'vm-resumed', nowMs: monotonicMs(), suspendedMs});
+		}
+
 		loop.dispatch(event);
 	}
 
--- a/src/agent/lease.test.ts
+++ b/src/agent/lease.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import {
-	extendLease, isLeaseExpired, noLease, recordHeartbeatSent, type HeartbeatAnswer,
+	extendLease, isLeaseExpired, noLease, recordHeartbeatSent, type HeartbeatAnswer, shortenLease,
 } from './lease.js';
 
 const contactLimitMs = 7500;
@@ -48,3 +48,11 @@
 		sentAtMs: 1000, receivedAtMs: 9000, durationMs: 9000, inContact: true,
 	}]).deadlineMs, undefined);
 });
+
+test('time in which the VM was suspended counts against its lease, since the entries free its tasks meanwhile', t => {
+	const lease = leaseAfter([{sentAtMs: 1000, durationMs: 9000, inContact: true}]);
+	const shortened = shortenLease(lease, 4000);
+	t.is(shortened.deadlineMs, 4500);
+	t.is(extendLease(shortened, {sequence: 1, durationMs: 9000, inContact: true}, {nowMs: 2000, contactLimitMs: 7500}).deadlineMs, 4500);
+	t.is(shortenLease(noLease, 4000).deadlineMs, undefined);
+});
--- a/src/agent/lease.ts
+++ b/src/agent/lease.ts
@@ -84,3 +84,18 @@
 			...lease, contactUntilMs, grantedUntilMs, deadlineMs: grantedUntilMs === undefined ? undefined : Math.min(grantedUntilMs, contactUntilMs),
 		};
 }
+
+/**
+Moves a lease back by the time in which the VM was suspended. The VM's monotonic clock does not count it, and the clocks of the entries do.
+
+@param suspendedMs length of the suspension in milliseconds.
+
+@example
+shortenLease(lease, 4000).deadlineMs; // => 4000 ms earlier than before
+*/
+export function shortenLease({sentAtMs, grantedUntilMs, contactUntilMs, deadlineMs}: Lease, suspendedMs: number): Lease {
+	const earlier = (atMs: number | undefined): number | undefined => atMs === undefined ? undefined : atMs - suspendedMs;
+	return {
+		sentAtMs: sentAtMs.map(atMs => atMs - suspendedMs), grantedUntilMs: earlier(grantedUntilMs), contactUntilMs: earlier(contactUntilMs), deadlineMs: earlier(deadlineMs),
+	};
+}
--- a/src/agent/reduce-agent.ts
+++ b/src/agent/reduce-agent.ts
@@ -17,7 +17,7 @@
 import {updateGuard} from './guard.js';
 import {expireKeyResults} from './key-table.js';
 import {
-	extendLease, recordHeartbeatSent, isLeaseExpired, maxLeaseMs, noLease,
+	extendLease, recordHeartbeatSent, isLeaseExpired, maxLeaseMs, noLease, shortenLease,
 } from './lease.js';
 import {
 	applyFillingShares, applyTraits, throttledTasksOf, fillingMeasurementOf, throttleFailed,
@@ -379,6 +379,9 @@
 	'start-answered': startAnswered,
 	'stop-answered': stopAnswered,
 	'throttle-failed': throttleFailed,
+	'vm-resumed': (state, {suspendedMs}) => transition({...state, lease: shortenLease(state.lease, suspendedMs)}, {
+		kind: 'log', level: 'warn', event: 'vm-resumed', fields: {suspendedMs: Math.round(suspendedMs)},
+	}),
 	'incarnation-created': (state, event) => state.phase === 'ending'
 		? register({
 			...state, phase: 'active', incarnation: event.incarnation, lease: noLease,
--- a/src/agent/task-handlers.ts
+++ b/src/agent/task-handlers.ts
@@ -83,7 +83,7 @@
 				payload: task.start.payload,
 				checkpoint: task.start.checkpoint,
 				latencyCritical: task.latencyCritical,
-				leaseDeadlineMonotonicMs: state.worker.workerLeaseDeadlineMs,
+				leaseDeadlineMonotonicMs: Math.min(state.worker.workerLeaseDeadlineMs, state.lease.deadlineMs ?? Number.POSITIVE_INFINITY),
 			},
 		}];
 }
--- a/src/entry/entry-event.ts
+++ b/src/entry/entry-event.ts
@@ -25,6 +25,8 @@
 		| Readonly<{kind: 'agent-task-events'; sessionId: string; events: readonly TaskEvent[]}>
 		| Readonly<{kind: 'agent-session-closed'; sessionId: string}>
 		| Readonly<{kind: 'tick'}>
+	/** The VM was suspended; its steady clock did not count the time. */
+		| Readonly<{kind: 'vm-resumed'; suspendedMs: number}>
 		| Readonly<{kind: 'deferred-asked'; replyId: string; subject: DeferredSubject}>
 		| Readonly<{kind: 'request'; event: RequestEvent}>;
 
--- a/src/entry/entry-process.ts
+++ b/src/entry/entry-process.ts
@@ -13,6 +13,7 @@
 import {createTimeline} from '../telemetry/create-timeline.js';
 import {createEventLoop} from '../event-loop/create-event-loop.js';
 import {logLoopFailures} from '../event-loop/log-loop-failures.js';
+import {createSuspensionDetector} from '../event-loop/suspension-detector.js';
 import {readTokenFile} from '../operator/read-token-file.js';
 import {type RequestEvent} from '../requests/request-event.js';
 import {type TypedError} from '../errors/typed-error.js';
@@ -113,7 +114,17 @@
 		},
 		onFailure: logLoopFailures({eventLog, metrics, nowMs: () => performance.now()}),
 	});
-	const {dispatch} = loop;
+	const suspensions = createSuspensionDetector({wallTimeMs: Date.now, steadyMs: () => performance.now()});
+
+	function dispatch(event: EntryEvent): void {
+		const suspendedMs = suspensions.suspendedMs();
+		if (suspendedMs > 0) {
+			loop.dispatch({kind: 'vm-resumed', suspendedMs});
+		}
+
+		loop.dispatch(event);
+	}
+
 	const requestHistory = createRequestHistory({
 		metrics,
 		timeline: createTimeline({process: `requests/${settings.entryId}@${incarnation}`, capacity: requestTimelineCapacity}),
--- a/src/entry/entry-state.ts
+++ b/src/entry/entry-state.ts
@@ -17,6 +17,8 @@
 export type LogReadState = Readonly<{
 	/** When the newest read that reached the tail was sent. */
 	tailConfirmedSentAtMs: number;
+	/** When the VM last resumed from a suspension, if it ever was in one. Reads sent before confirm nothing, since the steady clock makes them look recent. */
+	resumedAtMs?: number;
 	reachable: boolean;
 }>;
 
--- a/src/entry/reduce-entry.ts
+++ b/src/entry/reduce-entry.ts
@@ -99,6 +99,12 @@
 	'agent-task-events': reduceAgentEvent,
 	'agent-session-closed': reduceAgentEvent,
 	tick: reduceTick,
+	'vm-resumed': (state, {suspendedMs}, {nowMs}) => ({
+		state: {...state, log: {...state.log, tailConfirmedSentAtMs: Number.NEGATIVE_INFINITY, resumedAtMs: nowMs}},
+		effects: [{
+			kind: 'log-event', level: 'warn', event: 'vm-resumed', fields: {suspendedMs: Math.round(suspendedMs)},
+		}],
+	}),
 	'deferred-asked'(state, event, inputs, settings) {
 		const transition = requestDeferredAnswer(state.deferred, event.replyId, event.subject, contextOf(state, inputs, settings));
 		return {state: {...state, deferred: transition.state}, effects: transition.effects};
@@ -131,7 +137,8 @@
 	const before = state.cluster;
 	const cluster = applyRecords(before, event.records, inputs.onPartFailed && (({offset, kind, error}) => inputs.onPartFailed?.({part: `record-${kind}`, offset, error})));
 	const log = {
-		tailConfirmedSentAtMs: event.reachedTail
+		...state.log,
+		tailConfirmedSentAtMs: event.reachedTail && event.readSentAtMs >= (state.log.resumedAtMs ?? Number.NEGATIVE_INFINITY)
 			? Math.max(state.log.tailConfirmedSentAtMs, event.readSentAtMs)
 			: state.log.tailConfirmedSentAtMs,
 		reachable: true,
