Let an agent without a lease try all entries in turn

An agent counts an entry that grants no lease as half useful, so that it opens twice as many streams as it wants and no more. When as many entries of the first ranks did not reach the log, those behind them were never tried, and the agent lost its lease while others could grant one. With four deciders this needs two replacements at once; with six or more it needs one cut of the store.

After each 10 s without a lease from anyone, the places beyond the best ones pass to the next entries; one that grants a lease keeps its place. The new test failed before. Another one, which passed before, shows that an agent whose known entries are all gone has its streams within 2 s after the list names others.

The fixture of the tests kept a closed stream as connected, so that one opened again never was; that is mended, and all older tests pass with it on the code before as well. The test of an outage for all now checks each of 60 s more besides.

--- a/src/agent/entry-sessions.test.ts
+++ b/src/agent/entry-sessions.test.ts
@@ -8,6 +8,7 @@
 	const open = new Map<string, Pick<EntrySessionHandlers, 'connected' | 'disconnected'>>();
 	const reachable = new Set(addresses);
 	const granting = new Set(addresses);
+	const connected = new Set<string>();
 	const nothing = (): void => undefined;
 	const lines: string[] = [];
 	const record = (event: string): void => {
@@ -27,15 +28,16 @@
 				send: nothing,
 				async close() {
 					open.delete(entryAddress);
+					connected.delete(entryAddress);
 				},
 			};
 		},
 	});
-	const connected = new Set<string>();
 	/** Seconds for which an entry has been frozen: its kernel accepts streams, which the agent aborts after 5 s without an answer. */
 	const frozen = new Map<string, number>();
 	sessions.rank(addresses);
 	return {
+		rank: sessions.rank,
 		reachable,
 		granting,
 		lines,
@@ -125,6 +127,9 @@
 	pass(3);
 	granting.clear();
 	t.is(pass(20).length, 6);
+	for (let seconds = 0; seconds < 60; seconds++) {
+		t.true(pass(1).length <= 6);
+	}
 });
 
 test('the entry that replaces a frozen one stays selected while the frozen one accepts new streams', t => {
@@ -152,3 +157,41 @@
 	pass(1);
 	t.deepEqual(lines.filter(event => event.startsWith('entries-')), ['entries-unusable', 'entries-usable']);
 });
+
+test('an agent whose known entries are all gone gets its streams within two seconds after the list names others, wherever it names them', t => {
+	const known = [first, second, third, fourth];
+	const others = [fifth, sixth, addressOf(7), addressOf(8)];
+	for (const ranked of [[...others, ...known], [...known, ...others]]) {
+		const {reachable, rank, pass} = startSessions(known, 3);
+		pass(3);
+		for (const address of known) {
+			reachable.delete(address);
+		}
+
+		pass(15);
+		for (const address of others) {
+			reachable.add(address);
+		}
+
+		rank(ranked);
+		pass(2);
+		t.true(pass(1).filter(address => others.includes(address)).length >= 3);
+	}
+});
+
+test('an agent is not left without a lease because the entries that it prefers, twice as many as it wants, do not reach the log', t => {
+	const {granting, pass} = startSessions(all, 3);
+	pass(3);
+	const last = all.at(-1)!;
+	for (const address of all) {
+		granting.delete(address);
+	}
+
+	granting.add(last);
+	pass(30);
+	for (let seconds = 0; seconds < 30; seconds++) {
+		const selected = pass(1);
+		t.true(selected.includes(last), `second ${seconds}`);
+		t.true(selected.length <= 6);
+	}
+});
--- a/src/agent/entry-sessions.ts
+++ b/src/agent/entry-sessions.ts
@@ -18,9 +18,14 @@
 const lackAfterMs = 4000;
 const lackRepeatMs = 10_000;
 
+/** Time without a lease from any entry after which others take the places of those beyond the best ones, which may all be kept from the log. */
+const rotateAfterMs = 10_000;
+
 type SessionState = {
 	readonly session: EntrySession;
 	isConnected: boolean;
+	/** Whether it has granted a lease, or was open while none was needed. */
+	isConfirmed: boolean;
 	/**
 	Time of the newest of these: the session was opened, a stream of a useful entry was lost, a lease was granted, the stream was open while no
 	lease was needed. A stream that opens confirms nothing.
@@ -63,6 +68,9 @@
 	let unusable: readonly string[] = [];
 	let openAddresses: readonly string[] = [];
 	let isClosed = false;
+	/** How far the entries beyond the best ones are rotated, and when they were last. */
+	let turn = 0;
+	let rotatedAtMs = nowMs();
 	const recordLack = createLackLog({
 		began: {event: 'entries-unusable'}, ended: {event: 'entries-usable'}, afterMs: lackAfterMs, repeatMs: lackRepeatMs, nowMs, eventLog,
 	});
@@ -87,8 +95,30 @@
 		}
 	}
 
+	function isServing(entryAddress: string): boolean {
+		const state = sessionStates.get(entryAddress);
+		return state?.isConnected === true && state.isConfirmed && usefulnessOf(entryAddress) === 1;
+	}
+
+	/** Returns the entries in the order in which they are tried: the best ones, others that serve this agent, and the rest in turn. */
+	function tryOrder(): readonly string[] {
+		const best = ranked.slice(0, count);
+		const others = ranked.slice(best.length);
+		const rest = others.filter(address => !isServing(address));
+		const start = rest.length === 0 ? 0 : turn % rest.length;
+		return [...best, ...others.filter(address => isServing(address)), ...rest.slice(start), ...rest.slice(0, start)];
+	}
+
+	/** Gives places to entries that were not tried, at most each `rotateAfterMs`, so that an outage of the log for all seldom opens streams. */
+	function rotate(lackMs: number): void {
+		if (lackMs >= rotateAfterMs && nowMs() - rotatedAtMs >= rotateAfterMs && openAddresses.length < ranked.length) {
+			turn += openAddresses.length - Math.min(count ?? ranked.length, openAddresses.length);
+			rotatedAtMs = nowMs();
+		}
+	}
+
 	function updateSessions(): void {
-		const selected = isClosed ? [] : selectEntries(ranked, {count: count ?? ranked.length, usefulnessOf});
+		const selected = isClosed ? [] : selectEntries(tryOrder(), {count: count ?? ranked.length, usefulnessOf});
 		if (selected.join(',') === openAddresses.join(',')) {
 			return;
 		}
@@ -113,7 +143,9 @@
 						recordConnection(entryAddress, false);
 					},
 				});
-				sessionStates.set(entryAddress, {session, isConnected: false, lastUsefulAtMs: nowMs()});
+				sessionStates.set(entryAddress, {
+					session, isConnected: false, isConfirmed: false, lastUsefulAtMs: nowMs(),
+				});
 			}
 		}
 	}
@@ -133,18 +165,19 @@
 		review(needsLease) {
 			for (const state of sessionStates.values()) {
 				if (state.isConnected && !needsLease) {
+					state.isConfirmed = true;
 					state.lastUsefulAtMs = nowMs();
 				}
 			}
 
 			const states = [...sessionStates.entries()];
-			const useful = states.filter(([address, {isConnected}]) => isConnected && usefulnessOf(address) === 1);
-			recordLack(useful.length === 0, {streams: states.filter(([, {isConnected}]) => isConnected).length, tried: states.length, known: ranked.length});
+			rotate(recordLack(!states.some(([address]) => isServing(address)), {streams: states.filter(([, {isConnected}]) => isConnected).length, tried: states.length, known: ranked.length}));
 			updateSessions();
 		},
 		recordGrant(entryAddress) {
 			const state = sessionStates.get(entryAddress);
 			if (state) {
+				state.isConfirmed = true;
 				state.lastUsefulAtMs = nowMs();
 			}
 		},
