Let restarts lost with their VM reserve one against short tasks of any class

Cause, by trace: their rack is lost, they stay claimed for 9.6 s until the leases expire, and are queued as normal. What counts as room in the check is what workers do not run; all but a few hundred millicores of it were claimed anew in the same pass, or reserved for urgent restarts.

Change: entries note when the VM of a long-running or serving task went out of reach. 4 s later its restart is overdue, and its reservation holds against ending tasks of every class. First starts and restarts of urgent long-running tasks still come before those of lower classes.

--- a/bench/play-waiting-day.test.ts
+++ b/bench/play-waiting-day.test.ts
@@ -4,7 +4,7 @@
 
 /** Seeds of runs that had forbidden waits of each cause; the runs of a known fault are expected to fail. */
 const seedsByCause: Readonly<Record<string, Readonly<{seeds: readonly number[]; knownFaults: readonly number[]; hasCause: (wait: ForbiddenWait) => boolean}>>> = {
-	'although VMs have room for it': {seeds: [9, 108], knownFaults: [], hasCause: ({capacity, isHeld}) => capacity === 'on-vms' && !isHeld},
+	'although VMs have room for it': {seeds: [9, 20, 21, 108], knownFaults: [], hasCause: ({capacity, isHeld}) => capacity === 'on-vms' && !isHeld},
 	'because the room is in pieces': {seeds: [3, 26], knownFaults: [26], hasCause: ({capacity, isHeld}) => capacity === 'in-pieces' && !isHeld},
 	'because a claim on a lost VM holds it': {seeds: [11], knownFaults: [11], hasCause: ({isHeld}) => isHeld},
 };
--- a/src/placement/reservations.test.ts
+++ b/src/placement/reservations.test.ts
@@ -122,3 +122,22 @@
 	t.false(isRetained({vms: cluster.vms.map(vm => ({...vm, leaving: true}))}));
 	t.false(isRetained({}, 1000, immutableSet(['soon'])));
 });
+
+test('a flood of urgent ending tasks cannot take the VM reserved for a restart of a lower class whose VM was lost long ago', t => {
+	const context = contextOf();
+	const ending = context.cluster.tasks.get('on-soon')!;
+	const unreservedAfter = (waitMs: number) => {
+		const {cluster} = context;
+		const lost = {
+			...cluster, vms: cluster.vms.set('lost', {
+				...vmFixture, vmId: 'lost', heardBy: immutableSet(), taskIds: immutableSet(['background']),
+			}),
+		};
+		const waiting = retainValidReservations(noReservations, {...context, cluster: lost}, immutableSet());
+		const now = {...context, nowMs: waitMs};
+		return unreservedResourcesFor(reserve(background, now, retainValidReservations(waiting, now, immutableSet())), ending, {vmId: 'soon', free: demand}, cluster).processorsMilli;
+	};
+
+	t.is(unreservedAfter(2000), 6000);
+	t.is(unreservedAfter(7000), 0);
+});
--- a/src/placement/reservations.ts
+++ b/src/placement/reservations.ts
@@ -11,6 +11,9 @@
 import {
 	type ReleaseEstimate, releaseEstimateOf, isLongRunningOrServing, freeResourcesWaitMs,
 } from './free-resources-wait.js';
+import {
+	isRestart, noRestartWaits, type RestartWaits, trackRestartWaits,
+} from './restart-waits.js';
 
 /** A VM that is reserved for a queued task. */
 type Reservation = Readonly<{taskId: string; vmId: string; demand: Resources; precedence: number; reservedAtMs: number}>;
@@ -21,9 +24,15 @@
 free. On a reserved VM other tasks get only the free resources beyond the reservation, until the small tasks there have ended. Reservations are
 local to the entry; the order of claims in the log still decides which claims succeed.
 */
-export type Reservations = Readonly<{byVm: Map<string, Reservation>; vmIdByTask: Map<string, string>}>;
+export type Reservations = Readonly<{
+	byVm: Map<string, Reservation>;
+	vmIdByTask: Map<string, string>;
+	restartWaits: RestartWaits;
+}>;
 
-export const noReservations: Reservations = {byVm: Map(), vmIdByTask: Map()};
+export const noReservations: Reservations = {
+	byVm: Map(), vmIdByTask: Map(), restartWaits: noRestartWaits,
+};
 
 /** Inputs of a reservation decision other than the task. */
 export type ReservationContext = Readonly<{cluster: ClusterState; pending: PendingClaims; nowMs: number}>;
@@ -34,15 +43,29 @@
 const restartsShare = 1 / 8;
 const othersShare = 1 / 16;
 
-const precedenceByClass: Readonly<Record<PriorityClass, number>> = {background: 0, normal: 3, urgent: 6};
-const restartPrecedence = 2;
+/** Precedence by kind of task and class. */
+const precedences: Readonly<Record<'ending' | 'firstStart' | 'restart' | 'overdueRestart', Readonly<Record<PriorityClass, number>>>> = {
+	ending: {background: 0, normal: 3, urgent: 6},
+	firstStart: {background: 1, normal: 4, urgent: 9},
+	restart: {background: 2, normal: 5, urgent: 10},
+	overdueRestart: {background: 7, normal: 8, urgent: 10},
+};
 
 /**
 Returns the precedence of a task. Within a class, restarts of long-running or serving tasks come before their first starts, and these before
-all other tasks. A task may not use what is reserved for another task with the same or a higher precedence.
+all other tasks; overdue restarts come before the ending tasks of every class. A task may not use what is reserved for another task with the same
+or a higher precedence.
 */
-function precedenceOf(task: Task, cluster: ClusterState): number {
-	return precedenceByClass[task.priority] + (isLongRunningOrServing(task, cluster) ? (task.attempt > 0 ? restartPrecedence : 1) : 0);
+function precedenceOf(task: Task, cluster: ClusterState, {overdue}: RestartWaits): number {
+	return precedences[kindOf(task, cluster, overdue)][task.priority];
+}
+
+function kindOf(task: Task, cluster: ClusterState, overdue: RestartWaits['overdue']): keyof typeof precedences {
+	if (isRestart(task, cluster)) {
+		return overdue.has(task.spec.taskId) ? 'overdueRestart' : 'restart';
+	}
+
+	return isLongRunningOrServing(task, cluster) ? 'firstStart' : 'ending';
 }
 
 /**
@@ -54,7 +77,7 @@
 retainValidReservations(reservations, {cluster, pending, nowMs}, silentVmIds); // => the same reservations while all of them are valid
 */
 export function retainValidReservations(reservations: Reservations, {cluster, pending, nowMs}: ReservationContext, silentVmIds: ImmutableSet<string>): Reservations {
-	let valid = reservations;
+	let valid = withRestartWaits(reservations, trackRestartWaits(reservations.restartWaits, {cluster, nowMs}, silentVmIds), cluster);
 	for (const {taskId, vmId, reservedAtMs} of reservations.byVm.values()) {
 		const task = cluster.tasks.get(taskId);
 		const vm = cluster.vms.get(vmId);
@@ -67,6 +90,19 @@
 	return valid;
 }
 
+/** Returns the reservations with the current waits of restarts, and the precedences that follow from them. */
+function withRestartWaits(reservations: Reservations, restartWaits: RestartWaits, cluster: ClusterState): Reservations {
+	if (restartWaits.overdue.equals(reservations.restartWaits.overdue)) {
+		return restartWaits === reservations.restartWaits ? reservations : {...reservations, restartWaits};
+	}
+
+	const byVm = reservations.byVm.map(reservation => {
+		const task = cluster.tasks.get(reservation.taskId);
+		return task ? {...reservation, precedence: precedenceOf(task, cluster, restartWaits)} : reservation;
+	});
+	return {...reservations, restartWaits, byVm};
+}
+
 /**
 Reserves the VM that is expected to have a task's demand free soonest, preferring VMs on which the task has not failed. Returns the same
 reservations for a filling task, which commits no processors, for a task that `mayReserve` excludes, when no VM will release enough, and when the
@@ -86,8 +122,8 @@
 }>): Reservations {
 	const {cluster, pending, nowMs, vms, fleetSize, releaseEstimates} = context;
 	const {taskId, demand} = task.spec;
-	const precedence = precedenceOf(task, cluster);
-	const share = precedence % precedenceByClass.normal === restartPrecedence ? restartsShare : othersShare;
+	const precedence = precedenceOf(task, cluster, reservations.restartWaits);
+	const share = isRestart(task, cluster) ? restartsShare : othersShare;
 	if (fillingDemandMilli(task, cluster) > 0 || reservations.vmIdByTask.has(taskId) || !mayReserve(reservations, task, context) || reservations.byVm.count(other => other.precedence === precedence) >= Math.ceil(fleetSize * share)) {
 		return reservations;
 	}
@@ -114,6 +150,7 @@
 	const displaced = reservations.byVm.get(vmId);
 	const {byVm, vmIdByTask} = displaced ? releaseReservation(reservations, displaced.taskId) : reservations;
 	return {
+		...reservations,
 		byVm: byVm.set(vmId, {
 			taskId, vmId, demand, precedence, reservedAtMs: nowMs,
 		}),
@@ -130,7 +167,7 @@
 export function releaseReservation(reservations: Reservations, taskId: string): Reservations {
 	const {byVm, vmIdByTask} = reservations;
 	const vmId = vmIdByTask.get(taskId);
-	return vmId === undefined ? reservations : {byVm: byVm.delete(vmId), vmIdByTask: vmIdByTask.delete(taskId)};
+	return vmId === undefined ? reservations : {...reservations, byVm: byVm.delete(vmId), vmIdByTask: vmIdByTask.delete(taskId)};
 }
 
 /**
@@ -139,9 +176,9 @@
 @example
 isReservedAgainst(reservations, task, 'vm-7', cluster); // => false on the VM that is reserved for the task itself
 */
-export function isReservedAgainst({byVm}: Reservations, task: Task, vmId: string, cluster: ClusterState): boolean {
-	const reservation = byVm.get(vmId);
-	return reservation !== undefined && reservation.taskId !== task.spec.taskId && reservation.precedence >= precedenceOf(task, cluster);
+export function isReservedAgainst(reservations: Reservations, task: Task, vmId: string, cluster: ClusterState): boolean {
+	const reservation = reservations.byVm.get(vmId);
+	return reservation !== undefined && reservation.taskId !== task.spec.taskId && reservation.precedence >= precedenceOf(task, cluster, reservations.restartWaits);
 }
 
 /**
@@ -156,7 +193,7 @@
 
 /** Returns whether a task may reserve: a restart of a long-running or serving task, or one task of a job without claims. More reservations would take resources from the short tasks. */
 function mayReserve(reservations: Reservations, task: Task, {cluster, pending}: ReservationContext): boolean {
-	return (task.attempt > 0 && isLongRunningOrServing(task, cluster))
+	return isRestart(task, cluster)
 		|| !(cluster.jobs.get(task.jobId) ?? []).some(taskId => cluster.tasks.get(taskId)?.claim !== undefined || pending.byTask.has(taskId) || reservations.vmIdByTask.has(taskId));
 }
 
