Use the bound of the contact only for agents whose limit is below the lease

demo/faults.test.ts, 'an agent is paused for longer than a lease and resumed', failed since the tasks of a VM that nobody hears are freed sooner: three tasks repeated work of their first attempt (one run, beside a busy machine). They had been checkpointed by the worker itself when the lease ended; the paused agent reported that after its VM had been freed. D is 3 s in the demo and S was the default of 12.5 s, so the grants alone made the bound.

The bound now needs S below D, as agents without a limit are to keep the bound of the revocation.

--- a/src/membership/lease-expiry.ts
+++ b/src/membership/lease-expiry.ts
@@ -59,6 +59,8 @@
 ): LeaseExpiry {
 	const byRevocationMs = revokedAtMs + logFreshnessMs + leaseDurationMs;
 	const isBounded = contact.isBounded
+		// Without a limit below the lease, the lease alone counts.
+		&& contact.limitMs !== undefined && contact.limitMs < leaseDurationMs
 		&& observed?.agentIncarnation === agentIncarnation
 		&& observed.withdrawnOffset === contact.withdrawnOffset
 		&& observed.endedOffset === contact.endedOffset
@@ -73,9 +75,7 @@
 	const registeredAtMs = observed.firstSeenAtMs + logFreshnessMs;
 	const lastHeardAtMs = Math.max(observed.withdrawnAtMs - (contact.silenceMs ?? 0), registeredAtMs);
 	const grantsEndAtMs = Math.max(lastHeardAtMs + leaseDurationMs, observed.endedAtMs + logFreshnessMs + leaseDurationMs);
-	const contactEndsAtMs = contact.limitMs === undefined
-		? Number.POSITIVE_INFINITY
-		: Math.max(lastHeardAtMs, observed.endedAtMs + logFreshnessMs + leaseDurationMs) + contact.limitMs;
+	const contactEndsAtMs = Math.max(lastHeardAtMs, observed.endedAtMs + logFreshnessMs + leaseDurationMs) + contact.limitMs;
 	// The incarnation before, whose tasks the worker may still run, may have had another limit.
 	const bySilenceMs = Math.max(Math.min(contactEndsAtMs, grantsEndAtMs), observed.firstSeenAtMs + leaseDurationMs);
 	return bySilenceMs < byRevocationMs
