Load the deciding part before the tests of roles start

The tests of platform-entry.test.ts failed beside other test files: two entries decided where one was wanted, and the second test then found no front. Cause: an entry loads the part that decides when it begins to, and announces itself once that runs; compiled from TypeScript beside other tests that takes longer than the 4 s after which the next candidate decides, as it should. The programs load a compiled bundle. The test imports the part first; no assertion changed.

--- a/src/entry/platform-entry.test.ts
+++ b/src/entry/platform-entry.test.ts
@@ -13,6 +13,8 @@
 import {type EntryPlatform} from './entry-platform.js';
 import {type JobInterface} from './job-interface.js';
 import {startPlatformEntry} from './platform-entry.js';
+// An entry loads this module when it begins to decide. Compiling it beside other tests takes longer than the next candidate waits.
+import './entry-process.js';
 
 const ignore = (): void => undefined;
 const metrics: Metrics = {
