--- a/src/entry/platform-entry.test.ts
+++ b/src/entry/platform-entry.test.ts
@@ -13,14 +13,17 @@
 import {type EntryPlatform} from './entry-platform.js';
 import {type JobInterface} from './job-interface.js';
 import {startPlatformEntry} from './platform-entry.js';
-// An entry loads this module when it begins to decide. Compiling it beside other tests takes longer than the next candidate waits.
-import './entry-process.js';
 
 const ignore = (): void => undefined;
 const metrics: Metrics = {
 	increment: ignore, gauge: ignore, timingMs: ignore, close: async () => undefined,
 };
 
+// An entry loads this module when it begins to decide. Compiling it beside other tests takes longer than the next candidate waits.
+test.before(async () => {
+	await import('./entry-process.js');
+});
+
 /** Starts entries that share a registry and a log, one after the other. */
 async function startSite(t: ExecutionContext, {count, deciderCount}: Readonly<{count: number; deciderCount: number}>) {
 	const {service} = createFakeLogService(systemClock);
