--- a/src/entry/usable-agent-message.test.ts
+++ b/src/entry/usable-agent-message.test.ts
@@ -25,10 +25,15 @@
 	vmId, agentIncarnation, failureDomain: 'a', rack: 'r', requestAddress: '127.0.0.1:9', workerIncarnation: 'w1', capacity: {processorsMilli: 1000}, runningTasks: [],
 };
 
-/** An entry that has a VM with one task; it receives messages as its stream server passes them on. */
+/** A registered entry that has a VM with one task; it receives messages as its stream server passes them on. */
 function createEntry() {
+	const own = {
+		entryId: 'e1', incarnation: 'own', failureDomain: 'a', operatorAddress: '127.0.0.1:2', processorsMilli: 1000, lastOffset: 0, appliedOffset: 0,
+	};
 	let state = {
-		...initialEntryState('own'), cluster: {...emptyStateFixture, vms: immutableMap([[vmId, vmFixture]]), tasks: immutableMap([[taskId, taskFixture]])},
+		...initialEntryState('own'), cluster: {
+			...emptyStateFixture, entries: immutableMap([['own', own]]), vms: immutableMap([[vmId, vmFixture]]), tasks: immutableMap([[taskId, taskFixture]]),
+		},
 	};
 	let nowMs = 1000;
 
