--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -52,6 +52,10 @@
 	link.heal();
 	record('trouble', {cut: 'none'});
 	await delay(calmMs);
+	if (!events.some(({kind}) => kind === 'left')) {
+		throw new Error('the call of the executor that left was not answered');
+	}
+
 	const {id, state} = await runJob(0xA2, finishMs);
 	const hasStarted = events.some(({kind, task}) => kind === 'start' && task.startsWith(id));
 	return state === 'completed' || hasStarted ? [] : [`accepted job ${id} is ${state} and has run nothing for ${finishMs} ms, with its executor ready and idle`];
--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -41,6 +41,10 @@
 	await submitting;
 	await Promise.all(calls);
 	await delay(calmMs - 500);
+	if (hasTrouble && !events.some(({kind, how}) => kind === 'end' && how === 'failed')) {
+		throw new Error('no task failed on the executor');
+	}
+
 	const id = jobId(0xA2);
 	const status = await site.submit(id, {spec, steps: [{...step, requirements: 'b'}]});
 	if (status !== 200) {
