--- a/review/harness/store.mjs
+++ b/review/harness/store.mjs
@@ -173,6 +173,8 @@
 			trouble = next;
 			isTroubled = where;
 		},
+		/** Returns the offset behind the newest record of a topic. */
+		endOf: name => endOf(topicOf(name)),
 		/** Writes a key to a keyed topic, as the operator does. */
 		putKey(name, key, value) {
 			const keyBytes = Buffer.from(key);
