--- a/review/harness/executor.mjs
+++ b/review/harness/executor.mjs
@@ -314,8 +314,9 @@
 			server.close();
 			server.closeAllConnections();
 		},
-		/** Starts the next life; its first ping follows within the time between two. */
-		async startAgain(firstPingMs = 0) {
+		/** Starts the next life, perhaps with other labels; its first ping follows within the time between two. */
+		async startAgain(firstPingMs = 0, nextLabels = labels) {
+			labels = nextLabels;
 			born = Date.now();
 			clockZeroMs = performance.now();
 			isUp = true;
