--- a/review/harness/store.mjs
+++ b/review/harness/store.mjs
@@ -35,6 +35,8 @@
 */
 export async function startStore({addresses, appendMs = 2, keepMs = 300_000}) {
 	const topics = new Map();
+	/** Bytes that each machine has appended to each topic. */
+	const appended = new Map();
 	let trouble;
 	let isTroubled = () => true;
 	let appending = Promise.resolve();
@@ -79,7 +81,7 @@
 	}
 
 	const handlers = {
-		async '/arbutushinge/log-append'(query, request, response) {
+		async '/arbutushinge/log-append'(query, request, response, machine) {
 			const body = await buffer(request);
 			const records = unframe(body);
 			if (body.length - (4 * records.length) > callBytes || records.some(({length}) => length > recordBytes)) {
@@ -92,6 +94,8 @@
 			await appending;
 			const name = query.get('topic');
 			const offset = append(name, records);
+			const writer = `${machine} ${name}`;
+			appended.set(writer, (appended.get(writer) ?? 0) + body.length);
 			sendJson(response, 200, {offset, end: endOf(topicOf(name))});
 		},
 		async '/arbutushinge/log-read'(query, _request, response) {
@@ -154,7 +158,7 @@
 			await delay(met);
 		}
 
-		await handlers[url.pathname](url.searchParams, request, response);
+		await handlers[url.pathname](url.searchParams, request, response, machine);
 	}
 
 	const servers = await Promise.all(addresses.map(async (address, machine) => {
@@ -173,6 +177,8 @@
 			trouble = next;
 			isTroubled = where;
 		},
+		/** Returns how many bytes a machine has appended to a topic. */
+		appendedBytes: (machine, name) => appended.get(`${machine} ${name}`) ?? 0,
 		/** Returns the offset behind the newest record of a topic. */
 		endOf: name => endOf(topicOf(name)),
 		/** Writes a key to a keyed topic, as the operator does. */
