--- a/review/harness/site.mjs
+++ b/review/harness/site.mjs
@@ -108,6 +108,7 @@
 	const storeAddresses = hosts.slice(1).map((_, index) => `${hostOf(100 + index)}:${storePort}`);
 	const store = await startStore({addresses: storeAddresses, keepMs});
 	const processes = [];
+	let isClosing = false;
 
 	function fieldsOf(node, ip, zone, machine) {
 		return {
@@ -131,6 +132,10 @@
 		const handle = {
 			node, ip,
 			start() {
+				if (isClosing) {
+					return;
+				}
+
 				const [program, ...words] = commandOf(role, file);
 				child = spawn(program === 'node' ? process.execPath : program, words, {
 					cwd: repository, env: {PATH: process.env.PATH, HOME: directory}, stdio: ['ignore', log, log],
@@ -262,6 +267,7 @@
 		store, entries, agents, executors, controlLinks, events, record, call, submit, stateOf, waitForState, configure, directory, ports: {controlPort, appPort, firstPort},
 		nowMs: () => Math.round(performance.now() - startMs),
 		async close() {
+			isClosing = true;
 			for (const handle of processes) {
 				handle.signal('SIGKILL');
 			}
