Tell a page of ends from a list of all ends

Cause: a worker's list had no way to say that it names only some ends, so that a task missing from it counted as ended without a result.

With the condition in applyWorkerTasks taken out, the new test of the reducer fails.

Why this works: the field listedEnds is required, so that each producer of a list states it; from a list of some ends nothing is concluded about a task that it does not name.

--- a/src/agent/advance-stop.test.ts
+++ b/src/agent/advance-stop.test.ts
@@ -44,7 +44,7 @@
 		list(listed = tasks, leaving = false): void {
 			send('worker-tasks', {
 				requestedAtMs: nowMs, list: {
-					workerIncarnation: 'w0', capacity: {processorsMilli: 4000, memoryMb: 4096, accelerators: 0}, tasks: listed, leaving,
+					workerIncarnation: 'w0', capacity: {processorsMilli: 4000, memoryMb: 4096, accelerators: 0}, tasks: listed, listedEnds: 'all', leaving,
 				},
 			});
 		},
--- a/src/agent/agent-process.test.ts
+++ b/src/agent/agent-process.test.ts
@@ -107,7 +107,9 @@
 			});
 			return Result.ok(undefined);
 		},
-		listTasks: async () => Result.ok({workerIncarnation: 'w0', capacity: {processorsMilli: 4000, memoryMb: 4096, accelerators: 0}, tasks: [...tasks.values()]}),
+		listTasks: async () => Result.ok({
+			workerIncarnation: 'w0', capacity: {processorsMilli: 4000, memoryMb: 4096, accelerators: 0}, tasks: [...tasks.values()], listedEnds: 'all' as const,
+		}),
 		async deleteTask(taskId) {
 			calls.push(`delete ${taskId}`);
 			tasks.delete(taskId);
--- a/src/agent/odd-worker-values.test.ts
+++ b/src/agent/odd-worker-values.test.ts
@@ -106,7 +106,9 @@
 	taskId: 't9', attempt: 1, phase: 'running' as const, limit: capacity, latencyCritical: true, checkpoint: '', reason: '',
 };
 
-const goodList: WorkerTasks = {workerIncarnation: 'w1', capacity, tasks: [goodTask]};
+const goodList: WorkerTasks = {
+	workerIncarnation: 'w1', capacity, tasks: [goodTask], listedEnds: 'all',
+};
 
 const number = fc.constantFrom(Number.NaN, Number.POSITIVE_INFINITY, Number.NEGATIVE_INFINITY, -1, -5, 0, 0.5, 1, 1e300, -1e300, 4_294_967_296, 2 ** 60);
 const text = fc.constantFrom('', 't1', '__proto__', '\u0000', '\uD800', 'x'.repeat(200_000));
@@ -125,6 +127,7 @@
 		checkpoint: text,
 		reason: text,
 	}), {maxLength: 3}),
+	listedEnds: fc.constantFrom('all' as const, 'some' as const),
 	startedAtMs: number,
 	rack: text,
 	service: text,
--- a/src/agent/reduce-agent.test.ts
+++ b/src/agent/reduce-agent.test.ts
@@ -54,7 +54,11 @@
 	}
 
 	list(): void {
-		this.send('worker-tasks', {requestedAtMs: this.nowMs, list: {workerIncarnation: 'w0', capacity, tasks: [...this.#tasks.values()]}});
+		this.send('worker-tasks', {
+			requestedAtMs: this.nowMs, list: {
+				workerIncarnation: 'w0', capacity, tasks: [...this.#tasks.values()], listedEnds: 'all',
+			},
+		});
 	}
 
 	/** Connects an entry, lists the worker's tasks and grants a lease. */
@@ -596,3 +600,24 @@
 	});
 	t.deepEqual(effects.filter(({kind}) => kind === 'throttle-task'), [{kind: 'throttle-task', taskId: 't1', shareMilli: 1000}]);
 });
+
+/** Guards against a second run of a task that finished, and whose end the worker lists only after those before it are deleted. */
+test('a task that a list of some ends does not name is neither reported as cancelled nor refused', t => {
+	const fixture = new Fixture().activate();
+	fixture.start('t1', 1);
+	fixture.list();
+	fixture.start('t2', 1);
+	fixture.nowMs += 100;
+	const list = {workerIncarnation: 'w0', capacity, tasks: []};
+	fixture.send('worker-tasks', {requestedAtMs: fixture.nowMs, list: {...list, listedEnds: 'some'}});
+	t.deepEqual([...fixture.state.tasks.keys()].toSorted(), ['t1', 't2']);
+	t.is(fixture.state.events.pending.filter(({outcome}) => outcome.case === 'ended').size, 0);
+	const finished: WorkerTask = {
+		taskId: 't1', attempt: 1, phase: 'finished', limit: capacity, latencyCritical: false, checkpoint: '', reason: 'done',
+	};
+	fixture.send('worker-tasks', {requestedAtMs: fixture.nowMs, list: {...list, tasks: [finished], listedEnds: 'some'}});
+	t.deepEqual(
+		[...fixture.state.events.pending.values()].flatMap(({taskId, outcome}) => outcome.case === 'ended' ? [`${taskId} ${TaskOutcome[outcome.value.outcome]}`] : []),
+		['t1 FINISHED'],
+	);
+});
--- a/src/agent/task-handlers.ts
+++ b/src/agent/task-handlers.ts
@@ -407,7 +407,7 @@
 	};
 }
 
-/** Handles a task that is missing from the worker's list. Ignores a list that was requested before the last change of the task. */
+/** Handles a task that is missing from a list of all tasks. Ignores a list that was requested before the last change of the task. */
 function applyMissing(task: AgentTask, requestedAtMs: number, nowMs: number): StateUpdate {
 	return state => {
 		if (requestedAtMs <= task.changedAtMs) {
@@ -434,19 +434,20 @@
 }
 
 /**
-Applies the worker's task list. The list is authoritative for the ends of tasks. A new agent registers after its first
-list, or once the worker is lost.
+Applies the worker's task list. The list is authoritative for the ends of tasks: a task that is missing from it has ended, unless the list names only
+some of the ends. A new agent registers after its first list, or once the worker is lost.
 
 @example
 applyWorkerTasks(state, {kind: 'worker-tasks', nowMs, requestedAtMs, list});
 */
 export function applyWorkerTasks(state: AgentState, event: AgentEventOf<'worker-tasks'>): Transition {
 	const listedIds = new Set(event.list.tasks.map(task => task.taskId));
+	const isMissing = ({taskId}: AgentTask): boolean => event.list.listedEnds === 'all' && !listedIds.has(taskId);
 	return chain(
 		{...state, worker: recordWorkerList(state.worker, event.list, event.nowMs), ledger: {...state.ledger, capacity: event.list.capacity}},
 		...event.list.tasks.map(listed => applyListed(listed, event.nowMs)),
 		current => chain(current, ...[...current.tasks.values()]
-			.filter(task => !listedIds.has(task.taskId))
+			.filter(task => isMissing(task))
 			.map(task => applyMissing(task, event.requestedAtMs, event.nowMs))),
 		current => transition(current, ...event.list.tasks.filter(listed => isDeletable(current, listed)).map((listed): AgentEffect => ({kind: 'delete-task', taskId: listed.taskId}))),
 		startOrRefuseWaitingTasks(event.nowMs),
--- a/src/agent/worker-driver-odd.test.ts
+++ b/src/agent/worker-driver-odd.test.ts
@@ -7,7 +7,9 @@
 
 const done = async () => Result.ok(undefined);
 
-const emptyList = async () => Result.ok({workerIncarnation: 'w1', capacity: {processorsMilli: 1, memoryMb: 1, accelerators: 0}, tasks: []});
+const emptyList = async () => Result.ok({
+	workerIncarnation: 'w1', capacity: {processorsMilli: 1, memoryMb: 1, accelerators: 0}, tasks: [], listedEnds: 'all' as const,
+});
 
 const idleWorker: Worker = {
 	startTask: done,
--- a/src/agent/worker-driver.test.ts
+++ b/src/agent/worker-driver.test.ts
@@ -26,7 +26,9 @@
 		checkpointTask: done,
 		throttleTask: done,
 		stopTask: done,
-		listTasks: async () => Result.ok({workerIncarnation: 'w2', capacity: {processorsMilli: 1, memoryMb: 1, accelerators: 0}, tasks: []}),
+		listTasks: async () => Result.ok({
+			workerIncarnation: 'w2', capacity: {processorsMilli: 1, memoryMb: 1, accelerators: 0}, tasks: [], listedEnds: 'all',
+		}),
 		readUsage: async () => Result.ok({
 			measuredAtMonotonicMs: 0, processorsUsedMilli: 0, memoryUsedMb: 0, tasks: [],
 		}),
@@ -60,7 +62,9 @@
 		checkpointTask: done,
 		throttleTask: async () => Result.err({kind: 'worker-unavailable', message: 'no answer', remedy: 'none'}),
 		stopTask: done,
-		listTasks: async () => Result.ok({workerIncarnation: 'w1', capacity: {processorsMilli: 1, memoryMb: 1, accelerators: 0}, tasks: []}),
+		listTasks: async () => Result.ok({
+			workerIncarnation: 'w1', capacity: {processorsMilli: 1, memoryMb: 1, accelerators: 0}, tasks: [], listedEnds: 'all',
+		}),
 		readUsage: async () => Result.ok({
 			measuredAtMonotonicMs: 0, processorsUsedMilli: 0, memoryUsedMb: 0, tasks: [],
 		}),
--- a/src/entry/overtaken-end.test.ts
+++ b/src/entry/overtaken-end.test.ts
@@ -66,7 +66,7 @@
 	list(life: number, tasks: readonly WorkerTask[]): void {
 		this.toAgent('worker-tasks', {
 			requestedAtMs: this.nowMs, list: {
-				workerIncarnation: `worker-${life}`, capacity, tasks, service: 's', startedAtMs: life,
+				workerIncarnation: `worker-${life}`, capacity, tasks, listedEnds: 'all', service: 's', startedAtMs: life,
 			},
 		});
 	}
--- a/src/invariants.test.ts
+++ b/src/invariants.test.ts
@@ -90,6 +90,8 @@
 	worker: Map<string, SimulatedTask>;
 	fails: boolean;
 	hidesEnds: boolean;
+	/** The worker lists one end at a time, and the next one once that is deleted. */
+	pagesEnds: boolean;
 	losesAnswers: boolean;
 	hasBackendServer: boolean;
 	isLeaving: boolean;
@@ -138,7 +140,7 @@
 		this.vms = [0, 1, 2].map(index => {
 			const clock = () => (this.nowMs * (1 + (index / 100))) + (index * 5000);
 			return {
-				vmId: `vm-${index + 1}`, process: new Process(clock), state: this.#agentState(index), worker: new Map(), fails: false, hidesEnds: false, losesAnswers: false, hasBackendServer: index < 2, isLeaving: false, running: [],
+				vmId: `vm-${index + 1}`, process: new Process(clock), state: this.#agentState(index), worker: new Map(), fails: false, hidesEnds: false, pagesEnds: false, losesAnswers: false, hasBackendServer: index < 2, isLeaving: false, running: [],
 			};
 		});
 		this.links = this.vms.map(() => this.entries.map(() => ({
@@ -288,6 +290,7 @@
 			vm.process.frozen = false;
 			vm.fails = false;
 			vm.hidesEnds = false;
+			vm.pagesEnds = false;
 			vm.losesAnswers = false;
 		}
 
@@ -551,14 +554,17 @@
 		}
 
 		this.#reduceAgent(vm, 'tick', {latencies: []});
+		const tasks = [...vm.worker.values()].map(({deadlineMs: _, doneMs: __, run: ___, ...task}): WorkerTask => vm.hidesEnds && task.phase !== 'running'
+			? {
+				...task, phase: 'running', checkpoint: '', reason: '',
+			}
+			: task);
+		const firstEnd = tasks.find(({phase}) => phase !== 'running');
+		const listed = vm.pagesEnds ? tasks.filter(task => task.phase === 'running' || task === firstEnd) : tasks;
 		this.toAgent(vm, 'worker-tasks', {
 			requestedAtMs: process.clock(),
 			list: {
-				workerIncarnation: `worker-${vm.vmId}`, capacity, tasks: [...vm.worker.values()].map(({deadlineMs: _, doneMs: __, run: ___, ...task}) => vm.hidesEnds && task.phase !== 'running'
-					? {
-						...task, phase: 'running', checkpoint: '', reason: '',
-					}
-					: task),
+				workerIncarnation: `worker-${vm.vmId}`, capacity, tasks: listed, listedEnds: vm.pagesEnds && firstEnd !== undefined ? 'some' : 'all',
 			},
 		});
 	}
@@ -887,7 +893,7 @@
 			fleet.repeatCommand(pick);
 		}),
 	},
-	action('worker', fc.tuple(vmIndex, fc.constantFrom<'fails' | 'hidesEnds' | 'losesAnswers'>('fails', 'hidesEnds', 'losesAnswers'), fc.boolean()), (fleet, [vm, fault, on]) => {
+	action('worker', fc.tuple(vmIndex, fc.constantFrom<'fails' | 'hidesEnds' | 'pagesEnds' | 'losesAnswers'>('fails', 'hidesEnds', 'pagesEnds', 'losesAnswers'), fc.boolean()), (fleet, [vm, fault, on]) => {
 		fleet.vms[vm]![fault] = on;
 	}),
 	action('backend server leaves', fc.nat(1), (fleet, vm) => {
--- a/src/worker/worker-answers.ts
+++ b/src/worker/worker-answers.ts
@@ -28,6 +28,11 @@
 	workerIncarnation: z.string(),
 	capacity: resourcesSchema,
 	tasks: z.readonly(z.array(workerTaskSchema)),
+	/**
+	Which ends that were not deleted the list names. Every list names all that runs. Only a list that names all ends shows that a task is gone by
+	not naming it; in a list that names some, the task may have ended and is named later.
+	*/
+	listedEnds: z._default(z.enum(['all', 'some']), 'all'),
 	/** Service that the worker belongs to; absent for a worker that accepts tasks of any service. */
 	service: z.optional(z.string()),
 	labels: z.optional(z.readonly(z.array(z.string()))),
