--- a/stand-ins/executor-stand-in.ts
+++ b/stand-ins/executor-stand-in.ts
@@ -19,6 +19,9 @@
 	announcement: () => Readonly<{seq: number; born: number; capacity: Readonly<Record<string, number>>} & Record<string, unknown>>;
 	/** Adds JSON texts as rows to the lists, and replaces fields of the answers to list requests by JSON texts. */
 	setOddAnswers: (odd: OddAnswers) => void;
+	/** Leaves starts without an answer. Those of the current incarnation are carried out by `carryOutLateStarts`. */
+	setLateStarts: (isLate: boolean) => void;
+	carryOutLateStarts: () => Promise<void>;
 	/** Ends all tasks without a trace. The executor is gone until `startAgain`. */
 	crash: () => void;
 	/** Starts a new incarnation after a crash. */
@@ -87,6 +90,8 @@
 	let leaseUntilMs = 0;
 	let startedAtMs = Date.now();
 	let isUp = true;
+	let hasLateStarts = false;
+	let lateStarts: ReadonlyArray<() => Promise<Answer>> = [];
 
 	function report(event: Readonly<{taskId: string; run: number}> & (Readonly<{kind: 'started'; payload: string}> | Readonly<{kind: 'ended' | 'noted'; outcome: string}>)): void {
 		onEvent({...event, atMs: performance.now(), executorId});
@@ -213,9 +218,14 @@
 	async function respond(request: AsyncIterable<Uint8Array> & Readonly<{url?: string | undefined; headers: Readonly<Record<string, unknown>>}>, response: ServerResponse): Promise<void> {
 		const incarnation = startedAtMs;
 		const body = bodySchema.safeParse(await json(request));
-		const {status, text} = body.success
-			? await answer(request.url?.split('/').at(-1) ?? '', request.headers['expected-instance'], body.data)
-			: toAnswer(400, {});
+		const path = request.url?.split('/').at(-1) ?? '';
+		const carryOut = async (): Promise<Answer> => body.success ? answer(path, request.headers['expected-instance'], body.data) : toAnswer(400, {});
+		if (hasLateStarts && path === 'run-start') {
+			lateStarts = [...lateStarts, carryOut];
+			return;
+		}
+
+		const {status, text} = await carryOut();
 		if (isUp && incarnation === startedAtMs) {
 			response.writeHead(status, {'content-type': 'application/json'});
 			response.end(text);
@@ -273,8 +283,17 @@
 		setOddAnswers(next) {
 			odd = next;
 		},
+		setLateStarts(isLate) {
+			hasLateStarts = isLate;
+		},
+		async carryOutLateStarts() {
+			const starts = lateStarts;
+			lateStarts = [];
+			await Promise.all(starts.map(async start => start()));
+		},
 		crash() {
 			isUp = false;
+			lateStarts = [];
 			for (const [taskId, {attempt}] of running) {
 				report({
 					kind: 'ended', taskId, run: attempt, outcome: 'crashed',
