--- a/src/dispatch/agent-link.ts
+++ b/src/dispatch/agent-link.ts
@@ -16,6 +16,8 @@
 	sessionId: string;
 	agentIncarnation: string;
 	hello: Hello;
+	/** When the hello arrived, on this entry's monotonic clock. */
+	helloReceivedAtMs: number;
 	/** Whether the tasks in the hello were compared with the claims. */
 	isHelloChecked: boolean;
 	/** Sequence of the incarnation's newest heartbeat, which a lease grant echoes; missing before the first. */
--- a/src/dispatch/task-event-relay.test.ts
+++ b/src/dispatch/task-event-relay.test.ts
@@ -21,6 +21,7 @@
 	sessionId: 's1',
 	agentIncarnation: vmFixture.agentIncarnation,
 	hello: create(HelloSchema, {}),
+	helloReceivedAtMs: 0,
 	isHelloChecked: true,
 	heartbeatSequence: undefined,
 	appliedConfigurationOffset: -1,
--- a/src/entry/agent-site-fixture.ts
+++ b/src/entry/agent-site-fixture.ts
@@ -35,6 +35,8 @@
 export class AgentSite {
 	nowMs = 10_000;
 	readonly starts: number[] = [];
+	/** Tasks that the agent told its worker to stop. */
+	readonly stops: string[] = [];
 	readonly entries = entryAddresses.map((address): SiteEntry => ({
 		state: initialEntryState(address), address, readOffset: 0, appends: [{
 			kind: 'entry-registered', entryId: address, failureDomain: 'a', operatorAddress: address,
@@ -125,11 +127,12 @@
 		});
 	}
 
-	advance(lengthMs: number): void {
+	/** Lets time pass; entries that are left out neither handle messages nor read the log. */
+	advance(lengthMs: number, entries: readonly SiteEntry[] = this.entries): void {
 		for (const endMs = this.nowMs + lengthMs; this.nowMs < endMs;) {
 			this.nowMs += tickMs;
 			this.toAgent('tick', {latencies: []});
-			for (const entry of this.entries) {
+			for (const entry of entries) {
 				this.#toEntry(entry, {kind: 'tick'});
 				this.runEntry(entry);
 			}
@@ -165,6 +168,10 @@
 			});
 		}
 
+		if (effect.kind === 'stop-task' || effect.kind === 'checkpoint-task') {
+			this.stops.push(effect.taskId);
+		}
+
 		if (effect.kind === 'send') {
 			this.#send(effect);
 		}
--- a/src/entry/reduce-agent-event.ts
+++ b/src/entry/reduce-agent-event.ts
@@ -200,6 +200,7 @@
 		sessionId,
 		agentIncarnation: hello.agentIncarnation,
 		hello,
+		helloReceivedAtMs: context.nowMs,
 		isHelloChecked: false,
 		heartbeatSequence: undefined,
 		appliedConfigurationOffset: -1,
@@ -307,9 +308,14 @@
 	};
 }
 
+/**
+Compares the tasks in a hello with the claims, once this entry has read the log's tail as of the hello's arrival. A claim precedes the start of its
+task, and the start precedes the hello, so that a claim which is not in the log by then does not exist.
+*/
 function checkHello(link: AgentLink, context: EntryContext): Readonly<{link: AgentLink; effects: readonly ControlEffect[]}> {
 	const isRegistered = context.cluster.vms.get(link.vmId)?.agentIncarnation === link.agentIncarnation;
-	return link.isHelloChecked || !isRegistered
+	const isTailRead = context.tailConfirmedSentAtMs > link.helloReceivedAtMs;
+	return link.isHelloChecked || !isRegistered || !isTailRead
 		? {link, effects: []}
 		: {link: {...link, isHelloChecked: true}, effects: [...cancelUnclaimedTasks(link, context), ...sendClaimedTraits(link, context)]};
 }
