--- a/src/agent/reduce-agent.ts
+++ b/src/agent/reduce-agent.ts
@@ -107,7 +107,11 @@
 */
 function register(state: AgentState, nowMs: number): Transition {
 	if (state.worker.listedEnds === 'some' && !state.worker.lost) {
-		return state.phase === 'collecting' ? transition(state) : sendHello({...state, phase: 'collecting'});
+		return state.phase === 'collecting'
+			? transition(state)
+			: chain({...state, phase: 'collecting'}, sendHello, current => transition(current, {
+				kind: 'log', level: 'info', event: 'registration-awaits-ends', fields: {incarnation: state.incarnation, workerIncarnation: state.worker.incarnation},
+			}));
 	}
 
 	return chain({...state, phase: 'active'}, sendHello, sendHeartbeats(nowMs));
