--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -59,12 +59,17 @@
 
 /**
 Plans the faults of a seed. Faults of one process or link never overlap, but for series of signals to one process; those of different
-ones may. `losses` adds such series and losses for good.
+ones may. `losses` adds such series and losses for good, `hasLateStarts` executors that carry out starts seconds late.
 
 @example
 const {faults} = planFaults(site, {randomInt, seed: 1});
 */
-export function planFaults(site: Site, {randomInt, seed, losses}: Readonly<{randomInt: RandomInt; seed: number; losses?: readonly LossKind[] | undefined}>): FaultPlan {
+export function planFaults(site: Site, {randomInt, seed, losses, hasLateStarts = false}: Readonly<{
+	randomInt: RandomInt;
+	seed: number;
+	losses?: readonly LossKind[] | undefined;
+	hasLateStarts?: boolean;
+}>): FaultPlan {
 	const pick = <Value>(values: readonly Value[]): Value => values[randomInt(0, values.length - 1)]!;
 	const targets = createFaultTargets();
 
@@ -156,9 +161,27 @@
 			site.configure();
 		}),
 	};
+	const latePlanners: typeof planners = {
+		lateStarts() {
+			const {executor, executorId} = pick(site.agents);
+			const [beforeMs, downMs, afterMs, lateMs] = [randomInt(0, 1000), randomInt(200, 800), randomInt(500, 1500), randomInt(500, 4000)];
+			return once(executor, `late starts at ${executorId} for ${beforeMs} ms, a crash for ${downMs} ms and ${afterMs} ms, carried out ${lateMs} ms later`, async () => {
+				executor.setLateStarts(true);
+				await delay(beforeMs);
+				executor.crash();
+				await delay(downMs);
+				executor.startAgain();
+				await delay(afterMs);
+				executor.setLateStarts(false);
+				await delay(lateMs);
+				await executor.carryOutLateStarts();
+			});
+		},
+	};
+	const commonPlanners: typeof planners = hasLateStarts ? {...planners, ...latePlanners} : planners;
 	const allPlanners: typeof planners = losses
 		? {
-			...planners,
+			...commonPlanners,
 			signals() {
 				const target = pickProcess();
 				const {description, inject, breaksCallsOf} = planSignals(target, {randomInt});
@@ -169,7 +192,7 @@
 				return once('configuration', description, inject);
 			},
 		}
-		: planners;
+		: commonPlanners;
 	const draws = Math.max(1, Math.floor((site.entries.length + site.agents.length) / processesPerDraw));
 	const faults = Array.from({length: randomInt(minFaults, maxFaults) * draws}, () => ({atMs: randomInt(0, faultsMs), ...allPlanners[pick(Object.keys(allPlanners))]!()}))
 		.toSorted((left, right) => left.atMs - right.atMs);
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -87,11 +87,13 @@
 @example
 const {failures} = await runSoak({seed: 1, bundleDirectory: 'dist'});
 */
-export async function runSoak({seed, bundleDirectory, losses: lossKinds, ...size}: Readonly<{
+export async function runSoak({seed, bundleDirectory, losses: lossKinds, hasLateStarts = false, ...size}: Readonly<{
 	seed: number;
 	bundleDirectory: string;
 	/** Kinds of losses for good; a calm follows in which tasks that last have to run again. */
 	losses?: readonly LossKind[];
+	/** Executors also carry out starts seconds late, those of their next lives among them. */
+	hasLateStarts?: boolean;
 	entryCount?: number;
 	agentCount?: number;
 	/** Entries that decide; all of them without it. */
@@ -138,7 +140,9 @@
 			});
 		}
 
-		const {faults, losses} = planFaults(site, {randomInt, seed, losses: lossKinds});
+		const {faults, losses} = planFaults(site, {
+			randomInt, seed, losses: lossKinds, hasLateStarts,
+		});
 		let jobs = 0;
 		const submitting = (async () => {
 			while (performance.now() < startMs + faultsMs) {
--- a/stand-ins/executor-stand-in.ts
+++ b/stand-ins/executor-stand-in.ts
@@ -51,6 +51,9 @@
 /** Interval between two checks for tasks whose run time is over. */
 const endCheckIntervalMs = 20;
 
+/** Ends that an answer lists at most. */
+const endsPerPage = 500;
+
 /** Longest lease. */
 const maxHoldMs = 10_000;
 
@@ -121,7 +124,7 @@
 			clockMs: String(Math.round(performance.now())),
 			born: String(startedAtMs),
 			running: `[${[...rows, ...odd.running ?? []].join(',')}]`,
-			finished: `[${[...taskEnds.map(end => JSON.stringify(end)), ...odd.finished ?? []].join(',')}]`,
+			finished: `[${[...taskEnds.slice(0, endsPerPage).map(end => JSON.stringify(end)), ...odd.finished ?? []].join(',')}]`,
 			...odd.fields,
 		};
 		return `{${Object.entries(fields).map(([name, text]) => `"${name}":${text}`).join(',')}}`;
