--- a/src/entry/entry-event.ts
+++ b/src/entry/entry-event.ts
@@ -18,6 +18,7 @@
 		| Readonly<{kind: 'log-failed'; message: string}>
 	/** The state of a snapshot or of another entry; ignored unless it is newer than this entry's state. */
 		| Readonly<{kind: 'snapshot-loaded'; cluster: ClusterState}>
+	/** `coversOffset` is -1 when the snapshot could not be written. */
 		| Readonly<{kind: 'snapshot-written'; coversOffset: number}>
 		| Readonly<{kind: 'incarnation-started'; incarnation: string}>
 		| Readonly<{kind: 'agent-hello'; sessionId: string; hello: Hello}>
--- a/src/entry/entry-state.ts
+++ b/src/entry/entry-state.ts
@@ -22,6 +22,16 @@
 	reachable: boolean;
 }>;
 
+/** What this entry knows of its own snapshots. */
+export type SnapshotProgress = Readonly<{
+	coversOffset: number;
+	writtenAtMs: number;
+	isWriting: boolean;
+	/** Tries that failed since the newest snapshot was written. */
+	failedTries: number;
+	triedAtMs: number;
+}>;
+
 /** All state of an entry. Only `cluster` is shared with the other entries, through the log. */
 export type EntryState = Readonly<{
 	incarnation: string;
@@ -41,7 +51,7 @@
 	deferred: DeferredAnswers;
 	keyExpiry: KeyExpiryState;
 	appendGuard: AppendGuard;
-	snapshot: Readonly<{coversOffset: number; writtenAtMs: number; isWriting: boolean}>;
+	snapshot: SnapshotProgress;
 	lastControlTickMs: number;
 	lastPassAtMs: number;
 	/** Set while all placement passes fail, and for a time after they made this entry give the placement up. */
@@ -71,7 +81,9 @@
 		deferred: noDeferredAnswers,
 		keyExpiry: initialKeyExpiry,
 		appendGuard: emptyAppendGuard,
-		snapshot: {coversOffset: -1, writtenAtMs: Number.NEGATIVE_INFINITY, isWriting: false},
+		snapshot: {
+			coversOffset: -1, writtenAtMs: Number.NEGATIVE_INFINITY, isWriting: false, failedTries: 0, triedAtMs: Number.NEGATIVE_INFINITY,
+		},
 		lastControlTickMs: Number.NEGATIVE_INFINITY,
 		lastPassAtMs: Number.NEGATIVE_INFINITY,
 		failingPlacement: undefined,
--- a/src/entry/reduce-entry.ts
+++ b/src/entry/reduce-entry.ts
@@ -45,6 +45,9 @@
 /** Time between two evaluations of liveness, key expiry, snapshots and due commands. */
 const controlTickMs = 250;
 
+/** Pause before the first retry of a snapshot that could not be written. */
+const firstSnapshotRetryPauseMs = 250;
+
 /**
 Shortest time between the starts of two placement passes, as a factor on the duration of the newest one, and the limit of this time. A pass follows
 each page of the log; with many VMs and queued tasks, passes would otherwise take all of the owner's time while the records that it waits for pile up.
@@ -64,14 +67,16 @@
 			: state,
 		effects: [],
 	}),
-	'snapshot-written': (state, event, inputs) => ({
+	'snapshot-written': (state, event, {nowMs}) => ({
 		state: {
 			...state,
-			snapshot: {
-				coversOffset: Math.max(state.snapshot.coversOffset, event.coversOffset),
-				writtenAtMs: inputs.nowMs,
-				isWriting: false,
-			},
+			snapshot: event.coversOffset < 0
+				? {
+					...state.snapshot, isWriting: false, failedTries: state.snapshot.failedTries + 1, triedAtMs: nowMs,
+				}
+				: {
+					coversOffset: Math.max(state.snapshot.coversOffset, event.coversOffset), writtenAtMs: nowMs, isWriting: false, failedTries: 0, triedAtMs: nowMs,
+				},
 		},
 		effects: [],
 	}),
@@ -284,14 +289,23 @@
 	return vmIds;
 }
 
+/**
+Returns how long to wait before a snapshot that could not be written is tried again. The pauses grow to a quarter of the usual interval, so that one
+is written soon after the store takes it again, long before the newest one and the log behind it expire.
+*/
+function snapshotRetryPauseMs({failedTries}: EntryState['snapshot'], snapshotEveryMs: number): number {
+	return Math.min(firstSnapshotRetryPauseMs * (2 ** (failedTries - 1)), snapshotEveryMs / 4);
+}
+
 function tickSnapshot(state: EntryState, context: EntryContext): Readonly<{state: EntryState['snapshot']; effects: readonly EntryEffect[]}> {
 	const {snapshot, cluster} = state;
 	const {settings, nowMs} = context;
 	const newRecords = cluster.offset - snapshot.coversOffset;
+	const isRetryDue = snapshot.failedTries === 0 || nowMs - snapshot.triedAtMs >= snapshotRetryPauseMs(snapshot, settings.timings.snapshotEveryMs);
 	const isMinIntervalOver = nowMs - snapshot.writtenAtMs >= settings.timings.minSnapshotIntervalMs;
 	const isDue = (isMinIntervalOver && newRecords >= settings.snapshotEveryRecords)
 		|| (newRecords > 0 && nowMs - snapshot.writtenAtMs >= settings.timings.snapshotEveryMs);
-	if (snapshot.isWriting || !isDue || !state.log.reachable || rankEntries(cluster.entries.values(), 'snapshot')[0]?.incarnation !== state.incarnation) {
+	if (snapshot.isWriting || !isDue || !isRetryDue || !state.log.reachable || rankEntries(cluster.entries.values(), 'snapshot')[0]?.incarnation !== state.incarnation) {
 		return {state: snapshot, effects: []};
 	}
 
