--- a/src/agent/task-handlers.ts
+++ b/src/agent/task-handlers.ts
@@ -435,7 +435,7 @@
 
 /**
 Applies the worker's task list. The list is authoritative for the ends of tasks: a task that is missing from it has ended, unless the list names only
-some of the ends. A new agent registers after its first list, or once the worker is lost.
+some of the ends. A new agent registers after the first list that names all of them, or once the worker is lost.
 
 @example
 applyWorkerTasks(state, {kind: 'worker-tasks', nowMs, requestedAtMs, list});
