Cancel a job whose record arrives after its cancellation

Cause: the 410 of a cancel was drawn from a read of the log's tail. That shows what was not written so far, and the answer promises what will not be written.

The cancel of an unknown job is now a record that is read back before the 410.

--- a/src/cluster/check-cluster-state.ts
+++ b/src/cluster/check-cluster-state.ts
@@ -11,9 +11,11 @@
 	})),
 	state => firstOf(state.entries.values(), ({entryId, lastOffset}) => checkOffset(state, lastOffset, `entry ${entryId}`)),
 	state => firstOf(state.keys.values(), ({keyHash, claimOffset}) => checkOffset(state, claimOffset, `key ${keyHash}`)),
+	state => firstOf(state.earlyCancellations, ([jobId, offset]) => checkOffset(state, offset, `the cancellation of ${boundedText(jobId)}`)),
 	state => firstOf(state.planDecisions.values(), ({planId, offset}) => checkOffset(state, offset, `plan ${planId}`)),
 	state => firstOf(state.entityOffsets, ([name, offset]) => checkOffset(state, offset, name)),
-	state => checkOffset(state, state.configuration.offset, 'the configuration') ?? checkOffset(state, state.keysForgottenThroughOffset, 'the end of the expired keys'),
+	state => checkOffset(state, state.configuration.offset, 'the configuration') ?? checkOffset(state, state.keysForgottenThroughOffset, 'the end of the expired keys')
+		?? checkOffset(state, state.earlyCancellationsForgottenThroughOffset, 'the end of the forgotten cancellations'),
 ];
 
 /**
--- a/src/cluster/check-intent.ts
+++ b/src/cluster/check-intent.ts
@@ -5,7 +5,7 @@
 import {type Intent} from './intent.js';
 
 export type IntentErrorKind
-	= | 'unknown-service' | 'service-in-use' | 'job-exists' | 'task-exists' | 'unknown-job' | 'job-finished'
+	= | 'unknown-service' | 'service-in-use' | 'job-exists' | 'job-cancelled' | 'task-exists' | 'unknown-job' | 'job-finished'
 		| 'unknown-backend-server' | 'unknown-vm' | 'unknown-failure-domain' | 'already-draining' | 'not-draining';
 
 export type IntentError = TypedError<IntentErrorKind>;
@@ -45,6 +45,10 @@
 			return {kind: 'job-exists', message: `job ${job.jobId} was already submitted`, remedy: 'choose another jobId, or follow the job with `arbutushinge status`'};
 		}
 
+		if (state.earlyCancellations.has(job.jobId)) {
+			return {kind: 'job-cancelled', message: `job ${job.jobId} was cancelled before it was submitted`, remedy: 'choose another jobId'};
+		}
+
 		const seen = new Set<string>();
 		for (const {taskId} of job.tasks) {
 			if (seen.has(taskId) || state.tasks.has(taskId)) {
--- a/src/cluster/cluster-record.ts
+++ b/src/cluster/cluster-record.ts
@@ -106,7 +106,10 @@
 	/** A job that a team submits directly; operators' jobs arrive inside a plan. */
 	z.strictObject({kind: z.literal('job-submitted'), job: jobSchema}),
 	z.strictObject({kind: z.literal('tasks-cancelled'), taskIds: z.array(nameSchema).max(10_000).readonly()}),
-	/** Cancels a workflow's job, including the occurrences whose tasks are not created yet. */
+	/**
+	Cancels a workflow's job, including the occurrences whose tasks are not created yet, or a job that is not known: its submission may be read later, and
+	the job is then cancelled at once.
+	*/
 	z.strictObject({kind: z.literal('job-cancelled'), jobId: nameSchema}),
 	/** An occurrence of a scheduled workflow has come due. */
 	z.strictObject({kind: z.literal('occurrence-due'), jobId: nameSchema, occurrence: z.int().min(0)}),
--- a/src/cluster/cluster-state-codec.ts
+++ b/src/cluster/cluster-state-codec.ts
@@ -136,6 +136,9 @@
 		madeOccurrences: total,
 	})),
 	finishedWorkflows: z.array(z.tuple([z.string(), z.string(), z.enum(['completed', 'failed', 'cancelled'])])),
+	/** Missing in snapshots of versions that did not store it, like the next one. */
+	earlyCancellations: z.array(z.tuple([z.string(), offset])).default([]),
+	earlyCancellationsForgottenThroughOffset: offset.default(-1),
 	committedByTeam: z.array(z.tuple([z.string(), totalResources])),
 	keys: z.array(z.tuple([z.string(), z.string(), z.string(), z.string(), z.string(), z.string(), offset])),
 	keysForgottenThroughOffset: offset,
@@ -366,6 +369,8 @@
 		finishedTaskCount: state.finishedTaskCount,
 		workflows: sortedValues(state.workflows).map(run => ({...run, unfinishedByStep: sortedEntries(run.unfinishedByStep)})),
 		finishedWorkflows: [...state.finishedWorkflows].map(([jobId, {queue, phase}]) => [jobId, queue, phase]),
+		earlyCancellations: [...state.earlyCancellations],
+		earlyCancellationsForgottenThroughOffset: state.earlyCancellationsForgottenThroughOffset,
 		committedByTeam: sortedEntries(state.committedByTeam).map(([teamId, amount]) => [teamId, packResources(amount)]),
 		keys: [...state.keys.values()].map(value => [
 			value.keyHash, value.bodyHash, value.service, value.vmId, value.agentIncarnation, value.backendServerId, value.claimOffset,
@@ -432,6 +437,8 @@
 		finishedTaskCount: data.finishedTaskCount,
 		workflows: immutableMap(data.workflows.map(run => [run.owner.jobId, {...run, unfinishedByStep: immutableMap(run.unfinishedByStep)}])),
 		finishedWorkflows: orderedMap(data.finishedWorkflows.map(([jobId, queue, phase]) => [jobId, {queue, phase}])),
+		earlyCancellations: orderedMap(data.earlyCancellations),
+		earlyCancellationsForgottenThroughOffset: data.earlyCancellationsForgottenThroughOffset,
 		committedByTeam: immutableMap(data.committedByTeam.map(([teamId, amount]) => [teamId, unpackResources(amount)])),
 		keys: orderedMap(data.keys.map(([keyHash, bodyHash, service, vmId, agentIncarnation, backendServerId, claimOffset]) => [keyHash, {
 			keyHash, bodyHash, service, vmId, agentIncarnation, backendServerId, claimOffset,
--- a/src/cluster/cluster-state.ts
+++ b/src/cluster/cluster-state.ts
@@ -216,6 +216,13 @@
 	workflows: Map<string, WorkflowRun>;
 	/** Finished jobs of workflows, oldest first. Their tasks are removed as soon as the job finishes; the oldest jobs are removed when there are too many. */
 	finishedWorkflows: OrderedMap<string, FinishedWorkflow>;
+	/**
+	Cancellations of jobs that were not known, with their offsets, oldest first. A submission that is read later meets its cancellation here. The oldest
+	are removed when there are too many.
+	*/
+	earlyCancellations: OrderedMap<string, number>;
+	/** Early cancellations at or below this offset may have been removed. */
+	earlyCancellationsForgottenThroughOffset: number;
 	/** Sum of the resources that the live claims of each team commit. */
 	committedByTeam: Map<string, Resources>;
 	/** Claims by key hash, in the order of their offsets. */
--- a/src/cluster/plan-handlers.ts
+++ b/src/cluster/plan-handlers.ts
@@ -13,6 +13,10 @@
 		return `the plan names base offset ${plan.baseOffset}, which is not before its confirmation at ${offset}`;
 	}
 
+	if (plan.intent.kind === 'submit-job' && plan.baseOffset < state.earlyCancellationsForgottenThroughOffset) {
+		return `the job may have been cancelled since the plan's base offset ${plan.baseOffset}`;
+	}
+
 	const changed = [...touched].filter(name => (state.entityOffsets.get(name) ?? -1) > plan.baseOffset);
 	if (changed.length > 0) {
 		return changed
--- a/src/cluster/reduce-cluster.ts
+++ b/src/cluster/reduce-cluster.ts
@@ -37,6 +37,8 @@
 	finishedTaskCount: 0,
 	workflows: immutableMap(),
 	finishedWorkflows: orderedMap(),
+	earlyCancellations: orderedMap(),
+	earlyCancellationsForgottenThroughOffset: -1,
 	committedByTeam: immutableMap(),
 	keys: orderedMap(),
 	keysForgottenThroughOffset: -1,
--- a/src/cluster/task-handlers.ts
+++ b/src/cluster/task-handlers.ts
@@ -1,16 +1,17 @@
 import {type ClusterRecordOf} from './cluster-record.js';
 import {type ClusterState, type Task} from './cluster-state.js';
+import {submitJob} from './early-cancellations.js';
 import {type PriorityClass} from './intent.js';
 import {type RecordHandlers} from './record-handler.js';
 import {addResources, fitsInto, noResources} from './resources.js';
 import {MAX_TASK_FAILURES} from './state-limits.js';
 import {isAllowedOnVm} from './step-constraints.js';
+import {stopWorkflow} from './stop-workflow.js';
 import {dequeue} from './task-queue.js';
 import {
-	addJob, cancelTask, endTask, evictTask, hasLiveAttempt, isNewJob, requeueTask,
+	cancelTask, endTask, evictTask, hasLiveAttempt, requeueTask,
 } from './task-transitions.js';
 import {bindClaim, fitOnVm} from './vm-commitment.js';
-import {stopWorkflow} from './workflow-handlers.js';
 import {isLongRunning} from './workflow-progress.js';
 
 const rankByPriority: Readonly<Record<PriorityClass, number>> = {urgent: 2, normal: 1, background: 0};
@@ -132,7 +133,11 @@
 export const taskHandlers: RecordHandlers<
 	'job-submitted' | 'tasks-cancelled' | 'task-unplaceable' | 'task-claimed' | 'task-started' | 'task-ended' | 'task-checkpointed' | 'evict-requested'
 > = {
-	'job-submitted': (state, {job}, {offset}) => isNewJob(state, job) ? addJob(state, job, offset) : state,
+	'job-submitted': (state, {job}, {offset, writerIncarnation}) => submitJob(state, job, {
+		offset,
+		// A writer's records are in the order in which it queued them, so that it had read at least as far as its newest heartbeat says.
+		appliedOffset: state.entries.get(writerIncarnation)?.appliedOffset ?? -1,
+	}),
 	'tasks-cancelled'(state, {taskIds}, {offset}) {
 		let next = state;
 		for (const taskId of taskIds) {
--- a/src/entry/deferred-answers.ts
+++ b/src/entry/deferred-answers.ts
@@ -13,7 +13,7 @@
 
 /**
 Handles a request that the log decides. Answers at once when the state holds the outcome already, and rejects it when the log's tail
-was not read recently or the job to cancel does not exist. Otherwise appends the record of the request and waits until it is read back.
+was not read recently. Otherwise appends the record of the request and waits until it is read back.
 
 @example
 const {state, effects} = requestDeferredAnswer(noDeferredAnswers, 'reply-1', {kind: 'plan', plan}, context);
@@ -40,15 +40,9 @@
 		return {state, effects: [{kind: 'answer-deferred', replyId, answer: {result: 'rejected', offset: context.cluster.offset, reason}}]};
 	}
 
-	const record = recordFor(subject, context.cluster);
-	if (!record) {
-		const reason = 'the job is not known; check the job id with status';
-		return {state, effects: [{kind: 'answer-deferred', replyId, answer: {result: 'rejected', offset: context.cluster.offset, reason}}]};
-	}
-
 	return {
 		state: state.set(replyId, {subject, requestedAtMs: context.nowMs}),
-		effects: [{kind: 'append-record', record}],
+		effects: [{kind: 'append-record', record: recordFor(subject, context.cluster)}],
 	};
 }
 
@@ -81,7 +75,7 @@
 	};
 }
 
-function recordFor(subject: DeferredSubject, cluster: ClusterState): ClusterRecord | undefined {
+function recordFor(subject: DeferredSubject, cluster: ClusterState): ClusterRecord {
 	switch (subject.kind) {
 		case 'plan': {
 			return {kind: 'plan-confirmed', plan: subject.plan};
@@ -92,12 +86,8 @@
 		}
 
 		case 'cancel-job': {
-			if (cluster.workflows.has(subject.jobId)) {
-				return {kind: 'job-cancelled', jobId: subject.jobId};
-			}
-
-			const taskIds = cluster.jobs.get(subject.jobId);
-			return taskIds && {kind: 'tasks-cancelled', taskIds};
+			const taskIds = cluster.workflows.has(subject.jobId) ? undefined : cluster.jobs.get(subject.jobId);
+			return taskIds ? {kind: 'tasks-cancelled', taskIds} : {kind: 'job-cancelled', jobId: subject.jobId};
 		}
 	}
 }
@@ -120,6 +110,10 @@
 				return {result: 'accepted', offset: cluster.offset, reason: ''};
 			}
 
+			if (cluster.earlyCancellations.has(subject.job.jobId)) {
+				return {result: 'rejected', offset: cluster.offset, reason: `job ${subject.job.jobId} was cancelled before it was submitted; use a new job id`};
+			}
+
 			const taskIds = cluster.jobs.get(subject.job.jobId);
 			if (!taskIds) {
 				return undefined;
@@ -141,6 +135,10 @@
 				return {result: 'accepted', offset: cluster.offset, reason: 'the job has ended'};
 			}
 
+			if (cluster.earlyCancellations.has(subject.jobId)) {
+				return {result: 'accepted', offset: cluster.offset, reason: 'the job is not known; a submission that is still on its way is cancelled'};
+			}
+
 			const taskIds = cluster.jobs.get(subject.jobId);
 			const isStopped = taskIds?.every(taskId => stoppedPhases.has(cluster.tasks.get(taskId)?.phase ?? 'cancelled'));
 			return isStopped ? {result: 'accepted', offset: cluster.offset, reason: ''} : undefined;
--- a/src/entry/entry-process.ts
+++ b/src/entry/entry-process.ts
@@ -170,7 +170,6 @@
 	const jobs = createJobInterface({
 		state: loop.state,
 		requestDecision,
-		confirmTail: logConnection.confirmTail,
 		nowMs: () => performance.now(),
 		logFreshnessMs: settings.timings.logFreshnessMs,
 		maxRecordBytes: logService.limits.recordBytes,
--- a/src/entry/job-interface.ts
+++ b/src/entry/job-interface.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
-import {setTimeout as delay} from 'node:timers/promises';
 import {err, ok, type Result} from 'true-myth/result';
 import {type ClusterState, type Task, type WorkflowPhase} from '../cluster/cluster-state.js';
+import {isKnownJob} from '../cluster/early-cancellations.js';
 import {jobSchema, nameSchema, type Job} from '../cluster/intent.js';
 import {type CallerJobError, type CallerJobs} from './caller-server.js';
 import {type DeferredAnswer} from './control-effect.js';
@@ -20,10 +20,12 @@
 	countPending: (queue: string) => Promise<Result<number, CallerJobError>>;
 }>;
 
-const refusals: Readonly<Record<Exclude<DeferredAnswer['result'], 'accepted'>, Readonly<{status: number; kind: string}>>> = {
-	rejected: {status: 409, kind: 'job-rejected'},
+const sendAgain = 'send the same call again with the same job id; a job that is already known is not submitted twice';
+
+const refusals: Readonly<Record<Exclude<DeferredAnswer['result'], 'accepted'>, Readonly<{status: number; kind: string; remedy: string}>>> = {
+	rejected: {status: 409, kind: 'job-rejected', remedy: 'choose another job id'},
 	// The job may have been accepted, so neither a refusal nor `job-unknown` would be right.
-	unknown: {status: 504, kind: 'job-outcome-unknown'},
+	unknown: {status: 504, kind: 'job-outcome-unknown', remedy: sendAgain},
 };
 
 /** Size of a job's record in addition to the job, in bytes: the names of the writer, the sequence and the names of the fields. */
@@ -32,24 +34,16 @@
 /** Retry time for callers while this entry cannot read the log: outages of the log last seconds, and other entries may reach it. */
 const logRetryAfterMs = 1000;
 
-/** Longest wait for a read of the tail before a cancellation of an unknown job is answered, in milliseconds; fronts try another entry after 900 ms. */
-const tailTimeoutMs = 700;
-
-const tailCheckIntervalMs = 10;
-
 /**
 Creates the functions behind the callers' job paths.
 
-@param confirmTail requests a read of the log's tail.
-
 @example
-const jobs = createJobInterface({state, requestDecision, confirmTail, nowMs: () => performance.now(), logFreshnessMs: 2000, maxRecordBytes: 261_120});
+const jobs = createJobInterface({state, requestDecision, nowMs: () => performance.now(), logFreshnessMs: 2000, maxRecordBytes: 261_120});
 await jobs.find('panel-17');
 */
-export function createJobInterface({state, requestDecision, confirmTail, nowMs, logFreshnessMs, maxRecordBytes}: Readonly<{
+export function createJobInterface({state, requestDecision, nowMs, logFreshnessMs, maxRecordBytes}: Readonly<{
 	state: () => EntryState;
 	requestDecision: (subject: DeferredSubject) => Promise<DeferredAnswer>;
-	confirmTail: () => void;
 	nowMs: () => number;
 	logFreshnessMs: number;
 	/** Largest record that the log takes, in bytes; larger jobs are refused. */
@@ -60,23 +54,6 @@
 	/** Returns the error for a job that the state does not hold; while the state is stale, another entry may have accepted the job. */
 	const missingJobError = (jobId: string): CallerJobError => isFresh() ? unknownJob(jobId) : staleState();
 
-	const isRecorded = (jobId: string): boolean => state().cluster.jobs.has(jobId) || state().cluster.finishedWorkflows.has(jobId);
-
-	/** Waits until the state covers the log's tail as of the call. Returns undefined then, and the error of a stale state when it does not in time. */
-	async function coverTail(): Promise<CallerJobError | undefined> {
-		const calledAtMs = nowMs();
-		confirmTail();
-		for (let waitedMs = 0; waitedMs < tailTimeoutMs && isFresh(); waitedMs += tailCheckIntervalMs) {
-			if (state().log.tailConfirmedSentAtMs >= calledAtMs) {
-				return undefined;
-			}
-
-			await delay(tailCheckIntervalMs);
-		}
-
-		return staleState();
-	}
-
 	return {
 		async submit(body) {
 			const job = jobSchema.safeParse(body);
@@ -111,15 +88,8 @@
 				return err(unknownJob(jobId));
 			}
 
-			if (!isRecorded(jobId)) {
-				// Another entry may have accepted the job since the newest read, and its caller would not cancel it again.
-				const stale = await coverTail();
-				if (!isRecorded(jobId)) {
-					return err(stale ?? unknownJob(jobId));
-				}
-			}
-
-			return toResult(jobId, await requestDecision({kind: 'cancel-job', jobId}));
+			const answer = await requestDecision({kind: 'cancel-job', jobId});
+			return answer.result === 'accepted' && !isKnownJob(state().cluster, jobId) ? err(unknownJob(jobId)) : toResult(jobId, answer);
 		},
 		async countPending(queue) {
 			if (!isFresh()) {
@@ -137,14 +107,10 @@
 	}
 
 	const isLogUnreachable = answer.reason.startsWith('the log service');
-	const {status, kind} = refusals[answer.result];
+	const {status, kind, remedy} = refusals[answer.result];
 	return err({
 		status: isLogUnreachable ? 503 : status,
-		error: {
-			kind,
-			message: answer.reason,
-			remedy: 'send the same job again with the same job id; a job that is already known is not submitted twice',
-		},
+		error: {kind, message: answer.reason, remedy: isLogUnreachable ? sendAgain : remedy},
 		...(isLogUnreachable && {retryAfterMs: logRetryAfterMs}),
 	});
 }
--- a/src/entry/touched-vms.ts
+++ b/src/entry/touched-vms.ts
@@ -5,6 +5,11 @@
 /** Kinds of records that may affect any VM. */
 const fleetWideKinds: ReadonlySet<ClusterRecord['kind']> = new Set(['plan-confirmed', 'job-submitted', 'job-cancelled']);
 
+/** Returns whether a record may affect any VM. The cancellation of a job without tasks in the state affects none. */
+function isFleetWide(record: ClusterRecord, before: ClusterState, after: ClusterState): boolean {
+	return fleetWideKinds.has(record.kind) && !(record.kind === 'job-cancelled' && !before.jobs.has(record.jobId) && !after.jobs.has(record.jobId));
+}
+
 /** VMs whose agents may need a message after a page of records. */
 export type TouchedVms = Readonly<{
 	/** VMs on which anything may have changed; undefined means all VMs. */
@@ -29,7 +34,7 @@
 	const claimedTaskIdsByVm = new Map<string, string[]>();
 	for (const {envelope} of records) {
 		const {record} = envelope;
-		if (fleetWideKinds.has(record.kind)) {
+		if (isFleetWide(record, before, after)) {
 			return {vmIdsToRefresh: undefined, claimedTaskIdsByVm: new Map()};
 		}
 
