Keep calls that are meant for a former life of the executor from the next one

Cause: until its first announcement the next life takes starts and leases that were meant for the former one. Their deadlines lie far ahead on its own clock, so that it runs tasks for up to 10 s, where the agent counts 7 s from the former life's last list.

The first call on each connection to the executor now asks for its lists, without a lease or a cursor; the answer tells which life accepted the connection. Other calls are sent only when it is the announced one. A connection ends with its process, so no later call reaches the next life.

Evidence: the stand-in gets a clock for each life and late announcements, the soak executors that return and are cut off (`--recuts`), and its check also counts ends that are acknowledged after the second start.

--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -59,16 +59,18 @@
 
 /**
 Plans the faults of a seed. Faults of one process or link never overlap, but for series of signals to one process; those of different
-ones may. `losses` adds such series and losses for good, `hasLateStarts` executors that carry out starts seconds late.
+ones may. `losses` adds such series and losses for good, `hasLateStarts` executors that carry out starts seconds late, `hasRecuts` executors that start
+again under their IDs and are cut off soon after.
 
 @example
 const {faults} = planFaults(site, {randomInt, seed: 1});
 */
-export function planFaults(site: Site, {randomInt, seed, losses, hasLateStarts = false}: Readonly<{
+export function planFaults(site: Site, {randomInt, seed, losses, hasLateStarts = false, hasRecuts = false}: Readonly<{
 	randomInt: RandomInt;
 	seed: number;
 	losses?: readonly LossKind[] | undefined;
 	hasLateStarts?: boolean;
+	hasRecuts?: boolean;
 }>): FaultPlan {
 	const pick = <Value>(values: readonly Value[]): Value => values[randomInt(0, values.length - 1)]!;
 	const targets = createFaultTargets();
@@ -178,7 +180,38 @@
 			});
 		},
 	};
-	const commonPlanners: typeof planners = hasLateStarts ? {...planners, ...latePlanners} : planners;
+	const recutPlanners: typeof planners = {
+		recut() {
+			const {executor, executorId, links} = pick(site.agents);
+			const [downMs, announceAfterMs, upMs, cutMs] = [randomInt(150, 800), randomInt(0, 1500), randomInt(200, 2500), randomInt(7500, 10_000)];
+			const crashInsideMs = randomInt(0, 2) === 0 ? randomInt(500, cutMs - 1500) : undefined;
+			const inside = crashInsideMs === undefined ? '' : `, with a crash after ${crashInsideMs} ms`;
+			return once(executor, `crash of ${executorId} for ${downMs} ms, announced ${announceAfterMs} ms later, cut off after ${upMs} ms for ${cutMs} ms${inside}`, async () => {
+				executor.crash();
+				await delay(downMs);
+				executor.startAgain({announceAfterMs});
+				await delay(upMs);
+				for (const link of [links.executor, links.control]) {
+					link.setFault({kind: 'silence'});
+				}
+
+				if (crashInsideMs === undefined) {
+					await delay(cutMs);
+				} else {
+					await delay(crashInsideMs);
+					executor.crash();
+					await delay(downMs);
+					executor.startAgain();
+					await delay(cutMs - crashInsideMs - downMs);
+				}
+
+				for (const link of [links.executor, links.control]) {
+					link.setFault({kind: 'none'});
+				}
+			});
+		},
+	};
+	const commonPlanners: typeof planners = {...planners, ...(hasLateStarts && latePlanners), ...(hasRecuts && recutPlanners)};
 	const allPlanners: typeof planners = losses
 		? {
 			...commonPlanners,
--- a/soak/outcome.test.ts
+++ b/soak/outcome.test.ts
@@ -6,8 +6,11 @@
 const started = (atMs: number, executorId = 'i-1'): ExecutorEvent => ({
 	kind: 'started', atMs, executorId, taskId, run: 1, payload: '',
 });
-const ended = (atMs: number, kind: 'ended' | 'noted' = 'ended'): ExecutorEvent => ({
-	kind, atMs, executorId: 'i-1', taskId, run: 1, outcome: 'done',
+const ended = (atMs: number, executorId = 'i-1'): ExecutorEvent => ({
+	kind: 'ended', atMs, executorId, taskId, run: 1, outcome: 'done',
+});
+const noted = (atMs: number, hasLapsed = false): ExecutorEvent => ({
+	kind: 'noted', atMs, executorId: 'i-1', taskId, run: 1, outcome: 'done', hasLapsed,
 });
 const countBroken = (events: readonly ExecutorEvent[], fields: Partial<Observations> = {}): number => findBrokenPromises({
 	events, refusedJobs: new Set(), lastingTasks: new Map(), faults: [], endMs: 20_000, ...fields,
@@ -15,8 +18,11 @@
 
 test('a task that runs twice at a time, or again after its acknowledged end, breaks a promise', t => {
 	t.is(countBroken([started(0), started(10, 'i-2')]), 1);
-	t.is(countBroken([started(0), ended(10), ended(20, 'noted'), started(30)]), 1);
+	t.is(countBroken([started(0), ended(10), noted(20), started(30)]), 1);
 	t.is(countBroken([started(0), ended(10), started(30)]), 0);
+	t.is(countBroken([started(0), ended(10), started(30, 'i-2'), noted(40)]), 1);
+	t.is(countBroken([started(0), ended(10), started(30, 'i-2'), noted(40, true)]), 0);
+	t.is(countBroken([started(0), started(10, 'i-2'), ended(20, 'i-2'), started(30, 'i-3')]), 2);
 	t.is(countBroken([started(0)], {refusedJobs: new Set(['a'])}), 1);
 });
 
--- a/soak/outcome.ts
+++ b/soak/outcome.ts
@@ -68,6 +68,26 @@
 	});
 }
 
+type Run = Readonly<Pick<ExecutorEvent, 'taskId' | 'executorId' | 'run'>>;
+
+const keyOf = ({taskId, executorId, run}: Run): string => `${taskId} ${run} ${executorId}`;
+
+/** Returns the time of each end as done that was acknowledged, then or later, while the executor's lease lasted, by task. */
+function acknowledgedEndsOf(events: readonly ExecutorEvent[]): ReadonlyMap<string, number> {
+	const endedAtMs = new Map<string, number>();
+	const acknowledged = new Map<string, number>();
+	for (const event of events) {
+		if (event.kind === 'ended' && event.outcome === 'done') {
+			endedAtMs.set(keyOf(event), event.atMs);
+		} else if (event.kind === 'noted' && event.outcome === 'done' && !event.hasLapsed) {
+			const atMs = endedAtMs.get(keyOf(event)) ?? event.atMs;
+			acknowledged.set(event.taskId, Math.min(atMs, acknowledged.get(event.taskId) ?? atMs));
+		}
+	}
+
+	return acknowledged;
+}
+
 /**
 Returns the promises that were broken, from what executors saw.
 
@@ -77,27 +97,26 @@
 export function findBrokenPromises(observations: Observations): readonly string[] {
 	const {events, refusedJobs} = observations;
 	const broken: string[] = [];
-	const runningOn = new Map<string, string>();
-	const finished = new Set<string>();
-	for (const {kind, taskId, executorId, run, ...event} of events) {
+	const runningOn = new Map<string, Set<string>>();
+	const acknowledgedEnds = acknowledgedEndsOf(events);
+	for (const {kind, taskId, executorId, run, atMs} of events) {
+		const executorIds = runningOn.get(taskId) ?? new Set();
 		if (kind === 'started') {
-			if (runningOn.has(taskId)) {
-				broken.push(`run ${run} of ${taskId} started on ${executorId} while ${runningOn.get(taskId)!} ran it`);
+			if (executorIds.size > 0) {
+				broken.push(`run ${run} of ${taskId} started on ${executorId} at ${Math.round(atMs)} while ${[...executorIds].join(', ')} ran it`);
 			}
 
-			if (finished.has(taskId)) {
-				broken.push(`run ${run} of ${taskId} started on ${executorId} after an acknowledged end`);
+			if (atMs > (acknowledgedEnds.get(taskId) ?? Number.POSITIVE_INFINITY)) {
+				broken.push(`run ${run} of ${taskId} started on ${executorId} at ${Math.round(atMs)} after an acknowledged end`);
 			}
 
 			if (refusedJobs.has(taskId.split('.')[0]!)) {
 				broken.push(`${taskId} started although its job was refused`);
 			}
 
-			runningOn.set(taskId, executorId);
+			runningOn.set(taskId, executorIds.add(executorId));
 		} else if (kind === 'ended') {
-			runningOn.delete(taskId);
-		} else if ('outcome' in event && event.outcome === 'done') {
-			finished.add(taskId);
+			executorIds.delete(executorId);
 		}
 	}
 
--- a/soak/run-soak.test.ts
+++ b/soak/run-soak.test.ts
@@ -8,6 +8,7 @@
 for (const [seed, size, title] of [
 	[8, {}, 'two entries that decide'],
 	[9, {entryCount: 4, deciderCount: 2}, 'two entries that decide and two that relay'],
+	[1, {hasRecuts: true}, 'executors that start again under their IDs and are cut off, with tasks that outlast their lease'],
 	[301, {losses: ['executor', 'restart']}, 'executors that are gone for good and a calm in which tasks that last run again'],
 ] as const) {
 	test(`the real programs keep their promises to callers while faults come from outside, with ${title}, seed ${seed}`, async t => {
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -43,7 +43,7 @@
 /** As `watchMs` after losses: the 9 s within which they have to run again, and the time to see that they do not. */
 const watchAfterLossesMs = 11_000;
 
-/** VMs of a site that loses some. */
+/** VMs of a site that loses some, or on which long tasks run. */
 const agentCountWithLosses = 6;
 
 /** A job may be unknown to other entries for this long after its acknowledgement. */
@@ -59,6 +59,10 @@
 const nanosecondsPerMs = 1_000_000;
 
 const submitPauseMs = 120;
+
+/** Run time of the long tasks that executors which are cut off run on, beyond their longest lease, and the share of their jobs. */
+const longTaskMs = 12_000;
+const longJobRatio = 2;
 const lastingPayload = 'lasts';
 const lastingJobCount = 2;
 const lastingCount = 2;
@@ -87,13 +91,15 @@
 @example
 const {failures} = await runSoak({seed: 1, bundleDirectory: 'dist'});
 */
-export async function runSoak({seed, bundleDirectory, losses: lossKinds, hasLateStarts = false, ...size}: Readonly<{
+export async function runSoak({seed, bundleDirectory, losses: lossKinds, hasLateStarts = false, hasRecuts = false, ...size}: Readonly<{
 	seed: number;
 	bundleDirectory: string;
 	/** Kinds of losses for good; a calm follows in which tasks that last have to run again. */
 	losses?: readonly LossKind[];
 	/** Executors also carry out starts seconds late, those of their next lives among them. */
 	hasLateStarts?: boolean;
+	/** Executors also start again under their IDs and are cut off soon after, while tasks run for longer than their lease. */
+	hasRecuts?: boolean;
 	entryCount?: number;
 	agentCount?: number;
 	/** Entries that decide; all of them without it. */
@@ -108,7 +114,7 @@
 	const clientGenerator = xoroshiro128plus(Math.imul(seed, seedFactor) + 1);
 	const events: ExecutorEvent[] = [];
 	const site = await startSite({
-		...(hasLosses && {agentCount: agentCountWithLosses}), ...size, bundleDirectory, runTimeMs: runTimeMsOf, onEvent(event) {
+		...((hasLosses || hasRecuts) && {agentCount: agentCountWithLosses}), ...size, bundleDirectory, runTimeMs: runTimeMsOf, onEvent(event) {
 			events.push(event);
 		},
 	});
@@ -141,12 +147,13 @@
 		}
 
 		const {faults, losses} = planFaults(site, {
-			randomInt, seed, losses: lossKinds, hasLateStarts,
+			randomInt, seed, losses: lossKinds, hasLateStarts, hasRecuts,
 		});
 		let jobs = 0;
 		const submitting = (async () => {
 			while (performance.now() < startMs + faultsMs) {
-				const runMs = uniformInt(clientGenerator, 20, 600);
+				const isLong = hasRecuts && uniformInt(clientGenerator, 0, longJobRatio - 1) === 0;
+				const runMs = isLong ? longTaskMs : uniformInt(clientGenerator, 20, 600);
 				clients.submit({jobId: (++jobs).toString(16).padStart(16, 'b'), isLasting: false}, {
 					spec: `runs-${runMs}`, steps: [{
 						count: uniformInt(clientGenerator, 1, 3), cpu: 200, memMb: 10, estimatedMs: runMs,
@@ -162,7 +169,7 @@
 
 		const lossesStartMs = performance.now();
 		await Promise.all(losses.map(async loss => inject(loss, lossesStartMs)));
-		const [unfinished] = await Promise.all([clients.waitForCompletion(completionBoundMs), delay(hasLosses ? watchAfterLossesMs : watchMs)]);
+		const [unfinished] = await Promise.all([clients.waitForCompletion(completionBoundMs + (hasRecuts ? longTaskMs : 0)), delay(hasLosses ? watchAfterLossesMs : watchMs)]);
 		failures.push(...unfinished.map(jobId => `accepted job ${jobId} is not completed ${completionBoundMs} ms after the faults`));
 		const endMs = performance.now();
 		await clients.close();
--- a/src/agent/worker-driver.ts
+++ b/src/agent/worker-driver.ts
@@ -21,9 +21,12 @@
 
 /** Result of a start call that failed, by kind of error. */
 const startResults: Readonly<Record<WorkerErrorKind, AgentEventOf<'start-answered'>['result']>> = {
-	'worker-refused': 'refused', 'worker-unreached': 'unsent', 'worker-gone': 'unsent', 'worker-unavailable': 'unknown', 'worker-unknown-task': 'unknown', 'worker-protocol': 'unknown',
+	'worker-refused': 'refused', 'worker-unreached': 'unsent', 'worker-replaced': 'unsent', 'worker-gone': 'unsent', 'worker-unavailable': 'unknown', 'worker-unknown-task': 'unknown', 'worker-protocol': 'unknown',
 };
 
+/** Kinds of errors of polls after which a start would probably not reach the worker. */
+const unreachedKinds: ReadonlySet<WorkerErrorKind> = new Set(['worker-unreached', 'worker-replaced']);
+
 /** Longest wait for a call; the clients of workers end theirs earlier. A call without an end would block the polls, or the next calls of its task, for good. */
 const defaultCallTimeoutMs = 8000;
 
@@ -209,7 +212,7 @@
 			}
 
 			dispatch({
-				kind: 'worker-look-failed', nowMs: nowMs(), isConnectionRefused: tasks.error.kind === 'worker-gone', isUnreached: tasks.error.kind === 'worker-unreached',
+				kind: 'worker-look-failed', nowMs: nowMs(), isConnectionRefused: tasks.error.kind === 'worker-gone', isUnreached: unreachedKinds.has(tasks.error.kind),
 			});
 			return false;
 		}
--- a/src/worker/http-connections.ts
+++ b/src/worker/http-connections.ts
@@ -40,6 +40,8 @@
 	send: (call: HttpCall) => Promise<IncomingMessage>;
 	/** Resolves with the whole answer; costs less than `send` with a signal and a reader of the body. */
 	exchange: (call: HttpExchange) => Promise<HttpAnswer>;
+	/** Returns whether a connection is open and has no request, so that the next request uses it. */
+	hasIdleConnection: () => boolean;
 	/** Closes each connection when its request has ended. */
 	closeWhenIdle: () => void;
 	/** Ends all connections and the requests in flight. */
@@ -192,6 +194,7 @@
 				}
 			});
 		},
+		hasIdleConnection: () => Object.values(agent.freeSockets).flat().some(socket => socket?.destroyed === false),
 		closeWhenIdle() {
 			agent.maxFreeSockets = 0;
 			for (const socket of Object.values(agent.freeSockets).flat()) {
--- a/src/worker/worker-client.ts
+++ b/src/worker/worker-client.ts
@@ -14,12 +14,13 @@
 
 - `worker-unavailable`: no answer or a 5xx; the call may have taken effect.
 - `worker-unreached`: no connection was opened in time, so that the call had no effect.
+- `worker-replaced`: another process answers at the worker's address than the one that the call is meant for. The call was not sent to it.
 - `worker-gone`: the connection was refused, since nothing listens at the worker's address. The worker's process and its tasks have ended.
 - `worker-refused`: a 4xx; the call had no effect.
 - `worker-unknown-task`: the worker has no such task.
 - `worker-protocol`: the answer does not match its schema.
 */
-export type WorkerErrorKind = 'worker-unavailable' | 'worker-unreached' | 'worker-gone' | 'worker-refused' | 'worker-unknown-task' | 'worker-protocol';
+export type WorkerErrorKind = 'worker-unavailable' | 'worker-unreached' | 'worker-replaced' | 'worker-gone' | 'worker-refused' | 'worker-unknown-task' | 'worker-protocol';
 
 export type WorkerError = TypedError<WorkerErrorKind>;
 
@@ -56,6 +57,7 @@
 const remedies: Readonly<Record<WorkerErrorKind, string>> = {
 	'worker-unavailable': 'check that the worker runs at the workerUrl of the settings; the call is repeated',
 	'worker-unreached': 'check that the VM at the workerUrl of the settings is running; the call is repeated',
+	'worker-replaced': 'nothing has to be done: the agent registers again with the new process',
 	'worker-gone': 'start the worker again at the workerUrl of the settings; its tasks are placed again',
 	'worker-refused': 'read the worker\'s task list again before the next call',
 	'worker-unknown-task': 'read the worker\'s task list again before the next call',
--- a/stand-ins/executor-stand-in.ts
+++ b/stand-ins/executor-stand-in.ts
@@ -7,14 +7,16 @@
 export type ExecutorEvent = Readonly<{atMs: number; executorId: string; taskId: string; run: number}> & (
 	| Readonly<{kind: 'started'; payload: string}>
 	| Readonly<{kind: 'ended'; outcome: string}>
-	/** The end is acknowledged. */
-	| Readonly<{kind: 'noted'; outcome: string}>
+	/** The end is acknowledged; `hasLapsed` tells whether the executor's lease has expired since the end. */
+	| Readonly<{kind: 'noted'; outcome: string; hasLapsed: boolean}>
 );
 
 /** A running stand-in of the platform's executor. It implements starts, stops, leases, fencing, throttling, lists and announcements. */
 export type ExecutorStandIn = Readonly<{
 	/** Returns the number of tasks that have ended so far. */
 	endedCount: () => number;
+	/** Returns how long the lease still lasts, in milliseconds; 0 without one. */
+	leaseMs: () => number;
 	/** Returns the newest announcement, with its `born` and `seq`. */
 	announcement: () => Readonly<{seq: number; born: number; capacity: Readonly<Record<string, number>>} & Record<string, unknown>>;
 	/** Adds JSON texts as rows to the lists, and replaces fields of the answers to list requests by JSON texts. */
@@ -24,8 +26,8 @@
 	carryOutLateStarts: () => Promise<void>;
 	/** Ends all tasks without a trace. The executor is gone until `startAgain`. */
 	crash: () => void;
-	/** Starts a new incarnation after a crash. */
-	startAgain: () => void;
+	/** Starts a new incarnation after a crash; it announces itself first after `announceAfterMs`, or with the next interval. */
+	startAgain: (options?: Readonly<{announceAfterMs?: number}>) => void;
 	close: () => Promise<void>;
 }>;
 
@@ -46,6 +48,8 @@
 type Task = Readonly<{attempt: number; endsAtMs: number; percent: number}>;
 type Body = z.infer<typeof bodySchema>;
 type TaskEnd = readonly [endNumber: number, taskId: string, attempt: number, outcome: string, checkpoint: string];
+
+type EventDetails = Readonly<{kind: 'started'; payload: string}> | Readonly<{kind: 'ended'; outcome: string}> | Readonly<{kind: 'noted'; outcome: string; hasLapsed: boolean}>;
 type Answer = Readonly<{status: number; text: string}>;
 
 /** Interval between two checks for tasks whose run time is over. */
@@ -57,10 +61,6 @@
 /** Longest lease. */
 const maxHoldMs = 10_000;
 
-function toAnswer(status: number, body: Readonly<Record<string, unknown>>): Answer {
-	return {status, text: JSON.stringify({clockMs: Math.round(performance.now()), ...body})};
-}
-
 /**
 Starts a stand-in of the platform's executor that announces itself to an agent.
 
@@ -91,12 +91,23 @@
 	let sequence = 0;
 	let fencingToken = 0;
 	let leaseUntilMs = 0;
+	let lapsedAtMs = Number.NEGATIVE_INFINITY;
+	let endedAtMsByNumber = new Map<number, number>();
 	let startedAtMs = Date.now();
+	/** Each incarnation has a clock of its own, which starts at 0. */
+	let clockStartMs = performance.now();
+	let announcesAfterMs = Number.NEGATIVE_INFINITY;
 	let isUp = true;
 	let hasLateStarts = false;
 	let lateStarts: ReadonlyArray<() => Promise<Answer>> = [];
 
-	function report(event: Readonly<{taskId: string; run: number}> & (Readonly<{kind: 'started'; payload: string}> | Readonly<{kind: 'ended' | 'noted'; outcome: string}>)): void {
+	const clockMs = (): number => performance.now() - clockStartMs;
+
+	function toAnswer(status: number, body: Readonly<Record<string, unknown>>): Answer {
+		return {status, text: JSON.stringify({clockMs: Math.round(clockMs()), ...body})};
+	}
+
+	function report(event: Readonly<{taskId: string; run: number}> & EventDetails): void {
 		onEvent({...event, atMs: performance.now(), executorId});
 	}
 
@@ -115,13 +126,13 @@
 	}
 
 	function extendLease(untilMs: number): void {
-		leaseUntilMs = Math.max(leaseUntilMs, Math.min(untilMs, performance.now() + maxHoldMs));
+		leaseUntilMs = Math.max(leaseUntilMs, Math.min(untilMs, clockMs() + maxHoldMs));
 	}
 
 	function listsText(): string {
 		const rows = [...running].map(([taskId, {attempt, percent}]) => JSON.stringify([taskId, attempt, '', percent, 250]));
 		const fields: Readonly<Record<string, string>> = {
-			clockMs: String(Math.round(performance.now())),
+			clockMs: String(Math.round(clockMs())),
 			born: String(startedAtMs),
 			running: `[${[...rows, ...odd.running ?? []].join(',')}]`,
 			finished: `[${[...taskEnds.slice(0, endsPerPage).map(end => JSON.stringify(end)), ...odd.finished ?? []].join(',')}]`,
@@ -136,7 +147,7 @@
 			for (const [number, taskId, run, outcome] of taskEnds) {
 				if (number <= ackCursor) {
 					report({
-						kind: 'noted', taskId, run, outcome,
+						kind: 'noted', taskId, run, outcome, hasLapsed: lapsedAtMs >= (endedAtMsByNumber.get(number) ?? 0),
 					});
 				}
 			}
@@ -158,7 +169,7 @@
 				return toAnswer(409, {reason: 'old'});
 			}
 
-			if (untilMs <= performance.now()) {
+			if (untilMs <= clockMs()) {
 				return toAnswer(409, {reason: 'late'});
 			}
 
@@ -191,6 +202,7 @@
 		if (task && running.delete(taskId)) {
 			endCount++;
 			taskEnds = [...taskEnds, [++endNumber, taskId, task.attempt, outcome, '']];
+			endedAtMsByNumber.set(endNumber, performance.now());
 			report({
 				kind: 'ended', taskId, run: task.attempt, outcome,
 			});
@@ -245,8 +257,10 @@
 	await once(server, 'listening');
 
 	const endTimer = setInterval(() => {
+		const hasLapsed = leaseUntilMs <= clockMs();
+		lapsedAtMs = hasLapsed ? performance.now() : lapsedAtMs;
 		for (const [taskId, {endsAtMs}] of running) {
-			if (leaseUntilMs <= performance.now()) {
+			if (hasLapsed) {
 				endTask(taskId, 'lapsed');
 			} else if (endsAtMs <= performance.now()) {
 				endTask(taskId, 'done');
@@ -259,13 +273,13 @@
 		state: 'ready',
 		seq: sequence,
 		born: startedAtMs,
-		clockMs: Math.round(performance.now()),
+		clockMs: Math.round(clockMs()),
 		capacity: {cpu: 16_000, memMb: 60_000, gpu: 0},
 		labels: ['large', 'rack-1'],
 	});
 	const [controlHost, controlPort] = controlAddress.split(':');
 	const announceTimer = setInterval(() => {
-		if (!isUp) {
+		if (!isUp || performance.now() < announcesAfterMs) {
 			return;
 		}
 
@@ -282,6 +296,7 @@
 
 	return {
 		endedCount: () => endCount,
+		leaseMs: () => Math.max(0, leaseUntilMs - clockMs()),
 		announcement,
 		setOddAnswers(next) {
 			odd = next;
@@ -306,6 +321,7 @@
 			running = new Map();
 			newestRuns = new Map();
 			taskEnds = [];
+			endedAtMsByNumber = new Map();
 			endNumber = 0;
 			sequence = 0;
 			fencingToken = 0;
@@ -313,8 +329,10 @@
 			server.closeAllConnections();
 			server.close();
 		},
-		startAgain() {
+		startAgain({announceAfterMs = 0} = {}) {
 			startedAtMs = Date.now();
+			clockStartMs = performance.now();
+			announcesAfterMs = performance.now() + announceAfterMs;
 			isUp = true;
 			server.listen(Number(port), host);
 		},
