Count the longest lease for a new process of the worker that runs tasks

A new process whose first list names running tasks has taken calls that were meant for its former one. It may hold a lease up to the platform's holdMaxMs on its own clock, where the agent counted only what it had sent. When it fell silent, its tasks were placed again beside the running ones.

The verified connections keep such calls from it as long as a connection ends with its process. This is for the case that one does not: from the first list on, the agent counts a lease of `timings.workerLeaseLimitMs`.

--- a/bench/deployed-timings.ts
+++ b/bench/deployed-timings.ts
@@ -13,6 +13,6 @@
 */
 export function deployedTimings(role: 'agent' | 'entry'): Readonly<Record<string, number>> {
 	const text = readFileSync(path.join(import.meta.dirname, `../deploy/${role}.yaml`), 'utf8');
-	// The platform fills in the placeholders; none is a timing.
-	return fileSchema.parse(parse(text.replaceAll(/\{\{.*?\}\}/gv, '1'))).timings;
+	// The platform fills in the placeholders. Of the timings, that is the executor's longest lease.
+	return fileSchema.parse(parse(text.replaceAll(/\{\{.*?\}\}/gv, '10000'))).timings;
 }
--- a/soak/site.ts
+++ b/soak/site.ts
@@ -61,7 +61,7 @@
 
 /** Settings of the agents beside their addresses, as in `deploy/agent.yaml`. */
 const agentTimings = {
-	heartbeatMs: 1000, workerPollMs: 250, workerHoldMs: 7000, contactLimitMs: 7500, workerTimeoutMs: 2500, usageLagMs: 500,
+	heartbeatMs: 1000, workerPollMs: 250, workerHoldMs: 7000, workerLeaseLimitMs: 10_000, contactLimitMs: 7500, workerTimeoutMs: 2500, usageLagMs: 500,
 };
 
 type Started = Readonly<{name: string; child: RunnerProcess}>;
--- a/src/agent/reduce-agent.ts
+++ b/src/agent/reduce-agent.ts
@@ -30,7 +30,7 @@
 } from './task-handlers.js';
 import {chain, transition, type Transition} from './transition.js';
 import {
-	assumeWorkerLease, hasListedTasks, isSilent, nextWorkerLeaseDeadlineMs, recordFailedPoll, reasonForLoss,
+	assumeForeignLease, assumeWorkerLease, hasListedTasks, isSilent, nextWorkerLeaseDeadlineMs, recordFailedPoll, reasonForLoss,
 } from './worker-view.js';
 
 type StateUpdate = (state: AgentState) => Transition;
@@ -323,8 +323,10 @@
 function applyWorkerList(state: AgentState, event: AgentEventOf<'worker-tasks'>): Transition {
 	if (state.phase !== 'counting' && (state.worker.lost || state.worker.incarnation !== event.list.workerIncarnation)) {
 		// The list comes from a new process, or from one that was lost: the tasks that the agent has recorded have stopped.
+		const isForeignWork = state.worker.incarnation !== event.list.workerIncarnation && event.list.tasks.some(({phase}) => phase === 'running');
+		const worker = isForeignWork ? assumeForeignLease(state.worker, {nowMs: event.nowMs, ...state.settings.timings}) : state.worker;
 		return chain(
-			dropLiveTasks(state),
+			dropLiveTasks({...state, worker}),
 			current => applyWorkerTasks(current, event),
 			reconcileBackendServers,
 			current => transition({...current, phase: 'ending', lease: noLease}, {kind: 'create-incarnation'}),
--- a/src/agent/worker-view.ts
+++ b/src/agent/worker-view.ts
@@ -18,6 +18,8 @@
 	lastSeenAtMs: number;
 	/** Deadline of the latest worker lease that was sent to the worker or assumed. At this time the worker stops the tasks that the agent's lease covers. */
 	workerLeaseDeadlineMs: number;
+	/** Time until which the worker's process may hold a lease that was meant for a former one; 0 when there is none. */
+	foreignLeaseUntilMs: number;
 	/** Times of the first and the newest poll in the current series of refused connections; undefined when the newest poll was not refused. */
 	connectionRefused: Readonly<{sinceMs: number; untilMs: number}> | undefined;
 	/** Whether no connection was made for the newest poll. It says nothing of the worker's tasks. */
@@ -28,9 +30,12 @@
 	lost: boolean;
 }>;
 
+/** Share by which the worker's clock may run slow; its lease then expires later by this share of its duration. */
+const maxClockDriftShare = 0.02;
+
 /** A worker that has not listed its tasks yet. */
 export const initialWorkerView: WorkerView = {
-	incarnation: '', service: '', labels: [], rack: '', startedAtMs: 0, leaving: false, listedEnds: 'all', lastSeenAtMs: Number.NEGATIVE_INFINITY, workerLeaseDeadlineMs: 0, connectionRefused: undefined, isUnreached: false, isPollFailing: false, lost: false,
+	incarnation: '', service: '', labels: [], rack: '', startedAtMs: 0, leaving: false, listedEnds: 'all', lastSeenAtMs: Number.NEGATIVE_INFINITY, workerLeaseDeadlineMs: 0, foreignLeaseUntilMs: 0, connectionRefused: undefined, isUnreached: false, isPollFailing: false, lost: false,
 };
 
 /**
@@ -80,6 +85,18 @@
 	return worker.workerLeaseDeadlineMs > 0 ? worker : {...worker, workerLeaseDeadlineMs: nowMs + workerHoldMs};
 }
 
+/**
+Assumes that a new process of the worker holds a lease of the longest duration, for one whose first list names tasks that run: it has taken calls that
+were meant for a former process, and their deadlines lie far ahead on its own clock. Without `workerLeaseLimitMs`, the clock of the worker's processes is
+the VM's, and nothing is assumed.
+
+@example
+assumeForeignLease(initialWorkerView, {nowMs: 1000, workerLeaseLimitMs: 9800}).foreignLeaseUntilMs; // => 11_000
+*/
+export function assumeForeignLease(worker: WorkerView, {nowMs, workerLeaseLimitMs}: Readonly<{nowMs: number; workerLeaseLimitMs?: number | undefined}>): WorkerView {
+	return workerLeaseLimitMs === undefined ? worker : {...worker, foreignLeaseUntilMs: nowMs + (workerLeaseLimitMs / (1 - maxClockDriftShare))};
+}
+
 /** Shortest renewal that is sent to the worker. Without it, the grant of every entry would cost a call; heartbeats are a second apart. */
 const minRenewalMs = 500;
 
@@ -105,9 +122,6 @@
 	return deadlineMs - worker.workerLeaseDeadlineMs >= minRenewalMs ? deadlineMs : undefined;
 }
 
-/** Share by which the worker's clock may run slow; its lease then expires later by this share of its duration. */
-const maxClockDriftShare = 0.02;
-
 /**
 Returns whether the worker lease has certainly expired at a worker that does not answer, so that the tasks that it covers have stopped.
 
@@ -115,7 +129,7 @@
 isWorkerLeaseExpired({...initialWorkerView, workerLeaseDeadlineMs: 5000}, {nowMs: 12_000, workerHoldMs: 6000}); // => true
 */
 export function isWorkerLeaseExpired(worker: WorkerView, {nowMs, workerHoldMs}: Readonly<{nowMs: number; workerHoldMs: number}>): boolean {
-	return nowMs > worker.workerLeaseDeadlineMs + (workerHoldMs * maxClockDriftShare);
+	return nowMs > Math.max(worker.workerLeaseDeadlineMs + (workerHoldMs * maxClockDriftShare), worker.foreignLeaseUntilMs);
 }
 
 /**
--- a/src/settings/agent-settings.ts
+++ b/src/settings/agent-settings.ts
@@ -32,6 +32,8 @@
 			.check(z.describe('Longest wait, at a stop that keeps the tasks, for the end of a worker that leaves or does not answer; the process must not be killed before')),
 		workerHoldMs: z._default(z.int().check(z.minimum(500), z.maximum(maxDurationMs)), 60_000)
 			.check(z.describe('Longest time for which the worker is told to run tasks without word from the agent; the lease bounds it as well')),
+		workerLeaseLimitMs: z.optional(z.int().check(z.minimum(500), z.maximum(maxDurationMs)))
+			.check(z.describe('Longest lease that the worker takes, for one whose processes each have a clock of their own; none without it')),
 		contactLimitMs: z._default(z.int().check(z.minimum(500), z.maximum(maxDurationMs)), 12_500)
 			.check(z.describe('S: how long leased tasks run from the sending of the newest heartbeat that an entry answered; several heartbeats and less than the entries\' D')),
 		workerTimeoutMs: z._default(z.int().check(z.minimum(200), z.maximum(maxDurationMs)), 10_000).check(z.describe('Silence of the worker after which its tasks are held no longer')),
