Assume a worker lease before the first list of a new agent is applied

Found on a related path of the calls to a former life: when the executor's list is the first event of a new agent's process and the executor falls silent after it, the agent counted no lease and gave the tasks up after 2.51 s, while the lease of the agent before lasts for up to 7 s. They were then placed again beside the running ones (TWICE).

Cause: the lease was assumed after each event, unless the worker had listed its tasks by then.

The new test fails before: lost at 3510 ms where the lease ends at 8000 ms.

--- a/src/agent/assumed-worker-lease.test.ts
+++ b/src/agent/assumed-worker-lease.test.ts
@@ -45,3 +45,9 @@
 	const lostIdleAtMs = timeOfLoss([listOf('w0', [], 1000), listOf('w1', [], 2000)]);
 	t.true(lostIdleAtMs <= 2000 + workerTimeoutMs + 20, `lost at ${lostIdleAtMs}`);
 });
+
+/** Guards against a second run of tasks that an earlier agent has just renewed, when the list is the first that a new agent hears. */
+test('an agent whose first event is a list with running tasks does not give them up before the lease of an earlier agent has expired', t => {
+	const lostAtMs = timeOfLoss([listOf('w0', [running], 1000)]);
+	t.true(lostAtMs > 1000 + workerHoldMs && lostAtMs <= 1000 + (workerHoldMs * 1.02) + 20, `lost at ${lostAtMs}`);
+});
--- a/src/agent/reduce-agent.ts
+++ b/src/agent/reduce-agent.ts
@@ -333,8 +333,9 @@
 		);
 	}
 
+	const worker = hasListedTasks(state.worker) ? state.worker : assumeWorkerLease(state.worker, {nowMs: event.nowMs, ...state.settings.timings});
 	return chain(
-		state,
+		{...state, worker},
 		current => applyWorkerTasks(current, event),
 		reconcileBackendServers,
 		current => current.phase === 'counting' || current.phase === 'collecting'
