Cancel the whole workflow when an operator's plan cancels its job

After a confirmed `--cancel-job` for the job of a workflow, callers saw it as completed, and a scheduled workflow would have made its next occurrence.

Cause: the plan cancelled the job's tasks one by one and left the workflow itself as it was, so that the end of the last task finished it.

Plans now use the function of callers' cancellations. The new test answers 'completed' without the change.

--- a/src/cluster/apply-intent.ts
+++ b/src/cluster/apply-intent.ts
@@ -1,8 +1,9 @@
+import {cancelJob} from './cancel-job.js';
 import {type ClusterState, type Configuration} from './cluster-state.js';
 import {refreshBackendServerDrain, refreshVmDrain} from './draining.js';
 import {type IntentByKind} from './intent-by-kind.js';
 import {type Intent} from './intent.js';
-import {addJob, cancelTask} from './task-transitions.js';
+import {addJob} from './task-transitions.js';
 import {commitBackendServer} from './vm-commitment.js';
 
 type IntentHandler<Kind extends Intent['kind']> = (state: ClusterState, intent: IntentByKind[Kind], offset: number) => ClusterState;
@@ -52,14 +53,7 @@
 	'remove-service': (state, {service}, offset) =>
 		recommitService(configure(state, offset, {services: state.configuration.services.delete(service)}), service),
 	'submit-job': (state, {job}, offset) => addJob(state, job, offset),
-	'cancel-job'(state, {jobId}, offset) {
-		let next = state;
-		for (const taskId of state.jobs.get(jobId) ?? []) {
-			next = cancelTask(next, taskId, offset);
-		}
-
-		return next;
-	},
+	'cancel-job': (state, {jobId}, offset) => cancelJob(state, jobId, offset),
 	'drain-backend-server': (state, {backendServerId}, offset) => refreshBackendServer(
 		configure(state, offset, {drainingBackendServerIds: state.configuration.drainingBackendServerIds.add(backendServerId)}),
 		backendServerId,
--- a/src/cluster/workflow-progress.test.ts
+++ b/src/cluster/workflow-progress.test.ts
@@ -121,6 +121,18 @@
 	t.is(log.state.tasks.get('job.0.0.0')?.failures, 0);
 });
 
+/** Guards against a job of a workflow that an operator cancelled and callers see as completed. */
+test('a job that an operator\'s plan cancels is not shown as completed', t => {
+	const log = new Log().submit([step({count: 2}), step({dependsOn: [0]})]);
+	log.append({
+		kind: 'plan-confirmed', plan: {
+			planId: 'plan-1', baseOffset: log.state.offset, touches: [], intent: {kind: 'cancel-job', jobId: 'job'}, summary: [], createdAtMs: 0, expiresAtMs: 1000,
+		},
+	});
+	t.true(log.state.planDecisions.get('plan-1')?.accepted);
+	t.is(log.state.finishedWorkflows.get('job')?.phase, 'cancelled');
+});
+
 test('a cancelled job is not shown as completed while an attempt stops, and none of its tasks starts again', t => {
 	const log = new Log().submit([step({count: 2})]);
 	log.claim('job.0.0.0').append({kind: 'job-cancelled', jobId: 'job'});
