--- a/soak/clients.ts
+++ b/soak/clients.ts
@@ -12,11 +12,15 @@
 export type Clients = Readonly<{
 	/** Submits a job until it is accepted or refused for good. */
 	submit: (job: Job, body: unknown) => void;
+	/** Cancels a job at any entries until the cancellation is acknowledged, whatever became of its submission. */
+	cancel: (jobId: string) => void;
+	/** Returns the times at which cancellations were acknowledged, by job. */
+	cancelledAtMs: () => ReadonlyMap<string, number>;
 	/** Returns the calls so far, without those for which no connection was opened. */
 	calls: () => readonly Call[];
 	acceptedAtMs: () => ReadonlyMap<string, number>;
 	refusedJobs: () => ReadonlySet<string>;
-	/** Returns the accepted jobs that do not last and whose state is not `completed` within a time. */
+	/** Returns the accepted jobs that do not last, that no client cancels and whose state is not `completed` within a time. */
 	waitForCompletion: (timeoutMs: number) => Promise<readonly string[]>;
 	/** Sends nothing more, and waits for the open calls. */
 	close: () => Promise<void>;
@@ -49,6 +53,8 @@
 	const calls: Call[] = [];
 	const acceptedAtMs = new Map<string, number>();
 	const lastingJobs = new Set<string>();
+	const cancelledJobs = new Set<string>();
+	const cancelledAtMs = new Map<string, number>();
 	const refusedJobs = new Set<string>();
 	const open = new Set<Promise<void>>();
 	const closing = new AbortController();
@@ -67,7 +73,7 @@
 		return added;
 	}
 
-	async function call(entry: SiteEntry, method: 'GET' | 'POST', jobId: string, body?: unknown): Promise<Call> {
+	async function call(entry: SiteEntry, method: 'GET' | 'POST' | 'DELETE', jobId: string, body?: unknown): Promise<Call> {
 		const begun = {
 			entry, pid: entry.current().pid, method, jobId, sentAtMs: performance.now(),
 		};
@@ -100,7 +106,7 @@
 		}
 
 		let isRefusedAlways = true;
-		for (let tries = 1; !signal.aborted && !acceptedAtMs.has(jobId); tries++) {
+		for (let tries = 1; !signal.aborted && !acceptedAtMs.has(jobId) && !cancelledJobs.has(jobId); tries++) {
 			const {status, endedAtMs} = await call(pick(entries), 'POST', jobId, body);
 			if (status === 200) {
 				acceptedAtMs.set(jobId, endedAtMs);
@@ -116,6 +122,18 @@
 		}
 	}
 
+	async function cancelUntilAcknowledged(jobId: string): Promise<void> {
+		while (!signal.aborted) {
+			const {status, endedAtMs} = await call(pick(entries), 'DELETE', jobId);
+			if (status === 200 || status === 410) {
+				cancelledAtMs.set(jobId, endedAtMs);
+				return;
+			}
+
+			await delay(retryPauseMs);
+		}
+	}
+
 	async function askForStates(): Promise<void> {
 		while (!signal.aborted) {
 			const accepted = [...acceptedAtMs.keys()];
@@ -139,6 +157,11 @@
 		submit(job, body) {
 			track(submitUntilDecided(job, body));
 		},
+		cancel(jobId) {
+			cancelledJobs.add(jobId);
+			track(cancelUntilAcknowledged(jobId));
+		},
+		cancelledAtMs: () => cancelledAtMs,
 		calls: () => calls,
 		acceptedAtMs: () => acceptedAtMs,
 		refusedJobs: () => refusedJobs,
@@ -148,7 +171,7 @@
 			const completed = new Set<string>();
 			for (;;) {
 				for (const jobId of acceptedAtMs.keys()) {
-					if (!lastingJobs.has(jobId) && !completed.has(jobId)) {
+					if (!lastingJobs.has(jobId) && !cancelledJobs.has(jobId) && !completed.has(jobId)) {
 						waiting.add(jobId);
 					}
 				}
--- a/soak/odd-entries.ts
+++ b/soak/odd-entries.ts
@@ -129,15 +129,22 @@
 	}
 }
 
+const oddSnapshotPrefix = 'odd-';
+
+function isGoodSnapshot(record: Buffer): boolean {
+	const {snapshotId} = parseObject(record.toString());
+	return typeof snapshotId === 'string' && !snapshotId.startsWith(oddSnapshotPrefix);
+}
+
 function snapshotChunk(coversOffset: unknown, content: string | Uint8Array): string {
 	return JSON.stringify({
-		snapshotId: `odd-${String(coversOffset)}`, coversOffset, index: 0, count: 1, data: deflateSync(content).toString('base64'),
+		snapshotId: `${oddSnapshotPrefix}${String(coversOffset)}`, coversOffset, index: 0, count: 1, data: deflateSync(content).toString('base64'),
 	});
 }
 
 /** Leaves chunks as the newest snapshots, and lets the records expire that the newest good one covers. */
 async function leaveSnapshots({store}: Site, chunks: readonly string[]): Promise<void> {
-	const newest = await waitUntil('an entry has written a snapshot', 10_000, () => store.records(snapshotTopic).at(-1));
+	const newest = await waitUntil('an entry has written a snapshot', 10_000, () => store.records(snapshotTopic).findLast(record => isGoodSnapshot(record)));
 	store.expire(logTopic, Number(parseObject(newest.toString()).coversOffset) + 1);
 	for (const chunk of chunks) {
 		store.append(snapshotTopic, chunk);
--- a/soak/outcome.test.ts
+++ b/soak/outcome.test.ts
@@ -26,6 +26,16 @@
 	t.is(countBroken([started(0)], {refusedJobs: new Set(['a'])}), 1);
 });
 
+/** Guards against jobs that run after their cancellation was acknowledged. */
+test('a task that starts or runs on over 3 s after the cancellation of its job breaks a promise unless faults were near', t => {
+	const cancelledJobs = new Map([['a', 1000]]);
+	t.is(countBroken([started(3900), ended(4500)], {cancelledJobs}), 0);
+	t.is(countBroken([started(4100), ended(4500)], {cancelledJobs}), 1);
+	t.is(countBroken([started(4100), ended(4500)], {cancelledJobs, faults: [{fromMs: 0, untilMs: 2000}]}), 0);
+	t.is(countBroken([started(5100), ended(5500)], {cancelledJobs, faults: [{fromMs: 0, untilMs: 2000}]}), 1);
+	t.is(countBroken([started(900)], {cancelledJobs}), 1);
+});
+
 test('a task that lasts and waits for over 9 s breaks a promise unless faults were near', t => {
 	const lastingTasks = new Map([[taskId, 0]]);
 	t.is(countBroken([started(0), ended(1000)], {lastingTasks}), 1);
--- a/soak/outcome.ts
+++ b/soak/outcome.ts
@@ -10,6 +10,8 @@
 	refusedJobs: ReadonlySet<string>;
 	/** Tasks that last, with the time at which they were accepted. */
 	lastingTasks: ReadonlyMap<string, number>;
+	/** Jobs whose cancellation was acknowledged, with the time. */
+	cancelledJobs?: ReadonlyMap<string, number>;
 	faults: readonly FaultPeriod[];
 	endMs: number;
 }>;
@@ -22,6 +24,12 @@
 
 const stepMs = 100;
 
+/** After this time in the calm, no task of a cancelled job starts or runs. */
+const cancelMs = 3000;
+
+/** A VM that a fault has affected keeps the promises about cancelled jobs again after this time. */
+const inTouchMs = 3000;
+
 type Gap = Readonly<{taskId: string; fromMs: number; untilMs: number}>;
 
 /** Returns the times in which no executor ran a task, from when it was accepted. */
@@ -72,6 +80,30 @@
 
 const keyOf = ({taskId, executorId, run}: Run): string => `${taskId} ${run} ${executorId}`;
 
+/** Returns the tasks that started after the cancellation of their job, or run on, although the time since was calm. */
+function findCancelledWork({events, cancelledJobs = new Map(), faults, endMs}: Observations): readonly string[] {
+	const isDue = (taskId: string, atMs: number): boolean => {
+		const boundMs = (cancelledJobs.get(taskId.split('.')[0]!) ?? Number.POSITIVE_INFINITY) + cancelMs;
+		return atMs > boundMs && faults.every(({fromMs, untilMs}) => untilMs < atMs - inTouchMs || fromMs > atMs);
+	};
+
+	const running = new Set<string>();
+	const broken: string[] = [];
+	for (const event of events) {
+		if (event.kind === 'started') {
+			running.add(keyOf(event));
+			if (isDue(event.taskId, event.atMs)) {
+				broken.push(`run ${event.run} of ${event.taskId} started on ${event.executorId} at ${Math.round(event.atMs)}, although its job was cancelled`);
+			}
+		} else if (event.kind === 'ended') {
+			running.delete(keyOf(event));
+		}
+	}
+
+	const runningOn = [...running].filter(key => isDue(key.split(' ')[0]!, endMs));
+	return [...broken, ...runningOn.map(key => `${key} runs on, although its job was cancelled`)];
+}
+
 /** Returns the time of each end as done that was acknowledged, then or later, while the executor's lease lasted, by task. */
 function acknowledgedEndsOf(events: readonly ExecutorEvent[]): ReadonlyMap<string, number> {
 	const endedAtMs = new Map<string, number>();
@@ -120,5 +152,5 @@
 		}
 	}
 
-	return [...broken, ...findForbiddenGaps(observations)];
+	return [...broken, ...findCancelledWork(observations), ...findForbiddenGaps(observations)];
 }
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -60,6 +60,9 @@
 
 const submitPauseMs = 120;
 
+/** Longest time between a job's first submission and the first try to cancel it. */
+const maxCancelDelayMs = 2000;
+
 /** Run time of the long tasks that executors which are cut off run on, beyond their longest lease, and the share of their jobs. */
 const longTaskMs = 12_000;
 const longJobRatio = 2;
@@ -71,6 +74,8 @@
 	return payload === lastingPayload ? Number.POSITIVE_INFINITY : Number(/^runs-(?<ms>\d+)$/v.exec(payload)?.groups?.ms ?? goodTaskMs);
 }
 
+const idOfJob = (number: number): string => number.toString(16).padStart(16, 'b');
+
 type InjectedFault = FaultPeriod & Omit<Fault, 'atMs' | 'inject'>;
 
 function findUnkeptAnswers(calls: readonly Call[], acceptedAtMs: ReadonlyMap<string, number>, faults: readonly InjectedFault[]): readonly string[] {
@@ -91,7 +96,7 @@
 @example
 const {failures} = await runSoak({seed: 1, bundleDirectory: 'dist'});
 */
-export async function runSoak({seed, bundleDirectory, losses: lossKinds, hasLateStarts = false, hasRecuts = false, ...size}: Readonly<{
+export async function runSoak({seed, bundleDirectory, losses: lossKinds, hasLateStarts = false, hasRecuts = false, hasCancels = false, ...size}: Readonly<{
 	seed: number;
 	bundleDirectory: string;
 	/** Kinds of losses for good; a calm follows in which tasks that last have to run again. */
@@ -100,6 +105,8 @@
 	hasLateStarts?: boolean;
 	/** Executors also start again under their IDs and are cut off soon after, while tasks run for longer than their lease. */
 	hasRecuts?: boolean;
+	/** Clients cancel two fifths of the jobs that do not last, also before they are accepted. */
+	hasCancels?: boolean;
 	entryCount?: number;
 	agentCount?: number;
 	/** Entries that decide; all of them without it. */
@@ -154,11 +161,18 @@
 			while (performance.now() < startMs + faultsMs) {
 				const isLong = hasRecuts && uniformInt(clientGenerator, 0, longJobRatio - 1) === 0;
 				const runMs = isLong ? longTaskMs : uniformInt(clientGenerator, 20, 600);
-				clients.submit({jobId: (++jobs).toString(16).padStart(16, 'b'), isLasting: false}, {
+				clients.submit({jobId: idOfJob(++jobs), isLasting: false}, {
 					spec: `runs-${runMs}`, steps: [{
 						count: uniformInt(clientGenerator, 1, 3), cpu: 200, memMb: 10, estimatedMs: runMs,
 					}],
 				});
+				if (hasCancels && uniformInt(clientGenerator, 1, 5) <= 2) {
+					const jobId = idOfJob(jobs);
+					setTimeout(() => {
+						clients.cancel(jobId);
+					}, uniformInt(clientGenerator, 0, maxCancelDelayMs));
+				}
+
 				await delay(submitPauseMs);
 			}
 		})();
@@ -178,7 +192,7 @@
 			return acceptedAtMs === undefined ? [] : Array.from({length: lastingCount}, (_, index) => [`${jobId}.0.0.${index}`, acceptedAtMs] as const);
 		}));
 		const observations: Observations = {
-			events, refusedJobs: clients.refusedJobs(), lastingTasks, faults: periods, endMs,
+			events, refusedJobs: clients.refusedJobs(), cancelledJobs: clients.cancelledAtMs(), lastingTasks, faults: periods, endMs,
 		};
 		failures.push(
 			...findUnkeptAnswers(clients.calls(), clients.acceptedAtMs(), periods),
