--- a/soak/clients.ts
+++ b/soak/clients.ts
@@ -176,6 +176,10 @@
 					}
 				}
 
+				for (const jobId of cancelledJobs) {
+					waiting.delete(jobId);
+				}
+
 				await Promise.all([...waiting].map(async jobId => {
 					const {text} = await call(pick(entries), 'GET', jobId);
 					if (text === '{"state":"completed"}') {
