--- a/src/cluster/early-cancellations.ts
+++ b/src/cluster/early-cancellations.ts
@@ -37,7 +37,7 @@
 Adds a submitted job. One that was cancelled before its submission was read is cancelled at once, so that it never runs. A repeated submission is
 ignored, and so is one of a writer that had not read all cancellations that are forgotten: one of them may be the job's.
 
-@param writer `appliedOffset` is the offset through which the writer had read the log when it queued the submission, or a lower one.
+@param appliedOffset offset through which the writer had read the log when it queued the submission, or a lower one.
 
 @example
 submitJob(state, job, {offset: 17, appliedOffset: 15}).jobs.has(job.jobId); // => true
