Let the soak's proxies end connections that cannot be reset

Cause: a reset directly after the end of a connection fails with EINVAL in Node.js 20, and the socket is then never closed. The proxy passes on an end and an error of a connection directly one after the other.

A connection that is being ended is now closed in place of reset.

--- a/soak/fault-proxy.ts
+++ b/soak/fault-proxy.ts
@@ -2,6 +2,7 @@
 import {
 	connect, createServer, type Server, type Socket,
 } from 'node:net';
+import {resetConnection} from './reset-connection.js';
 
 /** Faults of a link. Bytes that are held arrive when the fault ends, as with a network that drops packets for a while. */
 export type LinkFault
@@ -69,7 +70,7 @@
 		from.on('close', hadError => {
 			inOrder(() => {
 				if (hadError) {
-					to.resetAndDestroy();
+					resetConnection(to);
 				} else {
 					to.destroySoon();
 				}
@@ -85,7 +86,7 @@
 			client.on('error', () => {
 				// The peer may reset the connection as well.
 			});
-			client.resetAndDestroy();
+			resetConnection(client);
 			return;
 		}
 
@@ -105,8 +106,8 @@
 
 	function resetAll(): void {
 		for (const {client, target} of pairs) {
-			client.resetAndDestroy();
-			target.resetAndDestroy();
+			resetConnection(client);
+			resetConnection(target);
 		}
 	}
 
