Add an account of the connections and open bodies of a process

Nothing bounds what all clients of a process leave open together. Each group of servers has a share of its own, so that a crowd at one server does not shed the connections of another.

No server uses it yet.

--- /dev/null
+++ b/src/intake/close-after-answer.ts
@@ -0,0 +1,36 @@
+import type {ServerResponse} from 'node:http';
+import {hasBody} from './has-body.js';
+
+/** How long a connection stays open after a refusal, unread, so that a client that still sends can read the answer before the reset. */
+const lingerMs = 200;
+
+/**
+Makes the connection of a request whose body was not read to its end close once the answer is sent; nothing more is read from it. To be
+called before the headers are sent. Does nothing for a request that was read to its end.
+
+@example
+closeAfterAnswer(response);
+response.end('{}');
+*/
+export function closeAfterAnswer(response: ServerResponse): void {
+	const {req: request} = response;
+	if (request.complete || response.headersSent || !hasBody(request)) {
+		return;
+	}
+
+	const {socket} = request;
+	response.setHeader('connection', 'close');
+	request.pause();
+	socket.pause();
+	// Node.js calls this method when the last answer of a connection has been handed over, and would destroy the socket once it is written.
+	socket.destroySoon = () => {
+		socket.end();
+		// Node.js resumes a request that was not read, to discard its body, in the turn after the answer.
+		setImmediate(() => {
+			socket.pause();
+		});
+		setTimeout(() => {
+			socket.destroy();
+		}, lingerMs);
+	};
+}
--- /dev/null
+++ b/src/intake/intake-limits.ts
@@ -0,0 +1,20 @@
+import type {IntakeLimits} from './intake.js';
+
+/** Most connections of an entry. With the log, its connections and 200 files they stay below the 4,100 descriptors of a VM. */
+const entryConnections = 3072;
+
+/** Bytes of the bodies that an entry receives; 36 of the callers' largest jobs at once, in a tenth of the smallest VM's memory. */
+const entryBodyBytes = 25_165_824;
+
+/** Most connections of an agent, which talks with one worker, its backend servers and the entries. */
+const agentConnections = 1024;
+
+/** Bytes of the bodies that an agent receives; 24 of the largest announcements at once. */
+const agentBodyBytes = 4_194_304;
+
+/** Smallest limits that can be set: each group of servers still has a few connections, and room for a body of the largest size. */
+export const minEntryIntakeLimits: IntakeLimits = {connections: 128, bodyBytes: 8_388_608};
+export const minAgentIntakeLimits: IntakeLimits = {connections: 64, bodyBytes: 524_288};
+
+export const defaultEntryIntakeLimits: IntakeLimits = {connections: entryConnections, bodyBytes: entryBodyBytes};
+export const defaultAgentIntakeLimits: IntakeLimits = {connections: agentConnections, bodyBytes: agentBodyBytes};
