Bound the connections and open bodies of every process

Clients that leave bodies, headers and connections open ended entries and agents: each chunk of a body was kept as a buffer of its own, reading went on after 408, and nothing bounded all bodies and connections.

Every server of an entry and an agent now uses the account of its process. A body that was refused before its end is answered with connection: close, is read no further, and its socket is destroyed. Bodies in many small chunks are limited to four at once. Settings intake.connections and intake.bodyBytes, metrics intake.connections, intake.body-bytes and intake.refused, log event intake-refused; lines about refusals are limited a second. Servers take the account as an optional argument.

--- a/src/agent/agent-process.ts
+++ b/src/agent/agent-process.ts
@@ -4,6 +4,7 @@
 import {createEventLoop} from '../event-loop/create-event-loop.js';
 import {logLoopFailures} from '../event-loop/log-loop-failures.js';
 import {createSuspensionDetector} from '../event-loop/suspension-detector.js';
+import type {Intake} from '../intake/intake.js';
 import {monotonicMs} from '../worker/monotonic-clock.js';
 import type {AgentSettings} from '../settings/agent-settings.js';
 import type {EventLog} from '../telemetry/event-log.js';
@@ -27,6 +28,8 @@
 	metrics: Metrics;
 	timeline: Timeline;
 	worker: Worker;
+	/** Account of the process for its servers. */
+	intake?: Intake;
 	/** Reports the entries when the settings do not list them; `onEntries` is called with the addresses of all entries, best first. */
 	watchEntries?: (onEntries: (entryAddresses: readonly string[]) => void) => Readonly<{close: () => void}>;
 }>;
@@ -46,7 +49,7 @@
 	await agent.value.stop();
 }
 */
-export async function startAgent({settings, eventLog, metrics, timeline, worker, watchEntries}: AgentDependencies): Promise<Result<RunningAgent, TypedError>> {
+export async function startAgent({settings, eventLog, metrics, timeline, worker, watchEntries, intake}: AgentDependencies): Promise<Result<RunningAgent, TypedError>> {
 	let finishStop: (() => void) | undefined;
 	const stopped = new Promise<void>(resolve => {
 		finishStop = resolve;
@@ -137,6 +140,7 @@
 			};
 		},
 		timeline: fromSequence => timeline.read(fromSequence),
+		...(intake && {intake}),
 	});
 	if (opened.isErr) {
 		return err(opened.error);
--- a/src/agent/request-server.ts
+++ b/src/agent/request-server.ts
@@ -1,11 +1,16 @@
-import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
 import polka from 'polka';
 import {Result} from 'true-myth';
 import * as z from 'zod/mini';
 import type {TypedError} from '../errors/typed-error.js';
+import {closeAfterAnswer} from '../intake/close-after-answer.js';
+import {createDefaultIntake} from '../intake/default-intake.js';
+import {guardConnections} from '../intake/guard-connections.js';
+import type {Intake} from '../intake/intake.js';
+import {readBody} from '../intake/read-body.js';
 import {addressSchema} from '../validation/address-schema.js';
+import {parseJson} from '../validation/parse-json.js';
 import {isName} from '../validation/name.js';
 import type {AgentEvent, ArrivedRequest} from './agent-event.js';
 import type {BackendServerClient} from './backend-server-client.js';
@@ -20,6 +25,9 @@
 /** Largest body of a notice from a backend server. */
 const maxNoticeBytes = 4096;
 
+/** Time for a notice to arrive, less than the time without one after which a backend server counts as gone. */
+const noticeTimeoutMs = 3000;
+
 /** Longer than the idle time of an entry's pool, so that the entry closes idle connections first. */
 const keepAliveTimeoutMs = 65_000;
 
@@ -61,6 +69,8 @@
 	dispatch: (event: AgentEvent) => void;
 	health: () => Readonly<Record<string, unknown>>;
 	timeline: (fromSequence: number) => readonly unknown[];
+	/** Account of the process. */
+	intake?: Intake;
 }>;
 
 function headerOf(request: IncomingMessage, name: string): string | undefined {
@@ -91,6 +101,7 @@
 }
 
 function sendJson(response: ServerResponse, status: number, value: unknown): void {
+	closeAfterAnswer(response);
 	response.writeHead(status, {'content-type': 'application/json'});
 	response.end(JSON.stringify(value));
 }
@@ -101,23 +112,12 @@
 }
 
 /** Reads a notice; returns undefined for one that is cut off, too long or does not match its schema. */
-async function readNotice<Value>(request: IncomingMessage, schema: z.ZodMiniType<Value>): Promise<Value | undefined> {
-	const chunks: Uint8Array[] = [];
-	let bytes = 0;
-	try {
-		for await (const chunk of request as AsyncIterable<Uint8Array>) {
-			bytes += chunk.byteLength;
-			if (bytes > maxNoticeBytes) {
-				return undefined;
-			}
-
-			chunks.push(chunk);
-		}
-
-		return schema.safeParse(JSON.parse(Buffer.concat(chunks).toString())).data;
-	} catch {
-		return undefined;
-	}
+async function readNotice<Value>(request: IncomingMessage, intake: Intake, schema: z.ZodMiniType<Value>): Promise<Value | undefined> {
+	const bytes = await readBody(request, {
+		intake, group: 'entries', maxBytes: maxNoticeBytes, timeoutMs: noticeTimeoutMs,
+	});
+	const notice = bytes.isOk ? parseJson(bytes.value.toString()) : undefined;
+	return notice?.isOk ? schema.safeParse(notice.value).data : undefined;
 }
 
 /**
@@ -128,7 +128,9 @@
 const server = await openRequestServer({requestAddress: '127.0.0.1:7200', headerBytes: 16_384, client, nowMs, dispatch, health, timeline});
 */
 export async function openRequestServer(options: Options): Promise<Result<RequestServer, TypedError<'address-unavailable'>>> {
-	const {client, nowMs, dispatch} = options;
+	const {
+		client, nowMs, dispatch, intake = createDefaultIntake('agent'),
+	} = options;
 	const exchanges = new Map<string, Exchange>();
 	const leavingResponses = new Map<string, ServerResponse[]>();
 	let arrivedCount = 0;
@@ -179,6 +181,7 @@
 	}
 
 	const server = createServer({maxHeaderSize: options.headerBytes, keepAliveTimeout: keepAliveTimeoutMs, requestTimeout: 0});
+	guardConnections(server, {intake, group: 'entries'});
 	const app = polka({server});
 	app.all('/requests/:service/*', (request, response) => {
 		handleRequest(request, response, request.originalUrl);
@@ -187,7 +190,7 @@
 		handleRequest(request, response, request.originalUrl);
 	});
 	app.post('/announce', async (request, response) => {
-		const announcement = await readNotice(request, announcementSchema);
+		const announcement = await readNotice(request, intake, announcementSchema);
 		if (announcement === undefined) {
 			sendBadNotice(response, 'backendServerId, service, address, slots and connections');
 			return;
@@ -197,7 +200,7 @@
 		sendJson(response, 200, {});
 	});
 	app.post('/leaving', async (request, response) => {
-		const notice = await readNotice(request, leavingSchema);
+		const notice = await readNotice(request, intake, leavingSchema);
 		if (notice === undefined) {
 			sendBadNotice(response, 'backendServerId');
 			return;
--- a/src/entry/agent-stream-server.ts
+++ b/src/entry/agent-stream-server.ts
@@ -7,6 +7,8 @@
 import {
 	AgentSession, type AgentMessage, type EntryMessage, EntryMessageSchema,
 } from '../generated/arbutushinge/v1/agent_pb.js';
+import {createDefaultIntake} from '../intake/default-intake.js';
+import {type Intake} from '../intake/intake.js';
 import {messageOf} from '../errors/message-of.js';
 import {type EventLog} from '../telemetry/event-log.js';
 import {boundedText} from '../validation/bounded-text.js';
@@ -39,10 +41,12 @@
 const server = createAgentStreamServer({address: '127.0.0.1:7002', dispatch, eventLog});
 await server.listen();
 */
-export function createAgentStreamServer({address, dispatch, eventLog}: Readonly<{
+export function createAgentStreamServer({address, dispatch, eventLog, intake = createDefaultIntake('entry')}: Readonly<{
 	address: string;
 	dispatch: (event: EntryEvent) => void;
 	eventLog: EventLog;
+	/** Account of the process. */
+	intake?: Intake;
 }>): AgentStreamServer {
 	const queues = new Map<string, MessageQueue<EntryMessage>>();
 	const sessions = new Set<ServerHttp2Session>();
@@ -152,10 +156,26 @@
 	}
 
 	const server: Http2Server = createServer(connectNodeAdapter({routes, acceptCompression: noCompression}));
+	const connections = intake.connections('agents');
 	server.on('session', session => {
+		const member = {
+			shed() {
+				session.destroy();
+			},
+		};
+		if (!connections.claim(member, 1)) {
+			session.destroy();
+			return;
+		}
+
 		sessions.add(session);
+		// A connection with an agent's stream is never shed; one without a stream may be.
+		session.once('stream', () => {
+			connections.complete(member);
+		});
 		session.on('close', () => {
 			sessions.delete(session);
+			connections.release(member);
 		});
 		session.on('error', (error: Error) => {
 			eventLog.debug('agent-connection-failed', {reason: error.message});
--- a/src/entry/caller-answer.ts
+++ b/src/entry/caller-answer.ts
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {type ServerResponse} from 'node:http';
+import {closeAfterAnswer} from '../intake/close-after-answer.js';
 import {type RequestAnswer} from '../requests/request-effect.js';
 
 /**
@@ -23,10 +24,7 @@
 		headers['retry-after'] = Math.max(1, Math.ceil(answer.retryAfterMs / 1000));
 	}
 
-	if (!response.req.complete) {
-		headers.connection = 'close';
-	}
-
+	closeAfterAnswer(response);
 	response.writeHead(answer.status, headers);
 	response.end(body);
 }
--- a/src/entry/caller-server.ts
+++ b/src/entry/caller-server.ts
@@ -6,13 +6,19 @@
 import {type Socket} from 'node:net';
 import {type Duplex} from 'node:stream';
 import polka from 'polka';
-import {err, ok, type Result} from 'true-myth/result';
+import {type Result} from 'true-myth/result';
 import {type RequestAnswer} from '../requests/request-effect.js';
 import {type RequestEvent} from '../requests/request-event.js';
 import {type EntrySettings} from '../settings/entry-settings.js';
 import {type EventLog} from '../telemetry/event-log.js';
+import {createLineLimit} from '../telemetry/line-limit.js';
 import {type Metrics} from '../telemetry/metrics.js';
 import {type TypedError} from '../errors/typed-error.js';
+import {createDefaultIntake} from '../intake/default-intake.js';
+import {guardConnections} from '../intake/guard-connections.js';
+import {hasBody} from '../intake/has-body.js';
+import {type Intake} from '../intake/intake.js';
+import {type BodyRefusal, readBody} from '../intake/read-body.js';
 import {outcomeUnknownAnswer} from '../requests/key-claims.js';
 import {badRequestAnswer, sendCallerAnswer} from './caller-answer.js';
 import {bufferedCallerBody, createCallerBody, type CallerBody} from './caller-body.js';
@@ -49,6 +55,8 @@
 	log: EventLog;
 	/** Counts malformed requests, for which no event is dispatched. */
 	metrics: Metrics;
+	/** Account of the process. */
+	intake?: Intake;
 }>;
 
 export type CallerServer = Readonly<{
@@ -69,9 +77,11 @@
 
 const maxJobBytes = 1_048_576;
 
-function hasBody(request: IncomingMessage): boolean {
-	return request.headers['transfer-encoding'] !== undefined || Number(request.headers['content-length'] ?? 0) > 0;
-}
+/** Lines a second about refused requests; a crowd of clients outside the limits must not fill the log. */
+const refusalLinesPerSecond = 20;
+
+/** Retry time for callers whose body had to make room for others. */
+const bodiesFullRetryAfterMs = 1000;
 
 function bodyTooLargeAnswer(limitBytes: number): RequestAnswer {
 	return badRequestAnswer({
@@ -79,44 +89,27 @@
 	});
 }
 
-async function readBytes(request: IncomingMessage, limitBytes: number, timeoutMs: number): Promise<Result<Buffer, RequestAnswer>> {
-	if (Number(request.headers['content-length'] ?? 0) > limitBytes) {
-		return err(bodyTooLargeAnswer(limitBytes));
-	}
-
-	return new Promise(resolve => {
-		const chunks: Buffer[] = [];
-		let size = 0;
-		const finish = (result: Result<Buffer, RequestAnswer>) => {
-			clearTimeout(timer);
-			request.off('data', onData);
-			request.pause();
-			resolve(result);
-		};
-
-		const onData = (chunk: Buffer) => {
-			size += chunk.length;
-			chunks.push(chunk);
-			if (size > limitBytes) {
-				finish(err(bodyTooLargeAnswer(limitBytes)));
-			}
-		};
+/** Answers by the status of a refused body. */
+const bodyRefusalAnswers: Readonly<Record<BodyRefusal['status'], (limitBytes: number) => RequestAnswer>> = {
+	400: () => badRequestAnswer({
+		status: 400, kind: 'body-cut', message: 'the connection closed before the body ended', remedy: 'send the whole body',
+	}),
+	408: () => badRequestAnswer({
+		status: 408, kind: 'body-too-slow', message: 'the body did not arrive before the deadline', remedy: 'send the body faster or name a later deadline',
+	}),
+	413: limitBytes => bodyTooLargeAnswer(limitBytes),
+	503: () => ({
+		...badRequestAnswer({
+			status: 503, kind: 'bodies-full', message: 'too many bodies are being received', remedy: 'retry after the time in Retry-After',
+		}), retryAfterMs: bodiesFullRetryAfterMs,
+	}),
+};
 
-		const timer = setTimeout(() => {
-			finish(err(badRequestAnswer({
-				status: 408, kind: 'body-too-slow', message: 'the body did not arrive before the deadline', remedy: 'send the body faster or name a later deadline',
-			})));
-		}, timeoutMs);
-		request.on('data', onData);
-		request.once('end', () => {
-			finish(ok(Buffer.concat(chunks, size)));
-		});
-		request.once('close', () => {
-			finish(err(badRequestAnswer({
-				status: 400, kind: 'body-cut', message: 'the connection closed before the body ended', remedy: 'send the whole body',
-			})));
-		});
+async function readBytes(request: IncomingMessage, intake: Intake, limitBytes: number, timeoutMs: number): Promise<Result<Buffer, RequestAnswer>> {
+	const bytes = await readBody(request, {
+		intake, group: 'callers', maxBytes: limitBytes, timeoutMs,
 	});
+	return bytes.mapErr(({status}) => bodyRefusalAnswers[status](limitBytes));
 }
 
 function sendJson(response: ServerResponse, status: number, value: unknown): void {
@@ -186,9 +179,10 @@
 await server.listen();
 */
 export function createCallerServer(options: CallerServerOptions): CallerServer {
-	const {settings: {callerAddress, limits}, dispatch, exchanges, jobs, onRefusal, readiness, nowMs, log, metrics} = options;
+	const {settings: {callerAddress, limits}, dispatch, exchanges, jobs, onRefusal, readiness, nowMs, log, metrics, intake = createDefaultIntake('entry')} = options;
 	/** Response of the newest valid service request on each connection. It shows whether an idle connection waits for an answer; if so, it is not closed. */
 	const responseBySocket = new WeakMap<Duplex, ServerResponse>();
+	const refusalLimit = createLineLimit({linesPerSecond: refusalLinesPerSecond});
 	let isClosing = false;
 	let reservedKeyedBytes = 0;
 
@@ -221,7 +215,11 @@
 	}
 
 	function refuse(response: ServerResponse, requestId: string, answer: RequestAnswer): void {
-		log.info('request-refused', {requestId, reason: answer.error.kind});
+		const {isAllowed, omitted} = refusalLimit(nowMs());
+		if (isAllowed) {
+			log.info('request-refused', {requestId, reason: answer.error.kind, omitted: omitted === 0 ? undefined : omitted});
+		}
+
 		onRefusal(requestId, answer);
 		sendCallerAnswer(response, answer);
 	}
@@ -243,7 +241,7 @@
 		response.once('close', () => {
 			reservedKeyedBytes -= reservedBytes;
 		});
-		const bytes = await readBytes(request, limits.keyedBodyBytes, checked.deadlineMs);
+		const bytes = await readBytes(request, intake, limits.keyedBodyBytes, checked.deadlineMs);
 		if (bytes.isErr) {
 			refuse(response, checked.description.requestId, bytes.error);
 			return;
@@ -284,12 +282,12 @@
 			return;
 		}
 
-		const body = hasBody(request) ? createCallerBody(request, {retainBytes: maxRetainedBodyBytes, limitBytes: limits.bodyBytes}) : undefined;
+		const body = hasBody(request) ? createCallerBody(request, {retainBytes: maxRetainedBodyBytes, limitBytes: limits.bodyBytes, bodies: intake.bodies('callers')}) : undefined;
 		admit(response, checked.value, body, {});
 	}
 
 	async function submitJob(request: IncomingMessage, response: ServerResponse): Promise<void> {
-		const bytes = await readBytes(request, maxJobBytes, limits.idleTimeoutMs);
+		const bytes = await readBytes(request, intake, maxJobBytes, limits.idleTimeoutMs);
 		if (bytes.isErr) {
 			sendCallerAnswer(response, bytes.error);
 			return;
@@ -325,6 +323,7 @@
 		connectionsCheckingInterval: Math.max(50, Math.min(1000, Math.floor(limits.idleTimeoutMs / 4))),
 	});
 	server.maxConnections = limits.connections;
+	guardConnections(server, {intake, group: 'callers'});
 	server.on('clientError', (error, socket) => {
 		metrics.increment('callers.malformed');
 		answerMalformed(error, socket);
--- a/src/entry/entry-process.ts
+++ b/src/entry/entry-process.ts
@@ -12,6 +12,7 @@
 import {type Timeline} from '../telemetry/timeline-event.js';
 import {createTimeline} from '../telemetry/create-timeline.js';
 import {createEventLoop} from '../event-loop/create-event-loop.js';
+import {type Intake} from '../intake/intake.js';
 import {logLoopFailures} from '../event-loop/log-loop-failures.js';
 import {createSuspensionDetector} from '../event-loop/suspension-detector.js';
 import {readTokenFile} from '../operator/read-token-file.js';
@@ -62,7 +63,7 @@
 const entry = await startEntry({settings, eventLog, metrics, timeline});
 await entry.stop();
 */
-export async function startEntry({settings, eventLog, metrics, timeline, platformLog, wallClock = createSystemWallClock()}: Readonly<{
+export async function startEntry({settings, eventLog, metrics, timeline, platformLog, wallClock = createSystemWallClock(), intake}: Readonly<{
 	settings: EntrySettings;
 	eventLog: EventLog;
 	metrics: Metrics;
@@ -70,6 +71,8 @@
 	/** The log of the users' platform, in place of the HTTP log service; whoever passes it closes the entry's interfaces on the platform before `stop`. */
 	platformLog?: LogService;
 	wallClock?: SettledWallClock;
+	/** Account of the process for its servers. */
+	intake?: Intake;
 }>): Promise<Result<EntryProcess, TypedError>> {
 	let isStopping = false;
 	const token = settings.operatorTokenFile === undefined ? ok(undefined) : await readTokenFile(settings.operatorTokenFile);
@@ -140,7 +143,9 @@
 	const logConnection = createLogConnection({
 		settings, token: token.value, logService, snapshots, eventLog, metrics, dispatch, state: loop.state, recordPage: monitor.recordPage,
 	});
-	const agents = createAgentStreamServer({address: settings.agentAddress, dispatch, eventLog});
+	const agents = createAgentStreamServer({
+		address: settings.agentAddress, dispatch, eventLog, ...(intake && {intake}),
+	});
 	const forwarder = createRequestForwarder({
 		exchanges,
 		dispatch: dispatchRequest,
@@ -185,6 +190,7 @@
 		readiness,
 		nowMs: () => performance.now(),
 		log: eventLog,
+		...(intake && {intake}),
 	});
 
 	async function requestDecision(subject: Parameters<typeof deferredReplies.open>[0]['subject']) {
@@ -199,6 +205,7 @@
 			address: settings.operatorAddress,
 			token: token.value,
 			eventLog,
+			...(intake && {intake}),
 			backend: createOperatorBackend({
 				settings,
 				state: loop.state,
--- a/src/entry/operator-server.ts
+++ b/src/entry/operator-server.ts
@@ -6,6 +6,11 @@
 import {type z} from 'zod';
 import {type ClusterState} from '../cluster/cluster-state.js';
 import {type Intent, type Plan} from '../cluster/intent.js';
+import {closeAfterAnswer} from '../intake/close-after-answer.js';
+import {createDefaultIntake} from '../intake/default-intake.js';
+import {guardConnections} from '../intake/guard-connections.js';
+import {type Intake} from '../intake/intake.js';
+import {type BodyLimits, readBody} from '../intake/read-body.js';
 import {messageOf} from '../errors/message-of.js';
 import {type TypedError} from '../errors/typed-error.js';
 import {buildStatus} from '../operator/build-status.js';
@@ -16,6 +21,7 @@
 import {type EventLog} from '../telemetry/event-log.js';
 import {type TimelineEvent} from '../telemetry/timeline-event.js';
 import {boundedText} from '../validation/bounded-text.js';
+import {parseJson} from '../validation/parse-json.js';
 
 /** State and operations of the entry that the operators' interface uses. */
 export type OperatorBackend = Readonly<{
@@ -44,6 +50,8 @@
 	bodyBytes?: number;
 	connections?: number;
 	idleTimeoutMs?: number;
+	/** Account of the process. */
+	intake?: Intake;
 }>;
 
 export type OperatorServer = Readonly<{
@@ -55,6 +63,7 @@
 type Answer = Readonly<{status: number; body: unknown}> | Readonly<{status: number; bytes: Uint8Array}>;
 type Request = IncomingMessage & Readonly<{query: Readonly<Record<string, unknown>>}>;
 type Route = Readonly<{method: 'GET' | 'POST'; path: string; handler: Handler}>;
+type OperatorBody = BodyLimits & Readonly<{intake: Intake}>;
 type Handler = (request: Request) => Promise<Answer> | Answer;
 
 /**
@@ -66,13 +75,14 @@
 */
 export async function startOperatorServer(options: OperatorServerOptions): Promise<OperatorServer> {
 	const {
-		address, backend, eventLog, bodyBytes = 8_388_608, connections = 64, idleTimeoutMs = 60_000,
+		address, backend, eventLog, bodyBytes = 8_388_608, connections = 64, idleTimeoutMs = 60_000, intake = createDefaultIntake('entry'),
 	} = options;
 	const tokenHash = hash(options.token);
 	const server = createServer({maxHeaderSize: 16_384, requestTimeout: idleTimeoutMs, headersTimeout: Math.min(idleTimeoutMs, 10_000)});
 	server.maxConnections = connections;
 	server.keepAliveTimeout = Math.min(idleTimeoutMs, 5000);
 	server.setTimeout(idleTimeoutMs);
+	guardConnections(server, {intake, group: 'operators'});
 
 	const handle = (handler: Handler) => async (request: Request, response: ServerResponse): Promise<void> => {
 		const answer = hasToken(request, tokenHash)
@@ -87,7 +97,7 @@
 		}
 	};
 
-	const routes = createRoutes(backend, bodyBytes);
+	const routes = createRoutes(backend, {intake, maxBytes: bodyBytes, timeoutMs: idleTimeoutMs});
 	const app = polka({
 		server,
 		onNoMatch(request, response) {
@@ -127,14 +137,14 @@
 	};
 }
 
-function createRoutes(backend: OperatorBackend, bodyBytes: number): readonly Route[] {
+function createRoutes(backend: OperatorBackend, body: OperatorBody): readonly Route[] {
 	return [
 		{
 			method: 'POST',
 			path: '/plans',
 			async handler(request) {
-				const body = await readJson(request, bodyBytes, planRequestSchema);
-				return body.match({
+				const checked = await readJson(request, body, planRequestSchema);
+				return checked.match({
 					Ok: ({intent}) => backend.computePlan(intent).match<Answer>({
 						Ok: plan => ({status: 200, body: {plan}}),
 						Err: error => refusal(409, error),
@@ -147,8 +157,8 @@
 			method: 'POST',
 			path: '/plans/confirm',
 			async handler(request) {
-				const body = await readJson(request, bodyBytes, planEnvelopeSchema);
-				return body.isOk ? {status: 200, body: await backend.confirm(body.value.plan)} : body.error;
+				const checked = await readJson(request, body, planEnvelopeSchema);
+				return checked.isOk ? {status: 200, body: await backend.confirm(checked.value.plan)} : checked.error;
 			},
 		},
 		{
@@ -241,27 +251,19 @@
 	return createHash('sha256').update(text).digest();
 }
 
-async function readJson<Schema extends z.ZodType>(request: IncomingMessage, limitBytes: number, schema: Schema): Promise<Result<z.infer<Schema>, Answer>> {
-	const chunks: Uint8Array[] = [];
-	let length = 0;
-	// Keeps the socket open on an early return, so that the refusal can be sent.
-	for await (const chunk of request.iterator({destroyOnReturn: false}) as AsyncIterable<Uint8Array>) {
-		length += chunk.byteLength;
-		if (length > limitBytes) {
-			return err(refusal(413, {kind: 'request-too-large', message: `the body is larger than ${limitBytes} bytes`, remedy: 'split the job into smaller ones'}));
-		}
-
-		chunks.push(chunk);
+async function readJson<Schema extends z.ZodType>(request: IncomingMessage, body: OperatorBody, schema: Schema): Promise<Result<z.infer<Schema>, Answer>> {
+	const bytes = await readBody(request, {...body, group: 'operators'});
+	if (bytes.isErr) {
+		const {status, reason, message} = bytes.error;
+		return err(status === 413
+			? refusal(413, {kind: 'request-too-large', message: `the body is larger than ${body.maxBytes} bytes`, remedy: 'split the job into smaller ones'})
+			: refusal(status, {kind: reason, message, remedy: 'send the whole request again'}));
 	}
 
-	let value: unknown;
-	try {
-		value = JSON.parse(Buffer.concat(chunks).toString('utf8'));
-	} catch {
-		return err(refusal(400, {kind: 'request-invalid', message: 'the body is not JSON', remedy: 'send a JSON object'}));
-	}
-
-	return check(schema, value);
+	const value = parseJson(bytes.value.toString());
+	return value.isOk
+		? check(schema, value.value)
+		: err(refusal(400, {kind: 'request-invalid', message: 'the body is not JSON', remedy: 'send a JSON object'}));
 }
 
 function checkQuery<Schema extends z.ZodType>(request: Request, schema: Schema): Result<z.infer<Schema>, Answer> {
@@ -292,11 +294,7 @@
 		return;
 	}
 
-	// Closes the connection: the unread rest of the body would be parsed as its next request.
-	if (!request.complete) {
-		response.setHeader('connection', 'close');
-	}
-
+	closeAfterAnswer(response);
 	const [type, body] = 'bytes' in answer ? ['application/octet-stream', answer.bytes] : ['application/json', JSON.stringify(answer.body)];
 	response.writeHead(answer.status, {'content-type': type, 'content-length': Buffer.byteLength(body)});
 	response.end(body);
--- a/src/entry/platform-entry.ts
+++ b/src/entry/platform-entry.ts
@@ -5,6 +5,7 @@
 import {evaluateRole, initialRoleState, type AnnouncedEntry} from '../membership/entry-role.js';
 import {createJobRelay} from '../relay/job-relay.js';
 import {createRelayServer} from '../relay/relay-server.js';
+import {type Intake} from '../intake/intake.js';
 import {type EntrySettings} from '../settings/entry-settings.js';
 import {processorsMilliOf} from '../settings/processors-milli.js';
 import {type EventLog} from '../telemetry/event-log.js';
@@ -42,12 +43,14 @@
 @example
 const entry = await startPlatformEntry({settings, eventLog, metrics, timeline, platform});
 */
-export async function startPlatformEntry({settings, eventLog, metrics, timeline, platform}: Readonly<{
+export async function startPlatformEntry({settings, eventLog, metrics, timeline, platform, intake}: Readonly<{
 	settings: EntrySettings;
 	eventLog: EventLog;
 	metrics: Metrics;
 	timeline: Timeline;
 	platform: EntryPlatform;
+	/** Account of the process for its servers. */
+	intake?: Intake;
 }>): Promise<Result<Pick<EntryProcess, 'stop'>, TypedError>> {
 	const {entryId, failureDomain, deciders} = settings;
 	const nowMs = (): number => performance.now();
@@ -94,6 +97,7 @@
 	const relayServer = deciders && createRelayServer({
 		address: deciders.relayAddress,
 		eventLog,
+		...(intake && {intake}),
 		// A decider answers from its own state only, so that no call is relayed twice.
 		jobs: () => decider?.jobs,
 		readiness: () => stopping.signal.aborted || !decider ? {isReady: false, reason: 'this entry does not decide'} : decider.readiness(),
@@ -104,7 +108,7 @@
 		eventLog.info('entry-decides', {entryId});
 		const {startEntry} = await import('./entry-process.js');
 		const started = await startEntry({
-			settings, eventLog, metrics, timeline, platformLog: platform.logService, wallClock,
+			settings, eventLog, metrics, timeline, platformLog: platform.logService, wallClock, ...(intake && {intake}),
 		});
 		if (started.isErr) {
 			return started.map(() => undefined);
--- a/src/intake/intake-limits.ts
+++ b/src/intake/intake-limits.ts
@@ -1,4 +1,12 @@
-import type {IntakeLimits} from './intake.js';
+export type IntakeLimits = Readonly<{
+	/** Connections of all servers of the process. */
+	connections: number;
+	/** Bytes of all bodies that the process is receiving. */
+	bodyBytes: number;
+}>;
+
+/** Largest buffer of a small body; most jobs are smaller. */
+export const smallBodyBytes = 16_384;
 
 /** Most connections of an entry. With the log, its connections and 200 files they stay below the 4,100 descriptors of a VM. */
 const entryConnections = 3072;
@@ -12,8 +20,8 @@
 /** Bytes of the bodies that an agent receives; 24 of the largest announcements at once. */
 const agentBodyBytes = 4_194_304;
 
-/** Smallest limits that can be set: each group of servers still has a few connections, and room for a body of the largest size. */
-export const minEntryIntakeLimits: IntakeLimits = {connections: 128, bodyBytes: 8_388_608};
+/** Smallest limits that can be set: each group of servers still has a few connections, and room for the largest body of a job. */
+export const minEntryIntakeLimits: IntakeLimits = {connections: 128, bodyBytes: 12_582_912};
 export const minAgentIntakeLimits: IntakeLimits = {connections: 64, bodyBytes: 524_288};
 
 export const defaultEntryIntakeLimits: IntakeLimits = {connections: entryConnections, bodyBytes: entryBodyBytes};
--- a/src/intake/intake.ts
+++ b/src/intake/intake.ts
@@ -1,6 +1,7 @@
 import {type EventLog} from '../telemetry/event-log.js';
 import {createLineLimit} from '../telemetry/line-limit.js';
 import {createIntakeAccount, type IntakeAccount} from './intake-account.js';
+import {type IntakeLimits, smallBodyBytes} from './intake-limits.js';
 import {intakeGroups, type IntakeGroup, type IntakeShares} from './intake-shares.js';
 
 /** A connection or an open body. `shed` refuses it and closes its connection. */
@@ -12,7 +13,7 @@
 	claim: (member: IntakeMember, amount: number) => boolean;
 }>;
 
-export type RefusalReason = 'connections-full' | 'bodies-full' | 'body-too-large' | 'body-too-slow' | 'body-cut' | 'header-too-large' | 'header-too-slow' | 'requests-pipelined';
+export type RefusalReason = 'connections-full' | 'bodies-full' | 'chunks-too-small' | 'body-too-large' | 'body-too-slow' | 'body-cut' | 'header-too-large' | 'header-too-slow' | 'requests-pipelined';
 
 /** Refusals of one group for one reason, since the last call. */
 export type RefusalCount = Readonly<{group: IntakeGroup; reason: RefusalReason; count: number}>;
@@ -21,20 +22,15 @@
 export type Intake = Readonly<{
 	connections: (group: IntakeGroup) => IntakePart;
 	bodies: (group: IntakeGroup) => IntakePart;
+	/** Bodies that arrive in many small chunks, one each; they cost far more processor time than their bytes. */
+	finelyChunkedBodies: (group: IntakeGroup) => IntakePart;
 	/** Counts and logs a refused body or connection. */
 	recordRefusal: (group: IntakeGroup, reason: RefusalReason) => void;
 	takeRefusals: () => readonly RefusalCount[];
 }>;
 
-export type IntakeLimits = Readonly<{
-	/** Connections of all servers of the process. */
-	connections: number;
-	/** Bytes of all bodies that the process is receiving. */
-	bodyBytes: number;
-}>;
-
-/** Largest buffer of a small body; most jobs are smaller. */
-const smallBodyBytes = 16_384;
+/** Bodies in small chunks that each group receives at once; one read of such a body holds the event loop for about 16 ms. */
+const maxFinelyChunkedBodies = 4;
 
 /** Lines a second about refusals of all kinds. */
 const refusalLinesPerSecond = 2;
@@ -95,9 +91,12 @@
 		return createPart(group, 'bodies-full', createIntakeAccount({limit, reserved: Math.floor(limit * shares[group].smallBodies), smallAmount: smallBodyBytes}));
 	});
 
+	const finelyChunkedBodies = createParts(group => createPart(group, 'chunks-too-small', createIntakeAccount({limit: maxFinelyChunkedBodies})));
+
 	return {
 		connections: group => connections.get(group)!,
 		bodies: group => bodies.get(group)!,
+		finelyChunkedBodies: group => finelyChunkedBodies.get(group)!,
 		recordRefusal,
 		takeRefusals() {
 			const taken = [...counts.values()];
--- a/src/intake/read-body.ts
+++ b/src/intake/read-body.ts
@@ -2,6 +2,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {err, ok, type Result} from 'true-myth/result';
 import type {Intake, RefusalReason} from './intake.js';
+import {smallBodyBytes} from './intake-limits.js';
 import type {IntakeGroup} from './intake-shares.js';
 
 /** Why a body was not read, with the HTTP status of the answer. Nothing has been done with it. */
@@ -17,6 +18,10 @@
 	full: {status: 503, reason: 'bodies-full', message: 'too many bodies are being received'},
 } as const satisfies Readonly<Record<string, BodyRefusal>>;
 
+/** Chunks after which a body counts as finely chunked if their mean is below the second bound. */
+const minFineChunks = 512;
+const maxMeanFineChunkBytes = 256;
+
 /** First buffer of a body without a length; one page of memory. */
 const firstBufferBytes = 4096;
 
@@ -35,10 +40,12 @@
 	heldUntil?: ServerResponse;
 }>): Promise<Result<Buffer, BodyRefusal>> {
 	const bodies = intake.bodies(group);
+	const finelyChunkedBodies = intake.finelyChunkedBodies(group);
 	const declaredBytes = Number(request.headers['content-length'] ?? 0);
 	return new Promise(resolve => {
 		let buffer = Buffer.alloc(0);
 		let size = 0;
+		let chunks = 0;
 		let isFinished = false;
 		const member = {
 			shed() {
@@ -48,6 +55,7 @@
 
 		function finish(result: Result<Buffer, BodyRefusal>): void {
 			isFinished = true;
+			finelyChunkedBodies.release(member);
 			clearTimeout(timer);
 			request.off('data', onData);
 			request.off('end', onEnd);
@@ -70,6 +78,17 @@
 			finish(err(refusal));
 		}
 
+		/** Counts a chunk; returns false when the body was refused for too many small ones. */
+		function countChunk(): boolean {
+			chunks++;
+			if (chunks === minFineChunks && size < chunks * maxMeanFineChunkBytes && !finelyChunkedBodies.claim(member, 1)) {
+				refuse(refusals.full);
+				return false;
+			}
+
+			return true;
+		}
+
 		/** Replaces the buffer by one with at least this size; returns false when the body was refused instead. */
 		function grow(neededBytes: number): boolean {
 			const bytes = Math.min(maxBytes, Math.max(neededBytes, 2 * buffer.length, declaredBytes, firstBufferBytes));
@@ -91,14 +110,14 @@
 				return;
 			}
 
-			if (neededBytes <= buffer.length || grow(neededBytes)) {
+			if (countChunk() && (neededBytes <= buffer.length || grow(neededBytes))) {
 				chunk.copy(buffer, size);
 				size = neededBytes;
 			}
 		}
 
 		function onEnd(): void {
-			if (heldUntil && !heldUntil.closed && buffer.length > 0) {
+			if (heldUntil && !heldUntil.closed && buffer.length > smallBodyBytes) {
 				bodies.complete(member);
 				heldUntil.once('close', () => {
 					bodies.release(member);
--- a/src/relay/relay-server.ts
+++ b/src/relay/relay-server.ts
@@ -5,7 +5,13 @@
 import {type CallerJobError, type Readiness} from '../entry/caller-server.js';
 import {type JobInterface} from '../entry/job-interface.js';
 import {messageOf} from '../errors/message-of.js';
+import {closeAfterAnswer} from '../intake/close-after-answer.js';
+import {createDefaultIntake} from '../intake/default-intake.js';
+import {guardConnections} from '../intake/guard-connections.js';
+import {type Intake} from '../intake/intake.js';
+import {readBody} from '../intake/read-body.js';
 import {type EventLog} from '../telemetry/event-log.js';
+import {createLineLimit} from '../telemetry/line-limit.js';
 import {boundedText} from '../validation/bounded-text.js';
 import {describeIssues} from '../validation/describe-issues.js';
 import {parseJson} from '../validation/parse-json.js';
@@ -27,6 +33,12 @@
 /** How long a connection stays open between calls; fronts call at least once a second. */
 const keepAliveTimeoutMs = 15_000;
 
+/** Time for the body of a call to arrive; the front gives up before. */
+const bodyTimeoutMs = 3000;
+
+/** Lines a second about what is no call. */
+const unreadableLinesPerSecond = 5;
+
 /** How long a stop waits for the calls in flight. */
 const closeTimeoutMs = 1700;
 
@@ -40,21 +52,6 @@
 	};
 }
 
-async function readText(request: IncomingMessage): Promise<string | undefined> {
-	const chunks: Buffer[] = [];
-	let size = 0;
-	for await (const chunk of request as AsyncIterable<Buffer>) {
-		size += chunk.length;
-		if (size > maxRelayBodyBytes) {
-			return undefined;
-		}
-
-		chunks.push(chunk);
-	}
-
-	return Buffer.concat(chunks).toString();
-}
-
 /**
 Creates the server of a decider for the calls of fronts; it accepts them after `listen`. Every call that is answered has an answer of its
 own kind, so that a broken connection or another status means that the outcome is unknown.
@@ -63,13 +60,16 @@
 const server = createRelayServer({address: '10.1.0.13:7722', jobs, readiness, eventLog});
 await server.listen();
 */
-export function createRelayServer({address, jobs, readiness, eventLog}: Readonly<{
+export function createRelayServer({address, jobs, readiness, eventLog, intake = createDefaultIntake('entry')}: Readonly<{
 	address: string;
 	/** Undefined while this entry does not decide. */
 	jobs: () => JobInterface | undefined;
 	readiness: () => Readiness;
 	eventLog: EventLog;
+	/** Account of the process. */
+	intake?: Intake;
 }>): RelayServer {
+	const unreadableLimit = createLineLimit({linesPerSecond: unreadableLinesPerSecond});
 	let isClosing = false;
 
 	const handlers: RelayHandlers = {
@@ -105,11 +105,22 @@
 
 	/** Returns undefined for a call that cannot be read. */
 	async function answer(request: IncomingMessage): Promise<RelayAnswer | undefined> {
-		const text = await readText(request);
-		const body = text === undefined ? undefined : parseJson(text);
+		const bytes = await readBody(request, {
+			intake, group: 'relay', maxBytes: maxRelayBodyBytes, timeoutMs: bodyTimeoutMs,
+		});
+		if (bytes.isErr && bytes.error.status === 503) {
+			return notReady(bytes.error.message);
+		}
+
+		const body = bytes.isOk ? parseJson(bytes.value.toString()) : undefined;
 		const call = body?.isOk ? relayCallSchema.safeParse(body.value) : undefined;
 		if (!call?.success) {
-			eventLog.warn('relay-call-unreadable', {reason: call ? describeIssues(call.error) : 'the body is too large or not JSON'});
+			const {isAllowed, omitted} = unreadableLimit(performance.now());
+			if (isAllowed) {
+				const bodyProblem = bytes.isErr ? bytes.error.message : 'the body is not JSON';
+				eventLog.warn('relay-call-unreadable', {reason: call ? describeIssues(call.error) : bodyProblem, omitted: omitted === 0 ? undefined : omitted});
+			}
+
 			return undefined;
 		}
 
@@ -127,6 +138,7 @@
 	}
 
 	const server = createServer({keepAliveTimeout: keepAliveTimeoutMs});
+	guardConnections(server, {intake, group: 'relay'});
 	const app = polka({server});
 	app.post(relayPath, (request, response) => {
 		void handle(request, response);
@@ -168,6 +180,7 @@
 	}
 
 	const text = JSON.stringify(body);
+	closeAfterAnswer(response);
 	response.statusCode = status;
 	response.setHeader('content-type', 'application/json');
 	response.setHeader('content-length', Buffer.byteLength(text));
--- a/src/roles.ts
+++ b/src/roles.ts
@@ -1,6 +1,7 @@
 import {err, ok, type Result} from 'true-myth/result';
 import {type AgentDependencies} from './agent/agent-process.js';
 import {type TypedError} from './errors/typed-error.js';
+import {type Intake} from './intake/intake.js';
 import {type AgentSettings} from './settings/agent-settings.js';
 import {type EntrySettings} from './settings/entry-settings.js';
 import {type EventLog} from './telemetry/event-log.js';
@@ -11,14 +12,16 @@
 export type RoleProcess = Readonly<{stop: () => Promise<void>}>;
 
 /** Settings and telemetry that every role is started with. */
-export type RoleContext<Settings> = Readonly<{settings: Settings; eventLog: EventLog; metrics: Metrics; timeline: Timeline}>;
+export type RoleContext<Settings> = Readonly<{settings: Settings; eventLog: EventLog; metrics: Metrics; timeline: Timeline; intake: Intake}>;
 
 type StartRole<Settings> = (context: RoleContext<Settings>) => Promise<Result<RoleProcess, TypedError>>;
 
 /** Functions that start each role. They load its modules only when called, so that an agent has none of the entry's modules in memory. */
 export const startRole: Readonly<{entry: StartRole<EntrySettings>; agent: StartRole<AgentSettings>}> = {
 	async entry(context) {
-		const {settings, eventLog, metrics} = context;
+		const {
+			settings, eventLog, metrics, intake,
+		} = context;
 		if (!settings.platform) {
 			const {startEntry} = await import('./entry/entry-process.js');
 			return startEntry(context);
@@ -31,7 +34,7 @@
 		return startPlatformEntry({
 			...context,
 			platform: openEntryPlatform({
-				settings: settings.platform, entryId, agentAddress, processorsMilli: processorsMilliOf(settings), eventLog, metrics,
+				settings: settings.platform, entryId, agentAddress, processorsMilli: processorsMilliOf(settings), eventLog, metrics, intake,
 			}),
 		});
 	},
@@ -60,10 +63,10 @@
 type ConnectedWorker = Readonly<Pick<AgentDependencies, 'worker' | 'watchEntries'> & {close: () => Promise<void>}>;
 
 /** Connects the agent to the worker on its VM: that of the users' platform, or a worker with the interface of `worker-api.ts`. */
-async function connectWorker({settings, eventLog}: RoleContext<AgentSettings>): Promise<Result<ConnectedWorker, TypedError>> {
+async function connectWorker({settings, eventLog, intake}: RoleContext<AgentSettings>): Promise<Result<ConnectedWorker, TypedError>> {
 	if (settings.platform) {
 		const {openAgentPlatform} = await import('../platform/open-agent-platform.js');
-		return ok(await openAgentPlatform({settings: settings.platform, eventLog}));
+		return ok(await openAgentPlatform({settings: settings.platform, eventLog, intake}));
 	}
 
 	if (settings.workerUrl === undefined) {
--- a/src/run-role.ts
+++ b/src/run-role.ts
@@ -3,6 +3,9 @@
 import {messageOf} from './errors/message-of.js';
 import {formatError, type TypedError} from './errors/typed-error.js';
 import {handleProcessErrors} from './handle-process-errors.js';
+import {createIntake} from './intake/intake.js';
+import {agentIntakeShares, entryIntakeShares} from './intake/intake-shares.js';
+import {reportIntake} from './intake/report-intake.js';
 import {type CommandOutput, type ExitStatus, failWithSettingsProblems} from './operator/command-output.js';
 import {type RoleContext, type RoleProcess, startRole} from './roles.js';
 import {type AgentSettings} from './settings/agent-settings.js';
@@ -47,7 +50,12 @@
 		});
 }
 
-type CommonSettings = Pick<EntrySettings | AgentSettings, 'logLevel' | 'metrics'>;
+type CommonSettings = Pick<EntrySettings | AgentSettings, 'logLevel' | 'metrics' | 'intake' | 'role'>;
+
+const sharesByRole = {entry: entryIntakeShares, agent: agentIntakeShares};
+
+/** Time between two reports of the intake. */
+const reportIntervalMs = 1000;
 
 async function runProcess<Settings extends CommonSettings>({name, settings, load, start, stopSignal}: Readonly<{
 	name: string;
@@ -59,12 +67,19 @@
 }>): Promise<ExitStatus> {
 	const eventLog = await createEventLog({process: name, level: settings.logLevel});
 	checkSettingsOnHangup(settings, load, eventLog);
+	const intake = createIntake({
+		limits: settings.intake, shares: sharesByRole[settings.role], eventLog, nowMs: monotonicMs,
+	});
 	const metrics = await createMetrics({
 		...settings.metrics,
+		intake,
 		onError(error) {
 			eventLog.warn('metrics-failed', {reason: error.message});
 		},
 	});
+	const reportTimer = setInterval(() => {
+		reportIntake(intake, metrics);
+	}, reportIntervalMs);
 	handleProcessErrors({
 		emitter: process,
 		eventLog,
@@ -79,7 +94,7 @@
 	let status: ExitStatus = 0;
 	try {
 		const running = await start({
-			settings, eventLog, metrics, timeline,
+			settings, eventLog, metrics, timeline, intake,
 		});
 		status = running.isOk
 			? await runUntilStopped(running.value, eventLog, stopSignal)
@@ -89,6 +104,7 @@
 		status = 1;
 	}
 
+	clearInterval(reportTimer);
 	await metrics.close();
 	await eventLog.close();
 	return status;
--- a/src/settings/agent-settings.ts
+++ b/src/settings/agent-settings.ts
@@ -1,4 +1,5 @@
 import * as z from 'zod/mini';
+import {defaultAgentIntakeLimits, minAgentIntakeLimits} from '../intake/intake-limits.js';
 import {addressSchema, listenAddressSchema} from '../validation/address-schema.js';
 import {agentPlatformSettingsSchema} from './agent-platform-settings.js';
 import {maxDurationMs} from './max-duration-ms.js';
@@ -46,6 +47,12 @@
 		throttleShareMilli: z._default(z.int().check(z.minimum(50), z.maximum(1000)), 300).check(z.describe('Processor share of a throttled batch task, in thousandths')),
 		recoverAfterMs: z._default(z.int().check(z.minimum(100), z.maximum(maxDurationMs)), 10_000).check(z.describe('Time within the latency target before a throttle is eased')),
 	})), {}),
+	intake: z.prefault(z.readonly(z.strictObject({
+		connections: z._default(z.int().check(z.minimum(minAgentIntakeLimits.connections)), defaultAgentIntakeLimits.connections)
+			.check(z.describe('Most connections of all servers of the process: half of them for entries and backend servers, three eighths for executors, the rest for metrics')),
+		bodyBytes: z._default(z.int().check(z.minimum(minAgentIntakeLimits.bodyBytes)), defaultAgentIntakeLimits.bodyBytes)
+			.check(z.describe('Most memory for the bodies that the process receives: half of it for executors, half for backend servers')),
+	})), {}),
 	limits: z.prefault(z.readonly(z.strictObject({
 		backendQueueLimit: z._default(z.int().check(z.minimum(0)), 16).check(z.describe('Requests that may wait for a slot of one backend server')),
 		keyedAnswerBytes: z._default(z.int().check(z.minimum(1024)), 262_144).check(z.describe('Largest answer of a keyed request that is kept for retries')),
--- a/src/settings/entry-settings.ts
+++ b/src/settings/entry-settings.ts
@@ -1,5 +1,6 @@
 import {z} from 'zod';
 import {nameSchema} from '../cluster/intent.js';
+import {defaultEntryIntakeLimits, minEntryIntakeLimits} from '../intake/intake-limits.js';
 import {placementPolicyNames} from '../placement/placement-policy-name.js';
 import {addressSchema, listenAddressSchema} from '../validation/address-schema.js';
 import {entryPlatformSettingsSchema} from './entry-platform-settings.js';
@@ -59,6 +60,12 @@
 		shutdownDelayMs: z.int().min(0).max(maxDurationMs).default(2000).describe('Time between not ready and the closing of the callers\' port'),
 	}).readonly().prefault({}),
 	snapshotEveryRecords: z.int().min(10).default(5000).describe('Records after which a snapshot is written'),
+	intake: z.strictObject({
+		connections: z.int().min(minEntryIntakeLimits.connections).default(defaultEntryIntakeLimits.connections)
+			.describe('Most connections of all servers of the process: half for callers, a quarter for agents, an eighth for relays, the rest for the balancer, operators and metrics'),
+		bodyBytes: z.int().min(minEntryIntakeLimits.bodyBytes).default(defaultEntryIntakeLimits.bodyBytes)
+			.describe('Most memory for the bodies that the process receives: half of it for callers, a third for operators, the rest for relays'),
+	}).readonly().prefault({}),
 	limits: z.strictObject({
 		headerBytes: z.int().min(1024).default(16_384).describe('Largest header of a caller\'s request'),
 		bodyBytes: z.int().min(1024).default(67_108_864).describe('Largest body of a caller\'s request'),
--- a/src/telemetry/create-metrics.ts
+++ b/src/telemetry/create-metrics.ts
@@ -1,3 +1,4 @@
+import type {Intake} from '../intake/intake.js';
 import {type MetricTags, type Metrics} from './metrics.js';
 
 export type MetricsOptions = Readonly<{
@@ -8,6 +9,8 @@
 	prefix: string;
 	/** Called for a socket error; the methods of `Metrics` do not report it to their caller. */
 	onError?: (error: Error) => void;
+	/** Account of the process for the connections of the text server. */
+	intake?: Intake;
 }>;
 
 function doNothing(): void {
@@ -30,11 +33,13 @@
 metrics.increment('requests', 1, {service: 'loaf-ordering'});
 */
 export async function createMetrics(options: MetricsOptions): Promise<Metrics> {
-	const {statsdAddress, textAddress, prefix, onError = doNothing} = options;
+	const {statsdAddress, textAddress, prefix, onError = doNothing, intake} = options;
 	const targets: Metrics[] = [];
 	if (textAddress !== undefined) {
 		const {createTextMetrics} = await import('./create-text-metrics.js');
-		targets.push(await createTextMetrics({address: textAddress, prefix, onError}));
+		targets.push(await createTextMetrics({
+			address: textAddress, prefix, onError, ...(intake && {intake}),
+		}));
 	}
 
 	if (statsdAddress !== undefined) {
--- a/src/telemetry/create-text-metrics.ts
+++ b/src/telemetry/create-text-metrics.ts
@@ -1,6 +1,10 @@
 import {createServer} from 'node:http';
 import {once} from 'node:events';
 import type {Counter, Gauge, Histogram} from 'prom-client';
+import {closeAfterAnswer} from '../intake/close-after-answer.js';
+import {createDefaultIntake} from '../intake/default-intake.js';
+import {guardConnections} from '../intake/guard-connections.js';
+import type {Intake} from '../intake/intake.js';
 import {boundedText} from '../validation/bounded-text.js';
 import type {MetricTags, Metrics} from './metrics.js';
 
@@ -14,10 +18,12 @@
 const metrics = await createTextMetrics({address: '127.0.0.1:9464', prefix: 'arbutushinge.'});
 metrics.timingMs('log.append', 4);
 */
-export async function createTextMetrics({address, prefix, onError}: Readonly<{
+export async function createTextMetrics({address, prefix, onError, intake = createDefaultIntake('entry')}: Readonly<{
 	address: string;
 	prefix: string;
 	onError: (error: Error) => void;
+	/** Account of the process. */
+	intake?: Intake;
 }>): Promise<Metrics> {
 	const client = await import('prom-client');
 	const registry = new client.Registry();
@@ -34,6 +40,7 @@
 	}
 
 	const server = createServer((request, response) => {
+		closeAfterAnswer(response);
 		void (async () => {
 			if (request.url !== '/metrics') {
 				response.writeHead(404).end();
@@ -50,6 +57,7 @@
 			}
 		})();
 	});
+	guardConnections(server, {intake, group: 'metrics'});
 	server.on('error', onError);
 	const [host, port] = address.split(':');
 	server.listen(Number(port), host);
