Evacuate failure domains on the operator's request: watch, record, placement, agent (in progress)

Cause: there was no way to keep new work out of a failure domain while what runs there continues; a drain evicts it.

Change: deciders read evacuate/ZONE from the operator's topic and append the record failure-domain-evacuation; the reducer rejects claims there, placement leaves the VMs out, agents refuse starts and stop unanswered ones.

--- a/src/agent/agent-state.ts
+++ b/src/agent/agent-state.ts
@@ -77,6 +77,10 @@
 	services: ImmutableMap<string, Readonly<{latencyTargetMs: number; demand: Resources}>>;
 	drainingBackendServers: readonly string[];
 	vmDraining: boolean;
+	/** Whether the failure domain of the VM is evacuated: nothing is started, and what runs continues. */
+	vmEvacuated: boolean;
+	/** False until an entry has sent the configuration. An agent that has just started does not know until then whether it may start anything. */
+	isReceived: boolean;
 }>;
 
 /** A request that was admitted (`runs`) or waits for the result of its key. */
@@ -137,7 +141,7 @@
 		attempts: emptyAttemptTable,
 		events: noTaskEvents,
 		configuration: {
-			offset: 0, services: immutableMap(), drainingBackendServers: [], vmDraining: false,
+			offset: 0, services: immutableMap(), drainingBackendServers: [], vmDraining: false, vmEvacuated: false, isReceived: false,
 		},
 		entries: immutableMap(settings.entryAddresses.map(address => [address, closedLink])),
 		backendServers: immutableMap(),
--- a/src/agent/lease.ts
+++ b/src/agent/lease.ts
@@ -13,6 +13,8 @@
 export type Lease = Readonly<{
 	/** Sending time of each recent heartbeat by sequence. */
 	sentAtMs: ImmutableMap<number, number>;
+	/** When the newest heartbeat was sent that an entry granted a lease for: that entry had read the log's tail lately. */
+	grantedForMs: number | undefined;
 	/** End of the longest grant; undefined until the first one. */
 	grantedUntilMs: number | undefined;
 	/** Time until which the entries count on the agent being in contact; undefined until the first answer in contact. */
@@ -23,7 +25,7 @@
 
 /** The lease of a new incarnation: nothing granted, no heartbeat sent. */
 export const noLease: Lease = {
-	sentAtMs: immutableMap(), grantedUntilMs: undefined, contactUntilMs: undefined, deadlineMs: undefined,
+	sentAtMs: immutableMap(), grantedForMs: undefined, grantedUntilMs: undefined, contactUntilMs: undefined, deadlineMs: undefined,
 };
 
 /**
@@ -46,6 +48,23 @@
 	return lease.deadlineMs !== undefined && nowMs < lease.deadlineMs;
 }
 
+/**
+Time since the sending of the newest heartbeat that was answered with a lease, after which an agent sends no start of its own accord. An entry that grants
+a lease has read the log's tail, and has sent the evacuations in it before; two heartbeats may be lost.
+*/
+const maxGrantAgeMs = 2500;
+
+/**
+Returns whether an entry that reads the log has granted a lease lately, so that the agent would know of an evacuation of its failure domain. The lease
+itself lasts longer than a start may go on being repeated after a request that the agent's entries have not read.
+
+@example
+isGrantRecent(noLease, 5000); // => false
+*/
+export function isGrantRecent({grantedForMs}: Lease, nowMs: number): boolean {
+	return grantedForMs !== undefined && nowMs - grantedForMs <= maxGrantAgeMs;
+}
+
 /**
 Returns whether a granted lease has expired.
 
@@ -78,10 +97,11 @@
 
 	const contactUntilMs = Math.max(sentAtMs + contactLimitMs, lease.contactUntilMs ?? 0);
 	const grantedUntilMs = sentAtMs + durationMs > nowMs ? Math.max(sentAtMs + durationMs, lease.grantedUntilMs ?? 0) : lease.grantedUntilMs;
-	return contactUntilMs === lease.contactUntilMs && grantedUntilMs === lease.grantedUntilMs
+	const grantedForMs = durationMs > 0 ? Math.max(sentAtMs, lease.grantedForMs ?? Number.NEGATIVE_INFINITY) : lease.grantedForMs;
+	return contactUntilMs === lease.contactUntilMs && grantedUntilMs === lease.grantedUntilMs && grantedForMs === lease.grantedForMs
 		? lease
 		: {
-			...lease, contactUntilMs, grantedUntilMs, deadlineMs: grantedUntilMs === undefined ? undefined : Math.min(grantedUntilMs, contactUntilMs),
+			...lease, contactUntilMs, grantedForMs, grantedUntilMs, deadlineMs: grantedUntilMs === undefined ? undefined : Math.min(grantedUntilMs, contactUntilMs),
 		};
 }
 
@@ -93,9 +113,9 @@
 @example
 shortenLease(lease, 4000).deadlineMs; // => 4000 ms earlier than before
 */
-export function shortenLease({sentAtMs, grantedUntilMs, contactUntilMs, deadlineMs}: Lease, suspendedMs: number): Lease {
+export function shortenLease({sentAtMs, grantedForMs, grantedUntilMs, contactUntilMs, deadlineMs}: Lease, suspendedMs: number): Lease {
 	const earlier = (atMs: number | undefined): number | undefined => atMs === undefined ? undefined : atMs - suspendedMs;
 	return {
-		sentAtMs: sentAtMs.map(atMs => atMs - suspendedMs), grantedUntilMs: earlier(grantedUntilMs), contactUntilMs: earlier(contactUntilMs), deadlineMs: earlier(deadlineMs),
+		sentAtMs: sentAtMs.map(atMs => atMs - suspendedMs), grantedForMs: earlier(grantedForMs), grantedUntilMs: earlier(grantedUntilMs), contactUntilMs: earlier(contactUntilMs), deadlineMs: earlier(deadlineMs),
 	};
 }
--- a/src/agent/reduce-agent.test.ts
+++ b/src/agent/reduce-agent.test.ts
@@ -61,10 +61,11 @@
 		});
 	}
 
-	/** Connects an entry, lists the worker's tasks and grants a lease. */
+	/** Connects an entry, lists the worker's tasks, sends the configuration as the entry does at registration and grants a lease. */
 	activate(): this {
 		this.send('entry-connected', {entryAddress: '127.0.0.1:2'});
 		this.list();
+		this.configure({});
 		this.tick();
 		this.grant();
 		return this;
@@ -78,6 +79,11 @@
 		this.message({message: {case: 'leaseGrant', value: {heartbeatSequence: BigInt(sequence), durationMs: leaseMs}}});
 	}
 
+	/** Sends a configuration with the given offset, by default the lowest. */
+	configure({offset = 0, vmEvacuated = false}: Readonly<{offset?: number; vmEvacuated?: boolean}>): void {
+		this.message({message: {case: 'configuration', value: {offset: BigInt(offset), vmEvacuated}}});
+	}
+
 	start(taskId: string, attempt: number, processorsMilli = 1000, agentIncarnation = this.state.incarnation): readonly AgentEffect[] {
 		return this.message({
 			message: {
--- a/src/agent/reduce-agent.ts
+++ b/src/agent/reduce-agent.ts
@@ -26,7 +26,7 @@
 import {requestArrived, requestSettled} from './request-handlers.js';
 import {
 	acknowledge, applyWorkerTasks, cancelAttempt, checkpointRunOnceTasks, dropLiveTasks, evictAttempt, evictTask, hasRunOnceTasks, repeatCalls,
-	startOrRefuseWaitingTasks, startAnswered, startTask, stopAnswered,
+	startOrRefuseWaitingTasks, startAnswered, startTask, stopAnswered, stopUnansweredStarts,
 } from './task-handlers.js';
 import {chain, transition, type Transition} from './transition.js';
 import {
@@ -226,13 +226,13 @@
 
 const isLogOffset = (offset: bigint): boolean => offset <= BigInt(Number.MAX_SAFE_INTEGER);
 
-function applyConfiguration(state: AgentState, value: AgentConfiguration): Transition {
+function applyConfiguration(state: AgentState, value: AgentConfiguration, nowMs: number): Transition {
 	if (!isLogOffset(value.offset)) {
 		return leaveOut(state, 'configuration', {offset: String(value.offset)});
 	}
 
 	const offset = Number(value.offset);
-	if (offset <= state.configuration.offset) {
+	if (offset < state.configuration.offset || (offset === state.configuration.offset && state.configuration.isReceived)) {
 		return transition(state);
 	}
 
@@ -250,10 +250,12 @@
 		}])),
 		drainingBackendServers: value.drainingBackendServers,
 		vmDraining: value.vmDraining,
+		vmEvacuated: value.vmEvacuated,
+		isReceived: true,
 	};
 	return chain({...state, configuration}, reconcileBackendServers, current => transition(current, {
-		kind: 'log', level: 'info', event: 'configuration-applied', fields: {offset},
-	}));
+		kind: 'log', level: 'info', event: 'configuration-applied', fields: {offset, vmEvacuated: value.vmEvacuated || undefined},
+	}), stopUnansweredStarts, startOrRefuseWaitingTasks(nowMs));
 }
 
 function applyGrant(state: AgentState, value: LeaseGrant, nowMs: number): Transition {
@@ -280,7 +282,7 @@
 		}
 
 		case 'configuration': {
-			return applyConfiguration(state, message.value);
+			return applyConfiguration(state, message.value, nowMs);
 		}
 
 		case 'startTask': {
@@ -376,6 +378,7 @@
 		},
 		expireBackendServers(event.nowMs),
 		reconcileBackendServers,
+		stopUnansweredStarts,
 		repeatCalls(event.nowMs),
 		runGuard(event.nowMs),
 		renewWorkerLease(event.nowMs),
--- a/src/agent/task-handlers.ts
+++ b/src/agent/task-handlers.ts
@@ -9,7 +9,7 @@
 import type {AgentEventOf} from './agent-event.js';
 import type {AgentState, AgentTask} from './agent-state.js';
 import {recordDecidedAttempt, wasDecided} from './attempt-table.js';
-import {isLeaseLive} from './lease.js';
+import {isGrantRecent, isLeaseLive} from './lease.js';
 import {
 	commitResources, recordRunning, emptyLedger, freeResources, releaseResources,
 } from './ledger.js';
@@ -123,6 +123,8 @@
 	);
 }
 
+const evacuatedReason = 'the failure domain is evacuated';
+
 /** Returns the reason why a start is refused whatever the free resources are; undefined when there is none. */
 function startRefusalReason(state: AgentState, start: StartTask, nowMs: number): string | undefined {
 	if (state.phase !== 'active' || !isLeaseLive(state.lease, nowMs)) {
@@ -133,6 +135,10 @@
 		return 'the VM takes no new work';
 	}
 
+	if (!state.configuration.isReceived || state.configuration.vmEvacuated) {
+		return state.configuration.isReceived ? evacuatedReason : 'the agent has not received its configuration';
+	}
+
 	const held = state.tasks.get(start.taskId);
 	return held !== undefined && held.phase !== 'ended' ? 'another attempt of the task is on this VM' : undefined;
 }
@@ -198,12 +204,16 @@
 			? transition(state)
 			: chain(state, ...waiting.map(task => (current: AgentState) => {
 				const reason = current.phase === 'active' && isLeaseLive(current.lease, nowMs) && current.stop === undefined
-					? undefined
+					? (current.configuration.vmEvacuated ? evacuatedReason : undefined)
 					: 'the agent has no live lease';
 				if (reason !== undefined) {
 					return refuseTask(current, task, reason);
 				}
 
+				if (!isGrantRecent(current.lease, nowMs)) {
+					return transition(current);
+				}
+
 				const isEvictionPending = (task.start?.evictTaskIds ?? []).some(taskId => {
 					const evicted = current.tasks.get(taskId);
 					return evicted !== undefined && isLive(evicted) && evicted.stopping !== undefined;
@@ -325,14 +335,29 @@
 }
 
 /**
-Repeats the starts whose result is unknown, while the lease is live, and the stops of tasks that have not ended.
+Stops the attempts whose start got no answer, once the failure domain is evacuated. The worker may have executed a try; the attempt is reported as not run
+when the worker has taken the stop and does not list it.
+
+@example
+chain(state, stopUnansweredStarts);
+*/
+export function stopUnansweredStarts(state: AgentState): Transition {
+	return state.configuration.vmEvacuated
+		? chain(state, ...[...state.tasks.values()]
+			.filter(task => task.phase === 'starting' && !task.startInFlight && task.stopping === undefined)
+			.map(task => (current: AgentState) => evictTask(current, task.taskId, evacuatedReason)))
+		: transition(state);
+}
+
+/**
+Repeats the starts whose result is unknown, while the lease is live and was granted lately, and the stops of tasks that have not ended.
 
 @example
 chain(state, repeatCalls(nowMs));
 */
 export function repeatCalls(nowMs: number): StateUpdate {
 	return state => {
-		const uncertain = [...state.tasks.values()].filter(task => task.phase === 'starting' && !task.startInFlight && task.stopping === undefined && isLeaseLive(state.lease, nowMs));
+		const uncertain = [...state.tasks.values()].filter(task => task.phase === 'starting' && !task.startInFlight && task.stopping === undefined && isLeaseLive(state.lease, nowMs) && isGrantRecent(state.lease, nowMs));
 		const stopping = [...state.tasks.values()].filter(task => isLive(task) && !task.startInFlight && task.stopping !== undefined);
 		return transition(
 			{
--- a/src/cluster/check-cluster-state.ts
+++ b/src/cluster/check-cluster-state.ts
@@ -14,6 +14,7 @@
 	state => firstOf(state.earlyCancellations, ([jobId, offset]) => checkOffset(state, offset, `the cancellation of ${boundedText(jobId)}`)),
 	state => firstOf(state.planDecisions.values(), ({planId, offset}) => checkOffset(state, offset, `plan ${planId}`)),
 	state => firstOf(state.entityOffsets, ([name, offset]) => checkOffset(state, offset, name)),
+	state => firstOf(state.configuration.evacuations, ([failureDomain, {offset}]) => checkOffset(state, offset, `the evacuation of ${boundedText(failureDomain)}`)),
 	state => checkOffset(state, state.configuration.offset, 'the configuration') ?? checkOffset(state, state.keysForgottenThroughOffset, 'the end of the expired keys')
 		?? checkOffset(state, state.earlyCancellationsForgottenThroughOffset, 'the end of the forgotten cancellations'),
 ];
--- a/src/cluster/cluster-record.ts
+++ b/src/cluster/cluster-record.ts
@@ -103,6 +103,16 @@
 	backendServerSchema.extend({kind: z.literal('backend-server-leaving')}),
 	backendServerSchema.extend({kind: z.literal('backend-server-gone')}),
 	z.strictObject({kind: z.literal('plan-confirmed'), plan: planSchema}),
+	/** The operator requested the evacuation of a failure domain, or removed the request. */
+	z.strictObject({
+		kind: z.literal('failure-domain-evacuation'),
+		failureDomain: nameSchema,
+		isRequested: z.boolean(),
+		/** Offset of the request or of its removal in the operator's topic; records with a lower one are stale. */
+		requestOffset: z.int().min(0),
+		/** Time of day at which the writer saw it, for operators only. */
+		noticedAtMs: z.optional(timeMsSchema),
+	}),
 	/** A job that a team submits directly; operators' jobs arrive inside a plan. */
 	z.strictObject({kind: z.literal('job-submitted'), job: jobSchema}),
 	z.strictObject({kind: z.literal('tasks-cancelled'), taskIds: z.array(nameSchema).max(10_000).readonly()}),
--- a/src/cluster/cluster-state-codec.ts
+++ b/src/cluster/cluster-state-codec.ts
@@ -151,6 +151,8 @@
 		drainingVmIds: strings,
 		drainingFailureDomains: strings,
 		drainingBackendServerIds: strings,
+		/** Failure domain and the fields of its evacuation. Missing in snapshots of versions that did not store it. */
+		evacuations: z.array(z.tuple([z.string(), z.boolean(), total, offset, timeMsSchema, total])).default([]),
 	}),
 	planDecisions: z.array(z.object({
 		planId: z.string(), offset, accepted: z.boolean(), reason: z.string(),
@@ -383,6 +385,8 @@
 			drainingVmIds: sorted(configuration.drainingVmIds),
 			drainingFailureDomains: sorted(configuration.drainingFailureDomains),
 			drainingBackendServerIds: sorted(configuration.drainingBackendServerIds),
+			evacuations: sortedEntries(configuration.evacuations).map(([failureDomain, {isRequested, requestOffset, offset, noticedAtMs, refusedClaims}]) =>
+				[failureDomain, isRequested, requestOffset, offset, noticedAtMs, refusedClaims]),
 		},
 		planDecisions: [...state.planDecisions.values()],
 		entityOffsets: sortedEntries(state.entityOffsets),
@@ -451,6 +455,9 @@
 			drainingVmIds: immutableSet(configuration.drainingVmIds),
 			drainingFailureDomains: immutableSet(configuration.drainingFailureDomains),
 			drainingBackendServerIds: immutableSet(configuration.drainingBackendServerIds),
+			evacuations: immutableMap(configuration.evacuations.map(([failureDomain, isRequested, requestOffset, offset, noticedAtMs, refusedClaims]) => [failureDomain, {
+				isRequested, requestOffset, offset, noticedAtMs, refusedClaims,
+			}])),
 		},
 		planDecisions: orderedMap(data.planDecisions.map(planDecision => [planDecision.planId, planDecision])),
 		entityOffsets: immutableMap(data.entityOffsets),
--- a/src/cluster/cluster-state.ts
+++ b/src/cluster/cluster-state.ts
@@ -162,7 +162,21 @@
 	claimOffset: number;
 }>;
 
-/** The configuration that confirmed plans have set; `offset` is the offset of the plan that last changed it. */
+/** What the log holds of an operator's request to evacuate a failure domain. */
+export type Evacuation = Readonly<{
+	/** Whether nothing may be started in the failure domain. False after the request was removed. */
+	isRequested: boolean;
+	/** Offset of the request, or of its removal, in the operator's topic. Records with the same or a lower one are stale. */
+	requestOffset: number;
+	/** Offset in the log of the record that last changed `isRequested`. */
+	offset: number;
+	/** Time of day at which the writer of that record saw the request, for operators only; 0 when it is not known. */
+	noticedAtMs: number;
+	/** Claims that were rejected since then because of the request. */
+	refusedClaims: number;
+}>;
+
+/** The configuration that confirmed plans and the operator's evacuations have set; `offset` is the offset of the record that last changed it. */
 export type Configuration = Readonly<{
 	offset: number;
 	services: Map<string, Service>;
@@ -172,6 +186,8 @@
 	drainingVmIds: Set<string>;
 	drainingFailureDomains: Set<string>;
 	drainingBackendServerIds: Set<string>;
+	/** Evacuations by failure domain, those that were removed included. */
+	evacuations: Map<string, Evacuation>;
 }>;
 
 /** The decision on a confirmed plan. */
--- a/src/cluster/plan-summary.ts
+++ b/src/cluster/plan-summary.ts
@@ -1,4 +1,5 @@
 import {type BackendServer, type ClusterState, type Vm} from './cluster-state.js';
+import {isEvacuated} from './evacuations.js';
 import {type IntentByKind} from './intent-by-kind.js';
 import {type Intent} from './intent.js';
 import {
@@ -12,14 +13,14 @@
 	return `${processorsMilli / 1000} cores, ${memoryMb} MB and ${accelerators} accelerators`;
 }
 
-const acceptsWork = (vm: Vm) => vm.phase === 'live' && !vm.draining && !vm.quarantined;
+const acceptsWork = (state: ClusterState, vm: Vm) => vm.phase === 'live' && !vm.draining && !vm.quarantined && !isEvacuated(state, vm.failureDomain);
 
 /** Returns the line with the free resources of the VMs that accept work, without those for which `isDrained` holds. */
 function headroomLine(state: ClusterState, isDrained: (vm: Vm) => boolean): string {
 	let headroom = noResources;
 	let vmCount = 0;
 	for (const vm of state.vms.values()) {
-		if (acceptsWork(vm) && !isDrained(vm)) {
+		if (acceptsWork(state, vm) && !isDrained(vm)) {
 			vmCount++;
 			headroom = addResources(headroom, subtractResources(vm.capacity, vm.committed));
 		}
--- a/src/cluster/random-log.ts
+++ b/src/cluster/random-log.ts
@@ -40,6 +40,7 @@
 	'end-entry',
 	'duplicate',
 	'quarantine',
+	'evacuation',
 ] as const;
 
 export type Command = Readonly<{kind: typeof commandKinds[number]; writer: number; a: number; b: number; c: number; isFaulty: boolean}>;
@@ -175,6 +176,9 @@
 			}
 			: {kind: 'entry-alive', appliedOffset: 0},
 		duplicate: () => ({kind: 'entry-alive', appliedOffset: 0}),
+		evacuation: () => ({
+			kind: 'failure-domain-evacuation', failureDomain: `domain-${b % 2}`, isRequested: c % 2 === 0, requestOffset: Math.max(0, state.offset - (isFaulty ? 40 : 0)), noticedAtMs: c,
+		}),
 		quarantine: () => ({kind: c % 2 === 0 ? 'vm-quarantined' : 'vm-unquarantined', ...agent, reason: 'test'}),
 	};
 	return recordFactories[command.kind]();
--- a/src/cluster/reduce-cluster.ts
+++ b/src/cluster/reduce-cluster.ts
@@ -6,6 +6,7 @@
 import {type ClusterRecord} from './cluster-record.js';
 import {type ClusterState} from './cluster-state.js';
 import {entryHandlers} from './entry-handlers.js';
+import {evacuationHandlers} from './evacuation-handlers.js';
 import {type PriorityClass} from './intent.js';
 import {keyHandlers} from './key-handlers.js';
 import {planHandlers} from './plan-handlers.js';
@@ -59,6 +60,7 @@
 		drainingVmIds: immutableSet(),
 		drainingFailureDomains: immutableSet(),
 		drainingBackendServerIds: immutableSet(),
+		evacuations: immutableMap(),
 	},
 	planDecisions: orderedMap(),
 	entityOffsets: immutableMap(),
@@ -72,6 +74,7 @@
 	...workflowHandlers,
 	...keyHandlers,
 	...planHandlers,
+	...evacuationHandlers,
 };
 
 /** A record whose handler threw. */
--- a/src/cluster/state-limits.ts
+++ b/src/cluster/state-limits.ts
@@ -28,5 +28,8 @@
 /** Finished jobs of workflows that stay in the state, of 100 bytes each. At 40 jobs a second, a job can be queried for 120 s after its end. */
 export const MAX_FINISHED_WORKFLOWS = 5000;
 
+/** Evacuations that were removed and stay in the state, so that a stale request does not take effect again. A deployment has a dozen failure domains. */
+export const MAX_REMOVED_EVACUATIONS = 256;
+
 /** Cancellations of unknown jobs that stay in the state, of 50 bytes each. */
 export const MAX_EARLY_CANCELLATIONS = 5000;
--- a/src/cluster/task-handlers.ts
+++ b/src/cluster/task-handlers.ts
@@ -1,6 +1,7 @@
 import {type ClusterRecordOf} from './cluster-record.js';
-import {type ClusterState, type Task} from './cluster-state.js';
+import {type ClusterState, type Task, type Vm} from './cluster-state.js';
 import {submitJob} from './early-cancellations.js';
+import {isEvacuated} from './evacuations.js';
 import {type PriorityClass} from './intent.js';
 import {type RecordHandlers} from './record-handler.js';
 import {addResources, fitsInto, noResources} from './resources.js';
@@ -36,6 +37,23 @@
 	return quota === undefined || fitsInto(addResources(state.committedByTeam.get(task.teamId) ?? noResources, demand), quota);
 }
 
+/** Returns whether a VM takes claims for an agent incarnation, apart from an evacuation of its failure domain. */
+function takesClaims(vm: Vm, agentIncarnation: string): boolean {
+	return vm.phase === 'live' && vm.agentIncarnation === agentIncarnation && !vm.draining && !vm.leaving && !vm.workerLost;
+}
+
+/** Counts a claim that is rejected because its VM is in an evacuated failure domain, such as one of an entry that had not read the request. */
+function countRefusedClaim(state: ClusterState, failureDomain: string): ClusterState {
+	const {configuration} = state;
+	return {
+		...state,
+		configuration: {
+			...configuration,
+			evacuations: configuration.evacuations.update(failureDomain, evacuation => evacuation && {...evacuation, refusedClaims: evacuation.refusedClaims + 1}),
+		},
+	};
+}
+
 function claimTask(state: ClusterState, record: ClusterRecordOf<'task-claimed'>, offset: number, writerIncarnation: string): ClusterState {
 	const {taskId, attempt, vmId, agentIncarnation, committed, decision} = record;
 	const task = state.tasks.get(taskId);
@@ -44,10 +62,14 @@
 		return state;
 	}
 
-	if (vm?.phase !== 'live' || vm.agentIncarnation !== agentIncarnation || vm.draining || vm.leaving || vm.workerLost) {
+	if (!vm || !takesClaims(vm, agentIncarnation)) {
 		return state;
 	}
 
+	if (isEvacuated(state, vm.failureDomain)) {
+		return countRefusedClaim(state, vm.failureDomain);
+	}
+
 	if (!fitsQuota(state, task, committed) || !isAllowedOnVm(state, task, vm, 0)) {
 		return state;
 	}
@@ -92,6 +114,11 @@
 
 type EndedAttempt = Readonly<{state: ClusterState; task: Task; vmId: string; reason: string; offset: number}>;
 
+function isOnEvacuatedVm({state, vmId}: EndedAttempt): boolean {
+	const vm = state.vms.get(vmId);
+	return vm !== undefined && isEvacuated(state, vm.failureDomain);
+}
+
 const failedOnVmIdsAfter = ({task, vmId}: EndedAttempt): readonly string[] =>
 	[...task.failedOnVmIds.filter(id => id !== vmId), vmId].slice(-MAX_TASK_FAILURES);
 
@@ -124,7 +151,12 @@
 			? requeueTask(state, task, change)
 			: failTaskAndJob(state, task, change);
 	},
-	'refused-not-run': ended => requeueTask(ended.state, ended.task, {offset: ended.offset, reason: ended.reason, failedOnVmIds: failedOnVmIdsAfter(ended)}),
+	'refused-not-run': ended => requeueTask(ended.state, ended.task, {
+		offset: ended.offset,
+		reason: ended.reason,
+		// What a VM refuses because of an evacuation says nothing of the VM, which is to be used again afterwards.
+		failedOnVmIds: isOnEvacuatedVm(ended) ? ended.task.failedOnVmIds : failedOnVmIdsAfter(ended),
+	}),
 	// The attempt was cancelled, but the task is not being cancelled. It is queued again so that its work is not lost.
 	cancelled: ({state, task, reason, offset}) => requeueTask(state, task, {offset, reason}),
 };
--- a/src/dispatch/agent-commands.ts
+++ b/src/dispatch/agent-commands.ts
@@ -1,6 +1,7 @@
 import {
 	type ClusterState, type Task, type TaskPhase, type Vm,
 } from '../cluster/cluster-state.js';
+import {newerRequests} from '../cluster/evacuations.js';
 import {isLiveAgent} from '../cluster/liveness.js';
 import {stepOf} from '../cluster/workflow-progress.js';
 import {type AgentCommand, type ControlEffect} from '../entry/control-effect.js';
@@ -13,6 +14,12 @@
 /** Time after which a command without an effect in the cluster state is sent again. */
 const commandRepeatMs = 2000;
 
+/**
+Age of an entry's view of the log from which on it sends no starts: an evacuation that it has not read may stand. With the time until the request is in
+the log, starts then end well within 5 s after the request; it is twice the age from which on an entry places nothing.
+*/
+const maxViewAgeOfStartsMs = 3000;
+
 /** Time at which this entry read each claim, by task and attempt, so that it can take over the commands of a writer that may have ended. */
 export type ClaimReadTimes = Readonly<{get: (key: string) => number | undefined}>;
 
@@ -61,7 +68,7 @@
 	for (const taskId of taskIds) {
 		const task = context.cluster.tasks.get(taskId);
 		const commandCase = task && commandCaseByPhase[task.phase];
-		if (!task || !commandCase || !maySendCommand(task, claimReadTimes, context)) {
+		if (!task || !commandCase || !maySendCommand(task, claimReadTimes, context) || (commandCase === 'startTask' && !maySendStart(vm, link, context))) {
 			continue;
 		}
 
@@ -208,6 +215,24 @@
 	return readAtMs === undefined || context.nowMs - readAtMs >= context.settings.timings.commandTakeoverMs;
 }
 
+/**
+Returns whether a start may be sent to a VM. In an evacuated failure domain it is sent once the agent has applied the evacuation, so that the agent refuses
+it and the task is queued again. Where operators request evacuations, an entry sends no start before it has read the requests, none that contradicts a
+request which the log does not hold yet, and none while its view of the log is old.
+*/
+function maySendStart({failureDomain}: Vm, {appliedConfigurationOffset}: AgentLink, {cluster, evacuationRequests, nowMs, tailConfirmedSentAtMs}: EntryContext): boolean {
+	const evacuation = cluster.configuration.evacuations.get(failureDomain);
+	if (evacuation?.isRequested) {
+		return appliedConfigurationOffset >= evacuation.offset;
+	}
+
+	if (evacuationRequests === undefined || evacuationRequests === 'unread') {
+		return evacuationRequests === undefined;
+	}
+
+	return nowMs - tailConfirmedSentAtMs <= maxViewAgeOfStartsMs && newerRequests(cluster, evacuationRequests).get(failureDomain)?.isRequested !== true;
+}
+
 function taskIdOf(key: string): string {
 	return key.slice(0, key.indexOf('/'));
 }
--- a/src/dispatch/agent-configuration.ts
+++ b/src/dispatch/agent-configuration.ts
@@ -1,3 +1,4 @@
+import {isEvacuated} from '../cluster/evacuations.js';
 import {type ControlEffect} from '../entry/control-effect.js';
 import {type EntryContext} from '../entry/entry-context.js';
 import {type AgentLink, type ConfigurationSource} from './agent-link.js';
@@ -19,7 +20,7 @@
 	}
 
 	const configuredFrom: ConfigurationSource = {
-		configuration, backendServers, backendServerIds: vm.backendServerIds, vmDraining: vm.draining,
+		configuration, backendServers, backendServerIds: vm.backendServerIds, vmDraining: vm.draining, vmEvacuated: isEvacuated(context.cluster, vm.failureDomain),
 	};
 	if (link.configuredFrom && isSameSource(link.configuredFrom, configuredFrom)) {
 		return {link, effects: []};
@@ -35,7 +36,7 @@
 		.filter(({draining}) => draining)
 		.map(({backendServerId}) => backendServerId)
 		.toSorted();
-	const value = {services, drainingBackendServers, vmDraining: vm.draining};
+	const value = {services, drainingBackendServers, vmDraining: vm.draining, vmEvacuated: configuredFrom.vmEvacuated};
 	const sentConfiguration = JSON.stringify([configuration.offset, value]);
 	if (sentConfiguration === link.sentConfiguration) {
 		return {link: {...link, configuredFrom}, effects: []};
@@ -55,5 +56,6 @@
 	return left.configuration === right.configuration
 		&& left.backendServers === right.backendServers
 		&& left.backendServerIds === right.backendServerIds
-		&& left.vmDraining === right.vmDraining;
+		&& left.vmDraining === right.vmDraining
+		&& left.vmEvacuated === right.vmEvacuated;
 }
--- a/src/dispatch/agent-link.ts
+++ b/src/dispatch/agent-link.ts
@@ -8,6 +8,7 @@
 	backendServers: ClusterState['backendServers'];
 	backendServerIds: Vm['backendServerIds'];
 	vmDraining: boolean;
+	vmEvacuated: boolean;
 }>;
 
 /** State of one agent's stream at this entry; removed when the stream closes. */
--- a/src/entry/context-of.ts
+++ b/src/entry/context-of.ts
@@ -19,5 +19,6 @@
 		settings,
 		incarnation: state.incarnation,
 		tailConfirmedSentAtMs: state.log.tailConfirmedSentAtMs,
+		...(inputs.evacuationRequests !== undefined && {evacuationRequests: inputs.evacuationRequests}),
 	};
 }
--- a/src/entry/entry-context.ts
+++ b/src/entry/entry-context.ts
@@ -1,4 +1,5 @@
 import {type ClusterState} from '../cluster/cluster-state.js';
+import {type EvacuationRequests} from '../cluster/evacuations.js';
 import {type EntrySettings} from '../settings/entry-settings.js';
 
 /** What every part of the entry's reducer may read while it handles one event. */
@@ -14,6 +15,8 @@
 	tailConfirmedSentAtMs: number;
 	/** Number of records of this entry whose append is not confirmed yet. */
 	pendingAppends: number;
+	/** What this process has read of the operator's evacuations; `unread` until then, and left out where operators have no topic. */
+	evacuationRequests?: EvacuationRequests | 'unread';
 	/** Seed of the random choices made for this event. */
 	seed: number;
 }>;
--- a/src/entry/entry-event.ts
+++ b/src/entry/entry-event.ts
@@ -1,4 +1,5 @@
 import {type ClusterState} from '../cluster/cluster-state.js';
+import {type EvacuationRequests} from '../cluster/evacuations.js';
 import {type Job, type Plan} from '../cluster/intent.js';
 import {type Heartbeat, type Hello, type TaskEvent} from '../generated/arbutushinge/v1/agent_pb.js';
 import {type LoggedRecord} from '../log/log-envelope.js';
@@ -40,6 +41,8 @@
 	wallTimeMs: number;
 	seed: number;
 	pendingAppends: number;
+	/** What this process has read of the operator's evacuations; `unread` until then, and left out where operators have no topic. */
+	evacuationRequests?: EvacuationRequests | 'unread';
 	/** Measures the duration of a part of the reduction for the metrics; it does not affect the result. */
 	measurePart?: MeasurePart;
 	/** Duration of the newest placement pass in milliseconds; 0 without it. */
--- a/src/entry/entry-platform.ts
+++ b/src/entry/entry-platform.ts
@@ -1,3 +1,4 @@
+import {type EvacuationRequests} from '../cluster/evacuations.js';
 import {type LogService} from '../log/log-service.js';
 import {type EntryRegistry} from '../membership/entry-registry.js';
 import {type Readiness} from './caller-server.js';
@@ -18,6 +19,8 @@
 	announceToAgents: () => void;
 	/** Returns whether the configuration that the platform's operator published has been read. */
 	isConfigured: () => boolean;
+	/** Returns what was read of the operator's evacuations; undefined until then. */
+	evacuationRequests: () => EvacuationRequests | undefined;
 	/** Accepts no new connections, completes the requests in flight and closes. */
 	close: () => Promise<void>;
 }>;
--- a/src/entry/entry-process.ts
+++ b/src/entry/entry-process.ts
@@ -3,6 +3,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {err, ok, type Result} from 'true-myth/result';
 import {computePlan} from '../cluster/compute-plan.js';
+import {type EvacuationRequests} from '../cluster/evacuations.js';
 import {type EntrySettings} from '../settings/entry-settings.js';
 import {createHttpLogService} from '../log/http-log-service.js';
 import {type LogService} from '../log/log-service.js';
@@ -62,13 +63,15 @@
 const entry = await startEntry({settings, eventLog, metrics, timeline});
 await entry.stop();
 */
-export async function startEntry({settings, eventLog, metrics, timeline, platformLog, wallClock = createSystemWallClock()}: Readonly<{
+export async function startEntry({settings, eventLog, metrics, timeline, platformLog, evacuationRequests, wallClock = createSystemWallClock()}: Readonly<{
 	settings: EntrySettings;
 	eventLog: EventLog;
 	metrics: Metrics;
 	timeline: Timeline;
 	/** The log of the users' platform, in place of the HTTP log service; whoever passes it closes the entry's interfaces on the platform before `stop`. */
 	platformLog?: LogService;
+	/** What was read of the operator's evacuations; undefined until then. */
+	evacuationRequests?: () => EvacuationRequests | undefined;
 	wallClock?: SettledWallClock;
 }>): Promise<Result<EntryProcess, TypedError>> {
 	let isStopping = false;
@@ -108,6 +111,7 @@
 			measurePart: monitor.measurePart,
 			newestPassMs: monitor.newestPassMs(),
 			onPartFailed,
+			...(evacuationRequests && {evacuationRequests: evacuationRequests() ?? 'unread'}),
 		}, settings)),
 		execute(effect) {
 			execute(effect);
@@ -224,7 +228,9 @@
 	const reportTimer = setInterval(() => {
 		const state = loop.state();
 		const pendingAppends = logConnection.pendingAppends();
-		reportGauges(state, {metrics, nowMs: performance.now(), pendingAppends});
+		reportGauges(state, {
+			metrics, nowMs: performance.now(), wallTimeMs: wallClock.nowMs(), pendingAppends,
+		});
 		monitor.report({state, pendingAppends});
 		if (state.cluster.vms !== reportedVms) {
 			reportedVms = state.cluster.vms;
--- a/src/entry/entry-state.ts
+++ b/src/entry/entry-state.ts
@@ -10,6 +10,7 @@
 import {initialRequestState, type RequestState} from '../requests/request-state.js';
 import {type AppendGuard, emptyAppendGuard} from './append-guard.js';
 import {type DeferredAnswers, noDeferredAnswers} from './deferred-answers.js';
+import {type EvacuationProgress, initialEvacuationProgress} from './evacuation-progress.js';
 import {type FailingPlacement} from './failing-placement.js';
 import {initialKeyExpiry, type KeyExpiryState} from './key-expiry.js';
 
@@ -54,6 +55,7 @@
 	snapshot: SnapshotProgress;
 	lastControlTickMs: number;
 	lastPassAtMs: number;
+	evacuations: EvacuationProgress;
 	/** Set while all placement passes fail, and for a time after they made this entry give the placement up. */
 	failingPlacement: FailingPlacement | undefined;
 }>;
@@ -86,6 +88,7 @@
 		},
 		lastControlTickMs: Number.NEGATIVE_INFINITY,
 		lastPassAtMs: Number.NEGATIVE_INFINITY,
+		evacuations: initialEvacuationProgress,
 		failingPlacement: undefined,
 	};
 }
--- a/src/entry/platform-entry.test.ts
+++ b/src/entry/platform-entry.test.ts
@@ -54,6 +54,7 @@
 			},
 			announceToAgents: ignore,
 			isConfigured: () => true,
+			evacuationRequests: () => ({byFailureDomain: new Map(), listedEndOffset: 0}),
 			close: async () => undefined,
 		};
 		const [callerAddress, operatorAddress, agentAddress, relayAddress] = await findFreeAddresses(4);
--- a/src/entry/platform-entry.ts
+++ b/src/entry/platform-entry.ts
@@ -104,7 +104,7 @@
 		eventLog.info('entry-decides', {entryId});
 		const {startEntry} = await import('./entry-process.js');
 		const started = await startEntry({
-			settings, eventLog, metrics, timeline, platformLog: platform.logService, wallClock,
+			settings, eventLog, metrics, timeline, platformLog: platform.logService, evacuationRequests: platform.evacuationRequests, wallClock,
 		});
 		if (started.isErr) {
 			return started.map(() => undefined);
--- a/src/entry/reduce-entry.ts
+++ b/src/entry/reduce-entry.ts
@@ -1,4 +1,5 @@
 import {type ClusterState} from '../cluster/cluster-state.js';
+import {withRequests} from '../cluster/evacuations.js';
 import {rankEntries} from '../cluster/rank-entries.js';
 import {applyRecords} from '../cluster/reduce-cluster.js';
 import {BackendServerPhase} from '../generated/arbutushinge/v1/agent_pb.js';
@@ -15,6 +16,7 @@
 import {
 	grantFirstLeases, startAndAcknowledgeTasks, linkOf, reduceAgentEvent, refreshLinks,
 } from './reduce-agent-event.js';
+import {logEvacuationChanges, tickEvacuations} from './evacuation-progress.js';
 import {emptyAppendGuard} from './append-guard.js';
 import {requestDeferredAnswer, resolveDeferredAnswers} from './deferred-answers.js';
 import {type EntryContext} from './entry-context.js';
@@ -83,7 +85,11 @@
 	'incarnation-started': (state, event) => ({
 		// What the former incarnation appended may have been ignored.
 		state: {
-			...state, incarnation: event.incarnation, appendGuard: emptyAppendGuard, vmLiveness: {...state.vmLiveness, guard: emptyAppendGuard},
+			...state,
+			incarnation: event.incarnation,
+			appendGuard: emptyAppendGuard,
+			vmLiveness: {...state.vmLiveness, guard: emptyAppendGuard},
+			evacuations: {...state.evacuations, guard: emptyAppendGuard},
 		},
 		effects: [],
 	}),
@@ -173,6 +179,7 @@
 			state: {...state, placement: {...state.placement, failedStarts: recordFailedStarts(state.placement.failedStarts, event.records, state.cluster, inputs.nowMs)}},
 			effects: [],
 		})],
+		['evacuation-changes', state => ({state, effects: logEvacuationChanges(before, state.cluster)})],
 		['timeline', state => ({state, effects: recordTimeline(event.records, before, state.cluster, state.incarnation)})],
 		['failed-jobs', state => ({state, effects: logFailedJobs(event.records, {before, after: state.cluster}, state.incarnation)})],
 		['first-leases', state => grantFirstLeases(state, {cluster: before, tailSentAtMs}, inputs, settings)],
@@ -246,6 +253,10 @@
 			const {state: vmLiveness, effects} = tickVmLiveness(state.vmLiveness, contextOf(state, inputs, settings));
 			return {state: {...state, vmLiveness}, effects};
 		}],
+		['evacuations', state => {
+			const {state: evacuations, effects} = tickEvacuations(state.evacuations, contextOf(state, inputs, settings));
+			return {state: {...state, evacuations}, effects};
+		}],
 		['failure-attribution', state => {
 			const {state: failureAttribution, effects} = tickFailureAttribution(state.failureAttribution, contextOf(state, inputs, settings));
 			return {state: {...state, failureAttribution}, effects};
@@ -318,7 +329,14 @@
 		return {state, effects: []};
 	}
 
-	const context = contextOf(state, inputs, settings);
+	const {evacuationRequests} = inputs;
+	if (evacuationRequests === 'unread') {
+		// A VM's failure domain may be evacuated without a record in the log, for example when all deciders have just restarted.
+		return {state, effects: []};
+	}
+
+	const ownContext = contextOf(state, inputs, settings);
+	const context = evacuationRequests ? {...ownContext, cluster: withRequests(ownContext.cluster, evacuationRequests)} : ownContext;
 	const pass = (): ReturnType<typeof placeQueuedTasks> => placeQueuedTasks(state.placement, {...context, unheardVmIds: unheardVmIds(state, context)});
 	const transition = inputs.measurePart ? inputs.measurePart('placement', pass) : pass();
 	return {
--- a/src/entry/report-gauges.ts
+++ b/src/entry/report-gauges.ts
@@ -1,3 +1,4 @@
+import {failureDomainLoadOf} from '../cluster/evacuations.js';
 import {type Metrics} from '../telemetry/metrics.js';
 import {type EntryState} from './entry-state.js';
 
@@ -5,11 +6,12 @@
 Reports the current values of an entry's gauges.
 
 @example
-reportGauges(state, {metrics, nowMs: performance.now(), pendingAppends: 0});
+reportGauges(state, {metrics, nowMs: performance.now(), wallTimeMs: Date.now(), pendingAppends: 0});
 */
-export function reportGauges(state: EntryState, {metrics, nowMs, pendingAppends}: Readonly<{
+export function reportGauges(state: EntryState, {metrics, nowMs, wallTimeMs, pendingAppends}: Readonly<{
 	metrics: Metrics;
 	nowMs: number;
+	wallTimeMs: number;
 	pendingAppends: number;
 }>): void {
 	const {cluster, links, log, requests} = state;
@@ -26,6 +28,16 @@
 		}
 	}
 
+	const {evacuations} = cluster.configuration;
+	metrics.gauge('evacuations.standing', evacuations.count(({isRequested}) => isRequested));
+	for (const [failureDomain, {isRequested, noticedAtMs, refusedClaims}] of evacuations) {
+		const load = failureDomainLoadOf(cluster, failureDomain);
+		metrics.gauge('evacuation.time', isRequested && noticedAtMs > 0 ? Math.max(0, Math.round(wallTimeMs - noticedAtMs)) : 0, {failureDomain});
+		metrics.gauge('evacuation.running-tasks', isRequested ? load.runningTasks : 0, {failureDomain});
+		metrics.gauge('evacuation.claimed-tasks', isRequested ? load.claimedTasks : 0, {failureDomain});
+		metrics.gauge('evacuation.refused-claims', isRequested ? refusedClaims : 0, {failureDomain});
+	}
+
 	for (const [priority, taskIds] of cluster.queued) {
 		metrics.gauge('tasks.queued', taskIds.size, {class: priority});
 	}
--- a/src/entry/touched-vms.ts
+++ b/src/entry/touched-vms.ts
@@ -3,7 +3,7 @@
 import {type LoggedRecord} from '../log/log-envelope.js';
 
 /** Kinds of records that may affect any VM. */
-const fleetWideKinds: ReadonlySet<ClusterRecord['kind']> = new Set(['plan-confirmed', 'job-submitted', 'job-cancelled']);
+const fleetWideKinds: ReadonlySet<ClusterRecord['kind']> = new Set(['plan-confirmed', 'job-submitted', 'job-cancelled', 'failure-domain-evacuation']);
 
 /** Returns whether a record may affect any VM. The cancellation of a job without tasks in the state affects none. */
 function isFleetWide(record: ClusterRecord, before: ClusterState, after: ClusterState): boolean {
--- a/src/placement/feasibility.ts
+++ b/src/placement/feasibility.ts
@@ -1,4 +1,5 @@
 import {type ClusterState, type Task, type Vm} from '../cluster/cluster-state.js';
+import {isEvacuated} from '../cluster/evacuations.js';
 import {type VmOffer} from '../cluster/vm-offer.js';
 import {missingCapacity} from '../cluster/missing-capacity.js';
 import {stepOf} from '../cluster/workflow-progress.js';
@@ -20,7 +21,7 @@
 Returns whether a VM accepts new tasks, whatever their size.
 
 @example
-acceptsNewTasks(vm, cluster); // => false for a VM that drains
+acceptsNewTasks(vm, cluster); // => false for a VM that drains or whose failure domain is evacuated
 */
 export function acceptsNewTasks(vm: Vm, cluster: ClusterState): boolean {
 	return vm.phase === 'live'
@@ -28,7 +29,8 @@
 		&& !vm.leaving
 		&& !vm.workerLost
 		&& !vm.quarantined
-		&& !cluster.configuration.drainingFailureDomains.has(vm.failureDomain);
+		&& !cluster.configuration.drainingFailureDomains.has(vm.failureDomain)
+		&& !isEvacuated(cluster, vm.failureDomain);
 }
 
 /**
--- a/src/placement/starved-jobs.ts
+++ b/src/placement/starved-jobs.ts
@@ -1,5 +1,6 @@
 import {type Map as ImmutableMap, type Set as ImmutableSet} from 'immutable';
 import {type ClusterState, type Task} from '../cluster/cluster-state.js';
+import {isEvacuated} from '../cluster/evacuations.js';
 import {type EntryContext} from '../entry/entry-context.js';
 import {fillingLoadOf} from './filling-work.js';
 import {pendingFillingMilli, type PendingClaims} from './pending-claims.js';
@@ -82,7 +83,7 @@
 	let committedMilli = 0;
 	let fillingMilli = 0;
 	for (const vm of cluster.vms.values()) {
-		if (vm.service === service && vm.phase === 'live' && !vm.workerLost) {
+		if (vm.service === service && vm.phase === 'live' && !vm.workerLost && !isEvacuated(cluster, vm.failureDomain)) {
 			capacityMilli += vm.capacity.processorsMilli;
 			committedMilli += vm.committed.processorsMilli + (pending.committedByVm.get(vm.vmId)?.processorsMilli ?? 0);
 			fillingMilli += fillingLoadOf(vm, cluster).fillingMilli + pendingFillingMilli(pending, vm.vmId);
--- a/stand-ins/store-stand-in.ts
+++ b/stand-ins/store-stand-in.ts
@@ -12,6 +12,8 @@
 	losesAnswers?: boolean;
 	/** Calls have no effect and are not answered. */
 	isSilent?: boolean;
+	/** Lists of newest records show topics without the records from this offset on, as a stale list does. */
+	listsEndAt?: number;
 	/** Bandwidth of the caller's link in KB per second; the answer to a read is delayed by its transfer time. */
 	linkKbPerS?: number;
 }>;
@@ -154,8 +156,9 @@
 		async '/arbutushinge/log-newest'(query, _request, response) {
 			const topic = topicOf(query.get('topic')!);
 			const newest = new Map<string, Readonly<{key: string; value: string; offset: number}>>();
+			const listEnd = Math.min(endOf(topic), faults.listsEndAt ?? Number.POSITIVE_INFINITY);
 			for (const [index, record] of topic.records.entries()) {
-				if (record.length === 0) {
+				if (record.length === 0 || topic.first + index >= listEnd) {
 					continue;
 				}
 
@@ -170,7 +173,7 @@
 				pageBytes += value.length;
 				return index < newestPageItems && (index === 0 || pageBytes <= maxNewestPageBytes);
 			});
-			sendJson(response, 200, {items: page, hasMore: items.length > page.length, end: endOf(topic)});
+			sendJson(response, 200, {items: page, hasMore: items.length > page.length, end: listEnd});
 		},
 	};
 
