Refuse and stop starts in an evacuated failure domain at the agent, and spare cold VMs

Cause: an agent that restarts, or whose start got no answer, could start a task in an evacuated failure domain; workers are slow for a time afterwards.

Change: an agent refuses starts until it has received its configuration and while its failure domain is evacuated; it stops unanswered starts then, and repeats none while no entry has granted a lease for 2.5 s. coldLeftMs goes from the announcement to the entries; a cold VM gets tasks that no warm one can take, on a share of its processors that grows from a quarter to the whole. The fixtures of the agent's tests send the configuration at registration, as entries do.

--- a/src/agent/agent-process.test.ts
+++ b/src/agent/agent-process.test.ts
@@ -51,6 +51,7 @@
 				yield reply(create(EntryMessageSchema, {message: {case: 'leaseGrant', value: {heartbeatSequence: message.value.sequence, durationMs: 15_000}}}).message);
 				if (!isStarted) {
 					isStarted = true;
+					yield reply(create(EntryMessageSchema, {message: {case: 'configuration', value: {offset: 0n}}}).message);
 					yield reply(create(EntryMessageSchema, {
 						message: {
 							case: 'startTask', value: {
--- a/src/agent/entry-messages.ts
+++ b/src/agent/entry-messages.ts
@@ -110,6 +110,7 @@
 				workerLeaving: state.worker.leaving,
 				presses: presses.map(report => ({...report})),
 				fillingRoomMilli: uint32(state.fillingThrottle.fillingRoomMilli ?? 0),
+				coldLeftMs: uint32(state.worker.coldUntilMs - nowMs),
 				workerSilent: isSilent(state.worker, {nowMs, ...state.settings.timings}),
 			},
 		},
--- a/src/agent/odd-worker-values.test.ts
+++ b/src/agent/odd-worker-values.test.ts
@@ -197,6 +197,7 @@
 test('a start whose ID, attempt or claim no log can have is left out, and the next one runs', async t => {
 	const agent = createAgent();
 	await agent.poll({list: goodList});
+	agent.message({message: {case: 'configuration', value: {offset: 0n}}});
 	agent.message({message: {case: 'leaseGrant', value: {heartbeatSequence: BigInt(agent.state().heartbeatSequence), durationMs: 15_000}}});
 	const start = (value: Readonly<{taskId: string; attempt: number; claimOffset: bigint}>): void => {
 		agent.message({message: {case: 'startTask', value: {agentIncarnation: agent.state().incarnation, ...value}}});
--- a/src/agent/reduce-agent.test.ts
+++ b/src/agent/reduce-agent.test.ts
@@ -627,3 +627,66 @@
 		['t1 FINISHED'],
 	);
 });
+
+// Guards against a start in an evacuated failure domain by an agent that has just restarted.
+test('an agent refuses starts until it has the configuration, and while its failure domain is evacuated; what runs continues', t => {
+	const fixture = new Fixture();
+	fixture.send('entry-connected', {entryAddress: '127.0.0.1:2'});
+	fixture.list();
+	fixture.tick();
+	fixture.grant();
+	fixture.start('t1', 1);
+	fixture.configure({offset: 5});
+	fixture.start('t2', 1);
+	fixture.configure({offset: 6, vmEvacuated: true});
+	fixture.start('t3', 1);
+	// An entry that is behind sends an older configuration.
+	fixture.configure({offset: 5});
+	fixture.start('t4', 1);
+	fixture.configure({offset: 8});
+	fixture.start('t5', 1);
+	fixture.tick();
+	t.deepEqual([...fixture.started.keys()], ['t2#1', 't5#1']);
+	t.deepEqual([...refusedAttempts(fixture.effects)].toSorted(), ['t1#1', 't3#1', 't4#1']);
+	t.is(fixture.state.tasks.get('t2')?.stopping, undefined);
+});
+
+// Guards against a start that is sent again after the request, and against a false "not run" of one that took effect.
+test('an unanswered start is stopped when the failure domain is evacuated, and reported as not run once the worker does not list it', t => {
+	for (const wasExecuted of [false, true]) {
+		const fixture = new Fixture().activate();
+		fixture.losesAnswers = true;
+		fixture.start('t1', 1);
+		if (!wasExecuted) {
+			fixture.lose('t1');
+		}
+
+		t.is(fixture.state.tasks.get('t1')?.phase, 'starting');
+		fixture.nowMs += 10;
+		const effects = fixture.message({message: {case: 'configuration', value: {offset: 6n, vmEvacuated: true}}});
+		t.true(effects.some(effect => effect.kind === 'checkpoint-task'));
+		fixture.tick();
+		t.is(fixture.started.get('t1#1'), 1);
+		t.false(refusedAttempts(fixture.effects).has('t1#1'));
+		fixture.nowMs += 10;
+		fixture.send('stop-answered', {taskId: 't1'});
+		fixture.nowMs += 10;
+		fixture.list();
+		t.is(refusedAttempts(fixture.effects).has('t1#1'), !wasExecuted);
+		t.is(fixture.started.get('t1#1'), 1);
+	}
+});
+
+// An agent whose entries are all cut off from the log does not learn of an evacuation, and its lease outlasts the bound.
+test('an unanswered start is not sent again while no entry has granted a lease lately', t => {
+	const fixture = new Fixture().activate();
+	fixture.losesAnswers = true;
+	fixture.start('t1', 1);
+	fixture.lose('t1');
+	fixture.nowMs += 2600;
+	fixture.tick();
+	t.is(fixture.started.get('t1#1'), 1);
+	fixture.grant();
+	fixture.tick();
+	t.is(fixture.started.get('t1#1'), 2);
+});
--- a/src/agent/usable-worker-answer.ts
+++ b/src/agent/usable-worker-answer.ts
@@ -43,7 +43,7 @@
 // => Ok(['the capacity is out of range'])
 */
 export function usableWorkerTasks(list: WorkerTasks): Result<UsableAnswer<WorkerTasks>, string> {
-	const {workerIncarnation, service = '', labels = [], rack = '', startedAtMs = 0} = list;
+	const {workerIncarnation, service = '', labels = [], rack = '', startedAtMs = 0, coldLeftMs = 0} = list;
 	if (!isName(workerIncarnation) || service.length > maxLabelLength) {
 		return err(`workerIncarnation or service of the list is no name: ${boundedText(workerIncarnation)}, ${boundedText(service)}`);
 	}
@@ -59,6 +59,7 @@
 		[hasUsableLabels, 'the labels are too many or too long'],
 		[rack === '' || isName(rack), 'the rack is no name'],
 		[isTimeMs(startedAtMs), 'startedAtMs is out of range'],
+		[isTimeMs(coldLeftMs), 'coldLeftMs is out of range'],
 	];
 	const problems = checks.filter(([isUsable]) => !isUsable).map(([, problem]) => problem);
 	return ok(problems.length === 0
@@ -71,6 +72,7 @@
 				labels: hasUsableLabels ? labels : [],
 				rack: isName(rack) ? rack : '',
 				startedAtMs: isTimeMs(startedAtMs) ? startedAtMs : 0,
+				coldLeftMs: isTimeMs(coldLeftMs) ? coldLeftMs : 0,
 			},
 			problems,
 		});
--- a/src/agent/worker-view.ts
+++ b/src/agent/worker-view.ts
@@ -10,6 +10,8 @@
 	rack: string;
 	/** Unix time in milliseconds; 0 when the worker does not report it. */
 	startedAtMs: number;
+	/** Until when the worker remains slow, on the VM's monotonic clock. */
+	coldUntilMs: number;
 	/** Whether the worker announced that it leaves. */
 	leaving: boolean;
 	/** Which ends its newest list names. */
@@ -35,7 +37,7 @@
 
 /** A worker that has not listed its tasks yet. */
 export const initialWorkerView: WorkerView = {
-	incarnation: '', service: '', labels: [], rack: '', startedAtMs: 0, leaving: false, listedEnds: 'all', lastSeenAtMs: Number.NEGATIVE_INFINITY, workerLeaseDeadlineMs: 0, foreignLeaseUntilMs: 0, connectionRefused: undefined, isUnreached: false, isPollFailing: false, lost: false,
+	incarnation: '', service: '', labels: [], rack: '', startedAtMs: 0, coldUntilMs: 0, leaving: false, listedEnds: 'all', lastSeenAtMs: Number.NEGATIVE_INFINITY, workerLeaseDeadlineMs: 0, foreignLeaseUntilMs: 0, connectionRefused: undefined, isUnreached: false, isPollFailing: false, lost: false,
 };
 
 /**
@@ -45,9 +47,9 @@
 recordWorkerList(initialWorkerView, list, 5000).lastSeenAtMs; // => 5000
 */
 export function recordWorkerList(worker: WorkerView, list: WorkerTasks, nowMs: number): WorkerView {
-	const {workerIncarnation, service = '', labels = [], rack = '', startedAtMs = 0, leaving = false, listedEnds} = list;
+	const {workerIncarnation, service = '', labels = [], rack = '', startedAtMs = 0, coldLeftMs = 0, leaving = false, listedEnds} = list;
 	return {
-		...worker, incarnation: workerIncarnation, service, labels, rack, startedAtMs, leaving, listedEnds, lastSeenAtMs: nowMs, connectionRefused: undefined, isUnreached: false, isPollFailing: false, lost: false,
+		...worker, incarnation: workerIncarnation, service, labels, rack, startedAtMs, coldUntilMs: coldLeftMs === 0 ? 0 : nowMs + coldLeftMs, leaving, listedEnds, lastSeenAtMs: nowMs, connectionRefused: undefined, isUnreached: false, isPollFailing: false, lost: false,
 	};
 }
 
--- a/src/entry/reduce-agent-event.ts
+++ b/src/entry/reduce-agent-event.ts
@@ -11,6 +11,7 @@
 import {answerHeartbeat, grantFirstLease} from '../membership/lease-grant.js';
 import {recordClosedStream} from '../membership/unheard-vms.js';
 import {recordAgentMessage} from '../membership/vm-liveness.js';
+import {recordColdLeft} from '../placement/cold-vms.js';
 import {observeUsage} from '../placement/observe-usage.js';
 import {type EntrySettings} from '../settings/entry-settings.js';
 import {noResources} from '../cluster/resources.js';
@@ -236,6 +237,7 @@
 	const placement = {
 		...state.placement, interference: observed.estimates, history: observed.history, latencyImpacts: mergeLatencyImpacts(state.placement.latencyImpacts, heartbeat.presses),
 		fillingRoomByVm: heartbeat.fillingRoomMilli === 0 ? state.placement.fillingRoomByVm.delete(link.vmId) : state.placement.fillingRoomByVm.set(link.vmId, heartbeat.fillingRoomMilli),
+		coldVms: recordColdLeft(state.placement.coldVms, {vmId: link.vmId, coldLeftMs: heartbeat.coldLeftMs, nowMs: context.nowMs}),
 		silentVmIds: heartbeat.workerSilent ? state.placement.silentVmIds.add(link.vmId) : state.placement.silentVmIds.delete(link.vmId),
 	};
 	const refreshed = refreshLink({...withLink(state, updatedLink), vmLiveness, placement}, updatedLink, context);
--- a/src/placement/place-queued-tasks.ts
+++ b/src/placement/place-queued-tasks.ts
@@ -7,7 +7,7 @@
 import {type ClusterState, type Task, type Vm} from '../cluster/cluster-state.js';
 import {type PriorityClass} from '../cluster/intent.js';
 import {
-	addResources, fitsInto, noResources, type Resources,
+	addResources, fitsInto, noResources, subtractResources, type Resources,
 } from '../cluster/resources.js';
 import {isAllowedOnVm} from '../cluster/step-constraints.js';
 import {type Step as WorkflowStep, stepKeyOf} from '../cluster/workflow.js';
@@ -15,6 +15,9 @@
 import {type ControlEffect, type Transition} from '../entry/control-effect.js';
 import {type EntryContext, isLogFresh} from '../entry/entry-context.js';
 import {admitFillingJobs} from './admit-filling-jobs.js';
+import {
+	type ColdVms, noColdVms, splitByWarmth, type VmsByWarmth, withoutWarmVms,
+} from './cold-vms.js';
 import {priorityClassesForPass} from './priority-classes-for-pass.js';
 import {chooseVm, type PlacementCandidate} from './choose-vm.js';
 import {maxLatencyImpactMilli, fillingDemandMilli, latencyImpactOfPlacementMilli} from './filling-work.js';
@@ -55,6 +58,8 @@
 	latencyImpacts: LatencyImpactEstimates;
 	/** Millicores available to filling tasks, as measured on the VMs where they got less than their demand. */
 	fillingRoomByVm: ImmutableMap<string, number>;
+	/** VMs whose worker is slow for a time after its start. */
+	coldVms: ColdVms;
 	/** VMs with a silent worker: the agent could not deliver a start to it. */
 	silentVmIds: ImmutableSet<string>;
 	reservations: Reservations;
@@ -74,6 +79,7 @@
 	history: noVmHistory,
 	latencyImpacts: noLatencyImpactEstimates,
 	fillingRoomByVm: immutableMap(),
+	coldVms: noColdVms,
 	silentVmIds: immutableSet(),
 	reservations: noReservations,
 	fleetGrowth: noFleetSeen,
@@ -94,7 +100,12 @@
 
 type Pass = {
 	readonly context: EntryContext;
+	/** VMs that accept tasks, without those whose worker is cold. */
 	vms: readonly Vm[];
+	/** VMs that accept tasks and whose worker is cold, for tasks that no warm one can take. */
+	coldVms: readonly Vm[];
+	/** Millicores of cold VMs that are not given to tasks yet. */
+	withheldMilliByVm: VmsByWarmth['withheldMilliByVm'];
 	/** Demands that no VM could take in this pass; a demand of the same service that is at least as large cannot be placed either. */
 	readonly demandsWithoutVm: Array<Readonly<{service: string | undefined; demand: Resources}>>;
 	/** Steps whose task no VM could take in this pass; their other tasks cannot be placed either, since free resources only shrink during a pass. */
@@ -129,6 +140,7 @@
 	const pruned: PlacementState = {
 		...state,
 		pending,
+		coldVms: withoutWarmVms(state.coldVms, context.nowMs),
 		fleetGrowth: observeFleetGrowth(state.fleetGrowth, context),
 		ownersSeen: owners.ownersSeen(),
 		reservations: retainValidReservations(state.reservations, {cluster: context.cluster, pending, nowMs: context.nowMs}, silentVmIds),
@@ -141,6 +153,8 @@
 	const pass: Pass = {
 		context,
 		vms: [],
+		coldVms: [],
+		withheldMilliByVm: new Map(),
 		demandsWithoutVm: [],
 		stepsWithoutVm: new Set(),
 		requirementsWithoutVm: new Set(),
@@ -157,7 +171,11 @@
 		return {state: {...pass.state, ownersSeen: owners.ownersSeen()}, effects: []};
 	}
 
-	pass.vms = [...context.cluster.vms.values()].filter(vm => acceptsNewTasks(vm, context.cluster) && !silentVmIds.has(vm.vmId));
+	const accepting = [...context.cluster.vms.values()].filter(vm => acceptsNewTasks(vm, context.cluster) && !silentVmIds.has(vm.vmId));
+	const {warm, cold, withheldMilliByVm} = splitByWarmth(accepting, state.coldVms, context.nowMs);
+	pass.vms = warm;
+	pass.coldVms = cold;
+	pass.withheldMilliByVm = withheldMilliByVm;
 	for (const priority of priorityClassesForPass(context.seed, context.cluster.configuration.requestLimits.floorMilliByClass)) {
 		placeClass(pass, priority);
 	}
@@ -236,6 +254,11 @@
 		candidates = candidatesAmong(pass, task, vms);
 	}
 
+	if (candidates.length === 0 && pass.coldVms.length > 0 && !isWithoutVm) {
+		considered += pass.coldVms.length;
+		candidates = candidatesAmong(pass, task, pass.coldVms);
+	}
+
 	if (candidates.length === 0 && task.priority === 'urgent' && !isWithoutVm) {
 		candidates = candidatesWithEvictions(pass, task);
 	}
@@ -379,7 +402,10 @@
 	const step = stepOf(cluster, task);
 	const offerContext = {cluster, pending: pass.state.pending, fillingRoomByVm: pass.state.fillingRoomByVm};
 	const candidateOn = (vm: Vm): FeasibleVm | undefined => {
-		const free = freeResourcesOf(vm, pass.state.pending.committedByVm.get(vm.vmId, noResources));
+		const free = subtractResources(
+			freeResourcesOf(vm, pass.state.pending.committedByVm.get(vm.vmId, noResources)),
+			{...noResources, processorsMilli: pass.withheldMilliByVm.get(vm.vmId) ?? 0},
+		);
 		const offered = fillingMilli === 0 ? free : {...free, processorsMilli: offeredMilliOf(vm, offerContext, free)};
 		const unreserved = unreservedResourcesFor(pass.state.reservations, task, {vmId: vm.vmId, free}, cluster);
 		if (!fitsInto(task.spec.demand, unreserved) || offered.processorsMilli < requiredIdleMilli || !isAllowed(pass, task, step, vm)) {
--- a/src/worker/worker-answers.ts
+++ b/src/worker/worker-answers.ts
@@ -42,6 +42,8 @@
 	startedAtMs: z.optional(z.int()),
 	/** Whether the worker has announced that it is leaving. */
 	leaving: z.optional(z.boolean()),
+	/** Time for which the worker remains slow; absent for a warm one. */
+	coldLeftMs: z.optional(z.int()),
 }));
 
 export type WorkerTasks = z.infer<typeof workerTasksSchema>;
