--- a/soak/outcome.test.ts
+++ b/soak/outcome.test.ts
@@ -36,6 +36,18 @@
 	t.is(countBroken([started(900)], {cancelledJobs}), 1);
 });
 
+/** Guards against starts in an evacuated failure domain, and against a check that sees none. */
+test('a start over 5 s after the evacuation of the executor\'s failure domain breaks a promise, over 11 s while faults were near', t => {
+	const evacuations = [{executorId: 'i-1', fromMs: 1000, untilMs: 15_000}];
+	t.is(countBroken([started(5900)], {evacuations}), 0);
+	t.is(countBroken([started(6100)], {evacuations}), 1);
+	t.is(countBroken([started(6100, 'i-2')], {evacuations}), 0);
+	t.is(countBroken([started(15_100)], {evacuations}), 0);
+	const faults = [{fromMs: 4000, untilMs: 4500}];
+	t.is(countBroken([started(11_900)], {evacuations, faults}), 0);
+	t.is(countBroken([started(12_100)], {evacuations, faults}), 1);
+});
+
 test('a task that lasts and waits for over 9 s breaks a promise unless faults were near', t => {
 	const lastingTasks = new Map([[taskId, 0]]);
 	t.is(countBroken([started(0), ended(1000)], {lastingTasks}), 1);
--- a/soak/outcome.ts
+++ b/soak/outcome.ts
@@ -3,6 +3,9 @@
 /** A period of faults; times are of the monotonic clock. */
 export type FaultPeriod = Readonly<{fromMs: number; untilMs: number}>;
 
+/** A time in which the operator's request to evacuate the failure domain of an executor stood. */
+export type EvacuationPeriod = FaultPeriod & Readonly<{executorId: string}>;
+
 /** What clients and executors saw in a run. */
 export type Observations = Readonly<{
 	events: readonly ExecutorEvent[];
@@ -13,6 +16,7 @@
 	/** Jobs whose cancellation was acknowledged, with the time. */
 	cancelledJobs?: ReadonlyMap<string, number>;
 	faults: readonly FaultPeriod[];
+	evacuations?: readonly EvacuationPeriod[];
 	endMs: number;
 }>;
 
@@ -30,6 +34,10 @@
 /** A VM that a fault has affected keeps the promises about cancelled jobs again after this time. */
 const inTouchMs = 3000;
 
+/** From this time after the request, nothing starts in an evacuated failure domain, and as much later as a process may have been cut off from the store. */
+const evacuateMs = 5000;
+const cutOffMs = 6000;
+
 type Gap = Readonly<{taskId: string; fromMs: number; untilMs: number}>;
 
 /** Returns the times in which no executor ran a task, from when it was accepted. */
@@ -63,8 +71,9 @@
 }
 
 function findForbiddenGaps(observations: Observations): readonly string[] {
-	const {faults} = observations;
-	const isCalm = (atMs: number): boolean => faults.every(({fromMs, untilMs}) => untilMs < atMs - calmMs || fromMs > atMs);
+	// With all failure domains evacuated, no task can run again.
+	const disturbances = [...observations.faults, ...observations.evacuations ?? []];
+	const isCalm = (atMs: number): boolean => disturbances.every(({fromMs, untilMs}) => untilMs < atMs - calmMs || fromMs > atMs);
 	return gapsOfAll(observations).flatMap(({taskId, fromMs, untilMs}) => {
 		for (let atMs = fromMs + restartBoundMs; atMs < untilMs; atMs += stepMs) {
 			if (isCalm(atMs)) {
@@ -104,6 +113,18 @@
 	return [...broken, ...runningOn.map(key => `${key} runs on, although its job was cancelled`)];
 }
 
+/** Returns the starts in failure domains that were evacuated for longer than the bound. It is extended while another fault may have cut a process off. */
+function findEvacuatedStarts({events, evacuations = [], faults}: Observations): readonly string[] {
+	return events.filter(({kind}) => kind === 'started').flatMap(({taskId, run, executorId, atMs}) => evacuations
+		.filter(period => period.executorId === executorId && period.fromMs <= atMs && atMs <= period.untilMs)
+		.flatMap(({fromMs}) => {
+			const boundMs = evacuateMs + (faults.some(fault => fault.untilMs >= fromMs - cutOffMs && fault.fromMs <= atMs) ? cutOffMs : 0);
+			return atMs > fromMs + boundMs
+				? [`run ${run} of ${taskId} started on ${executorId} at ${Math.round(atMs)}, ${Math.round(atMs - fromMs)} ms after its failure domain was evacuated, where ${boundMs} ms are allowed`]
+				: [];
+		}));
+}
+
 /** Returns the time of each end as done that was acknowledged, then or later, while the executor's lease lasted, by task. */
 function acknowledgedEndsOf(events: readonly ExecutorEvent[]): ReadonlyMap<string, number> {
 	const endedAtMs = new Map<string, number>();
@@ -152,5 +173,5 @@
 		}
 	}
 
-	return [...broken, ...findCancelledWork(observations), ...findForbiddenGaps(observations)];
+	return [...broken, ...findCancelledWork(observations), ...findEvacuatedStarts(observations), ...findForbiddenGaps(observations)];
 }
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -4,12 +4,13 @@
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {type ExecutorEvent} from '../stand-ins/executor-stand-in.js';
 import {createClients, type Call} from './clients.js';
+import {evacuationsMs, planEvacuations} from './evacuations.js';
 import {
 	faultsMs, planFaults, type Fault, type RandomInt,
 } from './faults.js';
 import {type LossKind} from './losses.js';
 import {
-	findBrokenPromises, longestWaitMs, type FaultPeriod, type Observations,
+	findBrokenPromises, longestWaitMs, type EvacuationPeriod, type FaultPeriod, type Observations,
 } from './outcome.js';
 import {goodTaskMs, runGoodJob} from './run-good-job.js';
 import {startSite} from './site.js';
@@ -96,7 +97,7 @@
 @example
 const {failures} = await runSoak({seed: 1, bundleDirectory: 'dist'});
 */
-export async function runSoak({seed, bundleDirectory, losses: lossKinds, hasLateStarts = false, hasRecuts = false, hasCancels = false, ...size}: Readonly<{
+export async function runSoak({seed, bundleDirectory, losses: lossKinds, hasLateStarts = false, hasRecuts = false, hasCancels = false, hasEvacuations = false, ...size}: Readonly<{
 	seed: number;
 	bundleDirectory: string;
 	/** Kinds of losses for good; a calm follows in which tasks that last have to run again. */
@@ -107,6 +108,8 @@
 	hasRecuts?: boolean;
 	/** Clients cancel two fifths of the jobs that do not last, also before they are accepted. */
 	hasCancels?: boolean;
+	/** The operator evacuates failure domains. */
+	hasEvacuations?: boolean;
 	entryCount?: number;
 	agentCount?: number;
 	/** Entries that decide; all of them without it. */
@@ -129,12 +132,12 @@
 	const periods: InjectedFault[] = [];
 	const failures: string[] = [];
 
-	async function inject({atMs, inject: run, ...fault}: Fault, startMs: number): Promise<void> {
+	async function inject({atMs, inject: run, ...fault}: Fault, startMs: number, into: Array<FaultPeriod | InjectedFault> = periods): Promise<void> {
 		await delay(Math.max(0, startMs + atMs - performance.now()));
 		const fromMs = performance.now();
-		const index = periods.push({...fault, fromMs, untilMs: Number.POSITIVE_INFINITY}) - 1;
+		const index = into.push({...fault, fromMs, untilMs: Number.POSITIVE_INFINITY}) - 1;
 		await run();
-		periods[index] = {...fault, fromMs, untilMs: performance.now()};
+		into[index] = {...fault, fromMs, untilMs: performance.now()};
 	}
 
 	try {
@@ -156,9 +159,14 @@
 		const {faults, losses} = planFaults(site, {
 			randomInt, seed, losses: lossKinds, hasLateStarts, hasRecuts,
 		});
+		// They are drawn last, so that a seed draws the same other faults with and without them.
+		const evacuationPeriods: EvacuationPeriod[] = [];
+		const evacuations = hasEvacuations ? planEvacuations(site, {randomInt, periods: evacuationPeriods}) : [];
+		const evacuationFaults: FaultPeriod[] = [];
+		const submitMs = hasEvacuations ? evacuationsMs : faultsMs;
 		let jobs = 0;
 		const submitting = (async () => {
-			while (performance.now() < startMs + faultsMs) {
+			while (performance.now() < startMs + submitMs) {
 				const isLong = hasRecuts && uniformInt(clientGenerator, 0, longJobRatio - 1) === 0;
 				const runMs = isLong ? longTaskMs : uniformInt(clientGenerator, 20, 600);
 				clients.submit({jobId: idOfJob(++jobs), isLasting: false}, {
@@ -176,7 +184,7 @@
 				await delay(submitPauseMs);
 			}
 		})();
-		await Promise.all([submitting, ...faults.map(async fault => inject(fault, startMs))]);
+		await Promise.all([submitting, ...faults.map(async fault => inject(fault, startMs)), ...evacuations.map(async evacuation => inject(evacuation, startMs, evacuationFaults))]);
 		for (const {executor} of site.agents) {
 			executor.setOddAnswers({});
 		}
@@ -192,7 +200,7 @@
 			return acceptedAtMs === undefined ? [] : Array.from({length: lastingCount}, (_, index) => [`${jobId}.0.0.${index}`, acceptedAtMs] as const);
 		}));
 		const observations: Observations = {
-			events, refusedJobs: clients.refusedJobs(), cancelledJobs: clients.cancelledAtMs(), lastingTasks, faults: periods, endMs,
+			events, refusedJobs: clients.refusedJobs(), cancelledJobs: clients.cancelledAtMs(), lastingTasks, faults: periods, evacuations: evacuationPeriods, endMs,
 		};
 		failures.push(
 			...findUnkeptAnswers(clients.calls(), clients.acceptedAtMs(), periods),
@@ -200,10 +208,11 @@
 			...[...lastingTasks.keys()].filter(taskId => !events.some(event => event.taskId === taskId)).map(taskId => `${taskId} never ran`),
 		);
 		return {
-			jobs, faults: faults.length + losses.length, longestWaitMs: longestWaitMs(observations), ownLagMs: lag.percentile(ownLagPercentile) / nanosecondsPerMs,
+			jobs, faults: faults.length + evacuations.length + losses.length, longestWaitMs: longestWaitMs(observations), ownLagMs: lag.percentile(ownLagPercentile) / nanosecondsPerMs,
 			failures: [...failures, ...site.ownEnds()], logs: site.logs(), durationMs: performance.now() - beginMs,
 			journal: [
 				...periods.map(({description, fromMs, untilMs}) => ({atMs: fromMs, text: `fault: ${description} (until ${Math.round(untilMs)})`})),
+				...evacuationPeriods.map(({executorId, fromMs, untilMs}) => ({atMs: fromMs, text: `evacuation of the failure domain of ${executorId} (until ${Math.round(untilMs)})`})),
 				...clients.calls().map(({entry, method, jobId, sentAtMs, endedAtMs, status, text}) => ({
 					atMs: sentAtMs, text: `${method} ${jobId} at ${entry.name}: ${status ?? 'none'} ${text.slice(0, 80)} after ${Math.round(endedAtMs - sentAtMs)} ms`,
 				})),
--- a/soak/site.ts
+++ b/soak/site.ts
@@ -24,7 +24,7 @@
 }>;
 
 export type SiteEntry = SiteProcess<'store' | 'agents' | 'relay'> & Readonly<{queueAddress: string; readinessAddress: string}>;
-export type SiteAgent = SiteProcess<'store' | 'executor' | 'control'> & Readonly<{controlAddress: string; executor: ExecutorStandIn; executorId: string; workerAddress: string}>;
+export type SiteAgent = SiteProcess<'store' | 'executor' | 'control'> & Readonly<{controlAddress: string; executor: ExecutorStandIn; executorId: string; failureDomain: string; workerAddress: string}>;
 
 /** Entries and agents as separate processes, with the stand-ins of the platform in this process. */
 export type Site = Readonly<{
@@ -33,6 +33,8 @@
 	agents: readonly SiteAgent[];
 	/** Writes the operator's configuration with the next version. */
 	configure: (fields?: Readonly<Record<string, unknown>>) => void;
+	/** Requests the evacuation of a failure domain as the operator does, or removes the request. */
+	evacuate: (failureDomain: string, isRequested: boolean) => void;
 	/** Returns the executors that started a task of a job. */
 	executorsOf: (jobId: string) => ReadonlySet<string>;
 	/** Returns how processes ended that the site did not end, with the last lines that they printed. */
@@ -199,6 +201,7 @@
 		const toExecutor = await proxy(executorAddress);
 		const toControl = await proxy(controlAddress);
 		const executorId = `i-${index + 1}`;
+		const failureDomain = `zone-${index + 1}`;
 		const executor = await createExecutorStandIn({
 			address: executorAddress, controlAddress: toControl.address, announcedAddress: toExecutor.address, service, runTimeMs, announceMs, executorId, onEvent: recordEvent,
 		});
@@ -206,7 +209,7 @@
 		const started = await startProcess('agent', `agent-${index + 1}`, {store: toStore.link, executor: toExecutor.link, control: toControl.link}, {
 			role: 'agent',
 			vmId: `vm-${index + 1}`,
-			failureDomain: `zone-${index + 1}`,
+			failureDomain,
 			rack: 'unknown',
 			requestAddress,
 			entryStreams: 3,
@@ -222,7 +225,7 @@
 			timings: agentTimings,
 		});
 		return {
-			...started, controlAddress, executor, executorId, workerAddress: toExecutor.address,
+			...started, controlAddress, executor, executorId, failureDomain, workerAddress: toExecutor.address,
 		};
 	}
 
@@ -264,6 +267,9 @@
 			entries,
 			agents,
 			configure,
+			evacuate(failureDomain, isRequested) {
+				store.putKey('keyed.op', `evacuate/${failureDomain}`, isRequested ? '{}' : '');
+			},
 			executorsOf: jobId => executorsOfJob.get(jobId) ?? new Set(),
 			ownEnds: () => started.filter(({child}) => child.exit() && !endedBySite.has(child)).map(ended => describeEnd(ended)),
 			logs: () => new Map(started.map(({name, child}) => [`${name}-${child.pid}`, [...child.lines(), ...child.errorLines()]])),
--- a/src/cluster/evacuations.test.ts
+++ b/src/cluster/evacuations.test.ts
@@ -3,7 +3,9 @@
 import {type ClusterRecord} from './cluster-record.js';
 import {decodeClusterState, encodeClusterState} from './cluster-state-codec.js';
 import {type ClusterState} from './cluster-state.js';
-import {type EvacuationRequest, isEvacuated, newerRequests, withRequests} from './evacuations.js';
+import {
+	type EvacuationRequest, isEvacuated, newerRequests, withRequests,
+} from './evacuations.js';
 import {applyRecord, emptyClusterState} from './reduce-cluster.js';
 
 const demand = {processorsMilli: 1000, memoryMb: 1, accelerators: 0};
@@ -119,7 +121,7 @@
 				state = apply(state, [isClaim ? claim(number) : evacuation(readThrough % 2 === 0, readThrough)]);
 				newestRead = isClaim ? newestRead : Math.max(newestRead, readThrough);
 				const isRequested = newestRead >= 0 && newestRead % 2 === 0;
-				const phase = state.tasks.get(`task-${number}`)!.phase;
+				const {phase} = (state.tasks.get(`task-${number}`)!);
 				if (isClaim && before === 'queued' && (phase === 'claimed') === isRequested) {
 					throw new Error(`task-${number} is ${phase} while the newest record read has offset ${newestRead}`);
 				}
--- a/src/dispatch/agent-configuration.ts
+++ b/src/dispatch/agent-configuration.ts
@@ -36,7 +36,9 @@
 		.filter(({draining}) => draining)
 		.map(({backendServerId}) => backendServerId)
 		.toSorted();
-	const value = {services, drainingBackendServers, vmDraining: vm.draining, vmEvacuated: configuredFrom.vmEvacuated};
+	const value = {
+		services, drainingBackendServers, vmDraining: vm.draining, vmEvacuated: configuredFrom.vmEvacuated,
+	};
 	const sentConfiguration = JSON.stringify([configuration.offset, value]);
 	if (sentConfiguration === link.sentConfiguration) {
 		return {link: {...link, configuredFrom}, effects: []};
--- a/src/entry/evacuation.test.ts
+++ b/src/entry/evacuation.test.ts
@@ -87,7 +87,7 @@
 
 test('a request is recorded once until it is read back, and its removal returns the failure domain to service', t => {
 	const entry = createEntry(requestOf(7));
-	const [record] = recordsOf(entry.tick(1500)).filter(({kind}) => kind === 'failure-domain-evacuation');
+	const record = recordsOf(entry.tick(1500)).find(({kind}) => kind === 'failure-domain-evacuation');
 	t.deepEqual(record, {
 		kind: 'failure-domain-evacuation', failureDomain: 'zone-a', isRequested: true, requestOffset: 7, noticedAtMs: 1_001_500,
 	});
@@ -97,7 +97,7 @@
 	entry.readTopic({byFailureDomain: new Map(), listedEndOffset: 8});
 	t.deepEqual(kindsOf(entry.tick(3000)), [], 'the list ends at the request');
 	entry.readTopic({byFailureDomain: new Map(), listedEndOffset: 10});
-	const [removal] = recordsOf(entry.tick(3500)).filter(({kind}) => kind === 'failure-domain-evacuation');
+	const removal = recordsOf(entry.tick(3500)).find(({kind}) => kind === 'failure-domain-evacuation');
 	const returned = entry.read(3600, removal!);
 	t.true(eventsOf(returned).includes('failure-domain-returned'));
 	t.deepEqual(kindsOf(returned), ['task-claimed']);
--- a/src/operator/build-status.ts
+++ b/src/operator/build-status.ts
@@ -1,4 +1,5 @@
 import {type ClusterState, type Vm} from '../cluster/cluster-state.js';
+import {failureDomainLoadOf, isEvacuated} from '../cluster/evacuations.js';
 import {type PriorityClass} from '../cluster/intent.js';
 import {noResources, subtractResources} from '../cluster/resources.js';
 import {type CountsByClass, type Liveness, type StatusReport} from './operator-api.js';
@@ -18,6 +19,10 @@
 		offset: state.offset,
 		configuration: {offset: state.configuration.offset, inForce: lagging.length === 0, lagging},
 		log: {reachable: liveness.logReachable, tailAgeMs: liveness.tailAgeMs},
+		evacuations: [...state.configuration.evacuations].filter(([, {isRequested}]) => isRequested).toSorted(([left], [right]) => left < right ? -1 : 1)
+			.map(([failureDomain, {noticedAtMs, refusedClaims}]) => ({
+				failureDomain, sinceMs: noticedAtMs === 0 ? null : noticedAtMs, ...failureDomainLoadOf(state, failureDomain), refusedClaims,
+			})),
 		entries: state.entries.valueSeq()
 			.map(({entryId, failureDomain, lastOffset}) => ({entryId, failureDomain, lastOffset}))
 			.sortBy(entry => entry.entryId).toArray(),
@@ -33,7 +38,7 @@
 				vmId: vm.vmId,
 				failureDomain: vm.failureDomain,
 				rack: vm.rack,
-				condition: vmCondition(vm),
+				condition: vmCondition(state, vm),
 				committed: vm.committed,
 				free: subtractResources(vm.capacity, vm.committed),
 				tasks: vm.taskIds.size,
@@ -68,9 +73,10 @@
 	}).toArray();
 }
 
-function vmCondition(vm: Vm): string {
+function vmCondition(state: ClusterState, vm: Vm): string {
 	return [
 		vm.phase,
+		isEvacuated(state, vm.failureDomain) ? 'evacuated' : '',
 		vm.draining ? 'draining' : '',
 		vm.quarantined ? 'quarantined' : '',
 		vm.heardBy.isEmpty() ? 'unreachable' : '',
--- a/src/operator/operator-api.ts
+++ b/src/operator/operator-api.ts
@@ -63,6 +63,17 @@
 		}).readonly()).readonly(),
 	}).readonly(),
 	log: z.strictObject({reachable: z.boolean(), tailAgeMs: z.number()}).readonly(),
+	/** Failure domains that the operator evacuates. Missing from entries of earlier versions. */
+	evacuations: z.array(z.strictObject({
+		failureDomain: z.string(),
+		/** Time of day at which an entry recorded the request; null when it is not known. */
+		sinceMs: z.int().nullable(),
+		vms: z.int(),
+		runningTasks: z.int(),
+		/** Tasks that were claimed before and that their agents are about to refuse. */
+		claimedTasks: z.int(),
+		refusedClaims: z.int(),
+	}).readonly()).readonly().default([]),
 	entries: z.array(z.strictObject({entryId: z.string(), failureDomain: z.string(), lastOffset: z.int()}).readonly()).readonly(),
 	services: z.array(z.strictObject({
 		service: z.string(),
@@ -84,7 +95,7 @@
 		vmId: z.string(),
 		failureDomain: z.string(),
 		rack: z.string(),
-		/** `live`, `revoked` or `expired`, with `draining`, `quarantined` and `unreachable` when they apply. */
+		/** `live`, `revoked` or `expired`, with `evacuated`, `draining`, `quarantined` and `unreachable` when they apply. */
 		condition: z.string(),
 		committed: resourcesSchema,
 		free: resourcesSchema,
--- a/src/operator/render-status.ts
+++ b/src/operator/render-status.ts
@@ -14,6 +14,13 @@
 	return [
 		`Applied offset ${report.offset}; log ${log.reachable ? 'reachable' : 'NOT REACHABLE'}, tail read ${Math.round(log.tailAgeMs)} ms ago; ${report.evictions} evictions`,
 		`Configuration of offset ${configuration.offset} is ${configuration.inForce ? 'in force' : `NOT IN FORCE; not applied by ${lagging.join(', ')}`}`,
+		...report.evacuations.length === 0
+			? []
+			: [renderSection('Evacuated failure domains', ['failure domain', 'since', 'VMs', 'running tasks', 'claimed tasks', 'refused claims'], report.evacuations.map(evacuation => [
+				evacuation.failureDomain,
+				evacuation.sinceMs === null ? 'unknown' : new Date(evacuation.sinceMs).toISOString(),
+				...[evacuation.vms, evacuation.runningTasks, evacuation.claimedTasks, evacuation.refusedClaims].map(String),
+			]))],
 		renderSection('Entries', ['entry', 'failure domain', 'last offset'], report.entries.map(entry => [entry.entryId, entry.failureDomain, String(entry.lastOffset)])),
 		renderSection('Services', ['service', 'team', 'target ms', 'serving', 'leaving', 'slots'], report.services.map(service => [
 			service.service, service.teamId, String(service.latencyTargetMs), String(service.serving), String(service.leaving), String(service.slots),
--- a/src/placement/cold-vms.test.ts
+++ b/src/placement/cold-vms.test.ts
@@ -2,10 +2,11 @@
 import {type Vm} from '../cluster/cluster-state.js';
 import {noColdVms, recordColdLeft, splitByWarmth} from './cold-vms.js';
 
-// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- The split reads no other field.
-const vm = (vmId: string, service = 's'): Vm => ({vmId, service, capacity: {processorsMilli: 16_000, memoryMb: 1, accelerators: 0}}) as Vm;
+type SplitVm = Pick<Vm, 'vmId' | 'service' | 'capacity'>;
 
-const ids = (vms: readonly Vm[]): readonly string[] => vms.map(({vmId}) => vmId);
+const vm = (vmId: string, service = 's'): SplitVm => ({vmId, service, capacity: {processorsMilli: 16_000, memoryMb: 1, accelerators: 0}});
+
+const ids = (vms: readonly SplitVm[]): readonly string[] => vms.map(({vmId}) => vmId);
 
 test('a cold VM gives a quarter of its processors at first, and more until it is warm', t => {
 	const vms = [vm('vm-1'), vm('vm-2'), vm('vm-3')];
--- a/src/placement/cold-vms.ts
+++ b/src/placement/cold-vms.ts
@@ -32,8 +32,11 @@
 	return coldVms.every(({untilMs}) => untilMs > nowMs) ? coldVms : coldVms.filter(({untilMs}) => untilMs > nowMs);
 }
 
+/** What the split reads of a VM. */
+type SplitVm = Pick<Vm, 'vmId' | 'service' | 'capacity'>;
+
 /** VMs that accept tasks, by whether their worker is cold, and the millicores that each cold one does not give to tasks yet. */
-export type VmsByWarmth = Readonly<{warm: readonly Vm[]; cold: readonly Vm[]; withheldMilliByVm: ReadonlyMap<string, number>}>;
+export type VmsByWarmth<Each extends SplitVm = Vm> = Readonly<{warm: readonly Each[]; cold: readonly Each[]; withheldMilliByVm: ReadonlyMap<string, number>}>;
 
 /**
 Splits VMs by warmth. All VMs of a service count as warm while less than half of its processors are.
@@ -41,8 +44,8 @@
 @example
 splitByWarmth(vms, coldVms, nowMs).withheldMilliByVm.get('vm-1'); // => 12000 of 16000 millicores
 */
-export function splitByWarmth(vms: readonly Vm[], coldVms: ColdVms, nowMs: number): VmsByWarmth {
-	const isCold = ({vmId}: Vm): boolean => (coldVms.get(vmId)?.untilMs ?? 0) > nowMs;
+export function splitByWarmth<Each extends SplitVm>(vms: readonly Each[], coldVms: ColdVms, nowMs: number): VmsByWarmth<Each> {
+	const isCold = ({vmId}: SplitVm): boolean => (coldVms.get(vmId)?.untilMs ?? 0) > nowMs;
 	if (coldVms.isEmpty() || !vms.some(vm => isCold(vm))) {
 		return {warm: vms, cold: [], withheldMilliByVm: new Map()};
 	}
@@ -55,7 +58,7 @@
 		capacity.warmMilli += isCold(vm) ? 0 : vm.capacity.processorsMilli;
 	}
 
-	const isSpared = (vm: Vm): boolean => {
+	const isSpared = (vm: Each): boolean => {
 		const {warmMilli, allMilli} = capacityByService.get(vm.service)!;
 		return isCold(vm) && warmMilli >= minWarmCapacityShare * allMilli;
 	};
