Let the soak's evacuations outlast the bound that other faults extend

Cause: evacuations of 7 to 14 s beside other faults ended soon after 11 s, so that the code before evacuations passed the check too.

Change: they last 13 to 18 s and also begin behind the other faults.

--- a/soak/evacuations.ts
+++ b/soak/evacuations.ts
@@ -6,12 +6,12 @@
 const minEvacuations = 1;
 const maxEvacuations = 3;
 
-/** Evacuations begin within this time, beside the other faults. */
-const beginsWithinMs = 6000;
+/** Evacuations begin within this time: beside the other faults, which begin within 6 s, and behind them. */
+const beginsWithinMs = 10_000;
 
-/** Length of an evacuation: starts are forbidden from 5 s after the request, so that some time is left to see one. */
-const minDurationMs = 7000;
-const maxDurationMs = 14_000;
+/** Length of an evacuation. Beside other faults starts are forbidden only from 11 s after the request, and some time must be left to see one. */
+const minDurationMs = 13_000;
+const maxDurationMs = 18_000;
 
 /** Time for which new jobs are submitted, so that there are tasks to start while evacuations stand. */
 export const evacuationsMs = beginsWithinMs + maxDurationMs;
