--- a/bench/main.ts
+++ b/bench/main.ts
@@ -54,6 +54,23 @@
 			return runEntryCost;
 		},
 	},
+	recovery: {
+		description: 'All processes lose power at once and start again: when each part of the recovery is over',
+		options: [
+			['--entries <count>', 'Entries (default: 6)'],
+			['--agents <count>', 'Agents (default: 12)'],
+			['--deciders <count>', 'Entries that decide (default: 4)'],
+			['--tasks <count>', 'Long-running tasks for each agent (default: 12)'],
+			['--dark-ms <number>', 'Time without power in milliseconds (default: 700)'],
+			['--runs <count>', 'Losses of power in a row (default: 1)'],
+			['--bundles <directory>', 'Programs to run in place of those of this tree'],
+			['--logs <directory>', 'Where the logs of all processes are written'],
+		],
+		async load() {
+			const {runRecovery} = await import('./recovery.js');
+			return runRecovery;
+		},
+	},
 	outage: {
 		description: 'The log service down for longer than a lease, then back',
 		async load() {
--- a/soak/site.ts
+++ b/soak/site.ts
@@ -82,12 +82,14 @@
 await site.close();
 */
 export async function startSite({
-	bundleDirectory, runTimeMs, onEvent = () => undefined, prepareStore = () => undefined, entryCount = 2, agentCount = 2, deciderCount, nodeArguments = {entry: [], agent: []},
+	bundleDirectory, runTimeMs, onEvent = () => undefined, onAppended = () => undefined, prepareStore = () => undefined, entryCount = 2, agentCount = 2, deciderCount, nodeArguments = {entry: [], agent: []},
 }: Readonly<{
 	bundleDirectory: string;
 	/** Run time of a task by its payload. */
 	runTimeMs: (payload: string) => number;
 	onEvent?: (event: ExecutorEvent) => void;
+	/** Called with each record that a process appends to the store. */
+	onAppended?: (topic: string, record: Buffer) => void;
 	prepareStore?: (store: StoreStandIn) => void;
 	entryCount?: number;
 	agentCount?: number;
@@ -127,7 +129,10 @@
 
 	const store = await createStoreStandIn({
 		newestPageItems: 500,
-		mapAppended: (topic, record) => topic === entriesTopic || topic === entryRolesTopic ? announceProxy(record) : record,
+		mapAppended(topic, record) {
+			onAppended(topic, record);
+			return topic === entriesTopic || topic === entryRolesTopic ? announceProxy(record) : record;
+		},
 	});
 
 	async function proxy(targetAddress: string, address = nextAddress()): Promise<Readonly<{address: string; link: FaultProxy}>> {
--- a/src/agent/reduce-agent.ts
+++ b/src/agent/reduce-agent.ts
@@ -114,7 +114,11 @@
 			}));
 	}
 
-	return chain({...state, phase: 'active'}, sendHello, sendHeartbeats(nowMs));
+	return chain(
+		{...state, phase: 'active'}, current => transition(current, {
+			kind: 'log', level: 'info', event: 'registration-requested', fields: {incarnation: state.incarnation, workerIncarnation: state.worker.incarnation, tasks: state.tasks.size},
+		}), sendHello, sendHeartbeats(nowMs),
+	);
 }
 
 function sendHeartbeats(nowMs: number): StateUpdate {
@@ -268,9 +272,18 @@
 	const {heartbeatSequence, durationMs, inContact} = value;
 	const {contactLimitMs} = state.settings.timings;
 	const lease = extendLease(state.lease, {sequence: Number(heartbeatSequence), durationMs, inContact}, {nowMs, contactLimitMs});
+	const isFirst = state.lease.deadlineMs === undefined && lease.deadlineMs !== undefined;
 	return lease === state.lease
 		? transition(state)
-		: renewWorkerLease(nowMs)({...state, lease});
+		: chain(
+			{...state, lease},
+			current => isFirst
+				? transition(current, {
+					kind: 'log', level: 'info', event: 'first-lease-granted', fields: {incarnation: state.incarnation},
+				})
+				: transition(current),
+			renewWorkerLease(nowMs),
+		);
 }
 
 function applyMessage(state: AgentState, {message, nowMs}: AgentEventOf<'entry-message'>): Transition {
