Let callers and fronts meet the first decider sooner after a loss of power

A front checked the deciders once a second, so that it detected up to a second late that they answer; while none answers it checks every 100 ms, at most 100 times. Calls that were refused as not run before any decider has answered wait at most 1.2 s of the caller's 3 s, at most 64 of them, within 5 s of the start.

--- a/src/relay/job-relay.test.ts
+++ b/src/relay/job-relay.test.ts
@@ -218,3 +218,29 @@
 	isReady = true;
 	await waitFor(['d2']);
 });
+
+/** Guards against refusals, after which callers come back a second later, while the deciders load their state after a loss of power. */
+test('a call at a front that has just started waits for the first decider, and is answered by it', async t => {
+	const decider = await startDecider(t);
+	const relay = relayTo(t, []);
+	const submitted = relay.jobs.submit({});
+	await delay(200);
+	relay.setDeciders([{entryId: 'd0', relayAddress: decider.address}]);
+	const answer = await submitted;
+	t.true(answer.isOk);
+	t.is(decider.accepted.length, 1);
+});
+
+test('a front that has just started is ready within 200 ms after a decider is', async t => {
+	let isReady = false;
+	const decider = await startDecider(t, {readiness: () => isReady ? ready : {isReady: false, reason: 'the state is being loaded'}});
+	const relay = relayTo(t, [decider.address]);
+	await delay(150);
+	isReady = true;
+	const sinceMs = performance.now();
+	while (!relay.readiness().isReady) {
+		await delay(5);
+	}
+
+	t.true(performance.now() - sinceMs < 600, 'within 600 ms on a busy machine');
+});
--- a/src/relay/job-relay.ts
+++ b/src/relay/job-relay.ts
@@ -11,6 +11,8 @@
 import {boundedText} from '../validation/bounded-text.js';
 import {parseJson} from '../validation/parse-json.js';
 import {createHttpConnections, isConnectFailure, type HttpConnections} from '../worker/http-connections.js';
+import {checkPauseMs, quickCheckPauseMs} from './check-pause.js';
+import {createFirstAnswerWait} from './first-answer-wait.js';
 import {
 	concludeAttempts, evaluateAttempt, noAttempts, orderDeciders, type AttemptEnd,
 } from './relay-attempts.js';
@@ -39,6 +41,7 @@
 	readonly relayAddress: string;
 	servedAtMs: number;
 	failedAtMs: number;
+	isChecking: boolean;
 };
 
 /** Connections to one decider. */
@@ -58,9 +61,6 @@
 /** Share of retries without an answer of the calls, in thousandths. */
 const retryBudgetMilli = 200;
 
-/** Time between two checks of all deciders. */
-const checkIntervalMs = 1000;
-
 const checkTimeoutMs = 700;
 
 /** Time without an answer of any decider after which a front is not ready: two failed checks. */
@@ -74,6 +74,9 @@
 
 const refusedRetryAfterMs = 1000;
 
+/** Status of a call that was refused as not run. */
+const refusedStatus = 503;
+
 /**
 Creates the relay of a front; it relays after `setDeciders`. Each front prefers another decider, so that the load is spread.
 
@@ -94,6 +97,11 @@
 	let openCalls = 0;
 	let retryBudget: RetryBudget = {tokensMilli: initialRetriesMilli};
 	let isClosed = false;
+	let checkedAtMs = nowMs();
+	let quickChecks = 0;
+	const firstAnswer = createFirstAnswerWait({nowMs});
+
+	const isReady = (): boolean => nowMs() - lastAnsweredAtMs <= notReadyAfterMs;
 
 	function recordEnd(decider: DeciderState, end: AttemptEnd): void {
 		const isGood = end.kind === 'answered' && !(end.answer.result === 'error' && end.answer.error.status >= 503);
@@ -101,6 +109,7 @@
 		if (isGood) {
 			decider.servedAtMs = nowMs();
 			lastAnsweredAtMs = nowMs();
+			firstAnswer.recordAnswer();
 		}
 	}
 
@@ -111,8 +120,7 @@
 	}
 
 	/** Makes attempts at one decider after the other until the answer is final or the time is over. */
-	async function relay(call: RelayCall): Promise<RelayAnswer> {
-		const startMs = nowMs();
+	async function relay(call: RelayCall, startMs: number): Promise<RelayAnswer> {
 		const ids = orderDeciders(rankedIds, new Map([...deciders].map(([id, {failedAtMs}]) => [id, {entryId: id, failedAtMs}]))).slice(0, maxAttempts);
 		let attempts = noAttempts;
 		retryBudget = creditRequest(retryBudget, retryBudgetMilli);
@@ -156,7 +164,10 @@
 		openCalls++;
 		const startMs = nowMs();
 		try {
-			return await relay(call);
+			const isStarting = !firstAnswer.hasAnswer();
+			const answer = await relay(call, startMs);
+			// Nothing was done so far, so that the call is tried again once the first decider answers.
+			return isStarting && isRefusedAsNotRun(answer) && await firstAnswer.wait() ? await relay(call, startMs) : answer;
 		} finally {
 			openCalls--;
 			metrics.timingMs('relay.call', Math.round(nowMs() - startMs));
@@ -168,13 +179,29 @@
 		return answer.result === 'ok' ? ok(toValue(answer.value)) : err(answer.error);
 	}
 
-	async function checkDeciders(): Promise<void> {
-		await Promise.all([...deciders.values()].map(async decider => attempt(decider, {kind: 'check'}, checkTimeoutMs)));
+	/** Checks a decider, unless the check before has not ended. */
+	async function check(decider: DeciderState): Promise<void> {
+		if (!decider.isChecking) {
+			decider.isChecking = true;
+			await attempt(decider, {kind: 'check'}, checkTimeoutMs);
+			decider.isChecking = false;
+		}
+	}
+
+	function checkDeciders(): void {
+		// A timer may fire a little early.
+		if (nowMs() - checkedAtMs < checkPauseMs({isReady: isReady(), quickChecks}) - (quickCheckPauseMs / 2)) {
+			return;
+		}
+
+		checkedAtMs = nowMs();
+		quickChecks = isReady() ? 0 : quickChecks + 1;
+		for (const decider of deciders.values()) {
+			void check(decider);
+		}
 	}
 
-	const checkTimer = setInterval(() => {
-		void checkDeciders();
-	}, checkIntervalMs);
+	const checkTimer = setInterval(checkDeciders, quickCheckPauseMs);
 
 	return {
 		jobs: {
@@ -199,10 +226,10 @@
 			for (const [id, relayAddress] of addressById) {
 				if (!deciders.has(id)) {
 					const state: DeciderState = {
-						connections: createHttpConnections({address: relayAddress, connections}), relayAddress, servedAtMs: nowMs(), failedAtMs: Number.NEGATIVE_INFINITY,
+						connections: createHttpConnections({address: relayAddress, connections}), relayAddress, servedAtMs: nowMs(), failedAtMs: Number.NEGATIVE_INFINITY, isChecking: false,
 					};
 					deciders.set(id, state);
-					void attempt(state, {kind: 'check'}, checkTimeoutMs);
+					void check(state);
 				}
 			}
 
@@ -213,7 +240,7 @@
 			}
 		},
 		readiness() {
-			return nowMs() - lastAnsweredAtMs <= notReadyAfterMs
+			return isReady()
 				? {isReady: true, reason: ''}
 				: {isReady: false, reason: `no entry that decides has answered for ${notReadyAfterMs} ms`};
 		},
@@ -221,6 +248,7 @@
 		close() {
 			isClosed = true;
 			clearInterval(checkTimer);
+			firstAnswer.close();
 			for (const {connections: open} of deciders.values()) {
 				open.destroy();
 			}
@@ -234,6 +262,10 @@
 	return !readKinds.has(kind);
 }
 
+function isRefusedAsNotRun(answer: RelayAnswer): boolean {
+	return answer.result === 'error' && answer.error.status === refusedStatus;
+}
+
 /** A read without an answer has changed nothing. */
 function asNotSent(end: AttemptEnd): AttemptEnd {
 	return end.kind === 'unknown' ? {...end, kind: 'not-sent'} : end;
