Claim the restarts after a loss of power in one pass

512 pending claims bounded the first pass, so that the restarts beyond them waited 250 ms for the next one. Restarts may pend up to the 1,000 records that the log writer appends at once; other tasks keep the bound.

--- a/bench/recovery.ts
+++ b/bench/recovery.ts
@@ -41,8 +41,21 @@
 
 /** Parts in the order of a recovery. */
 const parts = [
-	'configuration', 'role', 'state', 'agentStart', 'announcement', 'list', 'stream', 'log.entry-registered', 'log.vm-registered', 'lease',
-	'log.task-claimed', 'restart', 'log.task-started', 'ready.decider', 'ready.front',
+	'configuration',
+	'role',
+	'state',
+	'agentStart',
+	'announcement',
+	'list',
+	'stream',
+	'log.entry-registered',
+	'log.vm-registered',
+	'lease',
+	'log.task-claimed',
+	'restart',
+	'log.task-started',
+	'ready.decider',
+	'ready.front',
 ];
 
 async function isReady({readinessAddress}: SiteEntry): Promise<boolean> {
--- a/src/placement/place-queued-tasks.test.ts
+++ b/src/placement/place-queued-tasks.test.ts
@@ -240,3 +240,45 @@
 	});
 	t.deepEqual(effects.map(effect => effect.kind === 'append-record' && effect.record.kind === 'task-claimed' ? effect.record.vmId : effect.kind), ['vm-free']);
 });
+
+/** Returns a context of one large VM, with 1,100 queued tasks that last; `attempt` is that of their former runs. */
+function manyTasksContext(attempt: number): EntryContext {
+	const context = contextAt(1000, 1);
+	const step = {
+		count: 1100, demand: {processorsMilli: 1, memoryMb: 1, accelerators: 0}, declaredRunTimeMs: 1000, longRunning: true,
+	};
+	const tasks = Array.from({length: step.count}, (_, index): Task => ({
+		...taskFixture, jobId: 'lasting', attempt, position: {occurrence: 0, stepIndex: 0}, spec: {...taskFixture.spec, taskId: `lasting.0.0.${index}`, demand: step.demand}, phase: 'queued', claim: undefined,
+	}));
+	const run: WorkflowRun = {
+		workflow: {
+			queue: 'q', service: 's', payload: '', steps: [step], maxFailures: 1, objective: {submittedAtMs: 0, stretchMilli: 1000, slackMs: 1000},
+		},
+		owner: {
+			jobId: 'lasting', teamId: 't', workClass: 'batch', priority: taskFixture.priority,
+		},
+		phase: 'queued',
+		unfinishedByStep: immutableMap([['0.0', step.count]]),
+		madeOccurrences: 1,
+	};
+	return {
+		...context,
+		incarnation: ownerByRendezvous(['i1', 'i2'], 's')!,
+		cluster: {
+			...context.cluster,
+			workflows: immutableMap([['lasting', run]]),
+			jobs: immutableMap([['lasting', tasks.map(({spec}) => spec.taskId)]]),
+			tasks: immutableMap(tasks.map(task => [task.spec.taskId, task])),
+			queued: immutableMap<PriorityClass, ReturnType<typeof orderedMap<string, true>>>([[taskFixture.priority, orderedMap(tasks.map(({spec}) => [spec.taskId, true as const]))]]),
+			vms: context.cluster.vms.map(vm => ({
+				...vm, service: 's', capacity: {processorsMilli: 9_000_000, memoryMb: 9_000_000, accelerators: 0}, committed: noResources, taskIds: immutableSet(),
+			})),
+		},
+	};
+}
+
+/** Guards against restarts that wait for a second pass after all VMs lost power; other tasks keep the bound on a pass. */
+test('a pass claims as many restarts as one append takes, and fewer first starts', t => {
+	t.is(placeQueuedTasks(initialPlacement, manyTasksContext(1)).effects.length, 1000);
+	t.is(placeQueuedTasks(initialPlacement, manyTasksContext(0)).effects.length, 512);
+});
--- a/src/placement/place-queued-tasks.ts
+++ b/src/placement/place-queued-tasks.ts
@@ -26,6 +26,7 @@
 import {
 	addPendingClaim, noPendingClaims, type PendingClaims, prunePendingClaims, siblingsKeyOf,
 } from './pending-claims.js';
+import {isRestart} from './restart-waits.js';
 import {createPlacementFailures, type PlacementFailures} from './placement-failures.js';
 import {placementPolicies} from './placement-policies.js';
 import {findStarvedJobs, type StarvedJobs, type WaitingJobs} from './starved-jobs.js';
@@ -84,8 +85,13 @@
 /** VMs sampled first for one task; all VMs are scanned only when none of the sample fits. */
 const sampledVms = 24;
 const sampledVmsForFillingWork = 128;
-/** Limit of pending claims, which bounds the size of one append. */
+/** Limit of pending claims, which bounds the size of one append and the duration of a pass. */
 const maxPendingClaims = 512;
+/**
+The limit while the next task is a restart. After all VMs lost power, the restarts beyond `maxPendingClaims` waited for the next pass, 250 ms later; the
+log writer appends 1,000 records at once.
+*/
+const maxPendingRestarts = 1000;
 /** Queued tasks of one class considered in a pass, which bounds its duration. */
 const maxScannedTasks = 4096;
 /** Tasks of one class that may try to reserve a VM in a pass, and the number of VMs compared for them. */
@@ -192,12 +198,13 @@
 		mayExceed: taskId => pass.starved.isStarved(cluster.tasks.get(taskId)!),
 	});
 	for (const taskId of ordered.slice(0, maxScannedTasks)) {
-		if (pass.state.pending.byTask.size >= maxPendingClaims) {
+		const task = cluster.tasks.get(taskId)!;
+		if (pass.state.pending.byTask.size >= (isRestart(task, cluster) ? maxPendingRestarts : maxPendingClaims)) {
 			return;
 		}
 
 		pass.failures.isolate('task', taskId, () => {
-			placeTask(pass, cluster.tasks.get(taskId)!);
+			placeTask(pass, task);
 		});
 	}
 }
