Learn run times from the starts and ends that an entry reads

Cause: declared run times are off by up to 0.9, and the estimates of what ends soon use nothing else. The entry records them from pages read near the log's tail; nothing reads them yet.

--- a/src/entry/entry-state.ts
+++ b/src/entry/entry-state.ts
@@ -7,6 +7,7 @@
 import {initialVmLiveness, type VmLivenessState} from '../membership/vm-liveness.js';
 import {type FailureAttributionState, initialFailureAttribution} from '../placement/failure-attribution.js';
 import {initialPlacement, type PlacementState} from '../placement/place-queued-tasks.js';
+import {noRunTimeEstimates, type RunTimeEstimates} from '../placement/run-time-estimates.js';
 import {initialRequestState, type RequestState} from '../requests/request-state.js';
 import {type AppendGuard, emptyAppendGuard} from './append-guard.js';
 import {type DeferredAnswers, noDeferredAnswers} from './deferred-answers.js';
@@ -46,6 +47,7 @@
 	entryLiveness: EntryLivenessState;
 	vmLiveness: VmLivenessState;
 	placement: PlacementState;
+	runTimes: RunTimeEstimates;
 	requests: RequestState;
 	failureAttribution: FailureAttributionState;
 	deferred: DeferredAnswers;
@@ -76,6 +78,7 @@
 		entryLiveness: initialEntryLiveness,
 		vmLiveness: initialVmLiveness,
 		placement: initialPlacement,
+		runTimes: noRunTimeEstimates,
 		requests: initialRequestState,
 		failureAttribution: initialFailureAttribution,
 		deferred: noDeferredAnswers,
--- a/src/entry/reduce-entry.ts
+++ b/src/entry/reduce-entry.ts
@@ -9,6 +9,7 @@
 import {recordAttemptEnds, tickFailureAttribution} from '../placement/failure-attribution.js';
 import {initialPlacement, placeQueuedTasks} from '../placement/place-queued-tasks.js';
 import {recordFailedStarts} from '../placement/restart-pauses.js';
+import {recordRunTimes} from '../placement/run-time-estimates.js';
 import {type RequestEvent} from '../requests/request-event.js';
 import {reduceRequests} from '../requests/reduce-requests.js';
 import {type EntrySettings} from '../settings/entry-settings.js';
@@ -17,7 +18,7 @@
 } from './reduce-agent-event.js';
 import {emptyAppendGuard} from './append-guard.js';
 import {requestDeferredAnswer, resolveDeferredAnswers} from './deferred-answers.js';
-import {type EntryContext} from './entry-context.js';
+import {type EntryContext, isLogFresh} from './entry-context.js';
 import {contextOf} from './context-of.js';
 import {type EntryEffect} from './entry-effect.js';
 import {type EntryEvent, type EventInputs} from './entry-event.js';
@@ -173,6 +174,11 @@
 			state: {...state, placement: {...state.placement, failedStarts: recordFailedStarts(state.placement.failedStarts, event.records, state.cluster, inputs.nowMs)}},
 			effects: [],
 		})],
+		['run-times', state => ({
+			// The times of records that were read late, such as at the start, are not known.
+			state: isLogFresh(contextOf(state, inputs, settings)) ? {...state, runTimes: recordRunTimes(state.runTimes, event.records, state.cluster, inputs.nowMs)} : state,
+			effects: [],
+		})],
 		['timeline', state => ({state, effects: recordTimeline(event.records, before, state.cluster, state.incarnation)})],
 		['failed-jobs', state => ({state, effects: logFailedJobs(event.records, {before, after: state.cluster}, state.incarnation)})],
 		['first-leases', state => grantFirstLeases(state, {cluster: before, tailSentAtMs}, inputs, settings)],
