Let the limit of started filling jobs follow what the VMs report

Cause: started filling jobs may demand 600 thousandths of what filling work demands or is offered, whatever they get of it, so that 236 to 270 of 1,300 processors were offered to nobody while 421 tasks waited. Change: agents report with each heartbeat what their filling tasks demand, are allowed and use, and how many serving tasks miss their target because of them. With planning.enabled the entry that places raises the limit by 100 thousandths a second while they are well supplied, no task of a started job waits for a VM and jobs are held back, and halves the rise twice a second otherwise; between 600 and planning.maxFillingDemandMilli (800).

--- a/bench/filling-site.ts
+++ b/bench/filling-site.ts
@@ -48,6 +48,8 @@
 		runTimeMs: Range;
 		memoryMb: number;
 		images: number;
+		/** Largest error of the declared run times, as a share of them; the error of an image is always the same. */
+		runTimeError: number;
 		burstFactor: number;
 		burstFromMs: number;
 		burstMs: number;
@@ -101,6 +103,7 @@
 		runTimeMs: [1800, 6000],
 		memoryMb: 3200,
 		images: 9,
+		runTimeError: 0,
 		burstFactor: 2,
 		burstFromMs: 10_000,
 		burstMs: 6000,
@@ -112,7 +115,7 @@
 	durationMs: 48_000,
 };
 
-/** The two sites that can be simulated. */
+/** The sites that can be simulated. */
 export const fillingSites = {
 	small: smallSite,
 	grown: {
@@ -129,6 +132,25 @@
 			...smallSite.small, jobsPerSecond: 3, processors: 0.9, memoryMb: 1200,
 		},
 	},
+	/** Filling jobs that demand three quarters of what VMs offer in the mean, and 2.2 times that in a burst, with wrong declared run times. */
+	heavy: {
+		...smallSite,
+		vmProcessors: Array.from({length: 75}, (_, index) => [16, 32, 48][index % 3]!),
+		vmMemoryMb: 192_000,
+		// The VMs have twice the processors and serving tasks of the small site's: a core is half as much of a VM, and half as many pairs as heavy leave as many VMs without one.
+		interference: {
+			...smallSite.interference, light: [0, 0.005], heavy: [0.05, 0.1], heavyShare: 0.06,
+		},
+		serving: {
+			...smallSite.serving, jobs: 42, tasksPerJob: [10, 18], processors: [2, 6], maxCommittedShare: 0.88, images: 10,
+		},
+		filling: {
+			...smallSite.filling, jobsPerSecond: 2.3, jobsAtStart: 0, tasksPerStep: [10, 30], processors: [1.5, 5.5], processorsExponent: 1, runTimeMs: [2100, 4100], images: 18, runTimeError: 0.9, burstFactor: 2.2, burstMs: 5000,
+		},
+		small: {
+			...smallSite.small, jobsPerSecond: 3, processors: 0.9, memoryMb: 1200,
+		},
+	},
 } as const satisfies Readonly<Record<string, FillingSite>>;
 
 /** A job with the time at which it is submitted. */
@@ -148,12 +170,14 @@
 	interferenceAt: (servingImage: string, fillingImage: string, nowMs: number) => number;
 	/** Share of its processors that a serving task of a job uses. */
 	loadAt: (jobId: string, nowMs: number) => number;
+	/** Run time of a task of a filling image divided by the declared one. */
+	runTimeFactorOf: (image: string) => number;
 	/** Factor on the tail latency of a serving task, above 1 during a latency spike. */
 	tailFactorAt: (taskId: string, nowMs: number) => number;
 }>;
 
 const streams = {
-	serving: 0, interference: 1, filling: 2, small: 3, phases: 4, spikes: 5,
+	serving: 0, interference: 1, filling: 2, small: 3, phases: 4, spikes: 5, runTimes: 6,
 } as const;
 
 const toMilli = (amount: number): number => Math.round(1000 * amount);
@@ -175,6 +199,9 @@
 	const phases = new RandomDraw(seed, streams.phases);
 	const phaseByJob = new Map(jobs.filter(({kind}) => kind === 'serving').map(({jobId}) => [jobId, phases.between(0, fullCircleRadians)]));
 	const spikes = drawLatencySpikes(site, seed, jobs);
+	const runTimes = new RandomDraw(seed, streams.runTimes);
+	const {images, runTimeError} = site.filling;
+	const runTimeFactors = new Map(Array.from({length: images}, (_, image) => [`fill-${image}`, 1 + (runTimeError * runTimes.between(-1, 1))]));
 	const {load, loadAmplitude, loadPeriodMs, spikeFactor} = site.serving;
 	return {
 		jobs,
@@ -183,6 +210,7 @@
 			return mean * (1 + (site.interference.amplitude * Math.sin((fullCircleRadians * nowMs / pairPeriodMs) + phase)));
 		},
 		loadAt: (jobId, nowMs) => load + (loadAmplitude * Math.sin((fullCircleRadians * nowMs / loadPeriodMs) + phaseByJob.get(jobId)!)),
+		runTimeFactorOf: image => runTimeFactors.get(image) ?? 1,
 		tailFactorAt: (taskId, nowMs) => spikes.get(taskId)?.some(({fromMs, toMs}) => nowMs >= fromMs && nowMs < toMs) ? spikeFactor : 1,
 	};
 }
--- a/bench/filling-work.ts
+++ b/bench/filling-work.ts
@@ -5,17 +5,18 @@
 import {printFigures} from './print-figures.js';
 
 const optionsSchema = z.object({
-	site: z.enum(['small', 'grown']).default('small'),
+	site: z.enum(['small', 'grown', 'heavy']).default('small'),
 	seeds: z.coerce.number().int().positive().default(20),
 	firstSeed: z.coerce.number().int().min(0).default(1),
 	load: z.coerce.number().positive().default(1),
 	heavyShare: z.coerce.number().min(0).max(1).optional(),
 	heavyPress: z.coerce.number().positive().default(1),
+	planning: z.boolean().default(false),
 	total: z.boolean().default(false),
 });
 
 const averaged = [
-	'fillingEarned', 'servingEarned', 'servingLost', 'overSeconds', 'lostSeconds', 'longestLostSeconds', 'brokenRules', 'usedShare', 'fillingShare', 'moves', 'meanPace', 'finishedJobs', 'fillingJobs',
+	'fillingEarned', 'servingEarned', 'servingLost', 'overSeconds', 'lostSeconds', 'longestLostSeconds', 'brokenRules', 'usedShare', 'fillingShare', 'moves', 'meanPace', 'finishedJobs', 'fillingJobs', 'fillingInTime', 'largeFillingInTime', 'smallInTime', 'meanLimitMilli',
 ] as const satisfies ReadonlyArray<keyof FillingResult>;
 
 /**
@@ -34,7 +35,7 @@
 	const site = siteOf(fillingSites[options.site], options);
 	const results: FillingResult[] = [];
 	for (let seed = options.firstSeed; seed < options.firstSeed + options.seeds; seed++) {
-		const result = playFillingDay(site, seed);
+		const result = playFillingDay(site, seed, {planning: options.planning});
 		results.push(result);
 		if (!options.total) {
 			printFigures({site: options.site, ...result});
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -64,9 +64,10 @@
 	filling: {
 		description: 'Filling work beside serving tasks in virtual time, with a model of their interference',
 		options: [
-			['--site <name>', 'small or grown (default: small)'],
+			['--site <name>', 'small, grown or heavy (default: small)'],
 			['--seeds <count>', 'Number of days (default: 20)'],
 			['--first-seed <seed>', 'Seed of the first day (default: 1)'],
+			['--planning', 'With the setting planning.enabled'],
 			['--load <factor>', 'Factor on the arrivals of filling jobs (default: 1)'],
 			['--heavy-share <share>', 'Part of the pairs of images that interfere heavily (default: 0.125)'],
 			['--heavy-press <factor>', 'Factor on the interference of heavy pairs (default: 1)'],
--- a/bench/play-filling-day.ts
+++ b/bench/play-filling-day.ts
@@ -5,9 +5,10 @@
 import {type ClusterState, type Task} from '../src/cluster/cluster-state.js';
 import {applyRecord, emptyClusterState} from '../src/cluster/reduce-cluster.js';
 import {stepOf} from '../src/cluster/workflow-progress.js';
+import {fillingLimitMilliOf, withFillingSupply} from '../src/placement/filling-limits.js';
 import {fillingLoadOf} from '../src/placement/filling-work.js';
 import {initialPlacement, placeQueuedTasks, type PlacementState} from '../src/placement/place-queued-tasks.js';
-import {entrySettingsSchema} from '../src/settings/entry-settings.js';
+import {entrySettingsSchema, type EntrySettings} from '../src/settings/entry-settings.js';
 import {
 	drawFillingDay, type DrawnJob, type FillingDay, type FillingSite, type JobKind,
 } from './filling-site.js';
@@ -38,10 +39,16 @@
 	meanPace: number;
 	finishedJobs: number;
 	fillingJobs: number;
+	/** Share of the jobs that finished within their objective: filling jobs, the fifth of them with the most work, and small jobs. */
+	fillingInTime: number;
+	largeFillingInTime: number;
+	smallInTime: number;
+	/** Mean limit of the started filling jobs, in thousandths. */
+	meanLimitMilli: number;
 }>;
 
-const settings = entrySettingsSchema.parse({
-	role: 'entry', entryId: 'e', failureDomain: 'a', callerAddress: '127.0.0.1:1', operatorAddress: '127.0.0.1:2', agentAddress: '127.0.0.1:3',
+export const settingsOf = (enabled: boolean): EntrySettings => entrySettingsSchema.parse({
+	role: 'entry', entryId: 'e', failureDomain: 'a', callerAddress: '127.0.0.1:1', operatorAddress: '127.0.0.1:2', agentAddress: '127.0.0.1:3', planning: {enabled},
 });
 
 const tickMs = 100;
@@ -70,6 +77,16 @@
 
 const priorities: Readonly<Record<JobKind, PriorityClass>> = {serving: 'urgent', small: 'normal', filling: 'background'};
 
+/** Share of the filling jobs, by work, that count as large. */
+const largeJobsShare = 0.2;
+
+const workOf = ({steps}: DrawnJob): number => steps.reduce((sum, {count, demand, declaredRunTimeMs}) => sum + (count * demand.processorsMilli * declaredRunTimeMs), 0);
+
+function allowedMsOf({steps}: DrawnJob): number {
+	const chainMs = steps.reduce((sum, {declaredRunTimeMs}) => sum + declaredRunTimeMs, 0);
+	return (chainMs * objective.stretchMilli / 1000) + objective.slackMs;
+}
+
 type Due = Readonly<{atMs: number; run: () => void}>;
 
 /** Number of windows of a job's serving tasks: all measured ones, those inside the target, and those beyond it because of filling work. */
@@ -81,11 +98,11 @@
 @example
 playFillingDay(fillingSites.small, 1).fillingEarned; // => 0.71
 */
-export function playFillingDay(site: FillingSite, seed: number): FillingResult {
-	return new FillingDaySimulation(site, seed).run();
+export function playFillingDay(site: FillingSite, seed: number, {planning = false}: Readonly<{planning?: boolean}> = {}): FillingResult {
+	return new FillingDaySimulation(site, seed, settingsOf(planning)).run();
 }
 
-class FillingDaySimulation {
+export class FillingDaySimulation {
 	private readonly day: FillingDay;
 	private readonly vms = new Map<string, ThrottledVm>();
 	private readonly capacities = new Map<string, number>();
@@ -109,8 +126,10 @@
 	private fillingProcessorMs = 0;
 	private shareSum = 0;
 	private fillingTaskTicks = 0;
+	private limitMilliSum = 0;
+	private passes = 0;
 
-	public constructor(private readonly site: FillingSite, private readonly seed: number) {
+	public constructor(private readonly site: FillingSite, private readonly seed: number, private readonly settings: EntrySettings) {
 		this.day = drawFillingDay(site, seed);
 	}
 
@@ -147,11 +166,12 @@
 	}
 
 	private recordHeartbeat(vmId: string, vm: ThrottledVm): void {
-		const {changedImpacts, fillingRoomMilli} = vm.heartbeat();
-		const {latencyImpacts, fillingRoomByVm} = this.placement;
+		const {changedImpacts, fillingRoomMilli, supplyReport} = vm.heartbeat();
+		const {latencyImpacts, fillingRoomByVm, fillingLimits} = this.placement;
 		this.placement = {
 			...this.placement,
 			latencyImpacts: mergeLatencyImpacts(latencyImpacts, changedImpacts),
+			fillingLimits: withFillingSupply(fillingLimits, vmId, supplyReport),
 			fillingRoomByVm: fillingRoomMilli === undefined ? fillingRoomByVm.delete(vmId) : fillingRoomByVm.set(vmId, fillingRoomMilli),
 		};
 	}
@@ -205,9 +225,11 @@
 
 	private place(tick: number): void {
 		const placed = placeQueuedTasks(this.placement, {
-			cluster: this.cluster, settings, incarnation: 'i', nowMs: this.nowMs, wallTimeMs: this.nowMs, tailConfirmedSentAtMs: this.nowMs, pendingAppends: 0, seed: (tick * 7919) + this.seed,
+			cluster: this.cluster, settings: this.settings, incarnation: 'i', nowMs: this.nowMs, wallTimeMs: this.nowMs, tailConfirmedSentAtMs: this.nowMs, pendingAppends: 0, seed: (tick * 7919) + this.seed,
 		});
 		this.placement = placed.state;
+		this.limitMilliSum += fillingLimitMilliOf(placed.state.fillingLimits, 'site');
+		this.passes++;
 		for (const effect of placed.effects) {
 			if (effect.kind !== 'append-record') {
 				continue;
@@ -284,7 +306,7 @@
 			kind: this.kinds.get(task.jobId)!,
 			image: step.image ?? '',
 			processors: step.demand.processorsMilli / 1000,
-			runTimeMs: step.declaredRunTimeMs,
+			runTimeMs: step.declaredRunTimeMs * this.day.runTimeFactorOf(step.image ?? ''),
 			startedAtMs: this.nowMs,
 			doneMs: this.checkpoints.get(taskId) ?? 0,
 			shareMilli: fullProcessorShareMilli,
@@ -453,19 +475,30 @@
 			meanPace: this.shareSum / Math.max(1, this.fillingTaskTicks),
 			finishedJobs: filling.filter(({jobId}) => this.finishedAtMs.has(jobId)).length,
 			fillingJobs: filling.length,
+			fillingInTime: this.inTimeShareOf(filling),
+			largeFillingInTime: this.inTimeShareOf(filling.toSorted((left, right) => workOf(right) - workOf(left)).slice(0, Math.ceil(largeJobsShare * filling.length))),
+			smallInTime: this.inTimeShareOf(this.day.jobs.filter(({kind}) => kind === 'small')),
+			meanLimitMilli: this.limitMilliSum / Math.max(1, this.passes),
 		};
 	}
 
+	private inTimeShareOf(jobs: readonly DrawnJob[]): number {
+		return jobs.filter(job => this.tookMsOf(job) <= allowedMsOf(job)).length / Math.max(1, jobs.length);
+	}
+
+	private tookMsOf({jobId, submittedAtMs}: DrawnJob): number {
+		return (this.finishedAtMs.get(jobId) ?? Number.POSITIVE_INFINITY) - submittedAtMs;
+	}
+
 	private fillingEarned(jobs: readonly DrawnJob[]): number {
-		const works = jobs.map(({steps}) => steps.reduce((sum, {count, demand, declaredRunTimeMs}) => sum + (count * demand.processorsMilli * declaredRunTimeMs), 0));
+		const works = jobs.map(job => workOf(job));
 		const meanWork = works.reduce((sum, work) => sum + work, 0) / Math.max(1, works.length);
 		let totalValue = 0;
 		let gained = 0;
-		for (const [index, {jobId, submittedAtMs, steps}] of jobs.entries()) {
+		for (const [index, job] of jobs.entries()) {
 			const value = baseValueShare + (workValueShare * works[index]! / meanWork);
-			const chainMs = steps.reduce((sum, {declaredRunTimeMs}) => sum + declaredRunTimeMs, 0);
-			const allowedMs = (chainMs * objective.stretchMilli / 1000) + objective.slackMs;
-			const tookMs = (this.finishedAtMs.get(jobId) ?? Number.POSITIVE_INFINITY) - submittedAtMs;
+			const allowedMs = allowedMsOf(job);
+			const tookMs = this.tookMsOf(job);
 			totalValue += value;
 			gained += tookMs <= allowedMs ? value : (tookMs <= lateFactor * allowedMs ? lateValueShare * value : 0);
 		}
--- a/bench/throttled-vm.ts
+++ b/bench/throttled-vm.ts
@@ -60,10 +60,11 @@
 	}
 
 	/** Returns the estimates that changed since the last heartbeat, and the processors available to filling tasks, in millicores. */
-	public heartbeat(): Readonly<{changedImpacts: readonly PressReport[]; fillingRoomMilli: number | undefined}> {
+	public heartbeat(): Readonly<{changedImpacts: readonly PressReport[]; fillingRoomMilli: number | undefined; supplyReport: FillingThrottle['supplyReport']}> {
 		const {reports, reported} = changedLatencyImpacts(this.throttle.latencyImpacts, this.reported);
 		this.reported = reported;
-		return {changedImpacts: reports, fillingRoomMilli: this.throttle.fillingRoomMilli};
+		const {fillingRoomMilli, supplyReport} = this.throttle;
+		return {changedImpacts: reports, fillingRoomMilli, supplyReport};
 	}
 
 	private throttledTasks(): ThrottledTasks {
--- a/src/agent/entry-messages.ts
+++ b/src/agent/entry-messages.ts
@@ -1,6 +1,7 @@
 import {BackendServerPhase, type Resources as WireResources} from '../generated/arbutushinge/v1/agent_pb.js';
 import {ownerByRendezvous} from '../cluster/rendezvous.js';
 import type {Resources} from '../cluster/resources.js';
+import type {FillingSupplyReport} from './filling-supply-report.js';
 import {changedLatencyImpacts} from './latency-impact-estimates.js';
 import type {AgentEffect, AgentMessageBody} from './agent-effect.js';
 import type {AgentState, AgentTask, EntryLink} from './agent-state.js';
@@ -86,6 +87,12 @@
 	};
 }
 
+function fillingSupplyMessage({demandMilli, allowedMilli, usedShareMilli, servingTasks, impairedServingTasks}: FillingSupplyReport) {
+	return {
+		demandMilli: uint32(demandMilli), allowedMilli: uint32(allowedMilli), usedShareMilli: uint32(usedShareMilli), servingTasks: uint32(servingTasks), impairedServingTasks: uint32(impairedServingTasks),
+	};
+}
+
 /**
 Returns the heartbeat for one entry, with the changes since the last one on its stream, and the next state of the link.
 
@@ -111,6 +118,7 @@
 				presses: presses.map(report => ({...report})),
 				fillingRoomMilli: uint32(state.fillingThrottle.fillingRoomMilli ?? 0),
 				workerSilent: isSilent(state.worker, {nowMs, ...state.settings.timings}),
+				fillingSupply: state.fillingThrottle.supplyReport && fillingSupplyMessage(state.fillingThrottle.supplyReport),
 			},
 		},
 		link: {
--- a/src/agent/filling-throttle.ts
+++ b/src/agent/filling-throttle.ts
@@ -1,5 +1,6 @@
 import {Map as immutableMap, type Map as ImmutableMap} from 'immutable';
 import {nextFillingRoomMilli, type FillingSupply} from './filling-room.js';
+import {fillingSupplyReportOf, type FillingSupplyReport} from './filling-supply-report.js';
 import {
 	type Estimate, isMeasured, updateLatencyImpacts, noLatencyImpactEstimates, baselineTargetRatioOf, type LatencyImpactEstimates, latencyImpactOf, type ServingSample,
 } from './latency-impact-estimates.js';
@@ -20,6 +21,8 @@
 	updatedAtMs: number;
 	/** Processors available to filling tasks, in thousandths; undefined while they were never short of them. */
 	fillingRoomMilli: number | undefined;
+	/** What the newest measurement says about the supply of the filling tasks; undefined without such tasks. */
+	supplyReport: FillingSupplyReport | undefined;
 	/** Since when each image has been too slow to finish on this VM. */
 	slowSinceMs: ImmutableMap<string, number>;
 }>;
@@ -32,6 +35,7 @@
 	targetMissedSinceMs: undefined,
 	updatedAtMs: Number.NEGATIVE_INFINITY,
 	fillingRoomMilli: undefined,
+	supplyReport: undefined,
 	slowSinceMs: immutableMap(),
 };
 
@@ -118,7 +122,15 @@
 		fillingRoomMilli: nextFillingRoomMilli(throttle.fillingRoomMilli, fillingSupplyOf(throttle, measurement.filling)),
 		previousShareByImage: throttle.shareByImage,
 	};
-	return recordSlowImages(planFillingShares(updated, tasks, {mayRise: true}), tasks, nowMs);
+	const planned = planFillingShares(updated, tasks, {mayRise: true});
+	const supplyReport = fillingSupplyReportOf({
+		supply: fillingSupplyOf(throttle, measurement.filling),
+		serving: measurement.serving,
+		demandCoresByImage: tasks.demandCoresByImage,
+		shareMilliOf: image => fillingShareMilliOf(planned, image),
+		baselineTargetRatioOf: taskId => baselineTargetRatioOf(planned.latencyImpacts, taskId),
+	});
+	return recordSlowImages({...planned, supplyReport}, tasks, nowMs);
 }
 
 /**
--- a/src/agent/reduce-agent.ts
+++ b/src/agent/reduce-agent.ts
@@ -185,7 +185,7 @@
 	const {usage, nowMs} = event;
 	const measurement = fillingMeasurementOf(state, event);
 	if (measurement.filling.length === 0 && measurement.serving.length === 0) {
-		return transition({...state, usage, fillingThrottle: {...state.fillingThrottle, fillingRoomMilli: undefined}});
+		return transition({...state, usage, fillingThrottle: {...state.fillingThrottle, fillingRoomMilli: undefined, supplyReport: undefined}});
 	}
 
 	const fillingThrottle = updateFillingThrottle(state.fillingThrottle, measurement, throttledTasksOf(state), nowMs);
--- a/src/entry/reduce-agent-event.ts
+++ b/src/entry/reduce-agent-event.ts
@@ -11,6 +11,7 @@
 import {answerHeartbeat, grantFirstLease} from '../membership/lease-grant.js';
 import {recordClosedStream} from '../membership/unheard-vms.js';
 import {recordAgentMessage} from '../membership/vm-liveness.js';
+import {withFillingSupply} from '../placement/filling-limits.js';
 import {observeUsage} from '../placement/observe-usage.js';
 import {type EntrySettings} from '../settings/entry-settings.js';
 import {noResources} from '../cluster/resources.js';
@@ -70,6 +71,7 @@
 
 			const placement = {
 				...state.placement, fillingRoomByVm: state.placement.fillingRoomByVm.delete(link.vmId), silentVmIds: state.placement.silentVmIds.delete(link.vmId),
+				fillingLimits: withFillingSupply(state.placement.fillingLimits, link.vmId, undefined),
 			};
 			return {
 				state: {
@@ -236,6 +238,7 @@
 	const placement = {
 		...state.placement, interference: observed.estimates, history: observed.history, latencyImpacts: mergeLatencyImpacts(state.placement.latencyImpacts, heartbeat.presses),
 		fillingRoomByVm: heartbeat.fillingRoomMilli === 0 ? state.placement.fillingRoomByVm.delete(link.vmId) : state.placement.fillingRoomByVm.set(link.vmId, heartbeat.fillingRoomMilli),
+		fillingLimits: withFillingSupply(state.placement.fillingLimits, link.vmId, heartbeat.fillingSupply),
 		silentVmIds: heartbeat.workerSilent ? state.placement.silentVmIds.add(link.vmId) : state.placement.silentVmIds.delete(link.vmId),
 	};
 	const refreshed = refreshLink({...withLink(state, updatedLink), vmLiveness, placement}, updatedLink, context);
--- a/src/entry/report-gauges.ts
+++ b/src/entry/report-gauges.ts
@@ -12,7 +12,7 @@
 	nowMs: number;
 	pendingAppends: number;
 }>): void {
-	const {cluster, links, log, requests} = state;
+	const {cluster, links, log, placement, requests, runTimes} = state;
 	metrics.gauge('log.pending', pendingAppends);
 	if (log.tailConfirmedSentAtMs > Number.NEGATIVE_INFINITY) {
 		metrics.gauge('log.tail-age', Math.round(nowMs - log.tailConfirmedSentAtMs));
@@ -26,6 +26,12 @@
 		}
 	}
 
+	for (const [service, {limitMilli}] of placement.fillingLimits.byService) {
+		metrics.gauge('placement.filling-limit', limitMilli, {service});
+	}
+
+	metrics.gauge('run-times.expected-error', Math.round(runTimes.errors.expectedMilli));
+	metrics.gauge('run-times.declared-error', Math.round(runTimes.errors.declaredMilli));
 	for (const [priority, taskIds] of cluster.queued) {
 		metrics.gauge('tasks.queued', taskIds.size, {class: priority});
 	}
--- a/src/placement/admit-filling-jobs.ts
+++ b/src/placement/admit-filling-jobs.ts
@@ -1,24 +1,30 @@
 import {type ClusterState, type Vm} from '../cluster/cluster-state.js';
 import {fitsInto} from '../cluster/resources.js';
 import {isAllowedOnVm} from '../cluster/step-constraints.js';
+import {minFillingLimitMilli} from './filling-limit.js';
 import {fillingDemandMilli} from './filling-work.js';
+import {type FillingQueue} from './filling-limits.js';
 import {fillingOfferOf, type OfferContext} from './offered-processors.js';
 import {pendingFillingMilli} from './pending-claims.js';
 
-/** Limit of the demand of the started filling jobs, in thousandths of the processors that filling tasks demand or are offered; beyond it all of them slow down and none ends in time. */
-const admittedDemandShareMilli = 600;
-
 /** Inputs of the admission of filling jobs. */
 export type AdmissionContext = OfferContext & Readonly<{
 	vms: readonly Vm[];
 	/** Returns whether the job of a task may start beyond the limit. */
 	mayExceed: (taskId: string) => boolean;
+	/**
+	Returns the limit of the demand of a service's started filling jobs, in thousandths of the processors that filling tasks demand or are offered; beyond
+	it all of them slow down and none ends in time. The lowest limit holds when left out.
+	*/
+	limitMilliOf?: (service: string) => number;
+	/** Called with the queue of each service that has queued filling tasks. */
+	onQueue?: (service: string, queue: FillingQueue) => void;
 }>;
 
 type QueuedJob = {readonly service: string; readonly isStarted: boolean; demandMilli: number};
 
-/** Millicores that the started filling jobs of a service demand on its VMs, and the limit of that demand. */
-type FillingDemand = {startedMilli: number; readonly limitMilli: number};
+/** Millicores that the started filling jobs of a service demand, those of them that their queued tasks demand, and the limit. */
+type FillingDemand = {startedMilli: number; waitingMilli: number; isHoldingBack: boolean; readonly limitMilli: number};
 
 /**
 Returns the given tasks without those of filling jobs that may not start yet. A job is useful only when all of its tasks end in time, so that
@@ -29,7 +35,7 @@
 admitFillingJobs(['bake-1.0.0.0', 'bake-2.0.0.0'], {cluster, vms, pending, fillingRoomByVm, mayExceed: () => false}); // => ['bake-1.0.0.0']
 */
 export function admitFillingJobs(taskIds: readonly string[], context: AdmissionContext): readonly string[] {
-	const {cluster, mayExceed} = context;
+	const {cluster, mayExceed, onQueue} = context;
 	const jobs = queuedFillingJobs(taskIds, context);
 	if (jobs.size === 0) {
 		return taskIds;
@@ -40,6 +46,7 @@
 		const demand = demandByService.get(service) ?? startedFillingDemandOf(service, context);
 		demandByService.set(service, demand);
 		demand.startedMilli += isStarted ? demandMilli : 0;
+		demand.waitingMilli += isStarted ? demandMilli : 0;
 	}
 
 	const admitted = new Set<string>();
@@ -57,6 +64,8 @@
 		if (!admitted.has(jobId) && (demand.startedMilli === 0 || demand.startedMilli + job.demandMilli <= demand.limitMilli)) {
 			demand.startedMilli += job.demandMilli;
 			admitted.add(jobId);
+		} else if (!admitted.has(jobId)) {
+			demand.isHoldingBack = true;
 		}
 
 		if (admitted.has(jobId) || mayExceed(taskId)) {
@@ -64,6 +73,10 @@
 		}
 	}
 
+	for (const [service, {waitingMilli, isHoldingBack}] of demandByService) {
+		onQueue?.(service, {waitingMilli, isHoldingBack});
+	}
+
 	return [...first, ...second];
 }
 
@@ -72,7 +85,9 @@
 	const {offeredMilli, fillingMilli} = fillingOfferOf(vms, context);
 	return {
 		startedMilli: vms.reduce((sum, {vmId}) => sum + pendingFillingMilli(context.pending, vmId), fillingMilli),
-		limitMilli: admittedDemandShareMilli * (offeredMilli + fillingMilli) / 1000,
+		waitingMilli: 0,
+		isHoldingBack: false,
+		limitMilli: (context.limitMilliOf?.(service) ?? minFillingLimitMilli) * (offeredMilli + fillingMilli) / 1000,
 	};
 }
 
--- a/src/placement/place-queued-tasks.ts
+++ b/src/placement/place-queued-tasks.ts
@@ -17,6 +17,9 @@
 import {admitFillingJobs} from './admit-filling-jobs.js';
 import {priorityClassesForPass} from './priority-classes-for-pass.js';
 import {chooseVm, type PlacementCandidate} from './choose-vm.js';
+import {
+	type FillingLimits, fillingLimitMilliOf, noFillingLimits, updateFillingLimits, withFillingQueue,
+} from './filling-limits.js';
 import {maxLatencyImpactMilli, fillingDemandMilli, latencyImpactOfPlacementMilli} from './filling-work.js';
 import {offeredMilliOf} from './offered-processors.js';
 import {describeMissingCapacity, freeResourcesOf, acceptsNewTasks} from './feasibility.js';
@@ -55,6 +58,8 @@
 	latencyImpacts: LatencyImpactEstimates;
 	/** Millicores available to filling tasks, as measured on the VMs where they got less than their demand. */
 	fillingRoomByVm: ImmutableMap<string, number>;
+	/** Limits of the started filling jobs; they move only while the entry plans ahead. */
+	fillingLimits: FillingLimits;
 	/** VMs with a silent worker: the agent could not deliver a start to it. */
 	silentVmIds: ImmutableSet<string>;
 	reservations: Reservations;
@@ -74,6 +79,7 @@
 	history: noVmHistory,
 	latencyImpacts: noLatencyImpactEstimates,
 	fillingRoomByVm: immutableMap(),
+	fillingLimits: noFillingLimits,
 	silentVmIds: immutableSet(),
 	reservations: noReservations,
 	fleetGrowth: noFleetSeen,
@@ -105,7 +111,7 @@
 	/** Expected harm of a placement, by kind, work class and demand of the task, then by VM. */
 	readonly harms: Map<string, Map<string, ExpectedHarm>>;
 	readonly starved: StarvedJobs;
-	readonly claims: ControlEffect[];
+	readonly effects: ControlEffect[];
 	readonly failures: PlacementFailures;
 	reservationAttempts: number;
 	/** Estimates of the resources that tasks will release, for the VMs compared for a reservation. */
@@ -147,7 +153,7 @@
 		owners,
 		harms: new Map(),
 		starved,
-		claims: [],
+		effects: [],
 		failures: createPlacementFailures(),
 		reservationAttempts: 0,
 		releaseEstimates: new Map(),
@@ -158,6 +164,7 @@
 	}
 
 	pass.vms = [...context.cluster.vms.values()].filter(vm => acceptsNewTasks(vm, context.cluster) && !silentVmIds.has(vm.vmId));
+	moveFillingLimits(pass);
 	for (const priority of priorityClassesForPass(context.seed, context.cluster.configuration.requestLimits.floorMilliByClass)) {
 		placeClass(pass, priority);
 	}
@@ -167,10 +174,21 @@
 		state: {
 			...pass.state, ownersSeen: owners.ownersSeen(), waitingJobs: starved.waiting(), failuresLoggedAtMs: loggedAtMs,
 		},
-		effects: [...pass.claims, ...effects],
+		effects: [...pass.effects, ...effects],
 	};
 }
 
+function moveFillingLimits(pass: Pass): void {
+	const {cluster, nowMs, settings: {planning}} = pass.context;
+	if (planning.enabled) {
+		const {limits, effects} = updateFillingLimits(pass.state.fillingLimits, {
+			vms: pass.vms, cluster, maxLimitMilli: planning.maxFillingDemandMilli, nowMs,
+		});
+		pass.state = {...pass.state, fillingLimits: limits};
+		pass.effects.push(...effects);
+	}
+}
+
 function placeClass(pass: Pass, priority: PriorityClass): void {
 	const {cluster} = pass.context;
 	if (priority === 'urgent') {
@@ -190,6 +208,10 @@
 		pending: pass.state.pending,
 		fillingRoomByVm: pass.state.fillingRoomByVm,
 		mayExceed: taskId => pass.starved.isStarved(cluster.tasks.get(taskId)!),
+		limitMilliOf: service => fillingLimitMilliOf(pass.state.fillingLimits, service),
+		onQueue(service, queue) {
+			pass.state = {...pass.state, fillingLimits: withFillingQueue(pass.state.fillingLimits, service, queue)};
+		},
 	});
 	for (const taskId of ordered.slice(0, maxScannedTasks)) {
 		if (pass.state.pending.byTask.size >= maxPendingClaims) {
@@ -268,7 +290,7 @@
 	const chosen = candidates.find(({candidate}) => candidate.vmId === choice.vmId)!;
 	const attempt = task.attempt + 1;
 	pass.starved.recordClaim(task.jobId);
-	pass.claims.push({
+	pass.effects.push({
 		kind: 'append-record',
 		record: {
 			kind: 'task-claimed',
@@ -293,7 +315,7 @@
 /** Refuses a task that no known worker could run, once no more workers are waited for. */
 function refuse(pass: Pass, taskId: string, lacks: string): void {
 	if (isFleetSettled(pass.state.fleetGrowth, pass.context.nowMs)) {
-		pass.claims.push({kind: 'append-record', record: {kind: 'task-unplaceable', taskId, lacks}});
+		pass.effects.push({kind: 'append-record', record: {kind: 'task-unplaceable', taskId, lacks}});
 	}
 }
 
--- a/src/settings/entry-settings.ts
+++ b/src/settings/entry-settings.ts
@@ -37,6 +37,10 @@
 	logStream: nameSchema.default('arbutushinge').describe('Stream that holds the cluster records'),
 	logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info').describe('Least severe level that is logged'),
 	placementPolicy: z.enum(placementPolicyNames).default('least-harm').describe('How VMs are chosen for tasks; `first-fit` and `least-loaded` are baselines meant for comparison'),
+	planning: z.strictObject({
+		enabled: z.boolean().default(false).describe('Whether the placement plans ahead with learned run times, and the limit of started filling jobs follows what the VMs report'),
+		maxFillingDemandMilli: z.int().min(600).max(2000).default(800).describe('Highest limit of the demand of started filling jobs, in thousandths of the processors that filling tasks demand or are offered'),
+	}).readonly().prefault({}),
 	metrics: metricsSettingsSchema.default({prefix: 'arbutushinge.'}),
 	timings: z.strictObject({
 		appendIntervalMs: z.int().min(1).max(maxDurationMs).default(20).describe('Shortest time between two appends of this entry'),
