Plan the starts of large tasks by learned run times

Cause: each fraction that a VM releases goes to the next small task that fits, and small tasks that have just missed a VM take the few reservations first, so that tasks of 2,750 millicores wait for many seconds.

--- a/bench/play-waiting-day.test.ts
+++ b/bench/play-waiting-day.test.ts
@@ -36,3 +36,11 @@
 test('a seed always gives the same result of the simulation', t => {
 	t.deepEqual(playWaitingDay(12), playWaitingDay(12));
 });
+
+/** Guards against large tasks that never find room because smaller ones take each fraction that a VM releases. */
+test('with planning large tasks start within a fifth of the time, and small ones at most a tenth later in the mean', t => {
+	const results = [2, 5, 6].map(seed => [false, true].map(planning => playWaitingDay(seed, {planning, withLargeJobs: true})));
+	const meanOf = (index: number, name: 'largeFirstStartMs' | 'smallFirstStartMs'): number => results.reduce((sum, pair) => sum + pair[index]![name], 0) / results.length;
+	t.true(meanOf(1, 'largeFirstStartMs') < meanOf(0, 'largeFirstStartMs') / 5);
+	t.true(meanOf(1, 'smallFirstStartMs') < 1.1 * meanOf(0, 'smallFirstStartMs'));
+});
--- a/bench/play-waiting-day.ts
+++ b/bench/play-waiting-day.ts
@@ -5,14 +5,14 @@
 import {
 	trackForbiddenWaits, type ForbiddenWait, type ForbiddenWaitState, noForbiddenWaits,
 } from '../src/placement/forbidden-waits.js';
-import {initialPlacement, placeQueuedTasks, type PlacementState} from '../src/placement/place-queued-tasks.js';
+import {initialPlacement, type PlacementContext, placeQueuedTasks, type PlacementState} from '../src/placement/place-queued-tasks.js';
+import {noRunTimeEstimates, recordRunTimes} from '../src/placement/run-time-estimates.js';
 import {recordFailedStarts} from '../src/placement/restart-pauses.js';
 import {agentSettingsSchema} from '../src/settings/agent-settings.js';
-import {entrySettingsSchema} from '../src/settings/entry-settings.js';
+import {entrySettingsSchema, type EntrySettings} from '../src/settings/entry-settings.js';
 import {
 	initialVmLiveness, recordAgentMessage, tickVmLiveness, type VmLivenessState,
 } from '../src/membership/vm-liveness.js';
-import {type EntryContext} from '../src/entry/entry-context.js';
 import {deployedTimings} from './deployed-timings.js';
 import {endDelayMs, startDelayMs, stopDelayMs} from './loop-delays.js';
 import {RandomDraw} from './random-draw.js';
@@ -32,12 +32,15 @@
 	/** Share of the short jobs that finished within their objective. */
 	shortInTime: number;
 	shortJobs: number;
+	/** Mean time from the submission of small and of large short jobs to the first start of a task; until the end of the run for jobs that never started. */
+	smallFirstStartMs: number;
+	largeFirstStartMs: number;
 	meanCommittedShare: number;
 }>;
 
-const settings = entrySettingsSchema.parse({
+const settingsOf = (enabled: boolean): EntrySettings => entrySettingsSchema.parse({
 	role: 'entry', entryId: 'e', failureDomain: 'a', callerAddress: '127.0.0.1:1', operatorAddress: '127.0.0.1:2', agentAddress: '127.0.0.1:3',
-	timings: deployedTimings('entry'),
+	timings: deployedTimings('entry'), planning: {enabled},
 });
 
 const {heartbeatMs, contactLimitMs} = agentSettingsSchema.parse({
@@ -77,7 +80,7 @@
 playWaitingDay(7).forbidden.length; // => 0
 */
 export function playWaitingDay(seed: number, options?: WaitingDayOptions): WaitingResult {
-	return new WaitingDaySimulation(seed, drawWaitingDay(seed, options)).run();
+	return new WaitingDaySimulation(seed, drawWaitingDay(seed, options), settingsOf(options?.planning ?? false)).run();
 }
 
 class WaitingDaySimulation {
@@ -95,6 +98,8 @@
 	private readonly draw: RandomDraw;
 	private due: Array<Readonly<{atMs: number; run: () => void}>> = [];
 	private cluster: ClusterState = emptyClusterState;
+	private runTimes = noRunTimeEstimates;
+	private readonly firstStartWaitsMs = new Map<string, number>();
 	private waits: ForbiddenWaitState = noForbiddenWaits;
 	private readonly forbidden: ForbiddenWait[] = [];
 	private nowMs = 0;
@@ -106,7 +111,7 @@
 	private committedShares = 0;
 	private ticks = 0;
 
-	public constructor(private readonly seed: number, private readonly day: WaitingDay) {
+	public constructor(private readonly seed: number, private readonly day: WaitingDay, private readonly settings: EntrySettings) {
 		this.draw = new RandomDraw(seed, failureRandomStream);
 	}
 
@@ -151,10 +156,17 @@
 			longestLastingWaitMs: this.longestLastingWaitMs,
 			shortInTime: this.shortInTime / shortJobs,
 			shortJobs,
+			smallFirstStartMs: this.meanFirstStartMs('short'),
+			largeFirstStartMs: this.meanFirstStartMs('large'),
 			meanCommittedShare: this.committedShares / this.ticks,
 		};
 	}
 
+	private meanFirstStartMs(kind: string): number {
+		const waits = this.day.jobs.filter(({jobId}) => jobId.startsWith(kind)).map(({jobId, submittedAtMs}) => this.firstStartWaitsMs.get(jobId) ?? this.nowMs - submittedAtMs);
+		return waits.reduce((sum, waitMs) => sum + waitMs, 0) / Math.max(1, waits.length);
+	}
+
 	private appendAs(incarnation: string, record: ClusterRecord): void {
 		const sequence = (this.sequences.get(incarnation) ?? 0) + 1;
 		this.sequences.set(incarnation, sequence);
@@ -165,6 +177,7 @@
 			},
 		};
 		this.cluster = applyRecord(before, logged);
+		this.runTimes = recordRunTimes(this.runTimes, [logged], this.cluster, this.nowMs);
 		for (const entry of this.entries) {
 			entry.placement = {...entry.placement, failedStarts: recordFailedStarts(entry.placement.failedStarts, [logged], this.cluster, this.nowMs)};
 		}
@@ -221,7 +234,7 @@
 		this.appendAs(incarnation, {
 			kind: 'entry-registered', entryId, failureDomain: 'a', operatorAddress: '127.0.0.1:1',
 		});
-		this.appendAs(incarnation, {kind: 'entry-bounds-contact', withdrawsAfterMs: settings.timings.heartbeatTimeoutMs});
+		this.appendAs(incarnation, {kind: 'entry-bounds-contact', withdrawsAfterMs: this.settings.timings.heartbeatTimeoutMs});
 	}
 
 	/** Registers a VM as its agent does, with the tasks that its worker runs. */
@@ -269,9 +282,9 @@
 		}
 	}
 
-	private contextOf({incarnation}: Entry): EntryContext {
+	private contextOf({incarnation}: Entry): PlacementContext {
 		return {
-			cluster: this.cluster, settings, incarnation, nowMs: this.nowMs, wallTimeMs: this.nowMs,
+			cluster: this.cluster, settings: this.settings, runTimes: this.runTimes, incarnation, nowMs: this.nowMs, wallTimeMs: this.nowMs,
 			tailConfirmedSentAtMs: this.nowMs, pendingAppends: 0, seed: (this.ticks * 7919) + this.seed,
 		};
 	}
@@ -360,6 +373,10 @@
 		}
 
 		const runMs = isLongRunning(this.cluster, task) ? this.draw.waitMs(this.day.meanRunMs) : stepOf(this.cluster, task)!.declaredRunTimeMs;
+		if (!this.firstStartWaitsMs.has(task.jobId)) {
+			this.firstStartWaitsMs.set(task.jobId, this.nowMs - this.day.jobs.find(({jobId}) => jobId === task.jobId)!.submittedAtMs);
+		}
+
 		worker.runs.set(taskId, {attempt, endsAtMs: this.nowMs + runMs});
 		this.append({
 			kind: 'task-started', taskId, attempt, agentIncarnation: claim.agentIncarnation,
--- a/bench/waiting-day.ts
+++ b/bench/waiting-day.ts
@@ -35,13 +35,13 @@
 }>;
 
 const streams = {
-	longRunning: 0, short: 1, floods: 2, events: 3,
+	longRunning: 0, short: 1, floods: 2, events: 3, large: 4,
 } as const;
 
 const capacityMilli = rackCount * vmsPerRack * vmProcessorsMilli;
 
-/** Parts to leave out, to find what a forbidden wait depends on. */
-export type WaitingDayOptions = Readonly<{withoutFloods?: boolean; withoutEvents?: boolean}>;
+/** Parts to leave out, to find what a forbidden wait depends on; jobs with tasks of 2,750 millicores besides the others; and the setting `planning.enabled`. */
+export type WaitingDayOptions = Readonly<{withoutFloods?: boolean; withoutEvents?: boolean; withLargeJobs?: boolean; planning?: boolean}>;
 
 /** Minimum and maximum share of the processors that long-running tasks commit. */
 const longRunningShareRange = [0.5, 0.89] as const;
@@ -52,7 +52,7 @@
 @example
 drawWaitingDay(7).floods; // => [{fromMs: 12_310, toMs: 20_114}]
 */
-export function drawWaitingDay(seed: number, {withoutFloods = false, withoutEvents = false}: WaitingDayOptions = {}): WaitingDay {
+export function drawWaitingDay(seed: number, {withoutFloods = false, withoutEvents = false, withLargeJobs = false}: WaitingDayOptions = {}): WaitingDay {
 	const longRunningDraw = new RandomDraw(seed, streams.longRunning);
 	const longRunningMilli = capacityMilli * longRunningDraw.between(...longRunningShareRange);
 	const drawnFloods = drawFloods(new RandomDraw(seed, streams.floods));
@@ -61,6 +61,7 @@
 		jobs: [
 			...drawLongRunningJobs(longRunningDraw, longRunningMilli),
 			...drawShortJobs(new RandomDraw(seed, streams.short), floods, capacityMilli - longRunningMilli),
+			...(withLargeJobs ? drawLargeJobs(new RandomDraw(seed, streams.large)) : []),
 		].toSorted((left, right) => left.submittedAtMs - right.submittedAtMs),
 		floods,
 		events: withoutEvents ? [] : drawEvents(new RandomDraw(seed, streams.events), drawnFloods),
@@ -118,6 +119,20 @@
 	return jobs;
 }
 
+/** Draws short jobs whose tasks demand 2,750 millicores, more than any other short task, about one every 3 s. */
+function drawLargeJobs(draw: RandomDraw): readonly WaitingJob[] {
+	const jobs: WaitingJob[] = [];
+	for (let atMs = 3000; atMs < trafficMs; atMs += draw.between(2000, 4000)) {
+		jobs.push({
+			jobId: `large-${jobs.length}`, submittedAtMs: Math.round(atMs), priority: 'urgent', steps: [{
+				count: 1 + draw.index(2), demand: {processorsMilli: 2750, memoryMb: 64, accelerators: 0}, declaredRunTimeMs: Math.round(draw.between(500, 1500)),
+			}],
+		});
+	}
+
+	return jobs;
+}
+
 function isDuringFlood(atMs: number, floods: readonly Flood[]): boolean {
 	return floods.some(({fromMs, toMs}) => atMs >= fromMs && atMs < toMs);
 }
--- a/src/entry/reduce-entry.ts
+++ b/src/entry/reduce-entry.ts
@@ -325,7 +325,7 @@
 	}
 
 	const context = contextOf(state, inputs, settings);
-	const pass = (): ReturnType<typeof placeQueuedTasks> => placeQueuedTasks(state.placement, {...context, unheardVmIds: unheardVmIds(state, context)});
+	const pass = (): ReturnType<typeof placeQueuedTasks> => placeQueuedTasks(state.placement, {...context, unheardVmIds: unheardVmIds(state, context), runTimes: state.runTimes});
 	const transition = inputs.measurePart ? inputs.measurePart('placement', pass) : pass();
 	return {
 		state: {
--- a/src/placement/place-queued-tasks.ts
+++ b/src/placement/place-queued-tasks.ts
@@ -30,6 +30,9 @@
 	addPendingClaim, noPendingClaims, type PendingClaims, prunePendingClaims, siblingsKeyOf,
 } from './pending-claims.js';
 import {createPlacementFailures, type PlacementFailures} from './placement-failures.js';
+import {
+	expectedEndAtMs, expectedEndsOf, type ExpectedEnd, missedStartsOf, orderForPlanning, plannedStartEvent, plannedWaitMs,
+} from './placement-plan.js';
 import {placementPolicies} from './placement-policies.js';
 import {findStarvedJobs, type StarvedJobs, type WaitingJobs} from './starved-jobs.js';
 import {evaluatePlacementOwners, type OwnersSeen, type PlacementOwners} from './evaluate-placement-owners.js';
@@ -40,6 +43,8 @@
 	isReservedAgainst, retainValidReservations, noReservations, releaseReservation, reserveVm, unreservedResourcesFor, type Reservations,
 } from './reservations.js';
 import {type ReleaseEstimate} from './free-resources-wait.js';
+import {noRunTimeEstimates, type RunTimeEstimates} from './run-time-estimates.js';
+import {isRestart} from './restart-waits.js';
 import {chooseVictims} from './choose-victims.js';
 import {noVmHistory, type VmHistory} from './observe-usage.js';
 import {
@@ -116,11 +121,16 @@
 	reservationAttempts: number;
 	/** Estimates of the resources that tasks will release, for the VMs compared for a reservation. */
 	readonly releaseEstimates: Map<string, ReleaseEstimate>;
+	/** Learned run times; undefined unless the entry plans ahead. */
+	readonly runTimes: RunTimeEstimates | undefined;
+	readonly expectedEnds: Map<string, readonly ExpectedEnd[]>;
+	/** Tasks that found no VM and may have a start planned. */
+	planned: Task[];
 	state: PlacementState;
 };
 
 /** What a placement pass reads; `unheardVmIds` names the VMs whose agent would probably not receive a start. */
-export type PlacementContext = EntryContext & Readonly<{unheardVmIds?: ImmutableSet<string>}>;
+export type PlacementContext = EntryContext & Readonly<{unheardVmIds?: ImmutableSet<string>; runTimes?: RunTimeEstimates}>;
 
 /**
 Claims VMs for queued tasks, the most urgent class first.
@@ -157,6 +167,9 @@
 		failures: createPlacementFailures(),
 		reservationAttempts: 0,
 		releaseEstimates: new Map(),
+		runTimes: context.settings.planning.enabled ? context.runTimes ?? noRunTimeEstimates : undefined,
+		expectedEnds: new Map(),
+		planned: [],
 		state: pruned,
 	};
 	if (!owners.mayHaveAny()) {
@@ -165,6 +178,7 @@
 
 	pass.vms = [...context.cluster.vms.values()].filter(vm => acceptsNewTasks(vm, context.cluster) && !silentVmIds.has(vm.vmId));
 	moveFillingLimits(pass);
+	pass.effects.push(...missedStartsOf(state.reservations, pruned.reservations, context));
 	for (const priority of priorityClassesForPass(context.seed, context.cluster.configuration.requestLimits.floorMilliByClass)) {
 		placeClass(pass, priority);
 	}
@@ -197,6 +211,7 @@
 	}
 
 	pass.reservationAttempts = 0;
+	pass.planned = [];
 	const own = [...cluster.queued.get(priority)?.keys() ?? []].filter(taskId => {
 		const task = cluster.tasks.get(taskId);
 		return task && !pass.state.pending.byTask.has(taskId) && !isPaused(pass.state.failedStarts, task, pass.context.nowMs) && pass.owners.isOwn(placementSubjectOf(task, cluster));
@@ -222,6 +237,17 @@
 			placeTask(pass, cluster.tasks.get(taskId)!);
 		});
 	}
+
+	planStarts(pass);
+}
+
+/** Reserves VMs for tasks of a class that found none, the largest first. */
+function planStarts(pass: Pass): void {
+	const tasks = orderForPlanning(pass.planned);
+	pass.planned = [];
+	for (const task of tasks) {
+		reserveFor(pass, task);
+	}
 }
 
 function placeTask(pass: Pass, task: Task): void {
@@ -290,6 +316,7 @@
 	const chosen = candidates.find(({candidate}) => candidate.vmId === choice.vmId)!;
 	const attempt = task.attempt + 1;
 	pass.starved.recordClaim(task.jobId);
+	pass.effects.push(...plannedStartEvent(pass.state.reservations, taskId, {isHeld: choice.vmId === reservedVmId, nowMs}));
 	pass.effects.push({
 		kind: 'append-record',
 		record: {
@@ -321,6 +348,16 @@
 
 /** Reserves a VM for a task that could not be placed, so that later tasks do not take the resources released there. */
 function reserve(pass: Pass, task: Task): void {
+	// Restarts come first of all and reserve at once.
+	if (pass.runTimes && !isRestart(task, pass.context.cluster)) {
+		pass.planned.push(task);
+		return;
+	}
+
+	reserveFor(pass, task);
+}
+
+function reserveFor(pass: Pass, task: Task): void {
 	const {reservations, pending} = pass.state;
 	const {cluster, nowMs, seed} = pass.context;
 	if (reservations.vmIdByTask.has(task.spec.taskId) || pass.reservationAttempts >= maxReservationAttempts || fillingDemandMilli(task, cluster) > 0) {
@@ -333,10 +370,17 @@
 		reservations: reserveVm(reservations, task, {
 			// All tasks of a pass choose from the same sample, so that the estimate of each VM is computed once.
 			cluster, pending, nowMs, vms: sampleVms(pass.vms, seed, sampledVmsForReservation), fleetSize: pass.vms.length, releaseEstimates: pass.releaseEstimates,
+			plannedWaitMsOn: pass.runTimes && ((vm, demand, free) => plannedWaitMs(expectedEndsOn(pass, vm, pass.runTimes!), demand, free)),
 		}),
 	};
 }
 
+function expectedEndsOn(pass: Pass, vm: Vm, runTimes: RunTimeEstimates): readonly ExpectedEnd[] {
+	const ends = pass.expectedEnds.get(vm.vmId) ?? expectedEndsOf(vm, {...pass.context, runTimes});
+	pass.expectedEnds.set(vm.vmId, ends);
+	return ends;
+}
+
 /** Returns whether an earlier failure in this pass shows that no VM can take the task. */
 function isKnownWithoutVm(pass: Pass, task: Task): boolean {
 	const stepKey = stepOccurrenceKeyOf(task);
@@ -400,10 +444,11 @@
 	const requiredIdleMilli = requiredIdleMilliOf(pass, task);
 	const step = stepOf(cluster, task);
 	const offerContext = {cluster, pending: pass.state.pending, fillingRoomByVm: pass.state.fillingRoomByVm};
+	const endsAtMs = pass.runTimes ? expectedEndAtMs(task, {...pass.context, runTimes: pass.runTimes}) : Number.POSITIVE_INFINITY;
 	const candidateOn = (vm: Vm): FeasibleVm | undefined => {
 		const free = freeResourcesOf(vm, pass.state.pending.committedByVm.get(vm.vmId, noResources));
 		const offered = fillingMilli === 0 ? free : {...free, processorsMilli: offeredMilliOf(vm, offerContext, free)};
-		const unreserved = unreservedResourcesFor(pass.state.reservations, task, {vmId: vm.vmId, free}, cluster);
+		const unreserved = unreservedResourcesFor(pass.state.reservations, task, {vmId: vm.vmId, free, endsAtMs}, cluster);
 		if (!fitsInto(task.spec.demand, unreserved) || offered.processorsMilli < requiredIdleMilli || !isAllowed(pass, task, step, vm)) {
 			return undefined;
 		}
--- a/src/placement/reservations.ts
+++ b/src/placement/reservations.ts
@@ -16,7 +16,17 @@
 } from './restart-waits.js';
 
 /** A VM that is reserved for a queued task. */
-type Reservation = Readonly<{taskId: string; vmId: string; demand: Resources; precedence: number; reservedAtMs: number}>;
+type Reservation = Readonly<{
+	taskId: string;
+	vmId: string;
+	demand: Resources;
+	precedence: number;
+	reservedAtMs: number;
+	/** When it expires unless the demand is free by then. */
+	heldUntilMs: number;
+	/** Planned start of the task; left out without learned run times. A task that ends before it may use what is reserved. */
+	startsAtMs?: number;
+}>;
 
 /**
 VMs that an entry reserves for queued tasks that fit on none yet. Reservations prevent the starvation of a large task by an overload of small
@@ -39,6 +49,9 @@
 
 /** Time after which a reservation whose resources were not released expires; the task may then reserve another VM. */
 const maxReservationMs = 3000;
+/** Time past its planned start for which a VM stays reserved, and the longest time. A VM whose tasks end later than this is not held for them. */
+const plannedStartGraceMs = 1500;
+const maxPlannedHoldMs = 8000;
 /** Shares of the VMs that tasks of one precedence may reserve at once. */
 const restartsShare = 1 / 8;
 const othersShare = 1 / 16;
@@ -78,11 +91,11 @@
 */
 export function retainValidReservations(reservations: Reservations, {cluster, pending, nowMs}: ReservationContext, silentVmIds: ImmutableSet<string>): Reservations {
 	let valid = withRestartWaits(reservations, trackRestartWaits(reservations.restartWaits, {cluster, nowMs}, silentVmIds), cluster);
-	for (const {taskId, vmId, reservedAtMs} of reservations.byVm.values()) {
+	for (const {taskId, vmId, heldUntilMs} of reservations.byVm.values()) {
 		const task = cluster.tasks.get(taskId);
 		const vm = cluster.vms.get(vmId);
 		const isWaiting = task?.phase === 'queued' && !pending.byTask.has(taskId);
-		if (!isWaiting || !vm || silentVmIds.has(vmId) || nowMs - reservedAtMs > maxReservationMs || !mayRunOn(vm, task, {cluster, pending})) {
+		if (!isWaiting || !vm || silentVmIds.has(vmId) || nowMs > heldUntilMs || !mayRunOn(vm, task, {cluster, pending})) {
 			valid = releaseReservation(valid, taskId);
 		}
 	}
@@ -119,8 +132,10 @@
 	vms: readonly Vm[];
 	fleetSize: number;
 	releaseEstimates: globalThis.Map<string, ReleaseEstimate>;
+	/** Returns the time until a VM has a demand free by the learned run times; the declared ones are used when left out. */
+	plannedWaitMsOn?: ((vm: Vm, demand: Resources, free: Resources) => number | undefined) | undefined;
 }>): Reservations {
-	const {cluster, pending, nowMs, vms, fleetSize, releaseEstimates} = context;
+	const {cluster, pending, nowMs, vms, fleetSize, plannedWaitMsOn} = context;
 	const {taskId, demand} = task.spec;
 	const precedence = precedenceOf(task, cluster, reservations.restartWaits);
 	const share = isRestart(task, cluster) ? restartsShare : othersShare;
@@ -132,12 +147,11 @@
 		.filter(vm => vm.waitingTaskIds.length === 0 && !isReservedAgainst(reservations, task, vm.vmId, cluster) && mayRunOn(vm, task, context))
 		.map(vm => {
 			const {vmId} = vm;
-			const estimate = releaseEstimates.get(vmId) ?? releaseEstimateOf(vm, cluster);
-			releaseEstimates.set(vmId, estimate);
+			const free = freeResourcesOf(vm, pending.committedByVm.get(vmId, noResources));
 			return {
 				vmId,
 				failedBefore: task.failedOnVmIds.includes(vmId) ? 1 : 0,
-				waitMs: freeResourcesWaitMs(estimate, demand, freeResourcesOf(vm, pending.committedByVm.get(vmId, noResources))) ?? Number.POSITIVE_INFINITY,
+				waitMs: (plannedWaitMsOn ? plannedWaitMsOn(vm, demand, free) : freeResourcesWaitMs(estimateOf(vm, context), demand, free)) ?? Number.POSITIVE_INFINITY,
 			};
 		})
 		.filter(({waitMs}) => waitMs < Number.POSITIVE_INFINITY)
@@ -146,18 +160,26 @@
 		return reservations;
 	}
 
-	const {vmId} = best;
+	const {vmId, waitMs} = best;
 	const displaced = reservations.byVm.get(vmId);
 	const {byVm, vmIdByTask} = displaced ? releaseReservation(reservations, displaced.taskId) : reservations;
 	return {
 		...reservations,
 		byVm: byVm.set(vmId, {
-			taskId, vmId, demand, precedence, reservedAtMs: nowMs,
+			taskId, vmId, demand, precedence, reservedAtMs: nowMs, ...(plannedWaitMsOn
+				? {startsAtMs: nowMs + waitMs, heldUntilMs: nowMs + Math.min(maxPlannedHoldMs, Math.max(maxReservationMs, waitMs + plannedStartGraceMs))}
+				: {heldUntilMs: nowMs + maxReservationMs}),
 		}),
 		vmIdByTask: vmIdByTask.set(taskId, vmId),
 	};
 }
 
+function estimateOf(vm: Vm, {cluster, releaseEstimates}: Readonly<{cluster: ClusterState; releaseEstimates: globalThis.Map<string, ReleaseEstimate>}>): ReleaseEstimate {
+	const estimate = releaseEstimates.get(vm.vmId) ?? releaseEstimateOf(vm, cluster);
+	releaseEstimates.set(vm.vmId, estimate);
+	return estimate;
+}
+
 /**
 Removes the reservation of a task, if it has one.
 
@@ -182,13 +204,21 @@
 }
 
 /**
-Returns the free resources of a VM that a task may use.
+Returns the free resources of a VM that a task may use. A task that ends before the planned start of another one may use what is reserved for that.
+
+@param vm Free resources of the VM, and when the task is expected to end; never when left out.
 
 @example
 unreservedResourcesFor(reservations, task, {vmId: 'vm-7', free}, cluster).processorsMilli; // => 0 while the VM has less free than is reserved for another task
 */
-export function unreservedResourcesFor(reservations: Reservations, task: Task, {vmId, free}: Readonly<{vmId: string; free: Resources}>, cluster: ClusterState): Resources {
-	return isReservedAgainst(reservations, task, vmId, cluster) ? subtractResources(free, reservations.byVm.get(vmId)!.demand) : free;
+export function unreservedResourcesFor(
+	reservations: Reservations,
+	task: Task,
+	{vmId, free, endsAtMs = Number.POSITIVE_INFINITY}: Readonly<{vmId: string; free: Resources; endsAtMs?: number}>,
+	cluster: ClusterState,
+): Resources {
+	const startsAtMs = reservations.byVm.get(vmId)?.startsAtMs ?? Number.NEGATIVE_INFINITY;
+	return endsAtMs > startsAtMs && isReservedAgainst(reservations, task, vmId, cluster) ? subtractResources(free, reservations.byVm.get(vmId)!.demand) : free;
 }
 
 /** Returns whether a task may reserve: a restart of a long-running or serving task, or one task of a job without claims. More reservations would take resources from the short tasks. */
