--- a/src/placement/place-queued-tasks.ts
+++ b/src/placement/place-queued-tasks.ts
@@ -316,8 +316,7 @@
 	const chosen = candidates.find(({candidate}) => candidate.vmId === choice.vmId)!;
 	const attempt = task.attempt + 1;
 	pass.starved.recordClaim(task.jobId);
-	pass.effects.push(...plannedStartEvent(pass.state.reservations, taskId, {isHeld: choice.vmId === reservedVmId, nowMs}));
-	pass.effects.push({
+	pass.effects.push(...plannedStartEvent(pass.state.reservations, taskId, {isHeld: choice.vmId === reservedVmId, nowMs}), {
 		kind: 'append-record',
 		record: {
 			kind: 'task-claimed',
