--- a/bench/play-filling-day.ts
+++ b/bench/play-filling-day.ts
@@ -47,7 +47,7 @@
 	meanLimitMilli: number;
 }>;
 
-export const settingsOf = (enabled: boolean): EntrySettings => entrySettingsSchema.parse({
+const settingsOf = (enabled: boolean): EntrySettings => entrySettingsSchema.parse({
 	role: 'entry', entryId: 'e', failureDomain: 'a', callerAddress: '127.0.0.1:1', operatorAddress: '127.0.0.1:2', agentAddress: '127.0.0.1:3', planning: {enabled},
 });
 
@@ -102,7 +102,7 @@
 	return new FillingDaySimulation(site, seed, settingsOf(planning)).run();
 }
 
-export class FillingDaySimulation {
+class FillingDaySimulation {
 	private readonly day: FillingDay;
 	private readonly vms = new Map<string, ThrottledVm>();
 	private readonly capacities = new Map<string, number>();
