--- a/src/entry/reduce-agent-event.ts
+++ b/src/entry/reduce-agent-event.ts
@@ -12,6 +12,7 @@
 import {recordClosedStream} from '../membership/unheard-vms.js';
 import {recordAgentMessage} from '../membership/vm-liveness.js';
 import {recordColdLeft} from '../placement/cold-vms.js';
+import {withFillingSupply} from '../placement/filling-limits.js';
 import {observeUsage} from '../placement/observe-usage.js';
 import {type EntrySettings} from '../settings/entry-settings.js';
 import {noResources} from '../cluster/resources.js';
@@ -71,6 +72,7 @@
 
 			const placement = {
 				...state.placement, fillingRoomByVm: state.placement.fillingRoomByVm.delete(link.vmId), silentVmIds: state.placement.silentVmIds.delete(link.vmId),
+				fillingLimits: withFillingSupply(state.placement.fillingLimits, link.vmId, undefined),
 			};
 			return {
 				state: {
@@ -238,6 +240,7 @@
 		...state.placement, interference: observed.estimates, history: observed.history, latencyImpacts: mergeLatencyImpacts(state.placement.latencyImpacts, heartbeat.presses),
 		fillingRoomByVm: heartbeat.fillingRoomMilli === 0 ? state.placement.fillingRoomByVm.delete(link.vmId) : state.placement.fillingRoomByVm.set(link.vmId, heartbeat.fillingRoomMilli),
 		coldVms: recordColdLeft(state.placement.coldVms, {vmId: link.vmId, coldLeftMs: heartbeat.coldLeftMs, nowMs: context.nowMs}),
+		fillingLimits: withFillingSupply(state.placement.fillingLimits, link.vmId, heartbeat.fillingSupply),
 		silentVmIds: heartbeat.workerSilent ? state.placement.silentVmIds.add(link.vmId) : state.placement.silentVmIds.delete(link.vmId),
 	};
 	const refreshed = refreshLink({...withLink(state, updatedLink), vmLiveness, placement}, updatedLink, context);
--- a/src/entry/reduce-entry.ts
+++ b/src/entry/reduce-entry.ts
@@ -10,6 +10,7 @@
 import {recordAttemptEnds, tickFailureAttribution} from '../placement/failure-attribution.js';
 import {initialPlacement, placeQueuedTasks} from '../placement/place-queued-tasks.js';
 import {recordFailedStarts} from '../placement/restart-pauses.js';
+import {recordRunTimes} from '../placement/run-time-estimates.js';
 import {type RequestEvent} from '../requests/request-event.js';
 import {reduceRequests} from '../requests/reduce-requests.js';
 import {type EntrySettings} from '../settings/entry-settings.js';
@@ -19,7 +20,7 @@
 import {logEvacuationChanges, tickEvacuations} from './evacuation-progress.js';
 import {emptyAppendGuard} from './append-guard.js';
 import {requestDeferredAnswer, resolveDeferredAnswers} from './deferred-answers.js';
-import {type EntryContext} from './entry-context.js';
+import {type EntryContext, isLogFresh} from './entry-context.js';
 import {contextOf} from './context-of.js';
 import {type EntryEffect} from './entry-effect.js';
 import {type EntryEvent, type EventInputs} from './entry-event.js';
@@ -180,6 +181,11 @@
 			effects: [],
 		})],
 		['evacuation-changes', state => ({state, effects: logEvacuationChanges(before, state.cluster)})],
+		['run-times', state => ({
+			// The times of records that were read late, such as at the start, are not known.
+			state: isLogFresh(contextOf(state, inputs, settings)) ? {...state, runTimes: recordRunTimes(state.runTimes, event.records, state.cluster, inputs.nowMs)} : state,
+			effects: [],
+		})],
 		['timeline', state => ({state, effects: recordTimeline(event.records, before, state.cluster, state.incarnation)})],
 		['failed-jobs', state => ({state, effects: logFailedJobs(event.records, {before, after: state.cluster}, state.incarnation)})],
 		['first-leases', state => grantFirstLeases(state, {cluster: before, tailSentAtMs}, inputs, settings)],
@@ -337,7 +343,7 @@
 
 	const ownContext = contextOf(state, inputs, settings);
 	const context = evacuationRequests ? {...ownContext, cluster: withRequests(ownContext.cluster, evacuationRequests)} : ownContext;
-	const pass = (): ReturnType<typeof placeQueuedTasks> => placeQueuedTasks(state.placement, {...context, unheardVmIds: unheardVmIds(state, context)});
+	const pass = (): ReturnType<typeof placeQueuedTasks> => placeQueuedTasks(state.placement, {...context, unheardVmIds: unheardVmIds(state, context), runTimes: state.runTimes});
 	const transition = inputs.measurePart ? inputs.measurePart('placement', pass) : pass();
 	return {
 		state: {
--- a/src/placement/place-queued-tasks.ts
+++ b/src/placement/place-queued-tasks.ts
@@ -20,6 +20,9 @@
 } from './cold-vms.js';
 import {priorityClassesForPass} from './priority-classes-for-pass.js';
 import {chooseVm, type PlacementCandidate} from './choose-vm.js';
+import {
+	type FillingLimits, fillingLimitMilliOf, noFillingLimits, updateFillingLimits, withFillingQueue,
+} from './filling-limits.js';
 import {maxLatencyImpactMilli, fillingDemandMilli, latencyImpactOfPlacementMilli} from './filling-work.js';
 import {offeredMilliOf} from './offered-processors.js';
 import {describeMissingCapacity, freeResourcesOf, acceptsNewTasks} from './feasibility.js';
@@ -29,8 +32,10 @@
 import {
 	addPendingClaim, noPendingClaims, type PendingClaims, prunePendingClaims, siblingsKeyOf,
 } from './pending-claims.js';
-import {isRestart} from './restart-waits.js';
 import {createPlacementFailures, type PlacementFailures} from './placement-failures.js';
+import {
+	expectedEndAtMs, expectedEndsOf, type ExpectedEnd, missedStartsOf, orderForPlanning, plannedStartEvent, plannedWaitMs,
+} from './placement-plan.js';
 import {placementPolicies} from './placement-policies.js';
 import {findStarvedJobs, type StarvedJobs, type WaitingJobs} from './starved-jobs.js';
 import {evaluatePlacementOwners, type OwnersSeen, type PlacementOwners} from './evaluate-placement-owners.js';
@@ -41,6 +46,8 @@
 	isReservedAgainst, retainValidReservations, noReservations, releaseReservation, reserveVm, unreservedResourcesFor, type Reservations,
 } from './reservations.js';
 import {type ReleaseEstimate} from './free-resources-wait.js';
+import {noRunTimeEstimates, type RunTimeEstimates} from './run-time-estimates.js';
+import {isRestart} from './restart-waits.js';
 import {chooseVictims} from './choose-victims.js';
 import {noVmHistory, type VmHistory} from './observe-usage.js';
 import {
@@ -61,6 +68,8 @@
 	fillingRoomByVm: ImmutableMap<string, number>;
 	/** VMs whose worker is slow for a time after its start. */
 	coldVms: ColdVms;
+	/** Limits of the started filling jobs; they move only while the entry plans ahead. */
+	fillingLimits: FillingLimits;
 	/** VMs with a silent worker: the agent could not deliver a start to it. */
 	silentVmIds: ImmutableSet<string>;
 	reservations: Reservations;
@@ -81,6 +90,7 @@
 	latencyImpacts: noLatencyImpactEstimates,
 	fillingRoomByVm: immutableMap(),
 	coldVms: noColdVms,
+	fillingLimits: noFillingLimits,
 	silentVmIds: immutableSet(),
 	reservations: noReservations,
 	fleetGrowth: noFleetSeen,
@@ -122,16 +132,21 @@
 	/** Expected harm of a placement, by kind, work class and demand of the task, then by VM. */
 	readonly harms: Map<string, Map<string, ExpectedHarm>>;
 	readonly starved: StarvedJobs;
-	readonly claims: ControlEffect[];
+	readonly effects: ControlEffect[];
 	readonly failures: PlacementFailures;
 	reservationAttempts: number;
 	/** Estimates of the resources that tasks will release, for the VMs compared for a reservation. */
 	readonly releaseEstimates: Map<string, ReleaseEstimate>;
+	/** Learned run times; undefined unless the entry plans ahead. */
+	readonly runTimes: RunTimeEstimates | undefined;
+	readonly expectedEnds: Map<string, readonly ExpectedEnd[]>;
+	/** Tasks that found no VM and may have a start planned. */
+	planned: Task[];
 	state: PlacementState;
 };
 
 /** What a placement pass reads; `unheardVmIds` names the VMs whose agent would probably not receive a start. */
-export type PlacementContext = EntryContext & Readonly<{unheardVmIds?: ImmutableSet<string>}>;
+export type PlacementContext = EntryContext & Readonly<{unheardVmIds?: ImmutableSet<string>; runTimes?: RunTimeEstimates}>;
 
 /**
 Claims VMs for queued tasks, the most urgent class first.
@@ -167,10 +182,13 @@
 		owners,
 		harms: new Map(),
 		starved,
-		claims: [],
+		effects: [],
 		failures: createPlacementFailures(),
 		reservationAttempts: 0,
 		releaseEstimates: new Map(),
+		runTimes: context.settings.planning.enabled ? context.runTimes ?? noRunTimeEstimates : undefined,
+		expectedEnds: new Map(),
+		planned: [],
 		state: pruned,
 	};
 	if (!owners.mayHaveAny()) {
@@ -182,6 +200,8 @@
 	pass.vms = warm;
 	pass.coldVms = cold;
 	pass.withheldMilliByVm = withheldMilliByVm;
+	moveFillingLimits(pass);
+	pass.effects.push(...missedStartsOf(state.reservations, pruned.reservations, context));
 	for (const priority of priorityClassesForPass(context.seed, context.cluster.configuration.requestLimits.floorMilliByClass)) {
 		placeClass(pass, priority);
 	}
@@ -191,10 +211,21 @@
 		state: {
 			...pass.state, ownersSeen: owners.ownersSeen(), waitingJobs: starved.waiting(), failuresLoggedAtMs: loggedAtMs,
 		},
-		effects: [...pass.claims, ...effects],
+		effects: [...pass.effects, ...effects],
 	};
 }
 
+function moveFillingLimits(pass: Pass): void {
+	const {cluster, nowMs, settings: {planning}} = pass.context;
+	if (planning.enabled) {
+		const {limits, effects} = updateFillingLimits(pass.state.fillingLimits, {
+			vms: pass.vms, cluster, maxLimitMilli: planning.maxFillingDemandMilli, nowMs,
+		});
+		pass.state = {...pass.state, fillingLimits: limits};
+		pass.effects.push(...effects);
+	}
+}
+
 function placeClass(pass: Pass, priority: PriorityClass): void {
 	const {cluster} = pass.context;
 	if (priority === 'urgent') {
@@ -203,6 +234,7 @@
 	}
 
 	pass.reservationAttempts = 0;
+	pass.planned = [];
 	const own = [...cluster.queued.get(priority)?.keys() ?? []].filter(taskId => {
 		const task = cluster.tasks.get(taskId);
 		return task && !pass.state.pending.byTask.has(taskId) && !isPaused(pass.state.failedStarts, task, pass.context.nowMs) && pass.owners.isOwn(placementSubjectOf(task, cluster));
@@ -214,6 +246,10 @@
 		pending: pass.state.pending,
 		fillingRoomByVm: pass.state.fillingRoomByVm,
 		mayExceed: taskId => pass.starved.isStarved(cluster.tasks.get(taskId)!),
+		limitMilliOf: service => fillingLimitMilliOf(pass.state.fillingLimits, service),
+		onQueue(service, queue) {
+			pass.state = {...pass.state, fillingLimits: withFillingQueue(pass.state.fillingLimits, service, queue)};
+		},
 	});
 	for (const taskId of ordered.slice(0, maxScannedTasks)) {
 		const task = cluster.tasks.get(taskId)!;
@@ -225,6 +261,17 @@
 			placeTask(pass, task);
 		});
 	}
+
+	planStarts(pass);
+}
+
+/** Reserves VMs for tasks of a class that found none, the largest first. */
+function planStarts(pass: Pass): void {
+	const tasks = orderForPlanning(pass.planned);
+	pass.planned = [];
+	for (const task of tasks) {
+		reserveFor(pass, task);
+	}
 }
 
 function placeTask(pass: Pass, task: Task): void {
@@ -298,7 +345,7 @@
 	const chosen = candidates.find(({candidate}) => candidate.vmId === choice.vmId)!;
 	const attempt = task.attempt + 1;
 	pass.starved.recordClaim(task.jobId);
-	pass.claims.push({
+	pass.effects.push(...plannedStartEvent(pass.state.reservations, taskId, {isHeld: choice.vmId === reservedVmId, nowMs}), {
 		kind: 'append-record',
 		record: {
 			kind: 'task-claimed',
@@ -323,12 +370,22 @@
 /** Refuses a task that no known worker could run, once no more workers are waited for. */
 function refuse(pass: Pass, taskId: string, lacks: string): void {
 	if (isFleetSettled(pass.state.fleetGrowth, pass.context.nowMs)) {
-		pass.claims.push({kind: 'append-record', record: {kind: 'task-unplaceable', taskId, lacks}});
+		pass.effects.push({kind: 'append-record', record: {kind: 'task-unplaceable', taskId, lacks}});
 	}
 }
 
 /** Reserves a VM for a task that could not be placed, so that later tasks do not take the resources released there. */
 function reserve(pass: Pass, task: Task): void {
+	// Restarts come first of all and reserve at once.
+	if (pass.runTimes && !isRestart(task, pass.context.cluster)) {
+		pass.planned.push(task);
+		return;
+	}
+
+	reserveFor(pass, task);
+}
+
+function reserveFor(pass: Pass, task: Task): void {
 	const {reservations, pending} = pass.state;
 	const {cluster, nowMs, seed} = pass.context;
 	if (reservations.vmIdByTask.has(task.spec.taskId) || pass.reservationAttempts >= maxReservationAttempts || fillingDemandMilli(task, cluster) > 0) {
@@ -341,10 +398,17 @@
 		reservations: reserveVm(reservations, task, {
 			// All tasks of a pass choose from the same sample, so that the estimate of each VM is computed once.
 			cluster, pending, nowMs, vms: sampleVms(pass.vms, seed, sampledVmsForReservation), fleetSize: pass.vms.length, releaseEstimates: pass.releaseEstimates,
+			plannedWaitMsOn: pass.runTimes && ((vm, demand, free) => plannedWaitMs(expectedEndsOn(pass, vm, pass.runTimes!), demand, free)),
 		}),
 	};
 }
 
+function expectedEndsOn(pass: Pass, vm: Vm, runTimes: RunTimeEstimates): readonly ExpectedEnd[] {
+	const ends = pass.expectedEnds.get(vm.vmId) ?? expectedEndsOf(vm, {...pass.context, runTimes});
+	pass.expectedEnds.set(vm.vmId, ends);
+	return ends;
+}
+
 /** Returns whether an earlier failure in this pass shows that no VM can take the task. */
 function isKnownWithoutVm(pass: Pass, task: Task): boolean {
 	const stepKey = stepOccurrenceKeyOf(task);
@@ -408,13 +472,14 @@
 	const requiredIdleMilli = requiredIdleMilliOf(pass, task);
 	const step = stepOf(cluster, task);
 	const offerContext = {cluster, pending: pass.state.pending, fillingRoomByVm: pass.state.fillingRoomByVm};
+	const endsAtMs = pass.runTimes ? expectedEndAtMs(task, {...pass.context, runTimes: pass.runTimes}) : Number.POSITIVE_INFINITY;
 	const candidateOn = (vm: Vm): FeasibleVm | undefined => {
 		const free = subtractResources(
 			freeResourcesOf(vm, pass.state.pending.committedByVm.get(vm.vmId, noResources)),
 			{...noResources, processorsMilli: pass.withheldMilliByVm.get(vm.vmId) ?? 0},
 		);
 		const offered = fillingMilli === 0 ? free : {...free, processorsMilli: offeredMilliOf(vm, offerContext, free)};
-		const unreserved = unreservedResourcesFor(pass.state.reservations, task, {vmId: vm.vmId, free}, cluster);
+		const unreserved = unreservedResourcesFor(pass.state.reservations, task, {vmId: vm.vmId, free, endsAtMs}, cluster);
 		if (!fitsInto(task.spec.demand, unreserved) || offered.processorsMilli < requiredIdleMilli || !isAllowed(pass, task, step, vm)) {
 			return undefined;
 		}
