--- a/src/entry/control-effect.ts
+++ b/src/entry/control-effect.ts
@@ -7,11 +7,13 @@
 /** A message to an agent, in the form that the generated code accepts. */
 export type AgentCommand = NonNullable<MessageInitShape<typeof EntryMessageSchema>['message']>;
 
-/** Answer to an operator or a caller, sent once the log holds the decision; its result is `unknown` after the timeout. */
+/** Answer to an operator or a caller, sent once the log holds the decision; its result is `unknown` after the timeout, and `refused` for a job that the admission in overload refuses. */
 export type DeferredAnswer = Readonly<{
-	result: 'accepted' | 'rejected' | 'unknown';
+	result: 'accepted' | 'rejected' | 'refused' | 'unknown';
 	offset: number;
 	reason: string;
+	/** When the caller should come back. */
+	retryAfterMs?: number;
 }>;
 
 /** Effects of the entry's reducer, except those of its part for callers' requests. */
--- a/src/entry/deferred-answers.ts
+++ b/src/entry/deferred-answers.ts
@@ -1,19 +1,47 @@
 import {Map} from 'immutable';
+import {type AdmissionState} from '../admission/admission-state.js';
+import {type AdmissionDecision} from '../admission/decide-admission.js';
+import {minRetryAfterMs} from '../admission/slot-promises.js';
 import {type ClusterRecord} from '../cluster/cluster-record.js';
 import {type ClusterState, type TaskPhase} from '../cluster/cluster-state.js';
+import {type Job} from '../cluster/intent.js';
 import {isStopping} from '../cluster/workflow-progress.js';
 import {type ControlEffect, type DeferredAnswer, type Transition} from './control-effect.js';
 import {type EntryContext, isLogFresh} from './entry-context.js';
-import {type DeferredSubject} from './entry-event.js';
+import {type DeferredSubject, type SubmitOrigin} from './entry-event.js';
+import {
+	advanceProof, hasProofTimedOut, isProven, leastAppliedOffsetOf, type RefusalProof,
+} from './refusal-proof.js';
 
 /** Requests of operators and callers that wait until the cluster state holds their outcome, by reply ID. */
-export type DeferredAnswers = Map<string, Readonly<{subject: DeferredSubject; requestedAtMs: number}>>;
+export type DeferredAnswers = Map<string, Readonly<{
+	subject: DeferredSubject;
+	requestedAtMs: number;
+	/** Set for a job that is to be refused and was not appended. */
+	refusal?: PendingRefusal;
+}>>;
+
+/** A refusal that waits for its proof. */
+type PendingRefusal = Readonly<{proof: RefusalProof; retryAfterMs: number; reason: string}>;
 
 export const noDeferredAnswers: DeferredAnswers = Map();
 
+/** Refusals that wait for their proof at most; each needs a decision anew once it is proven. */
+const maxPendingRefusals = 512;
+
+/** Decides whether to accept jobs in overload; it is undefined where all jobs are accepted. */
+export type JobAdmission = Readonly<{
+	state: AdmissionState;
+	decide: (state: AdmissionState, job: Job, origin: SubmitOrigin) => AdmissionDecision;
+}>;
+
+/** The new state of the deferred answers with the admission's. */
+export type DeferredTransition = Transition<DeferredAnswers> & Readonly<{admission: AdmissionState | undefined}>;
+
 /**
 Handles a request that the log decides. Answers at once when the state holds the outcome already, and rejects it when the log's tail
-was not read recently. Otherwise appends the record of the request and waits until it is read back.
+was not read recently. Otherwise appends the record of the request and waits until it is read back. A job that the admission refuses is not appended: its
+refusal waits for the proof that no append of it is under way.
 
 @example
 const {state, effects} = requestDeferredAnswer(noDeferredAnswers, 'reply-1', {kind: 'plan', plan}, context);
@@ -23,48 +51,132 @@
 	replyId: string,
 	subject: DeferredSubject,
 	context: EntryContext,
-): Transition<DeferredAnswers> {
+	admission?: JobAdmission,
+): DeferredTransition {
+	const answered = (answer: DeferredAnswer): DeferredTransition => ({state, effects: [{kind: 'answer-deferred', replyId, answer}], admission: admission?.state});
 	const decided = decisionOf(subject, context.cluster);
 	if (decided) {
-		return {state, effects: [{kind: 'answer-deferred', replyId, answer: decided}]};
+		return answered(decided);
 	}
 
 	if (!isLogFresh(context)) {
 		const reason = 'the log service is out of reach, so nothing was written; ask again when status shows the log as reachable';
-		return {state, effects: [{kind: 'answer-deferred', replyId, answer: {result: 'rejected', offset: context.cluster.offset, reason}}]};
+		return answered({result: 'rejected', offset: context.cluster.offset, reason});
 	}
 
 	if (!context.cluster.entries.has(context.incarnation)) {
 		// Readers of the log ignore what a writer appends before its registration.
 		const reason = 'the log service has not confirmed the registration of this entry yet, so nothing was written; ask again';
-		return {state, effects: [{kind: 'answer-deferred', replyId, answer: {result: 'rejected', offset: context.cluster.offset, reason}}]};
+		return answered({result: 'rejected', offset: context.cluster.offset, reason});
 	}
 
-	return {
-		state: state.set(replyId, {subject, requestedAtMs: context.nowMs}),
-		effects: [{kind: 'append-record', record: recordFor(subject, context.cluster)}],
-	};
+	const decision = admission && decideJob(state, subject, admission);
+	if (!decision || decision.verdict.isAccepted) {
+		const accepted: DeferredSubject = decision?.verdict.isAccepted ? {...subject, kind: 'job', job: decision.verdict.job} : subject;
+		return {
+			state: state.set(replyId, {subject: accepted, requestedAtMs: context.nowMs}),
+			effects: [...decision?.effects ?? [], {kind: 'append-record', record: recordFor(accepted, context.cluster)}],
+			admission: decision?.state ?? admission?.state,
+		};
+	}
+
+	const {retryAfterMs, reason} = decision.verdict;
+	const pending = {subject, requestedAtMs: context.nowMs, refusal: {retryAfterMs, reason, proof: {requestedAtMs: context.nowMs, tailOffset: undefined}}};
+	return state.count(({refusal}) => refusal !== undefined) >= maxPendingRefusals
+		? {state, effects: [...decision.effects, {kind: 'answer-deferred', replyId, answer: unproven(pending.refusal, context)}], admission: decision.state}
+		: {state: state.set(replyId, pending), effects: decision.effects, admission: decision.state};
+}
+
+/** Returns the admission's decision on a job; undefined for other subjects, and for a job of which an append may be under way, which is never refused. */
+function decideJob(state: DeferredAnswers, subject: DeferredSubject, admission: JobAdmission): AdmissionDecision | undefined {
+	if (subject.kind !== 'job' || subject.origin?.mayHaveRun || isAppending(state, subject.job.jobId)) {
+		return undefined;
+	}
+
+	return admission.decide(admission.state, subject.job, subject.origin ?? {});
+}
+
+function isAppending(state: DeferredAnswers, jobId: string): boolean {
+	return state.some(({subject, refusal}) => subject.kind === 'job' && subject.job.jobId === jobId && refusal === undefined);
 }
 
 /**
-Answers the requests whose outcome the cluster state now holds, and with `unknown` those that have waited for `decisionTimeoutMs`.
+Answers the requests whose outcome the cluster state now holds, and with `unknown` those that have waited for `decisionTimeoutMs`. Refuses jobs whose
+refusal is proven now, unless there is capacity for them by now.
 
 @example
 const {state, effects} = resolveDeferredAnswers(waiting, context);
 */
-export function resolveDeferredAnswers(state: DeferredAnswers, context: EntryContext): Transition<DeferredAnswers> {
+export function resolveDeferredAnswers(state: DeferredAnswers, context: EntryContext, admission?: JobAdmission): DeferredTransition {
+	const leastAppliedOffset = leastAppliedOffsetOf(context);
 	const effects: ControlEffect[] = [];
 	let next = state;
-	for (const [replyId, {subject, requestedAtMs}] of state) {
+	let current = admission;
+	for (const [replyId, waiting] of state) {
+		const {subject, requestedAtMs, refusal} = waiting;
 		const hasTimedOut = context.nowMs - requestedAtMs > context.settings.timings.decisionTimeoutMs;
 		const answer = decisionOf(subject, context.cluster) ?? (hasTimedOut ? timedOut(context) : undefined);
 		if (answer) {
 			next = next.delete(replyId);
 			effects.push({kind: 'answer-deferred', replyId, answer});
+			continue;
+		}
+
+		if (!refusal) {
+			continue;
 		}
+
+		const proof = advanceProof(refusal.proof, context);
+		if (isProven(proof, leastAppliedOffset)) {
+			const resolved = resolveRefusal(next, replyId, context, current);
+			next = resolved.state;
+			effects.push(...resolved.effects);
+			current = current && resolved.admission ? {...current, state: resolved.admission} : current;
+		} else if (hasProofTimedOut(proof, context.nowMs)) {
+			next = next.delete(replyId);
+			effects.push({kind: 'count-metric', name: 'admission.unproven', count: 1}, {kind: 'answer-deferred', replyId, answer: unproven(refusal, context)});
+		} else if (proof !== refusal.proof) {
+			next = next.set(replyId, {...waiting, refusal: {...refusal, proof}});
+		}
+	}
+
+	return {state: next, effects, admission: current?.state};
+}
+
+/** Refuses a job whose refusal is proven, unless a new decision accepts it: the backlog may have drained while the proof was awaited. */
+function resolveRefusal(state: DeferredAnswers, replyId: string, context: EntryContext, admission: JobAdmission | undefined): DeferredTransition {
+	const {subject, requestedAtMs, refusal} = state.get(replyId)!;
+	const decision = admission && decideJob(state, subject, admission);
+	if (refusal && decision && !decision.verdict.isAccepted) {
+		const retryAfterMs = Math.max(minRetryAfterMs, refusal.retryAfterMs - (context.nowMs - requestedAtMs));
+		return {
+			state: state.delete(replyId),
+			effects: [{kind: 'count-metric', name: 'admission.refused', count: 1}, {
+				kind: 'answer-deferred', replyId, answer: {
+					result: 'refused', offset: context.cluster.offset, reason: refusal.reason, retryAfterMs,
+				},
+			}],
+			// The job was counted as refused, and its slot promised, by the first decision.
+			admission: admission?.state,
+		};
 	}
 
-	return {state: next, effects};
+	const accepted: DeferredSubject = decision?.verdict.isAccepted ? {...subject, kind: 'job', job: decision.verdict.job} : subject;
+	return {
+		state: state.set(replyId, {subject: accepted, requestedAtMs}),
+		effects: [...decision?.effects ?? [], {kind: 'append-record', record: recordFor(accepted, context.cluster)}],
+		admission: decision?.state ?? admission?.state,
+	};
+}
+
+/** Returns the answer to a job that was not appended here, while another entry may be appending it. */
+function unproven({retryAfterMs}: PendingRefusal, context: EntryContext): DeferredAnswer {
+	return {
+		result: 'unknown',
+		offset: context.cluster.offset,
+		reason: 'there is no capacity for the job, and not all entries have shown that they are not writing it to the log; ask again with the same id',
+		retryAfterMs,
+	};
 }
 
 function timedOut(context: EntryContext): DeferredAnswer {
--- a/src/entry/entry-event.ts
+++ b/src/entry/entry-event.ts
@@ -5,10 +5,18 @@
 import {type RequestEvent} from '../requests/request-event.js';
 import {type MeasurePart} from './entry-monitor.js';
 
+/** Where a submitted job came from, as the entry knows that took the caller's request. */
+export type SubmitOrigin = Readonly<{
+	/** Failure domain of that entry. */
+	callerFailureDomain?: string | undefined;
+	/** Set when an earlier attempt to submit the job, whose outcome is not known, may have taken effect. */
+	mayHaveRun?: boolean | undefined;
+}>;
+
 /** Request of an operator or a caller whose outcome depends on the order of records in the log. */
 export type DeferredSubject
 	= | Readonly<{kind: 'plan'; plan: Plan}>
-		| Readonly<{kind: 'job'; job: Job}>
+		| Readonly<{kind: 'job'; job: Job; origin?: SubmitOrigin}>
 		| Readonly<{kind: 'cancel-job'; jobId: string}>;
 
 /** All events that an entry's reducer handles. */
--- a/src/entry/entry-process.ts
+++ b/src/entry/entry-process.ts
@@ -173,6 +173,7 @@
 		nowMs: () => performance.now(),
 		logFreshnessMs: settings.timings.logFreshnessMs,
 		maxRecordBytes: logService.limits.recordBytes,
+		failureDomain: settings.failureDomain,
 	});
 
 	const callers = createCallerServer({
--- a/src/entry/entry-state.ts
+++ b/src/entry/entry-state.ts
@@ -1,4 +1,5 @@
 import {Map} from 'immutable';
+import {initialAdmission, type AdmissionState} from '../admission/admission-state.js';
 import {type ClusterState} from '../cluster/cluster-state.js';
 import {emptyClusterState} from '../cluster/reduce-cluster.js';
 import {type AgentLink} from '../dispatch/agent-link.js';
@@ -49,6 +50,7 @@
 	requests: RequestState;
 	failureAttribution: FailureAttributionState;
 	deferred: DeferredAnswers;
+	admission: AdmissionState;
 	keyExpiry: KeyExpiryState;
 	appendGuard: AppendGuard;
 	snapshot: SnapshotProgress;
@@ -79,6 +81,7 @@
 		requests: initialRequestState,
 		failureAttribution: initialFailureAttribution,
 		deferred: noDeferredAnswers,
+		admission: initialAdmission,
 		keyExpiry: initialKeyExpiry,
 		appendGuard: emptyAppendGuard,
 		snapshot: {
--- a/src/entry/job-interface.ts
+++ b/src/entry/job-interface.ts
@@ -5,7 +5,7 @@
 import {jobSchema, nameSchema, type Job} from '../cluster/intent.js';
 import {type CallerJobError, type CallerJobs} from './caller-server.js';
 import {type DeferredAnswer} from './control-effect.js';
-import {type DeferredSubject} from './entry-event.js';
+import {type DeferredSubject, type SubmitOrigin} from './entry-event.js';
 import {type EntryState} from './entry-state.js';
 
 type TaskReport = Readonly<Pick<Task, 'phase' | 'attempt' | 'evictions' | 'failures' | 'reason'> & {taskId: string}>;
@@ -14,7 +14,9 @@
 export type JobReport = Readonly<{jobId: string; phase?: WorkflowPhase; tasks: readonly TaskReport[]}>;
 
 /** The job functions of an entry. */
-export type JobInterface = Omit<CallerJobs, 'find'> & Readonly<{
+export type JobInterface = Omit<CallerJobs, 'find' | 'submit'> & Readonly<{
+	/** @param origin where the job came from; this entry when left out. */
+	submit: (body: unknown, origin?: SubmitOrigin) => Promise<Result<unknown, CallerJobError>>;
 	find: (jobId: string) => Promise<Result<JobReport, CallerJobError>>;
 	/** Returns the number of accepted jobs of a queue of which no task has started. */
 	countPending: (queue: string) => Promise<Result<number, CallerJobError>>;
@@ -24,6 +26,7 @@
 
 const refusals: Readonly<Record<Exclude<DeferredAnswer['result'], 'accepted'>, Readonly<{status: number; kind: string; remedy: string}>>> = {
 	rejected: {status: 409, kind: 'job-rejected', remedy: 'choose another job id'},
+	refused: {status: 429, kind: 'job-refused-overload', remedy: 'send the job again with the same job id after the time in Retry-After, when there is capacity for it; it was not run'},
 	// The job may have been accepted, so neither a refusal nor `job-unknown` would be right.
 	unknown: {status: 504, kind: 'job-outcome-unknown', remedy: sendAgain},
 };
@@ -41,13 +44,15 @@
 const jobs = createJobInterface({state, requestDecision, nowMs: () => performance.now(), logFreshnessMs: 2000, maxRecordBytes: 261_120});
 await jobs.find('panel-17');
 */
-export function createJobInterface({state, requestDecision, nowMs, logFreshnessMs, maxRecordBytes}: Readonly<{
+export function createJobInterface({state, requestDecision, nowMs, logFreshnessMs, maxRecordBytes, failureDomain}: Readonly<{
 	state: () => EntryState;
 	requestDecision: (subject: DeferredSubject) => Promise<DeferredAnswer>;
 	nowMs: () => number;
 	logFreshnessMs: number;
 	/** Largest record that the log takes, in bytes; larger jobs are refused. */
 	maxRecordBytes: number;
+	/** Failure domain of this entry, which counts as that of the callers whose requests no other entry relayed. */
+	failureDomain?: string;
 }>): JobInterface {
 	const isFresh = (): boolean => nowMs() - state().log.tailConfirmedSentAtMs <= logFreshnessMs;
 
@@ -55,7 +60,7 @@
 	const missingJobError = (jobId: string): CallerJobError => isFresh() ? unknownJob(jobId) : staleState();
 
 	return {
-		async submit(body) {
+		async submit(body, origin) {
 			const job = jobSchema.safeParse(body);
 			if (!job.success) {
 				const [issue] = job.error.issues;
@@ -76,7 +81,7 @@
 			}
 
 			const {jobId} = job.data;
-			const answer = await requestDecision({kind: 'job', job: job.data});
+			const answer = await requestDecision({kind: 'job', job: job.data, origin: origin ?? {callerFailureDomain: failureDomain}});
 			return toResult(jobId, answer);
 		},
 		async find(jobId) {
@@ -111,7 +116,7 @@
 	return err({
 		status: isLogUnreachable ? 503 : status,
 		error: {kind, message: answer.reason, remedy: isLogUnreachable ? sendAgain : remedy},
-		...(isLogUnreachable && {retryAfterMs: logRetryAfterMs}),
+		...(isLogUnreachable ? {retryAfterMs: logRetryAfterMs} : (answer.retryAfterMs !== undefined && {retryAfterMs: answer.retryAfterMs})),
 	});
 }
 
--- a/src/entry/operator-backend.ts
+++ b/src/entry/operator-backend.ts
@@ -48,7 +48,11 @@
 			const answer: DeferredAnswer = isExpired
 				? {result: 'rejected', offset: -1, reason: 'the plan has expired; ask for a new plan'}
 				: await requestDecision({kind: 'plan', plan});
-			return {planId: plan.planId, ...answer};
+			const {result, offset, reason} = answer;
+			// Only jobs are refused for lack of capacity.
+			return {
+				planId: plan.planId, result: result === 'refused' ? 'rejected' : result, offset, reason,
+			};
 		},
 		liveness() {
 			const {links, log, cluster} = state();
--- a/src/entry/platform-entry.ts
+++ b/src/entry/platform-entry.ts
@@ -70,7 +70,7 @@
 	}
 
 	const jobs: JobInterface = {
-		submit: async body => decideOrRelay(async target => target.submit(body)),
+		submit: async body => decideOrRelay(async target => target.submit(body, {callerFailureDomain: failureDomain})),
 		async find(jobId) {
 			return decideOrRelay(async target => target.find(jobId)); // eslint-disable-line unicorn/no-array-callback-reference -- `find` is no method of an array.
 		},
--- a/src/entry/reduce-entry.ts
+++ b/src/entry/reduce-entry.ts
@@ -16,7 +16,8 @@
 	grantFirstLeases, startAndAcknowledgeTasks, linkOf, reduceAgentEvent, refreshLinks,
 } from './reduce-agent-event.js';
 import {emptyAppendGuard} from './append-guard.js';
-import {requestDeferredAnswer, resolveDeferredAnswers} from './deferred-answers.js';
+import {requestDeferredAnswer, resolveDeferredAnswers, type DeferredTransition} from './deferred-answers.js';
+import {admissionOf, recordForAdmission, tickEntryAdmission} from './entry-admission.js';
 import {type EntryContext} from './entry-context.js';
 import {contextOf} from './context-of.js';
 import {type EntryEffect} from './entry-effect.js';
@@ -111,8 +112,7 @@
 		}],
 	}),
 	'deferred-asked'(state, event, inputs, settings) {
-		const transition = requestDeferredAnswer(state.deferred, event.replyId, event.subject, contextOf(state, inputs, settings));
-		return {state: {...state, deferred: transition.state}, effects: transition.effects};
+		return withDeferred(state, requestDeferredAnswer(state.deferred, event.replyId, event.subject, contextOf(state, inputs, settings), admissionOf(state, inputs, settings)));
 	},
 	request: (state, event, inputs, settings) => continueWithRequest({state, effects: []}, event.event, inputs, settings),
 };
@@ -173,6 +173,7 @@
 			state: {...state, placement: {...state.placement, failedStarts: recordFailedStarts(state.placement.failedStarts, event.records, state.cluster, inputs.nowMs)}},
 			effects: [],
 		})],
+		['admission', state => ({state: recordForAdmission(state, event.records, {before, nowMs: inputs.nowMs, settings}), effects: []})],
 		['timeline', state => ({state, effects: recordTimeline(event.records, before, state.cluster, state.incarnation)})],
 		['failed-jobs', state => ({state, effects: logFailedJobs(event.records, {before, after: state.cluster}, state.incarnation)})],
 		['first-leases', state => grantFirstLeases(state, {cluster: before, tailSentAtMs}, inputs, settings)],
@@ -260,6 +261,7 @@
 		}],
 		['due-claims', state => commandDueClaims(state, inputs, settings)],
 		['deferred-answers', state => resolveDeferred(state, inputs, settings)],
+		['admission', state => tickEntryAdmission(state, inputs.nowMs)],
 	];
 }
 
@@ -355,8 +357,11 @@
 }
 
 function resolveDeferred(state: EntryState, inputs: EventInputs, settings: EntrySettings): EntryTransition {
-	const transition = resolveDeferredAnswers(state.deferred, contextOf(state, inputs, settings));
-	return {state: {...state, deferred: transition.state}, effects: transition.effects};
+	return withDeferred(state, resolveDeferredAnswers(state.deferred, contextOf(state, inputs, settings), admissionOf(state, inputs, settings)));
+}
+
+function withDeferred(state: EntryState, {state: deferred, effects, admission}: DeferredTransition): EntryTransition {
+	return {state: {...state, deferred, admission: admission ?? state.admission}, effects};
 }
 
 /** Records when claims of other entries were read, so that this entry sends their commands if the claiming entry does not. */
--- a/src/placement/admit-filling-jobs.ts
+++ b/src/placement/admit-filling-jobs.ts
@@ -6,7 +6,7 @@
 import {pendingFillingMilli} from './pending-claims.js';
 
 /** Limit of the demand of the started filling jobs, in thousandths of the processors that filling tasks demand or are offered; beyond it all of them slow down and none ends in time. */
-const admittedDemandShareMilli = 600;
+export const admittedDemandShareMilli = 600;
 
 /** Inputs of the admission of filling jobs. */
 export type AdmissionContext = OfferContext & Readonly<{
--- a/src/relay/job-relay.ts
+++ b/src/relay/job-relay.ts
@@ -12,7 +12,7 @@
 import {parseJson} from '../validation/parse-json.js';
 import {createHttpConnections, isConnectFailure, type HttpConnections} from '../worker/http-connections.js';
 import {
-	concludeAttempts, evaluateAttempt, noAttempts, orderDeciders, type AttemptEnd,
+	concludeAttempts, evaluateAttempt, noAttempts, orderDeciders, type AttemptEnd, type RelayAttempts,
 } from './relay-attempts.js';
 import {
 	relayAnswerSchema, relayPath, type RelayAnswer, type RelayCall,
@@ -124,7 +124,7 @@
 			}
 
 			const isRetryPossible = index + 1 < ids.length && takeRetry(retryBudget) !== undefined;
-			const end = await attempt(decider, call, isRetryPossible ? Math.min(attemptTimeoutMs, remainingMs) : remainingMs);
+			const end = await attempt(decider, withAttempts(call, attempts), isRetryPossible ? Math.min(attemptTimeoutMs, remainingMs) : remainingMs);
 			const verdict = evaluateAttempt(attempts, changesState(call) ? end : asNotSent(end));
 			if (verdict.isFinal) {
 				return verdict.answer;
@@ -178,7 +178,7 @@
 
 	return {
 		jobs: {
-			submit: async body => relayFor({kind: 'submit', job: body}, value => value),
+			submit: async (body, origin) => relayFor({kind: 'submit', job: body, ...origin}, value => value),
 			find: async jobId => relayFor<JobReport>({kind: 'find', jobId}, value => ({jobId, ...phaseOf(value), tasks: []})),
 			cancel: async jobId => relayFor({kind: 'cancel', jobId}, value => value),
 			countPending: async queue => relayFor({kind: 'count-pending', queue}, Number),
@@ -234,6 +234,11 @@
 	return !readKinds.has(kind);
 }
 
+/** Tells the decider when an earlier attempt to submit a job may have taken effect, so that it does not refuse the job as not run. */
+function withAttempts(call: RelayCall, {mayHaveRun}: RelayAttempts): RelayCall {
+	return call.kind === 'submit' && mayHaveRun ? {...call, mayHaveRun} : call;
+}
+
 /** A read without an answer has changed nothing. */
 function asNotSent(end: AttemptEnd): AttemptEnd {
 	return end.kind === 'unknown' ? {...end, kind: 'not-sent'} : end;
--- a/src/relay/relay-message.ts
+++ b/src/relay/relay-message.ts
@@ -13,7 +13,14 @@
 
 /** One call of a front to a decider, as JSON in the body of a POST to `/jobs`. The decider checks the job itself. */
 export const relayCallSchema = z.discriminatedUnion('kind', [
-	z.object({kind: z.literal('submit'), job: z.unknown()}),
+	z.object({
+		kind: z.literal('submit'),
+		job: z.unknown(),
+		/** Failure domain of the front that the caller reached. Left out by versions that did not send it. */
+		callerFailureDomain: nameSchema.optional(),
+		/** An earlier attempt at another decider had no usable answer, so that the job may be on its way to the log. */
+		mayHaveRun: z.boolean().optional(),
+	}),
 	z.object({kind: z.literal('find'), jobId: nameSchema}),
 	z.object({kind: z.literal('cancel'), jobId: nameSchema}),
 	z.object({kind: z.literal('count-pending'), queue: z.string().max(maxTextLength)}),
--- a/src/relay/relay-server.ts
+++ b/src/relay/relay-server.ts
@@ -73,7 +73,7 @@
 	let isClosing = false;
 
 	const handlers: RelayHandlers = {
-		submit: async ({job}, jobs) => jobs.submit(job),
+		submit: async ({job, callerFailureDomain, mayHaveRun}, jobs) => jobs.submit(job, {callerFailureDomain, mayHaveRun}),
 		async find({jobId}, jobs) {
 			const found = await jobs.find(jobId);
 			return found.map(({phase}) => ({jobId, phase}));
--- a/src/settings/entry-settings.ts
+++ b/src/settings/entry-settings.ts
@@ -58,6 +58,14 @@
 		keyRetentionMs: z.int().min(1000).max(maxDurationMs).default(600_000).describe('W: how long keys of non-idempotent requests are remembered'),
 		shutdownDelayMs: z.int().min(0).max(maxDurationMs).default(2000).describe('Time between not ready and the closing of the callers\' port'),
 	}).readonly().prefault({}),
+	jobAdmission: z.strictObject({
+		enabled: z.boolean().default(false).describe('Whether jobs that would end too late for their callers are refused with 429 at once'),
+		minMeasuredEnds: z.int().min(1).max(64).default(8).describe('Finished tasks of a queue below which its jobs are accepted, since nothing is known of them'),
+		queueFloorMilli: z.int().min(0).max(300).default(300).describe('Share of the capacity that the queues in use are guaranteed together, in thousandths'),
+		failureDomainFloorMilli: z.int().min(0).max(300).default(200).describe('Share of the capacity that the failure domains of callers are guaranteed together, in thousandths'),
+		largeFloorMilli: z.int().min(0).max(300).default(300).describe('Share of the capacity that the largest tenth and the fifth below it are guaranteed together, in thousandths'),
+		largeRefusalLimitMilli: z.int().min(0).max(100_000).default(1000).describe('Highest refusal rate of large jobs in thousandths of that of their whole queue'),
+	}).readonly().prefault({}).describe('Admission of jobs in overload, for entries that decide'),
 	snapshotEveryRecords: z.int().min(10).default(5000).describe('Records after which a snapshot is written'),
 	limits: z.strictObject({
 		headerBytes: z.int().min(1024).default(16_384).describe('Largest header of a caller\'s request'),
