--- a/src/admission/decide-admission.ts
+++ b/src/admission/decide-admission.ts
@@ -49,7 +49,7 @@
 	work: JobWork;
 	poolKey: string;
 	backlog: Backlog;
-	sizeClass: SizeClass;
+	sizeClass: SizeClass | undefined;
 	objectiveMs: number;
 	/** Time since the caller's first attempt. */
 	elapsedMs: number;
@@ -127,12 +127,15 @@
 
 function evaluate(state: AdmissionState, candidate: Candidate, inputs: AdmissionInputs): Evaluation {
 	const {backlog, job, work, poolKey} = candidate;
+	const deciderCount = Math.max(1, inputs.cluster.entries.size);
+	// Each decider counts what it accepts itself, and so against its share of the capacity.
+	const capacityMilli = backlog.capacityMilli / deciderCount;
 	const floors = holdersOf(candidate, inputs).map(({kind, floorMilli, holder}) =>
 		evaluateFloor(state.shares, {
-			poolKey, floor: {kind, floorMilli}, holder, work: work.work, capacityMilli: backlog.capacityMilli, nowMs: inputs.nowMs,
+			poolKey, floor: {kind, floorMilli}, holder, work: work.work, capacityMilli, nowMs: inputs.nowMs,
 		}));
 	const heldMilli = floors.reduce((sum, {heldByOthersMilli}) => sum + heldByOthersMilli, 0);
-	const accepted = acceptedBeside(state.unread, {poolKey, work: work.work, deciderCount: Math.max(1, inputs.cluster.entries.size)});
+	const accepted = acceptedBeside(state.unread, {poolKey, work: work.work, deciderCount});
 	const arrivingMilli = arrivingMilliOf(state.measured.rates, {poolKey, priority: job.priority, work: work.work});
 	const ownPromise = state.promises.get(job.jobId);
 	const ownWork = ownPromise?.holdsCapacity ? ownPromise.work : 0;
--- a/src/admission/size-classes.ts
+++ b/src/admission/size-classes.ts
@@ -18,27 +18,29 @@
 /** Newest jobs whose sizes set the limits of the classes: enough that the largest tenth is several jobs. */
 const maxRecentWorks = 64;
 
-/** Jobs of a queue below which all count as `other`. */
-const minRecentWorks = 10;
+/** Jobs of a queue below which the sizes are not known: the largest tenth is then less than two jobs. */
+const minRecentWorks = 20;
 
 /** Counts are halved after this time, so that the rates follow the load of the last minutes. */
 const halveCountsMs = 60_000;
 
 const maxQueues = 256;
 
-const largestQuantile = 0.9;
-const largeQuantile = 0.7;
+/** Below 0.9 by twice the sampling error. */
+const largestQuantile = 0.82;
+/** Below 0.7 by twice the sampling error of the quantile of 64 jobs, so that no job of the large classes counts as another one. */
+const largeQuantile = 0.58;
 
 /**
-Returns the size class of a job among the newest ones of its queue.
+Returns the size class of a job among the newest ones of its queue; undefined while too few are known.
 
 @example
 sizeClassOf(sizes, 'a.example/q/', 434_000_000); // => 'large'
 */
-export function sizeClassOf(sizes: JobSizes, queue: string, work: number): SizeClass {
+export function sizeClassOf(sizes: JobSizes, queue: string, work: number): SizeClass | undefined {
 	const sorted = sizes.get(queue)?.recentWorks.toSorted((left, right) => left - right) ?? [];
 	if (sorted.length < minRecentWorks) {
-		return 'other';
+		return undefined;
 	}
 
 	const limit = (quantile: number): number => sorted[Math.floor(quantile * sorted.length)]!;
@@ -46,16 +48,16 @@
 }
 
 /**
-Returns whether a large job may be refused without a higher share of refusals in its size class than in its whole queue.
+Returns whether a job may be refused without a higher share of refusals in its size class than in its whole queue. One whose class is not known may not.
 
 @param limitMilli highest ratio of the two shares, in thousandths.
 
 @example
 mayRefuseSize(sizes, {queue, sizeClass: 'large', limitMilli: 1000}); // => false while no other job of the queue was refused
 */
-export function mayRefuseSize(sizes: JobSizes, {queue, sizeClass, limitMilli}: Readonly<{queue: string; sizeClass: SizeClass; limitMilli: number}>): boolean {
-	if (sizeClass === 'other') {
-		return true;
+export function mayRefuseSize(sizes: JobSizes, {queue, sizeClass, limitMilli}: Readonly<{queue: string; sizeClass: SizeClass | undefined; limitMilli: number}>): boolean {
+	if (sizeClass === undefined || sizeClass === 'other') {
+		return sizeClass === 'other';
 	}
 
 	// The job itself has been counted as one that asked, and would be one more refusal in its class and in the queue.
@@ -73,7 +75,7 @@
 @example
 recordAsked(noJobSizes, {queue: 'a.example/q/', work: 434_000_000, sizeClass: 'other', nowMs});
 */
-export function recordAsked(sizes: JobSizes, {queue, work, sizeClass, nowMs}: Readonly<{queue: string; work: number; sizeClass: SizeClass; nowMs: number}>): JobSizes {
+export function recordAsked(sizes: JobSizes, {queue, work, sizeClass = 'other', nowMs}: Readonly<{queue: string; work: number; sizeClass: SizeClass | undefined; nowMs: number}>): JobSizes {
 	const known = sizes.get(queue) ?? {recentWorks: [], counts: noCounts, halvedAtMs: nowMs};
 	const isHalvingDue = nowMs - known.halvedAtMs >= halveCountsMs;
 	const counts = isHalvingDue ? halved(known.counts) : known.counts;
@@ -92,7 +94,7 @@
 @example
 recordRefused(sizes, 'a.example/q/', 'large');
 */
-export function recordRefused(sizes: JobSizes, queue: string, sizeClass: SizeClass): JobSizes {
+export function recordRefused(sizes: JobSizes, queue: string, sizeClass: SizeClass = 'other'): JobSizes {
 	const known = sizes.get(queue);
 	return known
 		? sizes.set(queue, {...known, counts: {...known.counts, [sizeClass]: {...known.counts[sizeClass], refused: known.counts[sizeClass].refused + 1}}})
--- a/src/entry/job-interface.test.ts
+++ b/src/entry/job-interface.test.ts
@@ -31,6 +31,13 @@
 	t.like(submitted.isErr && submitted.error, {status: 503, retryAfterMs: 1000});
 });
 
+test('a caller whose job is refused in overload is told that it was not run, and when to come back', async t => {
+	const submitted = await jobsThatAnswer({
+		result: 'refused', offset: 0, reason: 'the job would end too late', retryAfterMs: 7000,
+	}).submit(job);
+	t.like(submitted.isErr && submitted.error, {status: 429, error: {kind: 'job-refused-overload'}, retryAfterMs: 7000});
+});
+
 test('an entry with a stale state does not report a job that it has not recorded as unknown', async t => {
 	const answer: DeferredAnswer = {result: 'accepted', offset: 0, reason: ''};
 	const stale = await jobsThatAnswer(answer).find('job');
--- a/src/relay/job-relay.test.ts
+++ b/src/relay/job-relay.test.ts
@@ -218,3 +218,33 @@
 	isReady = true;
 	await waitFor(['d2']);
 });
+
+const overloadRefusal = {status: 429, error: {kind: 'job-refused-overload', message: 'no capacity', remedy: 'come back'}, retryAfterMs: 7000};
+
+test('a refusal in overload reaches the caller with its time, and no other decider is asked', async t => {
+	const origins: unknown[] = [];
+	const refusing = async (_job: unknown, origin: unknown) => {
+		origins.push(origin);
+		return err(overloadRefusal);
+	};
+
+	const deciders = [await startDecider(t, {jobs: {submit: refusing}}), await startDecider(t, {jobs: {submit: refusing}})];
+	const submitted = await relayTo(t, deciders.map(({address}) => address)).jobs.submit({jobId: 'j'}, {callerFailureDomain: 'b'});
+	t.like(submitted.isErr && submitted.error, {status: 429, retryAfterMs: 7000});
+	t.deepEqual(origins, [{callerFailureDomain: 'b', mayHaveRun: undefined}]);
+});
+
+test('after a decider without an answer, the next one learns that the job may have run, and a refusal of one that ignores it is no refusal', async t => {
+	const origins: unknown[] = [];
+	const refusing = await startDecider(t, {jobs: {
+		async submit(_job, origin) {
+			origins.push(origin);
+			return err(overloadRefusal);
+		},
+	}});
+	const silent = await startSilent(t);
+	// One of the two orders asks the silent decider first, whatever the job's id.
+	const answers = await Promise.all([[silent, refusing.address], [refusing.address, silent]].map(async addresses => relayTo(t, addresses).jobs.submit({jobId: 'j'})));
+	t.deepEqual(new Set(answers.map(answer => answer.isErr && answer.error.status)), new Set([429, 504]));
+	t.true(origins.some(origin => (origin as {mayHaveRun?: boolean}).mayHaveRun === true));
+});
