Make the tests of relayed refusals independent of the machine's speed

Cause: with a load average of 48 an answer took longer than the 900 ms of an attempt, so that 504 came in place of 429. Change: one decider has the time of the whole call; that 429 is final is tested on the attempts alone.

--- a/src/relay/job-relay.test.ts
+++ b/src/relay/job-relay.test.ts
@@ -222,15 +222,18 @@
 
 const overloadRefusal = {status: 429, error: {kind: 'job-refused-overload', message: 'no capacity', remedy: 'come back'}, retryAfterMs: 7000};
 
-test('a refusal in overload reaches the caller with its time, and no other decider is asked', async t => {
+test('a refusal in overload reaches the caller with its time', async t => {
 	const origins: unknown[] = [];
-	const refusing = async (_job: unknown, origin: unknown) => {
-		origins.push(origin);
-		return err(overloadRefusal);
-	};
-
-	const deciders = [await startDecider(t, {jobs: {submit: refusing}}), await startDecider(t, {jobs: {submit: refusing}})];
-	const submitted = await relayTo(t, deciders.map(({address}) => address)).jobs.submit({jobId: 'j'}, {callerFailureDomain: 'b'});
+	// With one decider, the attempt has the time of the whole call, also on a busy machine.
+	const decider = await startDecider(t, {
+		jobs: {
+			async submit(_job, origin) {
+				origins.push(origin);
+				return err(overloadRefusal);
+			},
+		},
+	});
+	const submitted = await relayTo(t, [decider.address]).jobs.submit({jobId: 'j'}, {callerFailureDomain: 'b'});
 	t.like(submitted.isErr && submitted.error, {status: 429, retryAfterMs: 7000});
 	t.deepEqual(origins, [{callerFailureDomain: 'b', mayHaveRun: undefined}]);
 });
@@ -246,8 +249,12 @@
 		},
 	});
 	const silent = await startSilent(t);
-	// One of the two orders asks the silent decider first, whatever the job's id.
-	const answers = await Promise.all([[silent, refusing.address], [refusing.address, silent]].map(async addresses => relayTo(t, addresses).jobs.submit({jobId: 'j'})));
-	t.deepEqual(new Set(answers.map(answer => answer.isErr && answer.error.status)), new Set([429, 504]));
+	// The silent decider comes first for some of the jobs: their callers get 504, and never 429.
+	const relay = relayTo(t, [silent, refusing.address]);
+	const answers = await Promise.all(Array.from({length: 12}, async (_, index) => relay.jobs.submit({jobId: `j${index}`})));
+	const refusals = answers.filter(answer => answer.isErr && answer.error.status === 429).length;
+	t.true(answers.every(answer => answer.isErr && [429, 504].includes(answer.error.status)));
+	t.true(refusals < answers.length);
+	t.true(refusals <= origins.filter(origin => origin?.mayHaveRun === undefined).length);
 	t.true(origins.some(origin => origin?.mayHaveRun === true));
 });
--- a/src/relay/relay-attempts.test.ts
+++ b/src/relay/relay-attempts.test.ts
@@ -53,3 +53,7 @@
 	const healthById = new Map([['a', {entryId: 'a', failedAtMs: 500}], ['b', {entryId: 'b', failedAtMs: 100}], ['c', {entryId: 'c', failedAtMs: Number.NEGATIVE_INFINITY}]]);
 	t.deepEqual(orderDeciders(['a', 'b', 'c', 'd'], healthById), ['c', 'd', 'b', 'a']);
 });
+
+test('a refusal in overload is final: other deciders have as little capacity', t => {
+	t.like(evaluateAttempt(noAttempts, ends.overloaded!), {isFinal: true, answer: {result: 'error', error: {status: 429}}});
+});
