--- a/src/entry/entry-process.ts
+++ b/src/entry/entry-process.ts
@@ -184,6 +184,7 @@
 		nowMs: () => performance.now(),
 		logFreshnessMs: settings.timings.logFreshnessMs,
 		maxRecordBytes: logService.limits.recordBytes,
+		failureDomain: settings.failureDomain,
 	});
 
 	const callers = createCallerServer({
--- a/src/entry/entry-state.ts
+++ b/src/entry/entry-state.ts
@@ -1,4 +1,5 @@
 import {Map} from 'immutable';
+import {initialAdmission, type AdmissionState} from '../admission/admission-state.js';
 import {type ClusterState} from '../cluster/cluster-state.js';
 import {emptyClusterState} from '../cluster/reduce-cluster.js';
 import {type AgentLink} from '../dispatch/agent-link.js';
@@ -52,6 +53,7 @@
 	requests: RequestState;
 	failureAttribution: FailureAttributionState;
 	deferred: DeferredAnswers;
+	admission: AdmissionState;
 	keyExpiry: KeyExpiryState;
 	appendGuard: AppendGuard;
 	snapshot: SnapshotProgress;
@@ -84,6 +86,7 @@
 		requests: initialRequestState,
 		failureAttribution: initialFailureAttribution,
 		deferred: noDeferredAnswers,
+		admission: initialAdmission,
 		keyExpiry: initialKeyExpiry,
 		appendGuard: emptyAppendGuard,
 		snapshot: {
--- a/src/entry/report-gauges.ts
+++ b/src/entry/report-gauges.ts
@@ -14,7 +14,7 @@
 	wallTimeMs: number;
 	pendingAppends: number;
 }>): void {
-	const {cluster, links, log, placement, requests, runTimes} = state;
+	const {admission, cluster, links, log, placement, requests, runTimes} = state;
 	metrics.gauge('log.pending', pendingAppends);
 	if (log.tailConfirmedSentAtMs > Number.NEGATIVE_INFINITY) {
 		metrics.gauge('log.tail-age', Math.round(nowMs - log.tailConfirmedSentAtMs));
@@ -22,6 +22,7 @@
 
 	metrics.gauge('agents.connected', links.size);
 	metrics.gauge('requests.pending', requests.pending.size);
+	metrics.gauge('admission.promised', admission.promises.size);
 	for (const [service, {queue}] of requests.services) {
 		if (cluster.configuration.services.has(service)) {
 			metrics.gauge('requests.queued', queue.size, {service});
--- a/src/relay/job-relay.test.ts
+++ b/src/relay/job-relay.test.ts
@@ -5,6 +5,7 @@
 import {err, ok} from 'true-myth/result';
 import {findFreeAddresses} from '../../demo/free-addresses.js';
 import {type Readiness} from '../entry/caller-server.js';
+import {type SubmitOrigin} from '../entry/entry-event.js';
 import {type JobInterface} from '../entry/job-interface.js';
 import {type EventLog} from '../telemetry/event-log.js';
 import {type Metrics} from '../telemetry/metrics.js';
@@ -244,3 +245,42 @@
 
 	t.true(performance.now() - sinceMs < 600, 'within 600 ms on a busy machine');
 });
+
+const overloadRefusal = {status: 429, error: {kind: 'job-refused-overload', message: 'no capacity', remedy: 'come back'}, retryAfterMs: 7000};
+
+test('a refusal in overload reaches the caller with its time', async t => {
+	const origins: unknown[] = [];
+	// With one decider, the attempt has the time of the whole call, also on a busy machine.
+	const decider = await startDecider(t, {
+		jobs: {
+			async submit(_job, origin) {
+				origins.push(origin);
+				return err(overloadRefusal);
+			},
+		},
+	});
+	const submitted = await relayTo(t, [decider.address]).jobs.submit({jobId: 'j'}, {callerFailureDomain: 'b'});
+	t.like(submitted.isErr && submitted.error, {status: 429, retryAfterMs: 7000});
+	t.deepEqual(origins, [{callerFailureDomain: 'b', mayHaveRun: undefined}]);
+});
+
+test('after a decider without an answer, the next one learns that the job may have run, and a refusal of one that ignores it is no refusal', async t => {
+	const origins: Array<SubmitOrigin | undefined> = [];
+	const refusing = await startDecider(t, {
+		jobs: {
+			async submit(_job, origin) {
+				origins.push(origin);
+				return err(overloadRefusal);
+			},
+		},
+	});
+	const silent = await startSilent(t);
+	// The silent decider comes first for some of the jobs: their callers get 504, and never 429.
+	const relay = relayTo(t, [silent, refusing.address]);
+	const answers = await Promise.all(Array.from({length: 12}, async (_, index) => relay.jobs.submit({jobId: `j${index}`})));
+	const refusals = answers.filter(answer => answer.isErr && answer.error.status === 429).length;
+	t.true(answers.every(answer => answer.isErr && [429, 504].includes(answer.error.status)));
+	t.true(refusals < answers.length);
+	t.true(refusals <= origins.filter(origin => origin?.mayHaveRun === undefined).length);
+	t.true(origins.some(origin => origin?.mayHaveRun === true));
+});
--- a/src/relay/job-relay.ts
+++ b/src/relay/job-relay.ts
@@ -14,7 +14,7 @@
 import {checkPauseMs, quickCheckPauseMs} from './check-pause.js';
 import {createFirstAnswerWait} from './first-answer-wait.js';
 import {
-	concludeAttempts, evaluateAttempt, noAttempts, orderDeciders, type AttemptEnd,
+	concludeAttempts, evaluateAttempt, noAttempts, orderDeciders, type AttemptEnd, type RelayAttempts,
 } from './relay-attempts.js';
 import {
 	relayAnswerSchema, relayPath, type RelayAnswer, type RelayCall,
@@ -78,7 +78,7 @@
 const refusedStatus = 503;
 
 /**
-Creates the relay of a front; it relays after `setDeciders`. Each front prefers another decider, so that the load is spread.
+Creates the relay of a front; it relays after `setDeciders`. Each front prefers another decider, and each job another one for its submission, so that the load is spread.
 
 @example
 const relay = createJobRelay({entryId: 'edge-9', nowMs: () => performance.now(), eventLog, metrics});
@@ -103,6 +103,12 @@
 
 	const isReady = (): boolean => nowMs() - lastAnsweredAtMs <= notReadyAfterMs;
 
+	/** Returns the deciders in the order for a call. A job's submissions go to the same one from all fronts, which knows what it promised to the caller. */
+	function rankedIdsFor(call: RelayCall): readonly string[] {
+		const jobId = call.kind === 'submit' ? jobIdOf(call.job) : undefined;
+		return jobId === undefined ? rankedIds : rankByRendezvous(rankedIds, jobId);
+	}
+
 	function recordEnd(decider: DeciderState, end: AttemptEnd): void {
 		const isGood = end.kind === 'answered' && !(end.answer.result === 'error' && end.answer.error.status >= 503);
 		decider.failedAtMs = isGood ? Number.NEGATIVE_INFINITY : nowMs();
@@ -121,7 +127,7 @@
 
 	/** Makes attempts at one decider after the other until the answer is final or the time is over. */
 	async function relay(call: RelayCall, startMs: number): Promise<RelayAnswer> {
-		const ids = orderDeciders(rankedIds, new Map([...deciders].map(([id, {failedAtMs}]) => [id, {entryId: id, failedAtMs}]))).slice(0, maxAttempts);
+		const ids = orderDeciders(rankedIdsFor(call), new Map([...deciders].map(([id, {failedAtMs}]) => [id, {entryId: id, failedAtMs}]))).slice(0, maxAttempts);
 		let attempts = noAttempts;
 		retryBudget = creditRequest(retryBudget, retryBudgetMilli);
 		for (const [index, id] of ids.entries()) {
@@ -132,7 +138,7 @@
 			}
 
 			const isRetryPossible = index + 1 < ids.length && takeRetry(retryBudget) !== undefined;
-			const end = await attempt(decider, call, isRetryPossible ? Math.min(attemptTimeoutMs, remainingMs) : remainingMs);
+			const end = await attempt(decider, withAttempts(call, attempts), isRetryPossible ? Math.min(attemptTimeoutMs, remainingMs) : remainingMs);
 			const verdict = evaluateAttempt(attempts, changesState(call) ? end : asNotSent(end));
 			if (verdict.isFinal) {
 				return verdict.answer;
@@ -205,7 +211,7 @@
 
 	return {
 		jobs: {
-			submit: async body => relayFor({kind: 'submit', job: body}, value => value),
+			submit: async (body, origin) => relayFor({kind: 'submit', job: body, ...origin}, value => value),
 			find: async jobId => relayFor<JobReport>({kind: 'find', jobId}, value => ({jobId, ...phaseOf(value), tasks: []})),
 			cancel: async jobId => relayFor({kind: 'cancel', jobId}, value => value),
 			countPending: async queue => relayFor({kind: 'count-pending', queue}, Number),
@@ -266,6 +272,17 @@
 	return answer.result === 'error' && answer.error.status === refusedStatus;
 }
 
+const jobIdSchema = z.object({jobId: z.string()});
+
+function jobIdOf(job: unknown): string | undefined {
+	return jobIdSchema.safeParse(job).data?.jobId;
+}
+
+/** Tells the decider when an earlier attempt to submit a job may have taken effect, so that it does not refuse the job as not run. */
+function withAttempts(call: RelayCall, {mayHaveRun}: RelayAttempts): RelayCall {
+	return call.kind === 'submit' && mayHaveRun ? {...call, mayHaveRun} : call;
+}
+
 /** A read without an answer has changed nothing. */
 function asNotSent(end: AttemptEnd): AttemptEnd {
 	return end.kind === 'unknown' ? {...end, kind: 'not-sent'} : end;
