Add a check of a configuration before it is sent

Cause: entries apply a configuration that decodes, also one whose routes no request can match, whose services are missing or whose limits contradict each other. One whose version is not higher is ignored without a word to the operator.

Change: `check-configuration FILE [--against FILE] [--json]` reports errors and warnings with the path of the field and a remedy, and the differences from the configuration in force. There is no `--entry`, since no interface of an entry serves the configuration in force.

--- a/src/operator/run-command-line.test.ts
+++ b/src/operator/run-command-line.test.ts
@@ -95,7 +95,7 @@
 
 test('a version request succeeds for every command', async t => {
 	t.like(await run('--version'), {status: 0});
-	for (const command of ['entry', 'agent', 'plan', 'confirm', 'status', 'explain', 'timeline', 'replay', 'check-settings']) {
+	for (const command of ['entry', 'agent', 'plan', 'confirm', 'status', 'explain', 'timeline', 'replay', 'check-settings', 'check-configuration']) {
 		t.like(await run(command, '--version'), {status: 0});
 	}
 });
--- a/src/operator/run-command-line.ts
+++ b/src/operator/run-command-line.ts
@@ -175,6 +175,18 @@
 			return runCheckSettingsCommand({file: unmarkedText(file) ?? '', json: isFlagSet(options, 'json')}, output);
 		});
 
+	cli.command('check-configuration <FILE>', 'Check an operator\'s configuration before it is sent to the platform\'s store')
+		.option('--against <FILE>', 'File that holds the configuration in force; differences from it are printed')
+		.option('--json', 'Print the problems and differences as JSON')
+		.example(name => `  $ ${name} check-configuration next.json --against current.json`)
+		.action(async (file: unknown, options: Options) => {
+			const againstFile = readOption(options, 'against');
+			const [{checkConfiguration}, {runCheckConfigurationCommand}] = await Promise.all([
+				import('../../platform/check-configuration.js'), import('./check-configuration-command.js'),
+			]);
+			return runCheckConfigurationCommand({file: unmarkedText(file) ?? '', againstFile, json: isFlagSet(options, 'json')}, checkConfiguration, output);
+		});
+
 	cli.option('-v, --version', 'Print the version');
 	cli.help();
 	return cli;
