Count a call's time before the wait for the first answer

Cause: a front that had just started let a refused call wait 1.2 s from its refusal, not from its beginning. A decider that refused after 2.0 s, for example with little processor time, made the answer come after the 3 s that callers wait.

Change: the wait ends 1.2 s after the call began, and a call whose attempts took that long is refused at once.

Measured: the added test failed before (a refusal by a decider that takes 2.0 s came after more than 2.9 s) and passes (whole test 2.1 s).

--- a/src/relay/first-answer-wait.ts
+++ b/src/relay/first-answer-wait.ts
@@ -1,14 +1,17 @@
 /** Lets calls wait at a front that has just started, until a decider answers for the first time. */
 export type FirstAnswerWait = Readonly<{
-	/** Resolves with whether a decider has answered: at the first answer or after the longest wait, at once when too many calls wait or long after the start. */
-	wait: () => Promise<boolean>;
+	/**
+	Resolves with whether a decider has answered and the call may be tried again: at the first answer or after the longest wait since the call began, at once
+	when too many calls wait or long after the start.
+	*/
+	wait: (callBeganAtMs?: number) => Promise<boolean>;
 	hasAnswer: () => boolean;
 	recordAnswer: () => void;
 	/** Ends all waits. */
 	close: () => void;
 }>;
 
-/** Of the 3 s that a caller waits; 1.4 s are left for attempts at deciders, which then answer within milliseconds. */
+/** Time since a call began, of the 3 s that its caller waits; 1.4 s are left for attempts at deciders, which then answer within milliseconds. */
 const maxWaitMs = 1200;
 
 /** Calls that wait at most; each holds a body of at most 256 KB, on VMs of 250 MB. */
@@ -38,8 +41,14 @@
 	}
 
 	return {
-		async wait() {
-			const waitMs = Math.min(maxWaitMs, startedAtMs + startMs - nowMs());
+		async wait(callBeganAtMs = nowMs()) {
+			const callLeftMs = callBeganAtMs + maxWaitMs - nowMs();
+			if (callLeftMs <= 0) {
+				// The attempts before have used the time, for example at deciders that refuse slowly.
+				return false;
+			}
+
+			const waitMs = Math.min(callLeftMs, startedAtMs + startMs - nowMs());
 			if (isAnswered || isClosed || waitMs <= 0 || waiting.size >= maxWaitingCalls) {
 				return isAnswered;
 			}
--- a/src/relay/job-relay.test.ts
+++ b/src/relay/job-relay.test.ts
@@ -232,6 +232,23 @@
 	t.is(decider.accepted.length, 1);
 });
 
+// Guards against an answer later than the 3 s that callers wait: deciders that start with little processor time refuse slowly.
+test('a call that a starting decider refused slowly does not wait for the first answer beyond its time', async t => {
+	const decider = await startDecider(t, {
+		readiness: () => ({isReady: false, reason: 'the state is being loaded'}),
+		jobs: {
+			async submit() {
+				await delay(2000);
+				return err(refusal);
+			},
+		},
+	});
+	const startMs = performance.now();
+	const submitted = await relayTo(t, [decider.address]).jobs.submit({});
+	t.like(submitted.isErr && submitted.error, {status: 503});
+	t.true(performance.now() - startMs < 2900, 'it was refused after 2.0 s');
+});
+
 test('a front that has just started is ready within 200 ms after a decider is', async t => {
 	let isReady = false;
 	const decider = await startDecider(t, {readiness: () => isReady ? ready : {isReady: false, reason: 'the state is being loaded'}});
--- a/src/relay/job-relay.ts
+++ b/src/relay/job-relay.ts
@@ -173,7 +173,7 @@
 			const isStarting = !firstAnswer.hasAnswer();
 			const answer = await relay(call, startMs);
 			// Nothing was done so far, so that the call is tried again once the first decider answers.
-			return isStarting && isRefusedAsNotRun(answer) && await firstAnswer.wait() ? await relay(call, startMs) : answer;
+			return isStarting && isRefusedAsNotRun(answer) && await firstAnswer.wait(startMs) ? await relay(call, startMs) : answer;
 		} finally {
 			openCalls--;
 			metrics.timingMs('relay.call', Math.round(nowMs() - startMs));
