Leave the placement to other entries while the operator's topic is unread

Cause: an entry places nothing before it has read the evacuations, but its heartbeats in the log showed that it was up to date, so that the tasks that it is the placement owner of started nowhere for as long as it read the log and not the operator's topic.

Change: after 1 s without the topic, its heartbeats name the offset at which the wait began, as those of an entry whose passes all fail do. The next entry by rank then places; the first heartbeat after the topic was read ends it. The wait is logged.

Measured: the added test failed before (the entry did not count as behind after 30 heartbeats) and passes.

--- a/src/entry/evacuation-progress.ts
+++ b/src/entry/evacuation-progress.ts
@@ -6,11 +6,19 @@
 } from './append-guard.js';
 import {type ControlEffect, type Transition} from './control-effect.js';
 import {type EntryContext} from './entry-context.js';
+import {hasGivenPlacementUp, recordFailedPass, type FailingPlacement} from './failing-placement.js';
 
-/** What an entry has done about evacuations: records that it appended and has not read back, and when it last logged those that stand. */
-export type EvacuationProgress = Readonly<{guard: AppendGuard; loggedAtMs: number}>;
+/** What an entry has done about evacuations. */
+export type EvacuationProgress = Readonly<{
+	/** Records that it appended and has not read back. */
+	guard: AppendGuard;
+	/** When it last logged the evacuations that stand. */
+	loggedAtMs: number;
+	/** Set while it has not read the operator's topic and therefore places nothing. */
+	unread: FailingPlacement | undefined;
+}>;
 
-export const initialEvacuationProgress: EvacuationProgress = {guard: emptyAppendGuard, loggedAtMs: Number.NEGATIVE_INFINITY};
+export const initialEvacuationProgress: EvacuationProgress = {guard: emptyAppendGuard, loggedAtMs: Number.NEGATIVE_INFINITY, unread: undefined};
 
 /** Time between two log lines about the evacuations that stand: often enough to follow how many tasks are left. */
 const logIntervalMs = 10_000;
@@ -23,13 +31,14 @@
 const {state, effects} = tickEvacuations(initialEvacuationProgress, context);
 */
 export function tickEvacuations(state: EvacuationProgress, context: EntryContext): Transition<EvacuationProgress> {
-	const recorded = recordRequests(state, context);
+	const followed = followUnread(state, context);
+	const recorded = recordRequests(followed.state, context);
 	const standing = [...context.cluster.configuration.evacuations].filter(([, {isRequested}]) => isRequested);
 	return standing.length === 0 || context.nowMs - state.loggedAtMs < logIntervalMs
-		? recorded
+		? {state: recorded.state, effects: [...followed.effects, ...recorded.effects]}
 		: {
 			state: {...recorded.state, loggedAtMs: context.nowMs},
-			effects: [...recorded.effects, ...standing.map(([failureDomain, evacuation]): ControlEffect => ({
+			effects: [...followed.effects, ...recorded.effects, ...standing.map(([failureDomain, evacuation]): ControlEffect => ({
 				kind: 'log-event', level: 'info', event: 'failure-domain-evacuation-stands', fields: {
 					...fieldsOf(context.cluster, failureDomain, evacuation), forMs: ageMsOf(evacuation, context.wallTimeMs),
 				},
@@ -37,6 +46,24 @@
 		};
 }
 
+/**
+Follows for how long the operator's topic has not been read. An entry that cannot read it while it reads the log would otherwise stay the placement
+owner of its share of the tasks, which then start nowhere.
+*/
+function followUnread(state: EvacuationProgress, {evacuationRequests, nowMs, cluster}: EntryContext): Transition<EvacuationProgress> {
+	const unread = evacuationRequests === 'unread' ? recordFailedPass(state.unread, {nowMs, offset: cluster.offset}) : undefined;
+	return {
+		state: {...state, unread},
+		effects: unread && hasGivenPlacementUp(unread) && !hasGivenPlacementUp(state.unread)
+			? [{
+				kind: 'log-event', level: 'warn', event: 'placement-awaits-evacuations', fields: {
+					unreadMs: Math.round(unread.untilMs - unread.sinceMs), offset: unread.offset, remedy: 'check that the store answers reads of the operator\'s topic; other entries place meanwhile',
+				},
+			}]
+			: [],
+	};
+}
+
 function recordRequests(state: EvacuationProgress, context: EntryContext): Transition<EvacuationProgress> {
 	const {cluster, evacuationRequests, incarnation, tailConfirmedSentAtMs, nowMs, wallTimeMs} = context;
 	// Readers ignore what an entry writes before its own registration.
--- a/src/entry/evacuation.test.ts
+++ b/src/entry/evacuation.test.ts
@@ -85,6 +85,30 @@
 	t.deepEqual(kindsOf(createEntry(noRequests).submitted), ['task-claimed']);
 });
 
+// Guards against tasks that start nowhere while their placement owner reads the log but not the operator's topic.
+test('an entry that cannot read the operator\'s topic leaves the placement to the next one, and takes part again once it has read it', t => {
+	const entry = createEntry('unread');
+	const heartbeatIn = (transition: EntryTransition): ClusterRecord | undefined => recordsOf(transition).find(({kind}) => kind === 'entry-alive');
+	const events: string[] = [];
+	let nowMs = 1000;
+	const writeHeartbeats = (count: number): void => {
+		for (let written = 0; written < count; nowMs += 250) {
+			const ticked = entry.tick(nowMs);
+			const heartbeat = heartbeatIn(ticked);
+			events.push(...eventsOf(ticked));
+			entry.read(nowMs, ...(heartbeat ? [heartbeat] : []));
+			written += heartbeat ? 1 : 0;
+		}
+	};
+
+	writeHeartbeats(30);
+	t.true(entry.state().cluster.entries.get('own')?.readLag?.isBehind);
+	t.is(events.filter(event => event === 'placement-awaits-evacuations').length, 1);
+	entry.readTopic(noRequests);
+	writeHeartbeats(2);
+	t.false(entry.state().cluster.entries.get('own')?.readLag?.isBehind);
+});
+
 test('a request is recorded once until it is read back, and its removal returns the failure domain to service', t => {
 	const entry = createEntry(requestOf(7));
 	const record = recordsOf(entry.tick(1500)).find(({kind}) => kind === 'failure-domain-evacuation');
--- a/src/entry/reduce-entry.ts
+++ b/src/entry/reduce-entry.ts
@@ -254,7 +254,7 @@
 		['control-tick', state => ({state: {...state, lastControlTickMs: inputs.nowMs}, effects: []})],
 		['entry-liveness', state => {
 			const {state: entryLiveness, effects} = tickEntryLiveness(state.entryLiveness, contextOf(state, inputs, settings));
-			return {state: {...state, entryLiveness}, effects: giveUpInHeartbeats(effects, state.failingPlacement)};
+			return {state: {...state, entryLiveness}, effects: giveUpInHeartbeats(giveUpInHeartbeats(effects, state.failingPlacement), state.evacuations.unread)};
 		}],
 		['vm-liveness', state => {
 			const {state: vmLiveness, effects} = tickVmLiveness(state.vmLiveness, contextOf(state, inputs, settings));
