--- a/src/cluster/evacuations.ts
+++ b/src/cluster/evacuations.ts
@@ -1,6 +1,6 @@
 import {type ClusterState, type Evacuation} from './cluster-state.js';
 
-/** The operator's newest word on the evacuation of one failure domain, as a process has read it from the operator's topic. */
+/** The newest request to evacuate one failure domain, or its removal, as a process has read it from the operator's topic. */
 export type EvacuationRequest = Readonly<Pick<Evacuation, 'isRequested' | 'requestOffset'>>;
 
 /** What a process has read of the operator's evacuations. */
