--- a/bench/play-filling-day.ts
+++ b/bench/play-filling-day.ts
@@ -7,7 +7,8 @@
 import {stepOf} from '../src/cluster/workflow-progress.js';
 import {fillingLimitMilliOf, withFillingSupply} from '../src/placement/filling-limits.js';
 import {fillingLoadOf} from '../src/placement/filling-work.js';
-import {initialPlacement, placeQueuedTasks, type PlacementState} from '../src/placement/place-queued-tasks.js';
+import {placeQueuedTasks} from '../src/placement/place-queued-tasks.js';
+import {initialPlacement, type PlacementState} from '../src/placement/placement-state.js';
 import {entrySettingsSchema, type EntrySettings} from '../src/settings/entry-settings.js';
 import {
 	drawFillingDay, type DrawnJob, type FillingDay, type FillingSite, type JobKind,
--- a/bench/play-waiting-day.ts
+++ b/bench/play-waiting-day.ts
@@ -5,9 +5,9 @@
 import {
 	trackForbiddenWaits, type ForbiddenWait, type ForbiddenWaitState, noForbiddenWaits,
 } from '../src/placement/forbidden-waits.js';
-import {
-	initialPlacement, type PlacementContext, placeQueuedTasks, type PlacementState,
-} from '../src/placement/place-queued-tasks.js';
+import {placeQueuedTasks} from '../src/placement/place-queued-tasks.js';
+import {type PlacementContext} from '../src/placement/placement-pass.js';
+import {initialPlacement, type PlacementState} from '../src/placement/placement-state.js';
 import {noRunTimeEstimates, recordRunTimes} from '../src/placement/run-time-estimates.js';
 import {recordFailedStarts} from '../src/placement/restart-pauses.js';
 import {agentSettingsSchema} from '../src/settings/agent-settings.js';
--- a/bench/scale.ts
+++ b/bench/scale.ts
@@ -6,7 +6,8 @@
 import {decodeClusterState, encodeClusterState} from '../src/cluster/cluster-state-codec.js';
 import {type Job} from '../src/cluster/intent.js';
 import {type EntryContext} from '../src/entry/entry-context.js';
-import {initialPlacement, placeQueuedTasks} from '../src/placement/place-queued-tasks.js';
+import {placeQueuedTasks} from '../src/placement/place-queued-tasks.js';
+import {initialPlacement} from '../src/placement/placement-state.js';
 import {buildStatus} from '../src/operator/build-status.js';
 import {entrySettingsSchema} from '../src/settings/entry-settings.js';
 import {
--- a/src/entry/entry-state.ts
+++ b/src/entry/entry-state.ts
@@ -7,7 +7,7 @@
 import {type ClosedStreams, noClosedStreams} from '../membership/unheard-vms.js';
 import {initialVmLiveness, type VmLivenessState} from '../membership/vm-liveness.js';
 import {type FailureAttributionState, initialFailureAttribution} from '../placement/failure-attribution.js';
-import {initialPlacement, type PlacementState} from '../placement/place-queued-tasks.js';
+import {initialPlacement, type PlacementState} from '../placement/placement-state.js';
 import {noRunTimeEstimates, type RunTimeEstimates} from '../placement/run-time-estimates.js';
 import {initialRequestState, type RequestState} from '../requests/request-state.js';
 import {type AppendGuard, emptyAppendGuard} from './append-guard.js';
--- a/src/entry/reduce-entry.ts
+++ b/src/entry/reduce-entry.ts
@@ -8,7 +8,8 @@
 import {unheardVmIds} from '../membership/unheard-vms.js';
 import {tickVmLiveness} from '../membership/vm-liveness.js';
 import {recordAttemptEnds, tickFailureAttribution} from '../placement/failure-attribution.js';
-import {initialPlacement, placeQueuedTasks} from '../placement/place-queued-tasks.js';
+import {placeQueuedTasks} from '../placement/place-queued-tasks.js';
+import {initialPlacement} from '../placement/placement-state.js';
 import {recordFailedStarts} from '../placement/restart-pauses.js';
 import {recordRunTimes} from '../placement/run-time-estimates.js';
 import {type RequestEvent} from '../requests/request-event.js';
--- a/src/placement/evaluate-placement-owners.test.ts
+++ b/src/placement/evaluate-placement-owners.test.ts
@@ -7,7 +7,8 @@
 import {ownerByRendezvous, rankByRendezvous} from '../cluster/rendezvous.js';
 import {type EntryContext} from '../entry/entry-context.js';
 import {taskFixture} from '../operator/state-fixture.js';
-import {initialPlacement, placeQueuedTasks, type PlacementState} from './place-queued-tasks.js';
+import {placeQueuedTasks} from './place-queued-tasks.js';
+import {initialPlacement, type PlacementState} from './placement-state.js';
 import {evaluatePlacementOwners} from './evaluate-placement-owners.js';
 import {contextAt, other, owner} from './queue-fixture.js';
 
--- a/src/placement/feasibility.test.ts
+++ b/src/placement/feasibility.test.ts
@@ -7,7 +7,8 @@
 import {type EntryContext} from '../entry/entry-context.js';
 import {entrySettingsSchema} from '../settings/entry-settings.js';
 import {describeMissingCapacity} from './feasibility.js';
-import {initialPlacement, placeQueuedTasks, type PlacementState} from './place-queued-tasks.js';
+import {placeQueuedTasks} from './place-queued-tasks.js';
+import {initialPlacement, type PlacementState} from './placement-state.js';
 
 const vm = (vmId: string, incarnation: string, labels: readonly string[]): ClusterRecord => ({
 	kind: 'vm-registered', vmId, agentIncarnation: incarnation, workerIncarnation: incarnation, failureDomain: 'a', rack: 'r', requestAddress: '', capacity: {processorsMilli: 8000, memoryMb: 100, accelerators: 0}, runningTasks: [], service: 's', labels,
--- a/src/placement/filling-work.test.ts
+++ b/src/placement/filling-work.test.ts
@@ -6,7 +6,8 @@
 import {type ClusterState} from '../cluster/cluster-state.js';
 import {type Step} from '../cluster/workflow.js';
 import {entrySettingsSchema} from '../settings/entry-settings.js';
-import {initialPlacement, placeQueuedTasks, type PlacementState} from './place-queued-tasks.js';
+import {placeQueuedTasks} from './place-queued-tasks.js';
+import {initialPlacement, type PlacementState} from './placement-state.js';
 
 const settings = entrySettingsSchema.parse({
 	role: 'entry', entryId: 'e', failureDomain: 'a', callerAddress: '127.0.0.1:1', operatorAddress: '127.0.0.1:2', agentAddress: '127.0.0.1:3',
--- a/src/placement/overloaded-fleet.ts
+++ b/src/placement/overloaded-fleet.ts
@@ -5,7 +5,8 @@
 import {applyRecord, emptyClusterState} from '../cluster/reduce-cluster.js';
 import {type Step} from '../cluster/workflow.js';
 import {entrySettingsSchema} from '../settings/entry-settings.js';
-import {initialPlacement, placeQueuedTasks} from './place-queued-tasks.js';
+import {placeQueuedTasks} from './place-queued-tasks.js';
+import {initialPlacement} from './placement-state.js';
 import {recordFailedStarts} from './restart-pauses.js';
 
 const settings = entrySettingsSchema.parse({
--- a/src/placement/place-queued-tasks.test.ts
+++ b/src/placement/place-queued-tasks.test.ts
@@ -7,7 +7,8 @@
 import {ownerByRendezvous} from '../cluster/rendezvous.js';
 import {type EntryContext} from '../entry/entry-context.js';
 import {taskFixture, vmFixture} from '../operator/state-fixture.js';
-import {initialPlacement, placeQueuedTasks} from './place-queued-tasks.js';
+import {placeQueuedTasks} from './place-queued-tasks.js';
+import {initialPlacement} from './placement-state.js';
 import {contextAt, owner as queueOwner} from './queue-fixture.js';
 
 /** Returns a context of one VM whose processors are all demanded by a filling task, with two queued filling tasks of a job of one step. */
--- a/src/placement/placement-failures.test.ts
+++ b/src/placement/placement-failures.test.ts
@@ -4,7 +4,8 @@
 import {type PriorityClass} from '../cluster/intent.js';
 import {type EntryContext} from '../entry/entry-context.js';
 import {taskFixture, vmFixture} from '../operator/state-fixture.js';
-import {initialPlacement, placeQueuedTasks} from './place-queued-tasks.js';
+import {placeQueuedTasks} from './place-queued-tasks.js';
+import {initialPlacement} from './placement-state.js';
 import {contextAt, owner} from './queue-fixture.js';
 
 const queuedTask = (taskId: string): Task => ({
