Do not offer a job to another decider when its refusal could not be proven

Cause: a decider without the proof of a refusal, or with 512 refusals waiting, answers 504 with Retry-After. The front took this for an attempt that may have run and told the next decider so, which then accepts the job without a decision. In an overload with a slow log, a frozen writer or a flood of submissions, the admission thus accepted what it should refuse, and the decider counted as failed, so that callers lost their promises. Change: a 504 that names a time is final and reaches the caller with that time; the decider that sent it counts as answering.

--- a/src/relay/job-relay.test.ts
+++ b/src/relay/job-relay.test.ts
@@ -284,3 +284,23 @@
 	t.true(refusals <= origins.filter(origin => origin?.mayHaveRun === undefined).length);
 	t.true(origins.some(origin => origin?.mayHaveRun === true));
 });
+
+test('a job whose refusal could not be proven is not offered to the next decider, and the decider that answered stays the first', async t => {
+	const answered = [0, 0];
+	const decider = async (index: number) => startDecider(t, {
+		jobs: {
+			async submit() {
+				answered[index]!++;
+				return err({status: 504, error: {kind: 'job-outcome-unknown', message: 'no capacity, no proof', remedy: 'ask again'}, retryAfterMs: 4000});
+			},
+		},
+	});
+	const [first, second] = [await decider(0), await decider(1)];
+	const relay = relayTo(t, [first.address, second.address]);
+	for (let calls = 0; calls < 4; calls++) {
+		const submitted = await relay.jobs.submit({jobId: 'j'});
+		t.like(submitted.isErr && submitted.error, {status: 504, retryAfterMs: 4000});
+	}
+
+	t.deepEqual(answered.toSorted((left, right) => left - right), [0, 4]);
+});
--- a/src/relay/job-relay.ts
+++ b/src/relay/job-relay.ts
@@ -14,7 +14,7 @@
 import {checkPauseMs, quickCheckPauseMs} from './check-pause.js';
 import {createFirstAnswerWait} from './first-answer-wait.js';
 import {
-	concludeAttempts, evaluateAttempt, noAttempts, orderDeciders, type AttemptEnd, type RelayAttempts,
+	concludeAttempts, evaluateAttempt, isUnprovenRefusal, noAttempts, orderDeciders, type AttemptEnd, type RelayAttempts,
 } from './relay-attempts.js';
 import {
 	relayAnswerSchema, relayPath, type RelayAnswer, type RelayCall,
@@ -110,7 +110,7 @@
 	}
 
 	function recordEnd(decider: DeciderState, end: AttemptEnd): void {
-		const isGood = end.kind === 'answered' && !(end.answer.result === 'error' && end.answer.error.status >= 503);
+		const isGood = end.kind === 'answered' && (isUnprovenRefusal(end.answer) || !(end.answer.result === 'error' && end.answer.error.status >= 503));
 		decider.failedAtMs = isGood ? Number.NEGATIVE_INFINITY : nowMs();
 		if (isGood) {
 			decider.servedAtMs = nowMs();
--- a/src/relay/relay-attempts.test.ts
+++ b/src/relay/relay-attempts.test.ts
@@ -57,3 +57,10 @@
 test('a refusal in overload is final: other deciders have as little capacity', t => {
 	t.like(evaluateAttempt(noAttempts, ends.overloaded!), {isFinal: true, answer: {result: 'error', error: {status: 429}}});
 });
+
+/** Guards against an overload in which every job whose refusal could not be proven in time is accepted by the next decider, which is told that it may have run. */
+test('a decider that has no capacity and no proof that the job is not written has the last word, with its time', t => {
+	const unproven: AttemptEnd = {kind: 'answered', answer: {result: 'error', error: {status: 504, error, retryAfterMs: 4000}}};
+	t.like(evaluateAttempt(noAttempts, unproven), {isFinal: true, answer: {result: 'error', error: {status: 504, retryAfterMs: 4000}}});
+	t.like(evaluateAttempt({mayHaveRun: true, refusal: undefined}, unproven), {isFinal: true, answer: {result: 'error', error: {status: 504, retryAfterMs: 4000}}});
+});
--- a/src/relay/relay-attempts.ts
+++ b/src/relay/relay-attempts.ts
@@ -25,7 +25,8 @@
 
 /**
 Evaluates the end of an attempt. A refusal as not run, or an attempt that was not sent, lets the next decider try; so does an attempt without an
-answer, since jobs and cancellations are idempotent by the job's id. Any other error is final, unless an earlier attempt may have run.
+answer, since jobs and cancellations are idempotent by the job's id. Any other error is final, unless an earlier attempt may have run, and so is a refusal for
+want of capacity that could not be proven.
 
 @example
 evaluateAttempt(noAttempts, {kind: 'answered', answer: {result: 'ok', value: {}}}).isFinal; // => true
@@ -45,6 +46,10 @@
 		return {isFinal: false, attempts: {...attempts, refusal: answer.error}};
 	}
 
+	if (isUnprovenRefusal(answer)) {
+		return {isFinal: true, answer};
+	}
+
 	if (status === unknownStatus) {
 		return {isFinal: false, attempts: {...attempts, mayHaveRun: true}};
 	}
@@ -52,6 +57,17 @@
 	return {isFinal: true, answer: attempts.mayHaveRun ? concludeAttempts(attempts) : answer};
 }
 
+/**
+Returns whether a decider has answered that it has no capacity for a job and no proof that no entry is writing it: only this 504 names a time. The next
+decider would accept the job, since it is told that the job may have run.
+
+@example
+isUnprovenRefusal({result: 'ok', value: {}}); // => false
+*/
+export function isUnprovenRefusal(answer: RelayAnswer): boolean {
+	return answer.result === 'error' && answer.error.status === unknownStatus && answer.error.retryAfterMs !== undefined;
+}
+
 /**
 Returns the answer of a call for which no further attempt is made. It says that nothing was done only when every attempt did.
 
