Write heartbeats often enough for the proof of a refusal

Cause: a refusal is proven by a later heartbeat of every decider within 700 ms. Heartbeats are due after 300 ms, 600 ms with pending appends, and are written at control ticks of 250 ms, so that they came up to 750 ms apart with pending appends, longer than the proof waits. How often refusals ended as 504 was not measured. Change: with jobAdmission enabled a heartbeat is written at each control tick, whether appends are pending or not. Without it nothing changes.

--- a/src/membership/entry-liveness.test.ts
+++ b/src/membership/entry-liveness.test.ts
@@ -57,3 +57,29 @@
 	t.is(heartbeatsOf(0), 6000 / settings.timings.entryHeartbeatMs);
 	t.is(heartbeatsOf(1), 3000 / settings.timings.entryHeartbeatMs);
 });
+
+/**
+Guards against refusals of jobs that cannot be proven in time: the proof waits for a heartbeat of each decider, and at control ticks of 250 ms with pending
+appends heartbeats came 750 ms apart, while the proof has 700 ms.
+*/
+test('with the admission of jobs an entry reports how far it has read the log at each control tick, also with pending appends', t => {
+	const admitting = entrySettingsSchema.parse({...settings, jobAdmission: {enabled: true}});
+	const largestGapMs = (current: typeof settings): number => {
+		let state = initialEntryLiveness;
+		let heartbeatAtMs = 0;
+		let gapMs = 0;
+		for (let nowMs = 0; nowMs < 6000; nowMs += 250) {
+			const transition = tickEntryLiveness(state, {...contextAt(nowMs, nowMs), settings: current, pendingAppends: 1});
+			state = transition.state;
+			if (transition.effects.some(effect => effect.kind === 'append-record' && effect.record.kind === 'entry-alive')) {
+				gapMs = Math.max(gapMs, nowMs - heartbeatAtMs);
+				heartbeatAtMs = nowMs;
+			}
+		}
+
+		return gapMs;
+	};
+
+	t.is(largestGapMs(admitting), 250);
+	t.is(largestGapMs(settings), 750);
+});
--- a/src/membership/entry-liveness.ts
+++ b/src/membership/entry-liveness.ts
@@ -28,6 +28,9 @@
 /** Factor on the interval of heartbeats while this entry has pending appends. */
 const busyHeartbeatFactor = 2;
 
+/** Share of the interval after which a heartbeat is written with the admission of jobs. Control ticks come every 250 ms, so that one due after 300 ms would wait for 500 ms. */
+const earlyHeartbeatShare = 0.75;
+
 /**
 Registers this entry, writes its heartbeat to the log and declares entries ended that have written no record for `entryTimeoutMs`.
 It is safe to declare a running entry ended: it restarts with a new incarnation.
@@ -71,10 +74,7 @@
 }
 
 function writeHeartbeat(state: EntryLivenessState, context: EntryContext): Transition<EntryLivenessState> {
-	const {entryHeartbeatMs} = context.settings.timings;
-	// Pending records show that the entry runs, so heartbeats may be rarer. Only a heartbeat shows how far the entry has read the log.
-	const dueMs = state.lastHeartbeatAppendedMs + (context.pendingAppends > 0 ? busyHeartbeatFactor * entryHeartbeatMs : entryHeartbeatMs);
-	if (context.nowMs < dueMs) {
+	if (context.nowMs < state.lastHeartbeatAppendedMs + heartbeatPauseMs(context)) {
 		return {state, effects: []};
 	}
 
@@ -84,6 +84,16 @@
 	};
 }
 
+function heartbeatPauseMs({settings: {jobAdmission, timings: {entryHeartbeatMs}}, pendingAppends}: EntryContext): number {
+	// Refusals of jobs wait for a heartbeat of each entry.
+	if (jobAdmission.enabled) {
+		return entryHeartbeatMs * earlyHeartbeatShare;
+	}
+
+	// Pending records show that the entry runs, so heartbeats may be rarer. Only a heartbeat shows how far the entry has read the log.
+	return pendingAppends > 0 ? busyHeartbeatFactor * entryHeartbeatMs : entryHeartbeatMs;
+}
+
 function declareSilentEntriesEnded(state: EntryLivenessState, context: EntryContext): Transition<EntryLivenessState> {
 	const effects: ControlEffect[] = [];
 	let {lastRecords} = state;
