Answer 504 while the append of a job may still be under way after its caller got 504

Cause: a job whose record was not read back in decisionTimeoutMs was forgotten when its caller was told so. In an outage of the log, the caller that asked again was told with 503 that nothing was written, while the writer went on to append the first record, which took effect later. Change: such a job is remembered for 60 s or until the state holds it, at most 4,096 of them, so that the second answer is 504.

--- a/src/entry/deferred-answers.ts
+++ b/src/entry/deferred-answers.ts
@@ -19,6 +19,8 @@
 	requestedAtMs: number;
 	/** Set for a job that is to be refused and was not appended. */
 	refusal?: PendingRefusal;
+	/** Set for a job whose caller was told that the outcome is unknown: its append may still be under way. */
+	isAnswered?: true;
 }>>;
 
 /** A refusal that waits for its proof. */
@@ -29,6 +31,12 @@
 /** Refusals that wait for their proof at most; each needs a decision anew once it is proven. */
 const maxPendingRefusals = 512;
 
+/** Time from a request for which a job without a known outcome is remembered: callers wait 3 s, retry up to four times, and are told to wait 30 s at most. */
+const unknownKeptMs = 60_000;
+
+/** Jobs without a known outcome that are remembered, which bounds the memory and the cost of a page. */
+const maxUnknownJobs = 4096;
+
 /** Decides whether to accept jobs in overload; it is undefined where all jobs are accepted. */
 export type JobAdmission = Readonly<{
 	state: AdmissionState;
@@ -118,12 +126,21 @@
 	const effects: ControlEffect[] = [];
 	let next = state;
 	let current = admission;
+	let unknownJobs = state.count(({isAnswered}) => isAnswered ?? false);
 	for (const [replyId, waiting] of state) {
-		const {subject, requestedAtMs, refusal} = waiting;
+		const {subject, requestedAtMs, refusal, isAnswered} = waiting;
+		if (isAnswered) {
+			next = decisionOf(subject, context.cluster) !== undefined || context.nowMs - requestedAtMs >= unknownKeptMs ? next.delete(replyId) : next;
+			continue;
+		}
+
 		const hasTimedOut = context.nowMs - requestedAtMs > context.settings.timings.decisionTimeoutMs;
-		const answer = decisionOf(subject, context.cluster) ?? (hasTimedOut ? timedOut(context) : undefined);
+		const decided = decisionOf(subject, context.cluster);
+		const answer = decided ?? (hasTimedOut ? timedOut(context) : undefined);
 		if (answer) {
-			next = next.delete(replyId);
+			const isUnknownJob = !decided && !refusal && subject.kind === 'job' && unknownJobs < maxUnknownJobs;
+			unknownJobs += isUnknownJob ? 1 : 0;
+			next = isUnknownJob ? next.set(replyId, {...waiting, isAnswered: true}) : next.delete(replyId);
 			effects.push({kind: 'answer-deferred', replyId, answer});
 			continue;
 		}
