--- a/src/entry/deferred-answers.ts
+++ b/src/entry/deferred-answers.ts
@@ -43,6 +43,9 @@
 	decide: (state: AdmissionState, job: Job, origin: SubmitOrigin) => AdmissionDecision;
 }>;
 
+/** A request with the ID under which it is answered. */
+export type DeferredRequest = Readonly<{replyId: string; subject: DeferredSubject}>;
+
 /** The new state of the deferred answers with the admission's. */
 export type DeferredTransition = Transition<DeferredAnswers> & Readonly<{admission: AdmissionState | undefined}>;
 
@@ -52,12 +55,11 @@
 refusal waits for the proof that no append of it is under way.
 
 @example
-const {state, effects} = requestDeferredAnswer(noDeferredAnswers, 'reply-1', {kind: 'plan', plan}, context);
+const {state, effects} = requestDeferredAnswer(noDeferredAnswers, {replyId: 'reply-1', subject: {kind: 'plan', plan}}, context);
 */
 export function requestDeferredAnswer(
 	state: DeferredAnswers,
-	replyId: string,
-	subject: DeferredSubject,
+	{replyId, subject}: DeferredRequest,
 	context: EntryContext,
 	admission?: JobAdmission,
 ): DeferredTransition {
--- a/src/entry/entry-admission.ts
+++ b/src/entry/entry-admission.ts
@@ -30,7 +30,7 @@
 Returns the admission of jobs with the backlogs measured; undefined when the settings do not enable it.
 
 @example
-requestDeferredAnswer(state.deferred, replyId, subject, context, admissionOf(state, inputs, settings));
+requestDeferredAnswer(state.deferred, {replyId, subject}, context, admissionOf(state, inputs, settings));
 */
 export function admissionOf(state: EntryState, {nowMs, wallTimeMs}: EventInputs, {jobAdmission}: EntrySettings): JobAdmission | undefined {
 	if (!jobAdmission.enabled) {
--- a/src/entry/reduce-entry.ts
+++ b/src/entry/reduce-entry.ts
@@ -120,7 +120,7 @@
 		}],
 	}),
 	'deferred-asked'(state, event, inputs, settings) {
-		return withDeferred(state, requestDeferredAnswer(state.deferred, event.replyId, event.subject, contextOf(state, inputs, settings), admissionOf(state, inputs, settings)));
+		return withDeferred(state, requestDeferredAnswer(state.deferred, event, contextOf(state, inputs, settings), admissionOf(state, inputs, settings)));
 	},
 	request: (state, event, inputs, settings) => continueWithRequest({state, effects: []}, event.event, inputs, settings),
 };
--- a/src/entry/refuse-job.test.ts
+++ b/src/entry/refuse-job.test.ts
@@ -32,7 +32,7 @@
 }
 
 function ask(origin: SubmitOrigin = {}, state = noDeferredAnswers): DeferredTransition {
-	return requestDeferredAnswer(state, 'reply', {kind: 'job', job, origin}, contextAt(1000, {offset: 10, applied: [9, 9], tailSentAtMs: 900}), refusing);
+	return requestDeferredAnswer(state, {replyId: 'reply', subject: {kind: 'job', job, origin}}, contextAt(1000, {offset: 10, applied: [9, 9], tailSentAtMs: 900}), refusing);
 }
 
 function answerOf({effects}: DeferredTransition): DeferredAnswer | undefined {
@@ -59,7 +59,7 @@
 	const asked = ask();
 	const read = resolveDeferredAnswers(asked.state, contextAt(1200, {offset: 12, applied: [11, 11], runs: [['job', runFixture(job, [2, 2])]]}), refusing);
 	t.like(answerOf(read), {result: 'accepted'});
-	t.like(answerOf(requestDeferredAnswer(noDeferredAnswers, 'reply', {kind: 'job', job}, contextAt(1000, {offset: 10, applied: [9], runs: [['job', runFixture(job, [2, 2])]]}), refusing)), {result: 'accepted'});
+	t.like(answerOf(requestDeferredAnswer(noDeferredAnswers, {replyId: 'reply', subject: {kind: 'job', job}}, contextAt(1000, {offset: 10, applied: [9], runs: [['job', runFixture(job, [2, 2])]]}), refusing)), {result: 'accepted'});
 });
 
 test('without proof, as while a writer is frozen, the outcome is unknown', t => {
@@ -76,7 +76,7 @@
 
 test('a job that may be on its way to the log is not refused', t => {
 	t.true(appends(ask({mayHaveRun: true})));
-	const accepted = requestDeferredAnswer(noDeferredAnswers, 'first', {kind: 'job', job}, contextAt(1000, {offset: 10, applied: [9]}));
+	const accepted = requestDeferredAnswer(noDeferredAnswers, {replyId: 'first', subject: {kind: 'job', job}}, contextAt(1000, {offset: 10, applied: [9]}));
 	t.true(appends(ask({}, accepted.state)));
 });
 
@@ -91,21 +91,21 @@
 test('a job that may be on its way to the log is answered as unknown while the log is out of reach, not as refused', t => {
 	const stale = contextAt(9000, {offset: 10, applied: [9], tailSentAtMs: 900});
 	const origin = {mayHaveRun: true};
-	t.like(answerOf(requestDeferredAnswer(noDeferredAnswers, 'reply', {kind: 'job', job, origin}, stale)), {result: 'unknown'});
-	t.like(answerOf(requestDeferredAnswer(noDeferredAnswers, 'reply', {kind: 'job', job}, stale)), {result: 'rejected'});
+	t.like(answerOf(requestDeferredAnswer(noDeferredAnswers, {replyId: 'reply', subject: {kind: 'job', job, origin}}, stale)), {result: 'unknown'});
+	t.like(answerOf(requestDeferredAnswer(noDeferredAnswers, {replyId: 'reply', subject: {kind: 'job', job}}, stale)), {result: 'rejected'});
 });
 
 /** Guards against a 503 that says that nothing was written while this entry still tries to append the job, as in an outage of the log. */
 test('a job whose append is still pending after its caller got 504 is not answered as not run', t => {
 	const subject = {kind: 'job', job} as const;
 	const {decisionTimeoutMs} = settings.timings;
-	const accepted = requestDeferredAnswer(noDeferredAnswers, 'first', subject, contextAt(1000, {offset: 10, applied: [9]}));
+	const accepted = requestDeferredAnswer(noDeferredAnswers, {replyId: 'first', subject}, contextAt(1000, {offset: 10, applied: [9]}));
 	const outage = contextAt(1001 + decisionTimeoutMs, {offset: 10, applied: [9], tailSentAtMs: 1000});
 	const late = resolveDeferredAnswers(accepted.state, outage);
 	t.like(answerOf(late), {result: 'unknown'});
 	const again = resolveDeferredAnswers(late.state, {...outage, nowMs: outage.nowMs + 10_000});
 	t.deepEqual(again.effects, []);
-	t.like(answerOf(requestDeferredAnswer(again.state, 'second', subject, outage)), {result: 'unknown'});
+	t.like(answerOf(requestDeferredAnswer(again.state, {replyId: 'second', subject}, outage)), {result: 'unknown'});
 	const read = resolveDeferredAnswers(again.state, contextAt(30_000, {offset: 12, applied: [11], runs: [['job', runFixture(job, [2, 2])]]}));
 	t.deepEqual(read.effects, []);
 	t.true(read.state.isEmpty());
@@ -115,7 +115,7 @@
 	const {decisionTimeoutMs} = settings.timings;
 	let state = noDeferredAnswers;
 	for (let index = 0; index < 5000; index++) {
-		({state} = requestDeferredAnswer(state, `reply-${index}`, {kind: 'job', job: jobFixture(`job-${index}`, 2)}, contextAt(1000, {offset: 10, applied: [9]})));
+		({state} = requestDeferredAnswer(state, {replyId: `reply-${index}`, subject: {kind: 'job', job: jobFixture(`job-${index}`, 2)}}, contextAt(1000, {offset: 10, applied: [9]})));
 	}
 
 	const outage = contextAt(1001 + decisionTimeoutMs, {offset: 10, applied: [9], tailSentAtMs: 1000});
