Learn no run times from the first page after a pause or an outage of the log

Cause: a page that reaches the tail makes the log fresh, so that the first page after a pause of the entry or an outage of the log taught run times, although its records had been written at any time since the page before. A task of 1 s whose end was read 10 s late counted as one of 11 s. Change: the read of the tail before the page must be recent too. Result: the new test failed before; src/entry/reduce-entry passes.

--- a/src/entry/reduce-entry.test.ts
+++ b/src/entry/reduce-entry.test.ts
@@ -342,3 +342,40 @@
 	t.not(passTo(18_000, 21_000), undefined);
 	t.is(ownerNow(), 'own');
 });
+
+/** Guards against run times that are learned from records which an entry reads late: after a pause of the entry or an outage of the log, the first page reaches the tail. */
+test('the page that an entry reads first after a pause teaches no run times', t => {
+	const learnedEnds = (endedAtMs: number): number => {
+		const entry = createEntry();
+		const step = {count: 1, demand, declaredRunTimeMs: 1000, image: 'bake'};
+		entry.read('other', [
+			{
+				kind: 'entry-registered', entryId: 'entry-2', failureDomain: 'domain-1', operatorAddress: '127.0.0.1:5',
+			},
+			vmRegistered,
+			{
+				kind: 'job-submitted', job: {
+					jobId: 'job-1', teamId: 'team-1', workClass: 'batch', priority: 'normal', tasks: [], workflow: {
+						queue: 'q', service: '', payload: '', maxFailures: 3, steps: [step],
+					},
+				},
+			},
+		], 800);
+		const taskId = [...entry.state().cluster.tasks.keys()][0]!;
+		entry.read('other', [{
+			kind: 'task-claimed', taskId, attempt: 1, vmId: 'vm-1', agentIncarnation: 'agent-1', committed: demand, evictTaskIds: [], decision: {
+				policy: 'test', seed: 1, stateOffset: 0, candidates: [], consideredVms: 1, reason: '',
+			},
+		}, {
+			kind: 'task-started', taskId, attempt: 1, agentIncarnation: 'agent-1',
+		}], 1000);
+		entry.read('other', [], 2000);
+		entry.read('other', [{
+			kind: 'task-ended', taskId, attempt: 1, agentIncarnation: 'agent-1', outcome: 'finished', reason: '',
+		}], endedAtMs);
+		return entry.state().runTimes.errors.ends;
+	};
+
+	t.is(learnedEnds(2100), 1);
+	t.is(learnedEnds(12_000), 0);
+});
--- a/src/entry/reduce-entry.ts
+++ b/src/entry/reduce-entry.ts
@@ -183,8 +183,8 @@
 		})],
 		['evacuation-changes', state => ({state, effects: logEvacuationChanges(before, state.cluster)})],
 		['run-times', state => ({
-			// The times of records that were read late, such as at the start, are not known.
-			state: isLogFresh(contextOf(state, inputs, settings)) ? {...state, runTimes: recordRunTimes(state.runTimes, event.records, state.cluster, inputs.nowMs)} : state,
+			// The times of records that may have been written long before this page, such as at the start and after a pause, are not known.
+			state: isLogFresh({...contextOf(state, inputs, settings), tailConfirmedSentAtMs: tailSentAtMs}) ? {...state, runTimes: recordRunTimes(state.runTimes, event.records, state.cluster, inputs.nowMs)} : state,
 			effects: [],
 		})],
 		['admission', state => ({state: recordForAdmission(state, event.records, {before, nowMs: inputs.nowMs, settings}), effects: []})],
