Forget the starts of running tasks when the VM of the entry was suspended

Cause: the steady clock of a suspended VM stands still, so that a task that ran meanwhile seemed to have run for less time than it did, and was learned so. Change: the starts that the entry has read are forgotten when it resumes; these tasks are expected to run for their whole time. Result: the new case of the test failed before; src/entry/reduce-entry and src/placement/run-time-estimates pass.

--- a/src/entry/reduce-entry.test.ts
+++ b/src/entry/reduce-entry.test.ts
@@ -344,10 +344,12 @@
 });
 
 /** Guards against run times that are learned from records which an entry reads late: after a pause of the entry or an outage of the log, the first page reaches the tail. */
-test('the page that an entry reads first after a pause teaches no run times', t => {
-	const learnedEnds = (endedAtMs: number): number => {
+test('the page that an entry reads first after a pause teaches no run times, nor does a task that ran while the VM was suspended', t => {
+	const learnedEnds = (endedAtMs: number, suspendedMs = 0): number => {
 		const entry = createEntry();
-		const step = {count: 1, demand, declaredRunTimeMs: 1000, image: 'bake'};
+		const step = {
+			count: 1, demand, declaredRunTimeMs: 1000, image: 'bake',
+		};
 		entry.read('other', [
 			{
 				kind: 'entry-registered', entryId: 'entry-2', failureDomain: 'domain-1', operatorAddress: '127.0.0.1:5',
@@ -369,6 +371,10 @@
 		}, {
 			kind: 'task-started', taskId, attempt: 1, agentIncarnation: 'agent-1',
 		}], 1000);
+		if (suspendedMs > 0) {
+			entry.dispatch({kind: 'vm-resumed', suspendedMs}, 1500);
+		}
+
 		entry.read('other', [], 2000);
 		entry.read('other', [{
 			kind: 'task-ended', taskId, attempt: 1, agentIncarnation: 'agent-1', outcome: 'finished', reason: '',
@@ -378,4 +384,6 @@
 
 	t.is(learnedEnds(2100), 1);
 	t.is(learnedEnds(12_000), 0);
+	// The clock of a suspended VM stands still, so that the task ran for longer than it shows.
+	t.is(learnedEnds(2100, 10_000), 0);
 });
--- a/src/entry/reduce-entry.ts
+++ b/src/entry/reduce-entry.ts
@@ -11,7 +11,7 @@
 import {placeQueuedTasks} from '../placement/place-queued-tasks.js';
 import {initialPlacement} from '../placement/placement-state.js';
 import {recordFailedStarts} from '../placement/restart-pauses.js';
-import {recordRunTimes} from '../placement/run-time-estimates.js';
+import {forgetRunningTasks, recordRunTimes} from '../placement/run-time-estimates.js';
 import {type RequestEvent} from '../requests/request-event.js';
 import {reduceRequests} from '../requests/reduce-requests.js';
 import {type EntrySettings} from '../settings/entry-settings.js';
@@ -114,7 +114,7 @@
 	'agent-session-closed': reduceAgentEvent,
 	tick: reduceTick,
 	'vm-resumed': (state, {suspendedMs}, {nowMs}) => ({
-		state: {...state, log: {...state.log, tailConfirmedSentAtMs: Number.NEGATIVE_INFINITY, resumedAtMs: nowMs}},
+		state: {...state, log: {...state.log, tailConfirmedSentAtMs: Number.NEGATIVE_INFINITY, resumedAtMs: nowMs}, runTimes: forgetRunningTasks(state.runTimes)},
 		effects: [{
 			kind: 'log-event', level: 'warn', event: 'vm-resumed', fields: {suspendedMs: Math.round(suspendedMs)},
 		}],
--- a/src/placement/run-time-estimates.ts
+++ b/src/placement/run-time-estimates.ts
@@ -131,6 +131,16 @@
 	}).take(maxRunningTasks);
 }
 
+/**
+Returns the estimates without the tasks that run, for an entry whose steady clock has not counted all the time since their starts.
+
+@example
+forgetRunningTasks(estimates).running.size; // => 0
+*/
+export function forgetRunningTasks(estimates: RunTimeEstimates): RunTimeEstimates {
+	return {...estimates, running: estimates.running.clear()};
+}
+
 /** Returns the mean ratio of the observed to the declared run time, with the assumed ends. */
 function meanRatioOf(history: KindHistory | undefined): number {
 	const ratios = history?.ratios ?? [];
