Spread submissions by job only while the admission of jobs is enabled

Cause: fronts sent the submissions of each job to the decider that its id ranks first, also with jobAdmission disabled, where no decider remembers a promise and each front prefers one decider for all calls. Change: the relay ranks by job only with submitsByJob, set from the setting. Result: the new test failed before; src/relay, src/admission, refuse-job, reduce-entry, platform-entry, restarted-incarnation and entry-liveness: 63 passed.

--- a/src/entry/platform-entry.ts
+++ b/src/entry/platform-entry.ts
@@ -56,7 +56,7 @@
 	const nowMs = (): number => performance.now();
 	const wallClock = createSystemWallClock();
 	const relay = createJobRelay({
-		entryId, nowMs, eventLog, metrics,
+		entryId, nowMs, eventLog, metrics, submitsByJob: settings.jobAdmission.enabled,
 	});
 	const ages = createAnnouncementAges({lifetimeMs: announcementLifetimeMs, steadyMs: nowMs});
 	const monitor = createDeciderMonitor({nowMs, eventLog, metrics});
--- a/src/relay/job-relay.test.ts
+++ b/src/relay/job-relay.test.ts
@@ -77,9 +77,9 @@
 	return listenOn(server);
 }
 
-function relayTo(t: ExecutionContext, addresses: readonly string[]): JobRelay {
+function relayTo(t: ExecutionContext, addresses: readonly string[], submitsByJob = true): JobRelay {
 	const relay = createJobRelay({
-		entryId: 'front', nowMs: () => performance.now(), eventLog, metrics,
+		entryId: 'front', nowMs: () => performance.now(), eventLog, metrics, submitsByJob,
 	});
 	t.teardown(relay.close);
 	relay.setDeciders(addresses.map((relayAddress, index) => ({entryId: `d${index}`, relayAddress})));
@@ -304,3 +304,15 @@
 
 	t.deepEqual(answered.toSorted((left, right) => left - right), [0, 4]);
 });
+
+test('submissions go to the decider that the front prefers, and to one by the job only while the admission of jobs promises slots', async t => {
+	for (const submitsByJob of [false, true]) {
+		const deciders = [await startDecider(t), await startDecider(t)];
+		const relay = relayTo(t, deciders.map(({address}) => address), submitsByJob);
+		for (let index = 0; index < 12; index++) {
+			await relay.jobs.submit({jobId: `j${index}`});
+		}
+
+		t.is(deciders.some(({accepted}) => accepted.length === 0), !submitsByJob);
+	}
+});
--- a/src/relay/job-relay.ts
+++ b/src/relay/job-relay.ts
@@ -78,18 +78,20 @@
 const refusedStatus = 503;
 
 /**
-Creates the relay of a front; it relays after `setDeciders`. Each front prefers another decider, and each job another one for its submission, so that the load is spread.
+Creates the relay of a front; it relays after `setDeciders`. Each front prefers another decider, so that the load is spread.
 
 @example
 const relay = createJobRelay({entryId: 'edge-9', nowMs: () => performance.now(), eventLog, metrics});
 relay.setDeciders([{entryId: 'edge-1', relayAddress: '10.1.0.13:7722'}]);
 await relay.jobs.find('panel-17');
 */
-export function createJobRelay({entryId, nowMs, eventLog, metrics}: Readonly<{
+export function createJobRelay({entryId, nowMs, eventLog, metrics, submitsByJob = false}: Readonly<{
 	entryId: string;
 	nowMs: () => number;
 	eventLog: EventLog;
 	metrics: Metrics;
+	/** Whether the submissions of a job go to the same decider from all fronts, which the admission of jobs needs. */
+	submitsByJob?: boolean;
 }>): JobRelay {
 	const deciders = new Map<string, DeciderState>();
 	let rankedIds: readonly string[] = [];
@@ -103,9 +105,9 @@
 
 	const isReady = (): boolean => nowMs() - lastAnsweredAtMs <= notReadyAfterMs;
 
-	/** Returns the deciders in the order for a call. A job's submissions go to the same one from all fronts, which knows what it promised to the caller. */
+	/** Returns the deciders in the order for a call. With `submitsByJob` a job's submissions go to the one that knows what it promised to the caller. */
 	function rankedIdsFor(call: RelayCall): readonly string[] {
-		const jobId = call.kind === 'submit' ? jobIdOf(call.job) : undefined;
+		const jobId = submitsByJob && call.kind === 'submit' ? jobIdOf(call.job) : undefined;
 		return jobId === undefined ? rankedIds : rankByRendezvous(rankedIds, jobId);
 	}
 
