--- a/src/entry/reduce-entry.ts
+++ b/src/entry/reduce-entry.ts
@@ -11,7 +11,7 @@
 import {placeQueuedTasks} from '../placement/place-queued-tasks.js';
 import {initialPlacement} from '../placement/placement-state.js';
 import {recordFailedStarts} from '../placement/restart-pauses.js';
-import {recordRunTimes} from '../placement/run-time-estimates.js';
+import {forgetRunningTasks, recordRunTimes} from '../placement/run-time-estimates.js';
 import {type RequestEvent} from '../requests/request-event.js';
 import {reduceRequests} from '../requests/reduce-requests.js';
 import {type EntrySettings} from '../settings/entry-settings.js';
@@ -114,13 +114,13 @@
 	'agent-session-closed': reduceAgentEvent,
 	tick: reduceTick,
 	'vm-resumed': (state, {suspendedMs}, {nowMs}) => ({
-		state: {...state, log: {...state.log, tailConfirmedSentAtMs: Number.NEGATIVE_INFINITY, resumedAtMs: nowMs}},
+		state: {...state, log: {...state.log, tailConfirmedSentAtMs: Number.NEGATIVE_INFINITY, resumedAtMs: nowMs}, runTimes: forgetRunningTasks(state.runTimes)},
 		effects: [{
 			kind: 'log-event', level: 'warn', event: 'vm-resumed', fields: {suspendedMs: Math.round(suspendedMs)},
 		}],
 	}),
 	'deferred-asked'(state, event, inputs, settings) {
-		return withDeferred(state, requestDeferredAnswer(state.deferred, event.replyId, event.subject, contextOf(state, inputs, settings), admissionOf(state, inputs, settings)));
+		return withDeferred(state, requestDeferredAnswer(state.deferred, event, contextOf(state, inputs, settings), admissionOf(state, inputs, settings)));
 	},
 	request: (state, event, inputs, settings) => continueWithRequest({state, effects: []}, event.event, inputs, settings),
 };
@@ -183,8 +183,8 @@
 		})],
 		['evacuation-changes', state => ({state, effects: logEvacuationChanges(before, state.cluster)})],
 		['run-times', state => ({
-			// The times of records that were read late, such as at the start, are not known.
-			state: isLogFresh(contextOf(state, inputs, settings)) ? {...state, runTimes: recordRunTimes(state.runTimes, event.records, state.cluster, inputs.nowMs)} : state,
+			// The times of records that may have been written long before this page, such as at the start and after a pause, are not known.
+			state: isLogFresh({...contextOf(state, inputs, settings), tailConfirmedSentAtMs: tailSentAtMs}) ? {...state, runTimes: recordRunTimes(state.runTimes, event.records, state.cluster, inputs.nowMs)} : state,
 			effects: [],
 		})],
 		['admission', state => ({state: recordForAdmission(state, event.records, {before, nowMs: inputs.nowMs, settings}), effects: []})],
