--- a/src/placement/admit-filling-jobs.ts
+++ b/src/placement/admit-filling-jobs.ts
@@ -6,6 +6,7 @@
 import {type FillingQueue} from './filling-limits.js';
 import {fillingOfferOf, type OfferContext} from './offered-processors.js';
 import {pendingFillingMilli} from './pending-claims.js';
+import {stepOccurrenceKeyOf} from './step-occurrence-key.js';
 
 /** Inputs of the admission of filling jobs. */
 export type AdmissionContext = OfferContext & Readonly<{
@@ -17,11 +18,17 @@
 	it all of them slow down and none ends in time. The lowest limit holds when left out.
 	*/
 	limitMilliOf?: (service: string) => number;
+	/**
+	Steps (`stepOccurrenceKeyOf`) whose filling tasks no VM could take in the newest pass, for example since their image affects the serving tasks of all VMs
+	too much. Their demand does not count, so that they do not keep jobs waiting that other processors could run.
+	*/
+	blockedSteps?: ReadonlySet<string>;
 	/** Called with the queue of each service that has queued filling tasks. */
 	onQueue?: (service: string, queue: FillingQueue) => void;
 }>;
 
-type QueuedJob = {readonly service: string; readonly isStarted: boolean; demandMilli: number};
+/** `demandMilli` is the demand of the tasks that VMs can take now, `blockedMilli` that of the others. */
+type QueuedJob = {readonly service: string; readonly isStarted: boolean; demandMilli: number; blockedMilli: number};
 
 /** Millicores that the started filling jobs of a service demand, those of them that their queued tasks demand, and the limit. */
 type FillingDemand = {startedMilli: number; waitingMilli: number; isHoldingBack: boolean; readonly limitMilli: number};
@@ -42,11 +49,11 @@
 	}
 
 	const demandByService = new Map<string, FillingDemand>();
-	for (const {service, isStarted, demandMilli} of jobs.values()) {
+	for (const {service, isStarted, demandMilli, blockedMilli} of jobs.values()) {
 		const demand = demandByService.get(service) ?? startedFillingDemandOf(service, context);
 		demandByService.set(service, demand);
 		demand.startedMilli += isStarted ? demandMilli : 0;
-		demand.waitingMilli += isStarted ? demandMilli : 0;
+		demand.waitingMilli += isStarted ? demandMilli + blockedMilli : 0;
 	}
 
 	const admitted = new Set<string>();
@@ -92,7 +99,7 @@
 }
 
 /** Returns the jobs of the queued filling tasks that some VM could run, with the demand of these tasks. */
-function queuedFillingJobs(taskIds: readonly string[], {cluster, pending, vms}: AdmissionContext): ReadonlyMap<string, QueuedJob> {
+function queuedFillingJobs(taskIds: readonly string[], {cluster, pending, vms, blockedSteps}: AdmissionContext): ReadonlyMap<string, QueuedJob> {
 	const jobs = new Map<string, QueuedJob>();
 	for (const taskId of taskIds) {
 		const task = cluster.tasks.get(taskId);
@@ -102,8 +109,10 @@
 			continue;
 		}
 
-		const job = jobs.get(task.jobId) ?? {service: cluster.workflows.get(task.jobId)?.workflow.service ?? '', isStarted: hasStarted(task.jobId, {cluster, pending}), demandMilli: 0};
-		job.demandMilli += demandMilli;
+		const job = jobs.get(task.jobId) ?? {
+			service: cluster.workflows.get(task.jobId)?.workflow.service ?? '', isStarted: hasStarted(task.jobId, {cluster, pending}), demandMilli: 0, blockedMilli: 0,
+		};
+		job[blockedSteps?.has(stepOccurrenceKeyOf(task) ?? '') ? 'blockedMilli' : 'demandMilli'] += demandMilli;
 		jobs.set(task.jobId, job);
 	}
 
--- a/src/placement/place-queued-tasks.ts
+++ b/src/placement/place-queued-tasks.ts
@@ -28,7 +28,7 @@
 import {noRunTimeEstimates} from './run-time-estimates.js';
 import {isRestart} from './restart-waits.js';
 import {sampleVms} from './sample-vms.js';
-import {isKnownWithoutVm, recordWithoutVm} from './tasks-without-vm.js';
+import {isKnownWithoutVm, recordBlockedStep, recordWithoutVm} from './tasks-without-vm.js';
 import {candidatesAmong, candidatesWithEvictions} from './vm-candidates.js';
 
 /** VMs sampled first for one task; all VMs are scanned only when none of the sample fits. */
@@ -74,6 +74,7 @@
 		demandsWithoutVm: [],
 		stepsWithoutVm: new Set(),
 		requirementsWithoutVm: new Set(),
+		blockedFillingSteps: new Set(),
 		owners,
 		harms: new Map(),
 		starved,
@@ -104,7 +105,7 @@
 	const {loggedAtMs, effects} = pass.failures.report(pass.state.failuresLoggedAtMs, context.nowMs);
 	return {
 		state: {
-			...pass.state, ownersSeen: owners.ownersSeen(), waitingJobs: starved.waiting(), failuresLoggedAtMs: loggedAtMs,
+			...pass.state, ownersSeen: owners.ownersSeen(), waitingJobs: starved.waiting(), blockedFillingSteps: pass.blockedFillingSteps, failuresLoggedAtMs: loggedAtMs,
 		},
 		effects: [...pass.effects, ...effects],
 	};
@@ -141,6 +142,7 @@
 		pending: pass.state.pending,
 		fillingRoomByVm: pass.state.fillingRoomByVm,
 		mayExceed: taskId => pass.starved.isStarved(cluster.tasks.get(taskId)!),
+		blockedSteps: pass.state.blockedFillingSteps,
 		limitMilliOf: service => fillingLimitMilliOf(pass.state.fillingLimits, service),
 		onQueue(service, queue) {
 			pass.state = {...pass.state, fillingLimits: withFillingQueue(pass.state.fillingLimits, service, queue)};
@@ -174,6 +176,7 @@
 	const reservedVmId = pass.state.reservations.vmIdByTask.get(taskId);
 	const reservedVm = reservedVmId === undefined ? undefined : pass.vms.find(({vmId}) => vmId === reservedVmId);
 	if (isWithoutVm && !reservedVm) {
+		recordBlockedStep(pass, task);
 		reserveOrPlan(pass, task);
 		return;
 	}
@@ -214,6 +217,7 @@
 	);
 	if (!choice) {
 		recordWithoutVm(pass, task);
+		recordBlockedStep(pass, task);
 		reserveOrPlan(pass, task);
 		return;
 	}
--- a/src/placement/placement-pass.ts
+++ b/src/placement/placement-pass.ts
@@ -31,6 +31,8 @@
 	readonly stepsWithoutVm: Set<string>;
 	/** Keys of requirements that no VM could meet in this pass. Tasks of several jobs share a key when they can be placed on the same VMs. */
 	readonly requirementsWithoutVm: Set<string>;
+	/** Steps whose filling tasks were left without a VM in this pass; none unless the entry plans ahead. */
+	readonly blockedFillingSteps: Set<string>;
 	readonly owners: PlacementOwners;
 	/** Expected harm of a placement, by kind, work class and demand of the task, then by VM. */
 	readonly harms: Map<string, Map<string, ExpectedHarm>>;
--- a/src/placement/placement-state.ts
+++ b/src/placement/placement-state.ts
@@ -28,6 +28,8 @@
 	coldVms: ColdVms;
 	/** Limits of the started filling jobs; they move only while the entry plans ahead. */
 	fillingLimits: FillingLimits;
+	/** Steps whose filling tasks no VM could take in the newest pass. */
+	blockedFillingSteps: ReadonlySet<string>;
 	/** VMs with a silent worker: the agent could not deliver a start to it. */
 	silentVmIds: ImmutableSet<string>;
 	reservations: Reservations;
@@ -49,6 +51,7 @@
 	fillingRoomByVm: immutableMap(),
 	coldVms: noColdVms,
 	fillingLimits: noFillingLimits,
+	blockedFillingSteps: new Set(),
 	silentVmIds: immutableSet(),
 	reservations: noReservations,
 	fleetGrowth: noFleetSeen,
--- a/src/placement/tasks-without-vm.ts
+++ b/src/placement/tasks-without-vm.ts
@@ -1,9 +1,9 @@
 import {type ClusterState, type Task} from '../cluster/cluster-state.js';
 import {fitsInto} from '../cluster/resources.js';
-import {stepKeyOf} from '../cluster/workflow.js';
 import {stepOf} from '../cluster/workflow-progress.js';
 import {fillingDemandMilli} from './filling-work.js';
 import {type PlacementPass} from './placement-pass.js';
+import {stepOccurrenceKeyOf} from './step-occurrence-key.js';
 import {requiredIdleMilliOf} from './vm-candidates.js';
 
 /**
@@ -40,9 +40,17 @@
 	}
 }
 
-/** Returns the key of a task's step in its occurrence of the workflow; undefined for a task without a workflow. */
-function stepOccurrenceKeyOf({jobId, position}: Task): string | undefined {
-	return position && `${jobId}/${stepKeyOf(position)}`;
+/**
+Records a filling task that is left without a VM in this pass, for the admission of filling jobs in the next one.
+
+@example
+recordBlockedStep(pass, task);
+*/
+export function recordBlockedStep(pass: PlacementPass, task: Task): void {
+	const stepKey = stepOccurrenceKeyOf(task);
+	if (stepKey !== undefined && pass.runTimes !== undefined && fillingDemandMilli(task, pass.context.cluster) > 0) {
+		pass.blockedFillingSteps.add(stepKey);
+	}
 }
 
 /** Returns a key of all properties of a task that decide which VMs can take it. */
