--- a/src/agent/reconnect-backoff.ts
+++ b/src/agent/reconnect-backoff.ts
@@ -1,12 +1,15 @@
-/** Pause after a stream that an entry has answered, and while quick tries last, in milliseconds. A refused connection costs an entry next to nothing. */
+/** Pause after a stream that an entry has answered, in milliseconds. */
 const firstBackoffMs = 100;
 
+/** Pause while quick tries last, half of it jitter: all agents that meet an entry within 100 ms of its start keep it from registering itself. */
+const quickBackoffMs = 250;
+
 /** Shorter than the time after which entries revoke an unreachable VM. */
 const maxBackoffMs = 1000;
 
 /**
 Quick tries in a row at an entry while the agent has no stream at all. After a loss of power, entries listen 0.5 to 2 s after the agents try first; the
-tries last for 3 to 6 s. An agent has few addresses open at a time, so that its tries stay in the tens a second.
+tries last for 7 to 15 s. An agent has few addresses open at a time, so that its tries stay in the tens a second.
 */
 const maxQuickTries = 60;
 
@@ -32,6 +35,6 @@
 	}
 
 	return !hasStream && quickTries < maxQuickTries
-		? {backoffMs: firstBackoffMs, quickTries: quickTries + 1}
+		? {backoffMs: quickBackoffMs, quickTries: quickTries + 1}
 		: {backoffMs: Math.min(maxBackoffMs, backoffMs * 2), quickTries};
 }
