--- a/src/placement/place-queued-tasks.ts
+++ b/src/placement/place-queued-tasks.ts
@@ -82,7 +82,7 @@
 		failures: createPlacementFailures(),
 		reservationAttempts: 0,
 		releaseEstimates: new Map(),
-		runTimes: context.settings.planning.enabled ? context.runTimes ?? noRunTimeEstimates : undefined,
+		runTimes: context.settings.planning.enabled && context.settings.planning.plansStarts ? context.runTimes ?? noRunTimeEstimates : undefined,
 		expectedEnds: new Map(),
 		planned: [],
 		state: pruned,
--- a/src/placement/placement-pass.ts
+++ b/src/placement/placement-pass.ts
@@ -42,7 +42,7 @@
 	reservationAttempts: number;
 	/** Estimates of the resources that tasks will release, for the VMs compared for a reservation. */
 	readonly releaseEstimates: Map<string, ReleaseEstimate>;
-	/** Learned run times; undefined unless the entry plans ahead. */
+	/** Learned run times; undefined unless the entry plans starts. */
 	readonly runTimes: RunTimeEstimates | undefined;
 	readonly expectedEnds: Map<string, readonly ExpectedEnd[]>;
 	/** Tasks that found no VM and may have a start planned. */
--- a/src/placement/tasks-without-vm.ts
+++ b/src/placement/tasks-without-vm.ts
@@ -48,7 +48,7 @@
 */
 export function recordBlockedStep(pass: PlacementPass, task: Task): void {
 	const stepKey = stepOccurrenceKeyOf(task);
-	if (stepKey !== undefined && pass.runTimes !== undefined && fillingDemandMilli(task, pass.context.cluster) > 0) {
+	if (stepKey !== undefined && pass.context.settings.planning.enabled && fillingDemandMilli(task, pass.context.cluster) > 0) {
 		pass.blockedFillingSteps.add(stepKey);
 	}
 }
--- a/src/settings/entry-settings.ts
+++ b/src/settings/entry-settings.ts
@@ -39,7 +39,8 @@
 	logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info').describe('Least severe level that is logged'),
 	placementPolicy: z.enum(placementPolicyNames).default('least-harm').describe('How VMs are chosen for tasks; `first-fit` and `least-loaded` are baselines meant for comparison'),
 	planning: z.strictObject({
-		enabled: z.boolean().default(false).describe('Whether the placement plans ahead with learned run times, and the limit of started filling jobs follows what the VMs report'),
+		enabled: z.boolean().default(false).describe('Whether the limit of started filling jobs follows what the VMs report, and filling work that no VM can take keeps no other job waiting'),
+		plansStarts: z.boolean().default(true).describe('Whether VMs are held for large waiting tasks by learned run times, and only smaller tasks that end in time use what is held. For deployments whose large tasks wait longest; where committed work fills the VMs, small tasks wait longer for it'),
 		maxFillingDemandMilli: z.int().min(600).max(2000).default(800).describe('Highest limit of the demand of started filling jobs, in thousandths of the processors that filling tasks demand or are offered'),
 	}).readonly().prefault({}),
 	metrics: metricsSettingsSchema.default({prefix: 'arbutushinge.'}),
