--- a/src/agent/agent-process.ts
+++ b/src/agent/agent-process.ts
@@ -166,7 +166,6 @@
 				dispatch({kind: 'entry-disconnected', nowMs: monotonicMs(), entryAddress});
 			},
 			message(message) {
-				sessions.recordMessage(entryAddress);
 				if (message.case === 'leaseGrant' && message.value.durationMs > 0) {
 					sessions.recordGrant(entryAddress);
 				}
@@ -175,9 +174,7 @@
 					kind: 'entry-message', nowMs: monotonicMs(), entryAddress, message,
 				});
 			},
-		}, {
-			random: Math.random, heartbeatMs: settings.timings.heartbeatMs, eventLog, hasStream: () => sessions.hasAnsweredStream(),
-		}),
+		}, {random: Math.random, heartbeatMs: settings.timings.heartbeatMs, eventLog}),
 	});
 	sessions.rank(settings.entryAddresses);
 	const entriesWatch = watchEntries?.(sessions.rank);
@@ -188,9 +185,6 @@
 	const pollTimer = setInterval(() => {
 		void driver.poll();
 	}, settings.timings.workerPollMs);
-	worker.onIncarnation?.(() => {
-		void driver.poll();
-	});
 	void driver.poll();
 	eventLog.info('agent-started', {vmId: settings.vmId, incarnation: loop.state().incarnation, requestAddress: settings.requestAddress});
 
--- a/src/agent/entry-session.ts
+++ b/src/agent/entry-session.ts
@@ -10,11 +10,15 @@
 import {boundedText} from '../validation/bounded-text.js';
 import type {AgentMessageBody} from './agent-effect.js';
 import {connectWithin} from './connect-within.js';
-import {initialReconnectBackoff, nextReconnectBackoff} from './reconnect-backoff.js';
 
 /** Limit of the messages that wait for a slow entry; beyond it the stream is closed and opened again. */
 const maxBacklogMessages = 256;
 
+const firstBackoffMs = 100;
+
+/** Shorter than the time after which entries revoke an unreachable VM. */
+const maxBackoffMs = 1000;
+
 /** Entries answer within a few milliseconds. The timeout allows for one lost connection request, which is sent again after one second. */
 const connectTimeoutMs = 2000;
 
@@ -39,13 +43,7 @@
 }>;
 
 /** Settings of a session. */
-export type EntrySessionOptions = Readonly<{
-	random: () => number;
-	heartbeatMs: number;
-	eventLog: EventLog;
-	/** Whether the agent has a stream to any entry that has answered; without one, a stream is opened again sooner. */
-	hasStream?: () => boolean;
-}>;
+export type EntrySessionOptions = Readonly<{random: () => number; heartbeatMs: number; eventLog: EventLog}>;
 
 /** Messages that one stream has not sent yet. */
 class Outbox {
@@ -93,7 +91,7 @@
 session.send(helloMessage(state));
 */
 export function openEntrySession(entryAddress: string, handlers: EntrySessionHandlers, options: EntrySessionOptions): EntrySession {
-	const {random, heartbeatMs, eventLog, hasStream = () => true} = options;
+	const {random, heartbeatMs, eventLog} = options;
 	const url = `http://${entryAddress}`;
 	const closing = new AbortController();
 	let outbox: Outbox | undefined;
@@ -181,12 +179,12 @@
 	}
 
 	async function run(): Promise<void> {
-		let backoff = initialReconnectBackoff;
+		let backoffMs = firstBackoffMs;
 		while (!closing.signal.aborted) {
 			const wasAnswered = await runOnce();
-			backoff = nextReconnectBackoff(backoff, {wasAnswered, hasStream: hasStream()});
+			backoffMs = wasAnswered ? firstBackoffMs : Math.min(maxBackoffMs, backoffMs * 2);
 			try {
-				await delay(backoff.backoffMs * (0.5 + (random() / 2)), undefined, {signal: closing.signal});
+				await delay(backoffMs * (0.5 + (random() / 2)), undefined, {signal: closing.signal});
 			} catch {
 				return;
 			}
--- a/src/agent/entry-sessions.ts
+++ b/src/agent/entry-sessions.ts
@@ -24,8 +24,6 @@
 type SessionState = {
 	readonly session: EntrySession;
 	isConnected: boolean;
-	/** Whether a message of the entry has arrived on the open stream. */
-	isAnswered: boolean;
 	/** Whether it has granted a lease, or was open while none was needed. */
 	isConfirmed: boolean;
 	/**
@@ -42,10 +40,6 @@
 	/** Selects the entries again; `needsLease` is whether an entry that grants no lease is less useful. */
 	review: (needsLease: boolean) => void;
 	recordGrant: (entryAddress: string) => void;
-	/** Records that a message of the entry arrived on its stream. */
-	recordMessage: (entryAddress: string) => void;
-	/** Returns whether any entry has answered on its stream that is open. */
-	hasAnsweredStream: () => boolean;
 	send: (entryAddress: string, message: Parameters<EntrySession['send']>[0]) => void;
 	close: () => Promise<void>;
 }>;
@@ -97,7 +91,6 @@
 		if (state) {
 			const wasUseful = usefulnessOf(entryAddress) === 1;
 			state.isConnected = isConnected;
-			state.isAnswered = false;
 			state.lastUsefulAtMs = wasUseful && !isConnected ? nowMs() : state.lastUsefulAtMs;
 		}
 	}
@@ -151,7 +144,7 @@
 					},
 				});
 				sessionStates.set(entryAddress, {
-					session, isConnected: false, isAnswered: false, isConfirmed: false, lastUsefulAtMs: nowMs(),
+					session, isConnected: false, isConfirmed: false, lastUsefulAtMs: nowMs(),
 				});
 			}
 		}
@@ -188,13 +181,6 @@
 				state.lastUsefulAtMs = nowMs();
 			}
 		},
-		recordMessage(entryAddress) {
-			const state = sessionStates.get(entryAddress);
-			if (state) {
-				state.isAnswered = true;
-			}
-		},
-		hasAnsweredStream: () => [...sessionStates.values()].some(({isAnswered}) => isAnswered),
 		send(entryAddress, message) {
 			sessionStates.get(entryAddress)?.session.send(message);
 		},
--- a/src/agent/reduce-agent.ts
+++ b/src/agent/reduce-agent.ts
@@ -115,12 +115,9 @@
 	}
 
 	return chain(
-		{...state, phase: 'active'},
-		current => transition(current, {
+		{...state, phase: 'active'}, current => transition(current, {
 			kind: 'log', level: 'info', event: 'registration-requested', fields: {incarnation: state.incarnation, workerIncarnation: state.worker.incarnation, tasks: state.tasks.size},
-		}),
-		sendHello,
-		sendHeartbeats(nowMs),
+		}), sendHello, sendHeartbeats(nowMs),
 	);
 }
 
--- a/src/agent/worker.ts
+++ b/src/agent/worker.ts
@@ -12,8 +12,6 @@
 	usesLongPolling?: boolean;
 	/** Returns whether the worker is still the given process, for workers that restart at the same address. */
 	isCurrent?: (workerIncarnation: string) => boolean;
-	/** Sets the function that is called once for each new process of the worker, for workers that announce themselves. Its tasks can be listed at once. */
-	onIncarnation?: (listener: () => void) => void;
 } & {
 	[Call in Command]: (...parameters: Parameters<WorkerClient[Call]>) => Promise<Result<unknown, WorkerError>>;
 }>;
--- a/src/entry/entry-process.ts
+++ b/src/entry/entry-process.ts
@@ -49,9 +49,6 @@
 
 const tickMs = 50;
 const logRequestTimeoutMs = 2000;
-/** Longest wait for an entry's own registration before it accepts agents, several round trips to the log, and the time between two looks. */
-const registrationWaitMs = 400;
-const registrationCheckMs = 10;
 /** Age of the newest read of the log's tail after which an entry whose requests all need the log is not ready, and the load balancer uses others: three failed long polls. */
 const notReadyAfterMs = 3000;
 const forwardConcurrency = 4096;
@@ -203,24 +200,11 @@
 		...(intake && {intake}),
 	});
 
-	/**
-	Registers this entry before agents connect: what it appends counts only from then on, and after a loss of power the streams of all agents keep it busy.
-	It waits for a bounded time, since agents need its answers in an outage of the log too.
-	*/
-	async function registerFirst(): Promise<void> {
-		dispatch({kind: 'tick'});
-		const startMs = performance.now();
-		while (!loop.state().cluster.entries.has(incarnation) && performance.now() - startMs < registrationWaitMs) {
-			await delay(registrationCheckMs);
-		}
-	}
-
 	async function requestDecision(subject: Parameters<typeof deferredReplies.open>[0]['subject']) {
 		return deferredReplies.open({subject, dispatch, replyId: randomUUID()});
 	}
 
 	await logConnection.start(incarnation);
-	await registerFirst();
 	await agents.listen();
 	const operators = token.value === undefined
 		? undefined
--- a/src/placement/place-queued-tasks.ts
+++ b/src/placement/place-queued-tasks.ts
@@ -34,13 +34,8 @@
 /** VMs sampled first for one task; all VMs are scanned only when none of the sample fits. */
 const sampledVms = 24;
 const sampledVmsForFillingWork = 128;
-/** Limit of pending claims, which bounds the size of one append and the duration of a pass. */
+/** Limit of pending claims, which bounds the size of one append. */
 const maxPendingClaims = 512;
-/**
-The limit while the next task is a restart. After all VMs lost power, the restarts beyond `maxPendingClaims` waited for the next pass, 250 ms later; the
-log writer appends 1,000 records at once.
-*/
-const maxPendingRestarts = 1000;
 /** Queued tasks of one class considered in a pass, which bounds its duration. */
 const maxScannedTasks = 4096;
 /**
@@ -149,13 +144,12 @@
 		},
 	});
 	for (const taskId of ordered.slice(0, maxScannedTasks)) {
-		const task = cluster.tasks.get(taskId)!;
-		if (pass.state.pending.byTask.size >= (isRestart(task, cluster) ? maxPendingRestarts : maxPendingClaims)) {
+		if (pass.state.pending.byTask.size >= maxPendingClaims) {
 			return;
 		}
 
 		pass.failures.isolate('task', taskId, () => {
-			placeTask(pass, task);
+			placeTask(pass, cluster.tasks.get(taskId)!);
 		});
 	}
 
--- a/src/relay/job-relay.test.ts
+++ b/src/relay/job-relay.test.ts
@@ -220,49 +220,6 @@
 	await waitFor(['d2']);
 });
 
-/** Guards against refusals, after which callers come back a second later, while the deciders load their state after a loss of power. */
-test('a call at a front that has just started waits for the first decider, and is answered by it', async t => {
-	const decider = await startDecider(t);
-	const relay = relayTo(t, []);
-	const submitted = relay.jobs.submit({});
-	await delay(200);
-	relay.setDeciders([{entryId: 'd0', relayAddress: decider.address}]);
-	const answer = await submitted;
-	t.true(answer.isOk);
-	t.is(decider.accepted.length, 1);
-});
-
-// Guards against an answer later than the 3 s that callers wait: deciders that start with little processor time refuse slowly.
-test('a call that a starting decider refused slowly does not wait for the first answer beyond its time', async t => {
-	const decider = await startDecider(t, {
-		readiness: () => ({isReady: false, reason: 'the state is being loaded'}),
-		jobs: {
-			async submit() {
-				await delay(2000);
-				return err(refusal);
-			},
-		},
-	});
-	const startMs = performance.now();
-	const submitted = await relayTo(t, [decider.address]).jobs.submit({});
-	t.like(submitted.isErr && submitted.error, {status: 503});
-	t.true(performance.now() - startMs < 2900, 'it was refused after 2.0 s');
-});
-
-test('a front that has just started is ready soon after a decider is, not a check of the usual pace later', async t => {
-	let isReady = false;
-	const decider = await startDecider(t, {readiness: () => isReady ? ready : {isReady: false, reason: 'the state is being loaded'}});
-	const relay = relayTo(t, [decider.address]);
-	await delay(150);
-	isReady = true;
-	const sinceMs = performance.now();
-	while (!relay.readiness().isReady) {
-		await delay(5);
-	}
-
-	t.true(performance.now() - sinceMs < 600, 'within 600 ms on a busy machine');
-});
-
 const overloadRefusal = {status: 429, error: {kind: 'job-refused-overload', message: 'no capacity', remedy: 'come back'}, retryAfterMs: 7000};
 
 test('a refusal in overload reaches the caller with its time', async t => {
--- a/src/relay/job-relay.ts
+++ b/src/relay/job-relay.ts
@@ -11,8 +11,6 @@
 import {boundedText} from '../validation/bounded-text.js';
 import {parseJson} from '../validation/parse-json.js';
 import {createHttpConnections, isConnectFailure, type HttpConnections} from '../worker/http-connections.js';
-import {checkPauseMs, quickCheckPauseMs} from './check-pause.js';
-import {createFirstAnswerWait} from './first-answer-wait.js';
 import {
 	concludeAttempts, evaluateAttempt, isUnprovenRefusal, noAttempts, orderDeciders, type AttemptEnd, type RelayAttempts,
 } from './relay-attempts.js';
@@ -41,7 +39,6 @@
 	readonly relayAddress: string;
 	servedAtMs: number;
 	failedAtMs: number;
-	isChecking: boolean;
 };
 
 /** Connections to one decider. */
@@ -61,6 +58,9 @@
 /** Share of retries without an answer of the calls, in thousandths. */
 const retryBudgetMilli = 200;
 
+/** Time between two checks of all deciders. */
+const checkIntervalMs = 1000;
+
 const checkTimeoutMs = 700;
 
 /** Time without an answer of any decider after which a front is not ready: two failed checks. */
@@ -74,9 +74,6 @@
 
 const refusedRetryAfterMs = 1000;
 
-/** Status of a call that was refused as not run. */
-const refusedStatus = 503;
-
 /**
 Creates the relay of a front; it relays after `setDeciders`. Each front prefers another decider, so that the load is spread.
 
@@ -99,11 +96,6 @@
 	let openCalls = 0;
 	let retryBudget: RetryBudget = {tokensMilli: initialRetriesMilli};
 	let isClosed = false;
-	let checkedAtMs = nowMs();
-	let quickChecks = 0;
-	const firstAnswer = createFirstAnswerWait({nowMs});
-
-	const isReady = (): boolean => nowMs() - lastAnsweredAtMs <= notReadyAfterMs;
 
 	/** Returns the deciders in the order for a call. With `submitsByJob` a job's submissions go to the one that knows what it promised to the caller. */
 	function rankedIdsFor(call: RelayCall): readonly string[] {
@@ -117,7 +109,6 @@
 		if (isGood) {
 			decider.servedAtMs = nowMs();
 			lastAnsweredAtMs = nowMs();
-			firstAnswer.recordAnswer();
 		}
 	}
 
@@ -128,7 +119,8 @@
 	}
 
 	/** Makes attempts at one decider after the other until the answer is final or the time is over. */
-	async function relay(call: RelayCall, startMs: number): Promise<RelayAnswer> {
+	async function relay(call: RelayCall): Promise<RelayAnswer> {
+		const startMs = nowMs();
 		const ids = orderDeciders(rankedIdsFor(call), new Map([...deciders].map(([id, {failedAtMs}]) => [id, {entryId: id, failedAtMs}]))).slice(0, maxAttempts);
 		let attempts = noAttempts;
 		retryBudget = creditRequest(retryBudget, retryBudgetMilli);
@@ -172,10 +164,7 @@
 		openCalls++;
 		const startMs = nowMs();
 		try {
-			const isStarting = !firstAnswer.hasAnswer();
-			const answer = await relay(call, startMs);
-			// Nothing was done so far, so that the call is tried again once the first decider answers.
-			return isStarting && isRefusedAsNotRun(answer) && await firstAnswer.wait(startMs) ? await relay(call, startMs) : answer;
+			return await relay(call);
 		} finally {
 			openCalls--;
 			metrics.timingMs('relay.call', Math.round(nowMs() - startMs));
@@ -187,29 +176,13 @@
 		return answer.result === 'ok' ? ok(toValue(answer.value)) : err(answer.error);
 	}
 
-	/** Checks a decider, unless the check before has not ended. */
-	async function check(decider: DeciderState): Promise<void> {
-		if (!decider.isChecking) {
-			decider.isChecking = true;
-			await attempt(decider, {kind: 'check'}, checkTimeoutMs);
-			decider.isChecking = false;
-		}
-	}
-
-	function checkDeciders(): void {
-		// A timer may fire a little early.
-		if (nowMs() - checkedAtMs < checkPauseMs({isReady: isReady(), quickChecks}) - (quickCheckPauseMs / 2)) {
-			return;
-		}
-
-		checkedAtMs = nowMs();
-		quickChecks = isReady() ? 0 : quickChecks + 1;
-		for (const decider of deciders.values()) {
-			void check(decider);
-		}
+	async function checkDeciders(): Promise<void> {
+		await Promise.all([...deciders.values()].map(async decider => attempt(decider, {kind: 'check'}, checkTimeoutMs)));
 	}
 
-	const checkTimer = setInterval(checkDeciders, quickCheckPauseMs);
+	const checkTimer = setInterval(() => {
+		void checkDeciders();
+	}, checkIntervalMs);
 
 	return {
 		jobs: {
@@ -234,10 +207,10 @@
 			for (const [id, relayAddress] of addressById) {
 				if (!deciders.has(id)) {
 					const state: DeciderState = {
-						connections: createHttpConnections({address: relayAddress, connections}), relayAddress, servedAtMs: nowMs(), failedAtMs: Number.NEGATIVE_INFINITY, isChecking: false,
+						connections: createHttpConnections({address: relayAddress, connections}), relayAddress, servedAtMs: nowMs(), failedAtMs: Number.NEGATIVE_INFINITY,
 					};
 					deciders.set(id, state);
-					void check(state);
+					void attempt(state, {kind: 'check'}, checkTimeoutMs);
 				}
 			}
 
@@ -248,7 +221,7 @@
 			}
 		},
 		readiness() {
-			return isReady()
+			return nowMs() - lastAnsweredAtMs <= notReadyAfterMs
 				? {isReady: true, reason: ''}
 				: {isReady: false, reason: `no entry that decides has answered for ${notReadyAfterMs} ms`};
 		},
@@ -256,7 +229,6 @@
 		close() {
 			isClosed = true;
 			clearInterval(checkTimer);
-			firstAnswer.close();
 			for (const {connections: open} of deciders.values()) {
 				open.destroy();
 			}
@@ -270,10 +242,6 @@
 	return !readKinds.has(kind);
 }
 
-function isRefusedAsNotRun(answer: RelayAnswer): boolean {
-	return answer.result === 'error' && answer.error.status === refusedStatus;
-}
-
 const jobIdSchema = z.object({jobId: z.string()});
 
 function jobIdOf(job: unknown): string | undefined {
