--- a/bench/recovery.ts
+++ b/bench/recovery.ts
@@ -1,4 +1,4 @@
-import {Buffer} from 'node:buffer';
+import {type Buffer} from 'node:buffer';
 import {
 	mkdir, mkdtemp, readFile, rm, writeFile,
 } from 'node:fs/promises';
@@ -41,7 +41,21 @@
 
 /** Parts in the order of a recovery. */
 const parts = [
-	'configuration', 'role', 'state', 'agentStart', 'announcement', 'list', 'stream', 'log.entry-registered', 'log.vm-registered', 'lease', 'log.task-claimed', 'restart', 'log.task-started', 'ready.decider', 'ready.front',
+	'configuration',
+	'role',
+	'state',
+	'agentStart',
+	'announcement',
+	'list',
+	'stream',
+	'log.entry-registered',
+	'log.vm-registered',
+	'lease',
+	'log.task-claimed',
+	'restart',
+	'log.task-started',
+	'ready.decider',
+	'ready.front',
 ];
 
 async function isReady({readinessAddress}: SiteEntry): Promise<boolean> {
@@ -104,24 +118,16 @@
 	}
 
 	const {record: value, writer} = decoded.value;
-	switch (value.kind) {
-		case 'entry-registered': {
-			return {part: 'log.entry-registered', subject: writer, atMs};
-		}
-
-		case 'vm-registered': {
-			return {part: 'log.vm-registered', subject: value.vmId, atMs};
-		}
-
-		case 'task-claimed':
-		case 'task-started': {
-			return {part: `log.${value.kind}`, subject: value.taskId, atMs};
-		}
+	const part = `log.${value.kind}`;
+	if (value.kind === 'entry-registered') {
+		return {part, subject: writer, atMs};
+	}
 
-		default: {
-			return undefined;
-		}
+	if (value.kind === 'vm-registered') {
+		return {part, subject: value.vmId, atMs};
 	}
+
+	return value.kind === 'task-claimed' || value.kind === 'task-started' ? {part, subject: value.taskId, atMs} : undefined;
 }
 
 /**
@@ -185,7 +191,16 @@
 			const marks = await losePower(site, observed, {darkMs, taskCount});
 			lag.disable();
 			printFigures({
-				bench: 'recovery', run, processes: entries + agents, entries, agents, deciders, tasks: taskCount, loadBefore, spawnedMs: marks.find(({part}) => part === 'spawned')!.atMs, ownLagP99Ms: lag.percentile(99) / nanosecondsPerMs,
+				bench: 'recovery',
+				run,
+				processes: entries + agents,
+				entries,
+				agents,
+				deciders,
+				tasks: taskCount,
+				loadBefore,
+				spawnedMs: marks.find(({part}) => part === 'spawned')!.atMs,
+				ownLagP99Ms: lag.percentile(99) / nanosecondsPerMs,
 			});
 			const times = timesByPart(marks);
 			for (const part of parts) {
--- a/soak/site.ts
+++ b/soak/site.ts
@@ -84,7 +84,8 @@
 await site.close();
 */
 export async function startSite({
-	bundleDirectory, runTimeMs, onEvent = () => undefined, onAppended = () => undefined, prepareStore = () => undefined, entryCount = 2, agentCount = 2, deciderCount, nodeArguments = {entry: [], agent: []},
+	bundleDirectory, runTimeMs, onEvent = () => undefined, onAppended = () => undefined, prepareStore = () => undefined,
+	entryCount = 2, agentCount = 2, deciderCount, nodeArguments = {entry: [], agent: []},
 }: Readonly<{
 	bundleDirectory: string;
 	/** Run time of a task by its payload. */
--- a/src/agent/reduce-agent.ts
+++ b/src/agent/reduce-agent.ts
@@ -114,11 +114,9 @@
 			}));
 	}
 
-	return chain(
-		{...state, phase: 'active'}, current => transition(current, {
-			kind: 'log', level: 'info', event: 'registration-requested', fields: {incarnation: state.incarnation, workerIncarnation: state.worker.incarnation, tasks: state.tasks.size},
-		}), sendHello, sendHeartbeats(nowMs),
-	);
+	return chain({...state, phase: 'active'}, current => transition(current, {
+		kind: 'log', level: 'info', event: 'registration-requested', fields: {incarnation: state.incarnation, workerIncarnation: state.worker.incarnation, tasks: state.tasks.size},
+	}), sendHello, sendHeartbeats(nowMs));
 }
 
 function sendHeartbeats(nowMs: number): StateUpdate {
