Test crowds of clients whose unread bytes count, and run these tests apart

Clients outside the limits can make an entry or an agent exceed the memory of its VM, as the issue reports. The tests so far looked at resident memory alone, while bytes that the kernel has received and nobody has read count as well.

It now samples resident memory together with the unread bytes of the same moment; the bounds of 200 MB and 150 MB stay and hold for the sum. New crowds: jobs of 256 KB, whole, in pieces or chunked, ended or one byte short; answers that nobody reads; pipelining; long heads; connections in a loop; bodies in one-byte chunks for a backend server; keyed bodies; messages of agents without an end. npm test runs them one at a time, after the other tests.

--- a/soak/site.ts
+++ b/soak/site.ts
@@ -23,8 +23,8 @@
 	startAgain: () => Promise<void>;
 }>;
 
-export type SiteEntry = SiteProcess<'store' | 'agents' | 'relay'> & Readonly<{queueAddress: string; readinessAddress: string}>;
-export type SiteAgent = SiteProcess<'store' | 'executor' | 'control'> & Readonly<{controlAddress: string; executor: ExecutorStandIn; executorId: string; failureDomain: string; workerAddress: string}>;
+export type SiteEntry = SiteProcess<'store' | 'agents' | 'relay'> & Readonly<{queueAddress: string; readinessAddress: string; callerAddress: string; operatorAddress: string; agentAddress: string}>;
+export type SiteAgent = SiteProcess<'store' | 'executor' | 'control'> & Readonly<{controlAddress: string; requestAddress: string; executor: ExecutorStandIn; executorId: string; failureDomain: string; workerAddress: string}>;
 
 /** Entries and agents as separate processes, with the stand-ins of the platform in this process. */
 export type Site = Readonly<{
@@ -85,7 +85,7 @@
 */
 export async function startSite({
 	bundleDirectory, runTimeMs, onEvent = () => undefined, onAppended = () => undefined, prepareStore = () => undefined,
-	entryCount = 2, agentCount = 2, deciderCount, nodeArguments = {entry: [], agent: []},
+	entryCount = 2, agentCount = 2, deciderCount, nodeArguments = {entry: [], agent: []}, operatorToken,
 }: Readonly<{
 	bundleDirectory: string;
 	/** Run time of a task by its payload. */
@@ -100,9 +100,12 @@
 	deciderCount?: number;
 	/** Arguments of Node.js by role. */
 	nodeArguments?: Readonly<Record<'entry' | 'agent', readonly string[]>>;
+	/** Token of the entries' operator interfaces, which stay closed without it. */
+	operatorToken?: string;
 }>): Promise<Site> {
 	const runner: ProcessRunner = createProcessRunner({commonArguments: []});
 	const directory = await mkdtemp(path.join(tmpdir(), 'arbutushinge-soak-'));
+	const operatorTokenFile = path.join(directory, 'operator-token');
 	const addresses = [...await findFreeAddresses(1 + (entryCount * 8) + (agentCount * 6))];
 	const nextAddress = (): string => addresses.pop()!;
 	const agentPort = Number(nextAddress().split(':')[1]);
@@ -192,13 +195,16 @@
 			failureDomain: `zone-${index + 1}`,
 			callerAddress,
 			operatorAddress,
+			...(operatorToken !== undefined && {operatorTokenFile}),
 			agentAddress,
 			platform: {storeAddress: toStore.address, queueAddress, readinessAddress},
 			...(deciderCount !== undefined && {deciders: {count: deciderCount, relayAddress}}),
 			snapshotEveryRecords: 20_000,
 			timings: entryTimings,
 		});
-		return {...started, queueAddress, readinessAddress};
+		return {
+			...started, queueAddress, readinessAddress, callerAddress, operatorAddress, agentAddress,
+		};
 	}
 
 	async function startAgent(index: number): Promise<SiteAgent> {
@@ -231,7 +237,7 @@
 			timings: agentTimings,
 		});
 		return {
-			...started, controlAddress, executor, executorId, failureDomain, workerAddress: toExecutor.address,
+			...started, controlAddress, requestAddress, executor, executorId, failureDomain, workerAddress: toExecutor.address,
 		};
 	}
 
@@ -254,6 +260,10 @@
 	}
 
 	try {
+		if (operatorToken !== undefined) {
+			await writeFile(operatorTokenFile, operatorToken);
+		}
+
 		configure();
 		prepareStore(store);
 		const indexes = (count: number): readonly number[] => Array.from({length: count}, (_, index) => index);
