Bound the connections that stay open after a refusal

A refused connection stays open for 200 ms without being read, so that a client that still sends can read the answer before the reset. Nothing bounded how many do so at once: a crowd whose large bodies are refused left several hundred KB a connection in the kernel, which count towards the memory of the VM.

At most 16 connections of a server linger now. One more closes the oldest, which has had the longest time to read its answer. Without a crowd nothing changes.

--- a/src/intake/close-after-answer.ts
+++ b/src/intake/close-after-answer.ts
@@ -1,8 +1,6 @@
 import type {ServerResponse} from 'node:http';
 import {hasBody} from './has-body.js';
-
-/** How long a connection stays open after a refusal, unread, so that a client that still sends can read the answer before the reset. */
-const lingerMs = 200;
+import {linger} from './linger.js';
 
 /**
 Makes the connection of a request whose body was not read to its end close once the answer is sent; nothing more is read from it. To be
@@ -29,8 +27,6 @@
 		setImmediate(() => {
 			socket.pause();
 		});
-		setTimeout(() => {
-			socket.destroy();
-		}, lingerMs);
+		linger(socket);
 	};
 }
