Handle no requests behind one that closed its connection

An entry ended by SIGABRT when clients pipelined short requests. The connection of the 33rd request in flight was closed, but Node.js goes on with the bytes that it has read: up to a thousand requests of each read were still handled and held until the connection was gone. Below that bound, all connections together could have 32 requests each in flight.

guardConnections now keeps the requests of a closed connection from the server's listeners, and bounds by 512 the requests of a server that wait behind another one of their connection. A client that waits for its answers never has one. The smallest pendingConnections that can be set is 64, since fewer leave a burst of ordinary callers to be connected seconds later.

Ruled out: pausing the parser within the listener; it had no effect in a trial.

--- a/soak/hostile-answers.test.ts
+++ b/soak/hostile-answers.test.ts
@@ -27,7 +27,7 @@
 
 const stateRequest = `GET ${jobPath} HTTP/1.1\r\nhost: 127.0.0.1\r\n\r\n`;
 
-test.serial.failing('an entry outlives clients that pipeline requests and read no answer', async t => {
+test.serial('an entry outlives clients that pipeline requests and read no answer', async t => {
 	await checkUnderLoad(t, {
 		bundleDirectory, role: 'entry', loadsOn: ({entries: [entry]}) => [connectionsLoad({
 			address: entry!.queueAddress,
--- a/src/intake/guard-connections.ts
+++ b/src/intake/guard-connections.ts
@@ -29,6 +29,9 @@
 /** Requests that a connection may have in flight; Node.js sets no bound to those that a client sends without waiting for answers. */
 const maxPipelinedRequests = 32;
 
+/** Requests of all connections of a server that may be in flight behind another one of their connection. */
+const maxPipelinedRequestsOfServer = 512;
+
 const tooSlowAnswer = 'HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n';
 
 /**
@@ -47,6 +50,8 @@
 }>): void {
 	const part = intake.connections(group);
 	const connections = new Map<Socket, Connection>();
+	/** Unanswered requests, less the first one of each connection. */
+	let pipelinedRequests = 0;
 
 	function markIdle(socket: Socket, connection: Connection): void {
 		connection.idleBytes = socket.bytesRead;
@@ -107,20 +112,23 @@
 		});
 	});
 
-	server.prependListener('request', (request: IncomingMessage, response: ServerResponse) => {
+	/** Counts a request; returns false when its connection is closed, by this request or by one before that was read with it. */
+	function admit(request: IncomingMessage, response: ServerResponse): boolean {
 		const {socket} = request;
 		const connection = connections.get(socket);
-		if (!connection) {
-			return;
+		if (!connection || socket.destroyed) {
+			return false;
 		}
 
-		connection.unanswered++;
-		if (connection.unanswered > maxPipelinedRequests) {
+		const isPipelined = connection.unanswered > 0;
+		if (isPipelined && (connection.unanswered === maxPipelinedRequests || pipelinedRequests === maxPipelinedRequestsOfServer)) {
 			intake.recordRefusal(group, 'requests-pipelined');
 			socket.destroy();
-			return;
+			return false;
 		}
 
+		connection.unanswered++;
+		pipelinedRequests += isPipelined ? 1 : 0;
 		if (hasBody(request)) {
 			request.once('end', () => {
 				part.complete(connection);
@@ -131,11 +139,24 @@
 
 		response.once('close', () => {
 			connection.unanswered--;
+			pipelinedRequests -= isPipelined ? 1 : 0;
 			if (connection.unanswered === 0 && connections.has(socket)) {
 				markIdle(socket, connection);
 			}
 		});
-	});
+		return true;
+	}
+
+	// One read may hold a thousand requests, and a listener cannot keep those that are refused from the listeners behind it.
+	const emit = server.emit.bind(server) as (event: string, ...values: readonly unknown[]) => boolean;
+	server.emit = (event: string, ...values: readonly unknown[]) => {
+		if (event === 'request') {
+			const [request, response] = values as [IncomingMessage, ServerResponse];
+			return admit(request, response) && emit(event, request, response);
+		}
+
+		return emit(event, ...values);
+	};
 
 	if (timeouts) {
 		const timer = setInterval(() => {
--- a/src/intake/intake-limits.ts
+++ b/src/intake/intake-limits.ts
@@ -26,8 +26,8 @@
 const pendingConnections = 128;
 
 /** Smallest limits that can be set: each group of servers still has a few connections, and room for the largest body of a job. */
-export const minEntryIntakeLimits: IntakeLimits = {connections: 128, bodyBytes: 12_582_912, pendingConnections: 16};
-export const minAgentIntakeLimits: IntakeLimits = {connections: 64, bodyBytes: 524_288, pendingConnections: 16};
+export const minEntryIntakeLimits: IntakeLimits = {connections: 128, bodyBytes: 12_582_912, pendingConnections: 64};
+export const minAgentIntakeLimits: IntakeLimits = {connections: 64, bodyBytes: 524_288, pendingConnections: 64};
 
 export const defaultEntryIntakeLimits: IntakeLimits = {connections: entryConnections, bodyBytes: entryBodyBytes, pendingConnections};
 export const defaultAgentIntakeLimits: IntakeLimits = {connections: agentConnections, bodyBytes: agentBodyBytes, pendingConnections};
