--- a/src/intake/guard-connections.ts
+++ b/src/intake/guard-connections.ts
@@ -150,12 +150,9 @@
 	// One read may hold a thousand requests, and a listener cannot keep those that are refused from the listeners behind it.
 	const emit = server.emit.bind(server) as (event: string, ...values: readonly unknown[]) => boolean;
 	server.emit = (event: string, ...values: readonly unknown[]) => {
-		if (event === 'request') {
-			const [request, response] = values as [IncomingMessage, ServerResponse];
-			return admit(request, response) && emit(event, request, response);
-		}
-
-		return emit(event, ...values);
+		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- Node.js emits these two with each request.
+		const isRefused = event === 'request' && !admit(...values as [IncomingMessage, ServerResponse]);
+		return !isRefused && emit(event, ...values);
 	};
 
 	if (timeouts) {
