Release the count of pipelined requests when their connection closes

The bound on requests that wait behind another one of their connection leaked: Node.js reports no end of a response that waits behind another one when the connection closes. After 17 such connections no client could send a request before its last one was answered, for good.

The count of a connection now ends with the connection.

--- a/soak/hostile-bodies.test.ts
+++ b/soak/hostile-bodies.test.ts
@@ -1,8 +1,5 @@
-import {mkdtemp, rm} from 'node:fs/promises';
-import {tmpdir} from 'node:os';
-import path from 'node:path';
 import test, {type ExecutionContext} from 'ava';
-import {bundlePrograms} from '../scripts/bundle-programs.js';
+import {bundleForTests} from './bundle-for-tests.js';
 import {requestWithLength, unfinishedBody} from './hostile-load.js';
 import {
 	announcementPath, checkUnderLoad, connectionsLoad, jobPath, type SiteLoad,
@@ -20,16 +17,7 @@
 /** Connections of a crowd that end their bodies, of ten. */
 const endedOfTen = 1;
 
-let bundleDirectory = '';
-
-test.before(async () => {
-	bundleDirectory = await mkdtemp(path.join(tmpdir(), 'arbutushinge-bundle-'));
-	await bundlePrograms(bundleDirectory);
-});
-
-test.after.always(async () => {
-	await rm(bundleDirectory, {recursive: true, force: true});
-});
+const bundle = bundleForTests(test);
 
 /** Repeats a part of a JSON list until the list has a size. */
 const listOf = (part: string, bytes: number): string => `[${Array.from({length: Math.floor(bytes / (part.length + 1))}, () => part).join(',')}]`;
@@ -80,7 +68,7 @@
 
 async function checkCrowd(t: ExecutionContext, crowd: Crowd): Promise<void> {
 	await checkUnderLoad(t, {
-		bundleDirectory, role: 'entry', rounds: crowd.rounds, loadsOn: ({entries: [entry]}) => loadsOf(crowd, entry!.queueAddress),
+		bundleDirectory: bundle.directory(), role: 'entry', rounds: crowd.rounds, loadsOn: ({entries: [entry]}) => loadsOf(crowd, entry!.queueAddress),
 	});
 }
 
@@ -90,7 +78,7 @@
 
 test.serial('an entry outlives a crowd of chunked jobs of 256 KB that stop short of their end', async t => {
 	await checkUnderLoad(t, {
-		bundleDirectory, role: 'entry', rounds: 3, loadsOn: ({entries: [entry]}) => [connectionsLoad({
+		bundleDirectory: bundle.directory(), role: 'entry', rounds: 3, loadsOn: ({entries: [entry]}) => [connectionsLoad({
 			address: entry!.queueAddress,
 			connections: 1000,
 			bytes: unfinishedBody({
@@ -103,7 +91,7 @@
 test.serial('an agent outlives a crowd of announcements of 64 KB, most of them one byte short', async t => {
 	const body = `{"service":"${'a'.repeat(maxAnnouncementBytes - 20)}"}`;
 	await checkUnderLoad(t, {
-		bundleDirectory, role: 'agent', rounds: 4, loadsOn: ({agents: [agent]}) => [
+		bundleDirectory: bundle.directory(), role: 'agent', rounds: 4, loadsOn: ({agents: [agent]}) => [
 			{connections: 810, missingBytes: 1},
 			{connections: 90, missingBytes: 0},
 		].map(({connections, missingBytes}) => connectionsLoad({
--- a/soak/hostile-clients.test.ts
+++ b/soak/hostile-clients.test.ts
@@ -1,9 +1,6 @@
 import {Buffer} from 'node:buffer';
-import {mkdtemp, rm} from 'node:fs/promises';
-import {tmpdir} from 'node:os';
-import path from 'node:path';
 import test, {type ExecutionContext} from 'ava';
-import {bundlePrograms} from '../scripts/bundle-programs.js';
+import {bundleForTests} from './bundle-for-tests.js';
 import {type HostileLoad, unfinishedBody, unfinishedHead} from './hostile-load.js';
 import {
 	announcementPath, checkUnderLoad as checkSiteUnderLoad, connectionsLoad, jobPath,
@@ -17,19 +14,10 @@
 
 const idle = Buffer.alloc(0);
 
-let bundleDirectory = '';
-
-test.before(async () => {
-	bundleDirectory = await mkdtemp(path.join(tmpdir(), 'arbutushinge-bundle-'));
-	await bundlePrograms(bundleDirectory);
-});
-
-test.after.always(async () => {
-	await rm(bundleDirectory, {recursive: true, force: true});
-});
+const bundle = bundleForTests(test);
 
 async function checkUnderLoad(t: ExecutionContext, role: 'entry' | 'agent', loadsOn: (site: Site) => readonly HostileLoad[]): Promise<void> {
-	await checkSiteUnderLoad(t, {bundleDirectory, role, loadsOn: site => loadsOn(site).map(load => connectionsLoad(load))});
+	await checkSiteUnderLoad(t, {bundleDirectory: bundle.directory(), role, loadsOn: site => loadsOn(site).map(load => connectionsLoad(load))});
 }
 
 const bodies = [
--- a/soak/hostile-restarts.test.ts
+++ b/soak/hostile-restarts.test.ts
@@ -1,8 +1,5 @@
-import {mkdtemp, rm} from 'node:fs/promises';
-import {tmpdir} from 'node:os';
-import path from 'node:path';
 import test from 'ava';
-import {bundlePrograms} from '../scripts/bundle-programs.js';
+import {bundleForTests} from './bundle-for-tests.js';
 import {requestWithLength} from './hostile-load.js';
 import {checkUnderLoad, connectionsLoad, jobPath} from './hostile-site.js';
 import {type Site} from './site.js';
@@ -19,20 +16,11 @@
 	}),
 })];
 
-let bundleDirectory = '';
-
-test.before(async () => {
-	bundleDirectory = await mkdtemp(path.join(tmpdir(), 'arbutushinge-bundle-'));
-	await bundlePrograms(bundleDirectory);
-});
-
-test.after.always(async () => {
-	await rm(bundleDirectory, {recursive: true, force: true});
-});
+const bundle = bundleForTests(test);
 
 test.serial('an entry that stops under a crowd of large jobs ends by itself and serves when it is back', async t => {
 	await checkUnderLoad(t, {
-		bundleDirectory, role: 'entry', rounds: 2, loadsOn: crowdAt, async whilePressed({entries: [entry]}) {
+		bundleDirectory: bundle.directory(), role: 'entry', rounds: 2, loadsOn: crowdAt, async whilePressed({entries: [entry]}) {
 			const stopping = entry!.current();
 			entry!.terminate();
 			await entry!.startAgain();
@@ -43,7 +31,7 @@
 
 test.serial('an entry outlives a crowd of large jobs while the other decider is killed', async t => {
 	await checkUnderLoad(t, {
-		bundleDirectory, role: 'entry', entryCount: 2, rounds: 2, loadsOn: crowdAt, async whilePressed({entries: [, other]}) {
+		bundleDirectory: bundle.directory(), role: 'entry', entryCount: 2, rounds: 2, loadsOn: crowdAt, async whilePressed({entries: [, other]}) {
 			other!.kill();
 			await other!.startAgain();
 		},
--- a/soak/hostile-streams.test.ts
+++ b/soak/hostile-streams.test.ts
@@ -1,12 +1,9 @@
 import {Buffer} from 'node:buffer';
 import {connect, type ClientHttp2Session} from 'node:http2';
-import {mkdtemp, rm} from 'node:fs/promises';
-import {tmpdir} from 'node:os';
-import path from 'node:path';
 import test from 'ava';
-import {bundlePrograms} from '../scripts/bundle-programs.js';
 import {createOperatorClient} from '../src/operator/operator-client.js';
 import {type BackendServerStandIn, createBackendServerStandIn} from '../stand-ins/backend-server-stand-in.js';
+import {bundleForTests} from './bundle-for-tests.js';
 import {requestWithLength, unfinishedBody} from './hostile-load.js';
 import {
 	checkUnderLoad, connectionsLoad, isAnswered, operatorToken, type SiteLoad,
@@ -33,16 +30,7 @@
 const messageBytes = 33_554_432;
 const writeBytes = 1_048_576;
 
-let bundleDirectory = '';
-
-test.before(async () => {
-	bundleDirectory = await mkdtemp(path.join(tmpdir(), 'arbutushinge-bundle-'));
-	await bundlePrograms(bundleDirectory);
-});
-
-test.after.always(async () => {
-	await rm(bundleDirectory, {recursive: true, force: true});
-});
+const bundle = bundleForTests(test);
 
 async function admitService(operatorAddress: string): Promise<void> {
 	const client = createOperatorClient({addresses: [operatorAddress], token: operatorToken});
@@ -107,7 +95,7 @@
 
 test.serial('an entry outlives bodies for a backend server in one-byte chunks that stop short of their end', async t => {
 	await checkUnderLoad(t, {
-		bundleDirectory, role: 'entry', prepare: async site => startBackendServer(site), loadsOn: ({entries: [entry]}) => [connectionsLoad({
+		bundleDirectory: bundle.directory(), role: 'entry', prepare: async site => startBackendServer(site), loadsOn: ({entries: [entry]}) => [connectionsLoad({
 			address: entry!.callerAddress,
 			connections: 100,
 			bytes: bodyInOneByteChunks(`/services/${service}/`, [`x-arbutushinge-deadline-ms: ${deadlineMs}`]),
@@ -117,13 +105,13 @@
 
 test.serial('an entry outlives keyed requests of 1 MB that wait for a backend server', async t => {
 	await checkUnderLoad(t, {
-		bundleDirectory, role: 'entry', prepare: async site => startBackendServer(site, {serviceTimeMs: deadlineMs}), loadsOn: ({entries: [entry]}) => keyedRequests(entry!.callerAddress, 100),
+		bundleDirectory: bundle.directory(), role: 'entry', prepare: async site => startBackendServer(site, {serviceTimeMs: deadlineMs}), loadsOn: ({entries: [entry]}) => keyedRequests(entry!.callerAddress, 100),
 	});
 });
 
 test.serial('an agent outlives bodies for a backend server in one-byte chunks that stop short of their end', async t => {
 	await checkUnderLoad(t, {
-		bundleDirectory, role: 'agent', async prepare(site) {
+		bundleDirectory: bundle.directory(), role: 'agent', async prepare(site) {
 			const {close} = await announceBackendServer(site);
 			return close;
 		}, loadsOn: ({agents: [agent]}) => [connectionsLoad({
@@ -183,5 +171,5 @@
 }
 
 test.serial('an entry outlives messages of agents that are larger than any agent sends', async t => {
-	await checkUnderLoad(t, {bundleDirectory, role: 'entry', loadsOn: ({entries: [entry]}) => [largeMessages(entry!.agentAddress, 16)]});
+	await checkUnderLoad(t, {bundleDirectory: bundle.directory(), role: 'entry', loadsOn: ({entries: [entry]}) => [largeMessages(entry!.agentAddress, 16)]});
 });
--- a/src/intake/guard-connections.ts
+++ b/src/intake/guard-connections.ts
@@ -50,9 +50,14 @@
 }>): void {
 	const part = intake.connections(group);
 	const connections = new Map<Socket, Connection>();
-	/** Unanswered requests, less the first one of each connection. */
+	/** Unanswered requests of all connections, less the first one of each. */
 	let pipelinedRequests = 0;
 
+	function setUnanswered(connection: Connection, unanswered: number): void {
+		pipelinedRequests += Math.max(0, unanswered - 1) - Math.max(0, connection.unanswered - 1);
+		connection.unanswered = unanswered;
+	}
+
 	function markIdle(socket: Socket, connection: Connection): void {
 		connection.idleBytes = socket.bytesRead;
 		connection.idleSinceMs = nowMs();
@@ -108,6 +113,8 @@
 		connections.set(socket, connection);
 		socket.once('close', () => {
 			connections.delete(socket);
+			// Node.js reports no end of responses that wait behind another one.
+			setUnanswered(connection, 0);
 			part.release(connection);
 		});
 	});
@@ -127,8 +134,7 @@
 			return false;
 		}
 
-		connection.unanswered++;
-		pipelinedRequests += isPipelined ? 1 : 0;
+		setUnanswered(connection, connection.unanswered + 1);
 		if (hasBody(request)) {
 			request.once('end', () => {
 				part.complete(connection);
@@ -138,9 +144,12 @@
 		}
 
 		response.once('close', () => {
-			connection.unanswered--;
-			pipelinedRequests -= isPipelined ? 1 : 0;
-			if (connection.unanswered === 0 && connections.has(socket)) {
+			if (!connections.has(socket)) {
+				return;
+			}
+
+			setUnanswered(connection, connection.unanswered - 1);
+			if (connection.unanswered === 0) {
 				markIdle(socket, connection);
 			}
 		});
