--- a/src/intake/intake-limits.ts
+++ b/src/intake/intake-limits.ts
@@ -22,7 +22,7 @@
 /** Bytes of the bodies that an agent receives; 24 of the largest announcements at once. */
 const agentBodyBytes = 4_194_304;
 
-/** Node.js accepts a few hundred connections a second at least, so that ordinary callers fill this queue only when the process hangs. */
+/** Node.js accepts a connection with each iteration of its event loop, so that ordinary callers fill this queue only while iterations take long. */
 const pendingConnections = 128;
 
 /** Smallest limits that can be set: each group of servers still has a few connections, and room for the largest body of a job. */
