Check the kernel's peak of resident memory, not only samples of it

The tests with hostile clients used to read the peak that the kernel keeps (VmHWM). Since the unread bytes count as well they read samples, which may miss a short peak. The sum is now at least the kernel's peak, so that the check is as strict as before for resident memory alone.

--- a/soak/memory-watch.ts
+++ b/soak/memory-watch.ts
@@ -3,8 +3,9 @@
 
 /** Peaks of a process over all samples. */
 export type MemoryPeaks = Readonly<{
-	/** Resident memory together with the unread bytes of the same sample. */
+	/** Resident memory together with the unread bytes of the same sample, at least the peak of resident memory. */
 	totalMb: number;
+	/** Peak that the kernel keeps, between the samples as well. */
 	residentMb: number;
 	/** Bytes that the kernel has received on connections to the process and the process has not read. */
 	unreadMb: number;
@@ -44,9 +45,11 @@
 	return sum;
 }
 
-function readResidentBytes(pid: number): number {
+/** Returns the resident memory of a process and its peak. */
+function readResident(pid: number): Readonly<{residentMb: number; peakMb: number}> {
 	const status = readFileSync(`/proc/${pid}/status`, 'utf8');
-	return Number(/VmRSS:\s+(?<kb>\d+)/v.exec(status)?.groups?.kb ?? 0) * 1024;
+	const megabytesOf = (field: string): number => Math.round(Number(new RegExp(String.raw`${field}:\s+(?<kb>\d+)`, 'v').exec(status)?.groups?.kb ?? 0) / 1024);
+	return {residentMb: megabytesOf('VmRSS'), peakMb: megabytesOf('VmHWM')};
 }
 
 /**
@@ -64,11 +67,11 @@
 	function sample(): void {
 		try {
 			const pid = pidOf();
-			const residentMb = Math.round(readResidentBytes(pid) / bytesPerMb);
+			const {residentMb, peakMb} = readResident(pid);
 			const unreadMb = Math.round(readUnreadBytes(addresses) / bytesPerMb);
 			peaks = {
-				totalMb: Math.max(peaks.totalMb, residentMb + unreadMb),
-				residentMb: Math.max(peaks.residentMb, residentMb),
+				totalMb: Math.max(peaks.totalMb, residentMb + unreadMb, peakMb),
+				residentMb: Math.max(peaks.residentMb, peakMb),
 				unreadMb: Math.max(peaks.unreadMb, unreadMb),
 				descriptors: Math.max(peaks.descriptors, readdirSync(`/proc/${pid}/fd`).length),
 			};
