--- a/review/harness-3/store.js
+++ b/review/harness-3/store.js
@@ -41,6 +41,7 @@
 */
 export async function startStore({host, port, keepMs, recordBytes, callBytes, appendMs, onRefused = () => undefined, onAppended = () => undefined}) {
 	const topics = new Map();
+	const waiters = new Map();
 	let mode = 'up';
 	let appends = 0;
 
@@ -92,6 +93,10 @@
 		const offset = add(name, records);
 		appends++;
 		onAppended({topic: name, records: records.length, totalBytes});
+		for (const tell of waiters.get(name)?.splice(0) ?? []) {
+			tell();
+		}
+
 		send(response, 200, {offset, end: endOf(topic)});
 	}
 
@@ -99,7 +104,8 @@
 		const topic = topicOf(query.get('topic'));
 		const from = Number(query.get('from'));
 		const untilMs = performance.now() + Math.min(30_000, Number(query.get('waitMs') ?? 0));
-		while (from >= topic.first && endOf(topic) <= from && performance.now() < untilMs && !response.destroyed) {
+		const isToWait = () => mode === 'silent' || (from >= topic.first && endOf(topic) <= from && performance.now() < untilMs);
+		while (isToWait() && !response.destroyed) {
 			await new Promise(resolve => {
 				setTimeout(resolve, readCheckMs);
 			});
@@ -214,6 +220,10 @@
 			return {first: topic.first, end: endOf(topic)};
 		},
 		appendCount: () => appends,
+		/** Resolves as soon as records are appended to a topic. */
+		nextAppend: async name => new Promise(resolve => {
+			waiters.set(name, [...waiters.get(name) ?? [], resolve]);
+		}),
 		close() {
 			clearInterval(expiryTimer);
 			server.closeAllConnections();
