--- a/review/harness-3/jobs.js
+++ b/review/harness-3/jobs.js
@@ -3,8 +3,8 @@
 import {sleep} from './site.js';
 
 const service = 'huvo11a';
-const host = 'nony24.example';
-const prefix = '/pule252/';
+export const host = 'nony24.example';
+export const prefix = '/pule252/';
 
 /** Config of the operator: one queue for jobs. */
 export const config = {
--- a/review/harness-3/site.js
+++ b/review/harness-3/site.js
@@ -179,6 +179,8 @@
 		frontendOf: node => machines.get(node).fields.listen.frontend,
 		readinessOf: node => machines.get(node).fields.listen.readiness,
 		start, stop,
+		/** Resolves when the present process of a machine has ended. */
+		waitForEnd: async node => machines.get(node).ended,
 		async close(keepLogs = false) {
 			await Promise.all([...machines.values()].map(async ({child, ended}) => {
 				child.kill('SIGKILL');
