--- a/review/harness-3/executor.js
+++ b/review/harness-3/executor.js
@@ -6,9 +6,9 @@
 
 /**
 Starts a stand-in of an executor: starts, stops, lists, fencing tokens and the lease as on the page. `runTimeMs` of a start is told from its `spec`;
-infinity for a task that lasts. It announces itself at `control` each `heartbeatMs`. `onRun` is called with each start and each end.
+infinity for a task that lasts. While `isFailing` holds, each run that it starts ends `failed` at once. It announces itself at `control` each `heartbeatMs`. `onRun` is called with each start and each end.
 */
-export async function startExecutor({host, port, control, service, id, zone, labels, capacity, holdMaxMs, heartbeatMs, runTimeMs, onRun}) {
+export async function startExecutor({host, port, control, service, id, zone, labels, capacity, holdMaxMs, heartbeatMs, runTimeMs, isFailing = () => false, onRun}) {
 	const born = Date.now();
 	const startedAtMs = performance.now();
 	const running = new Map();
@@ -54,7 +54,8 @@
 
 		extendLease(untilMs);
 		newestRuns.set(task, run);
-		running.set(task, {run, endsAtMs: performance.now() + runTimeMs(spec)});
+		const fails = isFailing(id);
+		running.set(task, {run, endsAtMs: performance.now() + (fails ? 0 : runTimeMs(spec)), how: fails ? 'failed' : 'done'});
 		onRun({
 			executor: id, event: 'start', task, run,
 		});
@@ -125,11 +126,11 @@
 	});
 
 	const tickTimer = setInterval(() => {
-		for (const [task, {endsAtMs}] of running) {
+		for (const [task, {endsAtMs, how}] of running) {
 			if (leaseUntilMs <= clockMs()) {
 				end(task, 'lapsed');
 			} else if (endsAtMs <= performance.now()) {
-				end(task, 'done');
+				end(task, how);
 			}
 		}
 	}, tickMs);
@@ -150,6 +151,7 @@
 		}));
 	}, heartbeatMs);
 	return {
+		id,
 		runningTasks: () => [...running.keys()],
 		close() {
 			clearInterval(tickTimer);
--- a/review/harness-3/jobs.js
+++ b/review/harness-3/jobs.js
@@ -31,6 +31,17 @@
 	};
 }
 
+/** A job of short tasks; with `requirements`, they need an executor with this label. */
+export function newShortJob(number, {count, requirements = ''}) {
+	return {
+		number, id: randomBytes(8).toString('hex'), body: {
+			spec: '', steps: [{
+				count, cpu: 240, memMb: 480, estimatedMs: 800, ...(requirements !== '' && {requirements}),
+			}],
+		},
+	};
+}
+
 /** Submits a job at one entry after the other until it is accepted; returns whether it was. */
 export async function submit(site, job, log) {
 	for (let tries = 0; tries < 5; tries++) {
--- a/review/harness-3/site.js
+++ b/review/harness-3/site.js
@@ -57,12 +57,33 @@
 	});
 }
 
+/** Starts a machine's process again, after a pause, whenever it has ended by itself, until `isOver` holds; returns a function that tells the number of ends. */
+export function restartEnded(site, node, {pauseMs, isOver, log}) {
+	let ends = 0;
+	async function watch() {
+		while (!isOver()) {
+			await site.waitForEnd(node);
+			if (!isOver()) {
+				ends++;
+				log(`${node} has ended by itself, ${ends} times so far`);
+				await sleep(pauseMs);
+				if (!isOver()) {
+					site.start(node);
+				}
+			}
+		}
+	}
+
+	watch();
+	return () => ends;
+}
+
 /**
 Starts a small deployment: a store, executors, and the project's programs with the commands and templates of the deploy file. Each machine has a
 loopback address of its own. Ports differ from machine to machine only where the programs listen at 127.0.0.1.
 */
 export async function startSite({
-	edges, sides, capacity, keepS, config, runTimeMs, onRun, log,
+	edges, sides, capacity, keepS, config, kindOf = () => 'a', runTimeMs, isFailing, onRun, log,
 }) {
 	const root = path.resolve(import.meta.dirname, '..', '..');
 	const directory = await mkdtemp(path.join(tmpdir(), 'arbutushinge-review-'));
@@ -166,8 +187,8 @@
 		start(node);
 		if (kind === 'side') {
 			executors.push(await startExecutor({
-				host: fields.ip, port: ports.app, control: fields.listen.control, service, id: `i-${fields.node}`, zone: fields.zone, labels: ['a', `r-${fields.zone}`], capacity,
-				holdMaxMs: 10_000, heartbeatMs: 1100, runTimeMs, onRun,
+				host: fields.ip, port: ports.app, control: fields.listen.control, service, id: `i-${fields.node}`, zone: fields.zone, labels: [kindOf(executors.length), `r-${fields.zone}`], capacity,
+				holdMaxMs: 10_000, heartbeatMs: 1100, runTimeMs, isFailing, onRun,
 			}));
 		}
 	}
