Create the tasks of a step as its queue has room, not at its submission

Callers lost all jobs after a client had handed in one of 256 steps of 1,000 tasks: every entry that decides ended with its heap of 220 MB exhausted, and again after each start. 256 jobs of 4,000 tasks and 1,500 jobs of 180 tasks did the same, with no client outside the limits.

The state held a record for each task from the submission on, 700 to 1,000 bytes of heap each, although the tasks of a step differ by their index alone until one is claimed. Lower limits on one job were ruled out: they leave the sum over the jobs.

A step now counts its created tasks. Tasks are created when their step is ready and the queues have room, and leave the state when they end. The reducer bounds the queued tasks, so that readers decide alike and a record of an earlier version is applied as well. A claim of a task that is not created yet creates it.

--- a/src/admission/overload-fixture.ts
+++ b/src/admission/overload-fixture.ts
@@ -3,6 +3,7 @@
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {minFillingLimitMilli} from '../placement/filling-limit.js';
 import {type ClusterState, type EntryMember, type WorkflowRun} from '../cluster/cluster-state.js';
+import {createdTasksFixture} from '../cluster/workflow-run-fixture.js';
 import {type Job} from '../cluster/intent.js';
 import {emptyStateFixture, vmFixture} from '../operator/state-fixture.js';
 import {entrySettingsSchema, type EntrySettings} from '../settings/entry-settings.js';
@@ -49,6 +50,7 @@
 export function runFixture(job: Job, unfinished: readonly number[], phase: WorkflowRun['phase'] = 'queued'): WorkflowRun {
 	return {
 		workflow: job.workflow!, owner: job, phase, madeOccurrences: 1, unfinishedByStep: immutableMap(unfinished.map((count, index) => [`0.${index}`, count])),
+		...createdTasksFixture(),
 	};
 }
 
--- a/src/cluster/cluster-state-codec.ts
+++ b/src/cluster/cluster-state-codec.ts
@@ -10,18 +10,22 @@
 import {checkClusterState} from './check-cluster-state.js';
 import {scoreInputsSchema} from './cluster-record.js';
 import {
-	type BackendServer, type ClusterState, type EntryMember, type Task, type TaskClaim, type Vm,
+	type BackendServer, type ClusterState, type EntryMember, type Task, type TaskClaim, type Vm, type WorkflowRun,
 } from './cluster-state.js';
 import {
 	priorityClassSchema, requestLimitsSchema, serviceSchema, weightsSchema,
 } from './intent.js';
 import {type Resources} from './resources.js';
+import {isReady, readyStepsOf} from './task-creation.js';
 import {unboundedContact, type VmContact} from './vm-contact.js';
 import {addVmOffer, type VmOffer} from './vm-offer.js';
-import {workflowSchema} from './workflow.js';
+import {parseStepKey, workflowSchema, type Workflow} from './workflow.js';
 
-/** Version of the encoding, to be incremented with every incompatible change of it. A snapshot of another version is not loaded. */
-const VERSION = 3;
+/** Version of the encoding, to be incremented with every incompatible change of it. A snapshot of a later version is not loaded. */
+const VERSION = 4;
+
+/** The version before: it holds every task of the workflows, those that wait for earlier steps as `blocked`, and those that have ended. */
+const VERSION_WITH_ALL_TASKS = 3;
 
 /** A sum over VMs, or a count that one record changes; no message carries it. */
 const total = z.int().min(0);
@@ -105,7 +109,7 @@
 
 /** The cluster state as a JSON value. The most frequent objects are tuples to save space, and unordered collections are sorted. */
 export const encodedClusterStateSchema = z.object({
-	version: z.literal(VERSION),
+	version: z.literal([VERSION, VERSION_WITH_ALL_TASKS]),
 	offset,
 	entries: z.array(z.object({
 		entryId: z.string(), incarnation: z.string(), failureDomain: z.string(), operatorAddress: z.string(), processorsMilli: countSchema, lastOffset: offset, appliedOffset: offset,
@@ -134,6 +138,8 @@
 		phase: z.enum(['queued', 'running', 'failed', 'cancelled']),
 		unfinishedByStep: z.array(z.tuple([z.string(), z.int()])),
 		madeOccurrences: total,
+		/** Step, next index, indexes that were created out of order, and offset of the occurrence. Missing in the version before. */
+		createdByStep: z.array(z.tuple([z.string(), total, z.array(total), offset])).optional(),
 	})),
 	finishedWorkflows: z.array(z.tuple([z.string(), z.string(), z.enum(['completed', 'failed', 'cancelled'])])),
 	/** Missing in snapshots of versions that did not store it, like the next one. */
@@ -166,6 +172,8 @@
 type EncodedClaim = NonNullable<EncodedTask[11]>;
 type EncodedResources = z.infer<typeof resources>;
 
+const endedPhases: ReadonlySet<EncodedTask[9]> = new Set<EncodedTask[9]>(['finished', 'failed', 'cancelled', 'unplaceable']);
+
 const packResources = (amount: Resources): EncodedResources => [amount.processorsMilli, amount.memoryMb, amount.accelerators];
 const unpackResources = ([processorsMilli, memoryMb, accelerators]: EncodedResources): Resources => ({processorsMilli, memoryMb, accelerators});
 
@@ -245,7 +253,8 @@
 	value.position ? [value.position.occurrence, value.position.stepIndex] : null,
 ];
 
-function unpackTask(packed: EncodedTask): [string, Task] {
+/** Returns a task with its ID; undefined for one of a workflow that the version before holds and this one does not. */
+function unpackTask(packed: EncodedTask): [string, Task] | undefined {
 	const [
 		taskId,
 		demand,
@@ -268,6 +277,10 @@
 		reason,
 		position,
 	] = packed;
+	if (phase === 'blocked' || (position !== null && endedPhases.has(phase))) {
+		return undefined;
+	}
+
 	return [taskId, {
 		spec: {
 			taskId,
@@ -294,6 +307,45 @@
 	}];
 }
 
+type EncodedRun = EncodedClusterState['workflows'][number];
+
+function packWorkflowRun({workflow, owner, phase, unfinishedByStep, madeOccurrences, createdByStep}: WorkflowRun): EncodedRun {
+	return {
+		workflow,
+		owner,
+		phase,
+		unfinishedByStep: sortedEntries(unfinishedByStep),
+		madeOccurrences,
+		createdByStep: sortedEntries(createdByStep).map(([key, {nextIndex, aheadIndexes, offset}]) => [key, nextIndex, [...aheadIndexes].toSorted((left, right) => left - right), offset]),
+	};
+}
+
+/** @param tasks the run's tasks that the state holds. */
+function unpackWorkflowRun({unfinishedByStep, createdByStep, ...packed}: EncodedRun, tasks: readonly Task[]): WorkflowRun {
+	const run = {
+		...packed,
+		unfinishedByStep: immutableMap(unfinishedByStep),
+		createdByStep: immutableMap((createdByStep ?? createdStepsOf(packed.workflow, unfinishedByStep, tasks))
+			.map(([key, nextIndex, aheadIndexes, offset]) => [key, {nextIndex, aheadIndexes: immutableSet(aheadIndexes), offset}])),
+	};
+	return {
+		...run,
+		readySteps: packed.phase === 'failed' || packed.phase === 'cancelled' ? [] : readyStepsOf(run),
+		taskIds: immutableSet(tasks.map(({spec}) => spec.taskId)),
+		queuedTasks: tasks.filter(({phase}) => phase === 'queued').length,
+	};
+}
+
+/** Returns which tasks the version before had created and not as `blocked`: those of the steps that wait for no other one. */
+function createdStepsOf(workflow: Workflow, unfinishedByStep: EncodedRun['unfinishedByStep'], tasks: readonly Task[]): NonNullable<EncodedRun['createdByStep']> {
+	const unfinished = immutableMap(unfinishedByStep);
+	return unfinishedByStep.map(([key]) => {
+		const position = parseStepKey(key);
+		const offset = tasks.find(task => task.position?.occurrence === position.occurrence)?.submittedOffset ?? -1;
+		return [key, isReady({workflow, unfinishedByStep: unfinished}, position) ? workflow.steps[position.stepIndex]?.count ?? 0 : 0, [], offset];
+	});
+}
+
 const packMember = ({readLag, withdrawsAfterMs, ...member}: EntryMember): EncodedClusterState['entries'][number] => ({
 	...member, ...(readLag && {readLag}), ...(withdrawsAfterMs !== undefined && {withdrawsAfterMs}),
 });
@@ -369,7 +421,7 @@
 		unfinishedTasksByJob: sortedEntries(state.unfinishedTasksByJob),
 		finishedJobs: [...state.finishedJobs],
 		finishedTaskCount: state.finishedTaskCount,
-		workflows: sortedValues(state.workflows).map(run => ({...run, unfinishedByStep: sortedEntries(run.unfinishedByStep)})),
+		workflows: sortedValues(state.workflows).map(run => packWorkflowRun(run)),
 		finishedWorkflows: [...state.finishedWorkflows].map(([jobId, {queue, phase}]) => [jobId, queue, phase]),
 		earlyCancellations: [...state.earlyCancellations],
 		earlyCancellationsForgottenThroughOffset: state.earlyCancellationsForgottenThroughOffset,
@@ -422,6 +474,15 @@
 function unpackState(data: EncodedClusterState): ClusterState {
 	const {configuration} = data;
 	const vms = data.vms.map(packed => unpackVm(packed));
+	const workflowIds = new Set(data.workflows.map(({owner}) => owner.jobId));
+	const tasks = data.tasks.map(packed => unpackTask(packed)).filter(unpacked => unpacked !== undefined);
+	const tasksByJob = new Map<string, Task[]>();
+	for (const [, value] of tasks) {
+		if (value.position) {
+			tasksByJob.set(value.jobId, [...tasksByJob.get(value.jobId) ?? [], value]);
+		}
+	}
+
 	return {
 		offset: data.offset,
 		entries: immutableMap(data.entries.map(member => [member.incarnation, member])),
@@ -433,13 +494,13 @@
 		vmOffers: unpackVmOffers(data.vmOffers) ?? vmOffersOf(vms.map(([, value]) => value)),
 		backendServers: immutableMap(data.backendServers.map(packed => unpackBackendServer(packed))),
 		goneBackendServerIds: orderedSet(data.goneBackendServerIds),
-		tasks: immutableMap(data.tasks.map(packed => unpackTask(packed))),
+		tasks: immutableMap(tasks),
 		queued: immutableMap(data.queued.map(([priority, taskIds]) => [priority, orderedMap(taskIds.map(taskId => [taskId, true as const]))])),
-		jobs: immutableMap(data.jobs),
+		jobs: immutableMap(data.jobs.map(([jobId, taskIds]) => [jobId, workflowIds.has(jobId) ? [] : taskIds])),
 		unfinishedTasksByJob: immutableMap(data.unfinishedTasksByJob),
 		finishedJobs: orderedMap(data.finishedJobs),
 		finishedTaskCount: data.finishedTaskCount,
-		workflows: immutableMap(data.workflows.map(run => [run.owner.jobId, {...run, unfinishedByStep: immutableMap(run.unfinishedByStep)}])),
+		workflows: immutableMap(data.workflows.map(run => [run.owner.jobId, unpackWorkflowRun(run, tasksByJob.get(run.owner.jobId) ?? [])])),
 		finishedWorkflows: orderedMap(data.finishedWorkflows.map(([jobId, queue, phase]) => [jobId, {queue, phase}])),
 		earlyCancellations: orderedMap(data.earlyCancellations),
 		earlyCancellationsForgottenThroughOffset: data.earlyCancellationsForgottenThroughOffset,
--- a/src/cluster/cluster-state.ts
+++ b/src/cluster/cluster-state.ts
@@ -90,10 +90,10 @@
 }>;
 
 /**
-`blocked`: waits for earlier steps of its workflow; `queued`: waits for a claim; `claimed`: is bound to a VM; `running`: was reported as started;
-`evicting`: must checkpoint and stop; `cancelling`: must stop. `finished`, `failed`, `cancelled` and `unplaceable` are final.
+`queued`: waits for a claim; `claimed`: is bound to a VM; `running`: was reported as started; `evicting`: must checkpoint and stop; `cancelling`: must
+stop. `finished`, `failed`, `cancelled` and `unplaceable` are final.
 */
-export type TaskPhase = 'blocked' | 'queued' | 'claimed' | 'running' | 'evicting' | 'cancelling' | 'finished' | 'failed' | 'cancelled' | 'unplaceable';
+export type TaskPhase = 'queued' | 'claimed' | 'running' | 'evicting' | 'cancelling' | 'finished' | 'failed' | 'cancelled' | 'unplaceable';
 
 /** The VM that the current attempt of a task is bound to, with the claim that bound it. */
 export type TaskClaim = Readonly<{
@@ -135,6 +135,16 @@
 /** State of the job of a workflow. */
 export type WorkflowPhase = 'queued' | 'running' | 'completed' | 'failed' | 'cancelled';
 
+/** Which tasks of a step have been created. The others differ by their index alone, so that the state need not hold them. */
+export type CreatedTasks = Readonly<{
+	/** Tasks with a lower index have been created. */
+	nextIndex: number;
+	/** Indexes from `nextIndex` on whose tasks were created out of order, for a claim of an entry that had them in its queue. */
+	aheadIndexes: Set<number>;
+	/** Offset of the record that made the step's occurrence; its tasks keep this place in the queue order, whenever they are created. */
+	offset: number;
+}>;
+
 /** The job of a workflow that is not finished. */
 export type WorkflowRun = Readonly<{
 	workflow: Workflow;
@@ -144,8 +154,16 @@
 	phase: Exclude<WorkflowPhase, 'completed'>;
 	/** Number of unfinished tasks, keyed by occurrence and step, such as `0.1`. */
 	unfinishedByStep: Map<string, number>;
-	/** Number of occurrences whose tasks were created; 1 for a workflow without a schedule. */
+	/** Number of occurrences that were made; 1 for a workflow without a schedule. */
 	madeOccurrences: number;
+	/** Created tasks, keyed like `unfinishedByStep`. */
+	createdByStep: Map<string, CreatedTasks>;
+	/** Steps that wait for no other step and have tasks that are not created yet, in the order in which these are created. */
+	readySteps: readonly TaskPosition[];
+	/** Tasks in the state: those that were created and have not ended. */
+	taskIds: Set<string>;
+	/** How many of them are queued. */
+	queuedTasks: number;
 }>;
 
 /** The outcome of a finished workflow job. */
@@ -220,7 +238,7 @@
 	tasks: Map<string, Task>;
 	/** Identifiers of queued tasks by priority class, oldest first. */
 	queued: Map<PriorityClass, OrderedMap<string, true>>;
-	/** Task identifiers of each job in the state. */
+	/** Task identifiers of each job in the state; empty for the jobs of workflows, whose runs hold them. */
 	jobs: Map<string, readonly string[]>;
 	/** Number of tasks of each unfinished job that have not reached a final phase. */
 	unfinishedTasksByJob: Map<string, number>;
--- a/src/cluster/plan-summary.ts
+++ b/src/cluster/plan-summary.ts
@@ -6,6 +6,7 @@
 	addResources, noResources, subtractResources, type Resources,
 } from './resources.js';
 import {hasLiveAttempt} from './task-transitions.js';
+import {taskIdsOf} from './workflow-progress.js';
 
 type Summary<Kind extends Intent['kind']> = (state: ClusterState, intent: IntentByKind[Kind]) => readonly string[];
 
@@ -149,7 +150,7 @@
 	'cancel-job'(state, {jobId}) {
 		let queued = 0;
 		let live = 0;
-		for (const taskId of state.jobs.get(jobId) ?? []) {
+		for (const taskId of taskIdsOf(state, jobId)) {
 			const task = state.tasks.get(taskId);
 			queued += task?.phase === 'queued' ? 1 : 0;
 			live += task && hasLiveAttempt(task) ? 1 : 0;
--- a/src/cluster/state-limits.ts
+++ b/src/cluster/state-limits.ts
@@ -1,7 +1,16 @@
 /** Finished jobs that stay in the state, for `status` and `explain`. */
 export const MAX_FINISHED_JOBS = 2000;
 
-/** Tasks of finished jobs that stay in the state. A job has up to 1,000 tasks, so the limit on jobs alone does not bound the state. */
+/**
+Queued tasks of workflows that the state holds, of 1 KB each, so that its size follows from the jobs and from what runs, not from the `count` of their
+steps. It is exceeded by one task for each further job and by tasks that are queued again.
+*/
+export const MAX_QUEUED_TASKS = 16_000;
+
+/** Queued tasks of one workflow that the state holds: a whole step of the largest size. */
+export const MAX_QUEUED_TASKS_PER_WORKFLOW = 1000;
+
+/** Tasks of finished jobs without a workflow that stay in the state. Such a job has up to 1,000 tasks, so the limit on jobs alone does not bound the state. */
 export const MAX_FINISHED_TASKS = 40_000;
 
 /** Plan decisions that stay in the state, so that a plan confirmed twice is decided once. */
--- a/src/cluster/task-handlers.ts
+++ b/src/cluster/task-handlers.ts
@@ -8,6 +8,7 @@
 import {MAX_TASK_FAILURES} from './state-limits.js';
 import {isAllowedOnVm} from './step-constraints.js';
 import {stopWorkflow} from './stop-workflow.js';
+import {createNamedTask, createReadyTasks} from './task-creation.js';
 import {dequeue} from './task-queue.js';
 import {
 	cancelTask, endTask, evictTask, hasLiveAttempt, requeueTask,
@@ -54,8 +55,9 @@
 	};
 }
 
-function claimTask(state: ClusterState, record: ClusterRecordOf<'task-claimed'>, offset: number, writerIncarnation: string): ClusterState {
+function claimTask(before: ClusterState, record: ClusterRecordOf<'task-claimed'>, offset: number, writerIncarnation: string): ClusterState {
 	const {taskId, attempt, vmId, agentIncarnation, committed, decision} = record;
+	const state = createNamedTask(before, taskId);
 	const task = state.tasks.get(taskId);
 	const vm = state.vms.get(vmId);
 	if (task?.phase !== 'queued' || attempt !== task.attempt + 1) {
@@ -100,7 +102,7 @@
 		}
 	}
 
-	return bindClaim(next, task, {
+	return createReadyTasks(bindClaim(next, task, {
 		vmId,
 		agentIncarnation,
 		claimOffset: offset,
@@ -109,7 +111,7 @@
 		counted: fit === 'now',
 		evictTaskIds: fit === 'later' ? evictTaskIds : [],
 		decision,
-	});
+	}), task.jobId);
 }
 
 type EndedAttempt = Readonly<{state: ClusterState; task: Task; vmId: string; reason: string; offset: number}>;
@@ -173,12 +175,13 @@
 	'tasks-cancelled'(state, {taskIds}, {offset}) {
 		let next = state;
 		for (const taskId of taskIds) {
-			next = cancelTask(next, taskId, offset);
+			next = cancelTask(createNamedTask(next, taskId), taskId, offset);
 		}
 
 		return next;
 	},
-	'task-unplaceable'(state, {taskId, lacks}, {offset}) {
+	'task-unplaceable'(before, {taskId, lacks}, {offset}) {
+		const state = createNamedTask(before, taskId);
 		const task = state.tasks.get(taskId);
 		if (task?.phase !== 'queued') {
 			return state;
--- a/src/cluster/task-transitions.ts
+++ b/src/cluster/task-transitions.ts
@@ -2,6 +2,7 @@
 import {entityName, removeEntityOffset, markChanged} from './entity-offsets.js';
 import {type Job} from './intent.js';
 import {MAX_FINISHED_JOBS, MAX_FINISHED_TASKS} from './state-limits.js';
+import {createReadyTasks, removeEndedTask} from './task-creation.js';
 import {dequeue, enqueue} from './task-queue.js';
 import {releaseClaim} from './vm-commitment.js';
 import {
@@ -67,7 +68,8 @@
 }
 
 /**
-Moves a task to a final phase and ends its live attempt. The payload and the checkpoint of an ended task are dropped to keep the state small.
+Moves a task to a final phase and ends its live attempt. To keep the state small, the task of a workflow is removed, and of another one the payload and
+the checkpoint are dropped.
 
 @example
 endTask(state, task, 'finished', {offset: 17, reason: ''}).tasks.get('task-1').phase; // => 'finished'
@@ -81,13 +83,15 @@
 	const {offset, ...fields} = change;
 	const {taskId} = task.spec;
 	const released = task.claim ? releaseClaim(state, task) : dequeue(state, task);
-	const stored: ClusterState = {
-		...released,
-		tasks: released.tasks.set(taskId, {
-			...task, ...fields, spec: {...task.spec, payload: ''}, checkpoint: '', phase, claim: undefined, changedOffset: offset,
-		}),
-	};
-	const ended = phase === 'finished' ? advanceWorkflow(stored, task) : stored;
+	const stored: ClusterState = task.position
+		? removeEndedTask(released, task)
+		: {
+			...released,
+			tasks: released.tasks.set(taskId, {
+				...task, ...fields, spec: {...task.spec, payload: ''}, checkpoint: '', phase, claim: undefined, changedOffset: offset,
+			}),
+		};
+	const ended = createReadyTasks(phase === 'finished' ? advanceWorkflow(stored, task) : stored, task.jobId);
 	const unfinished = (ended.unfinishedTasksByJob.get(task.jobId) ?? 1) - 1;
 	if (unfinished > 0) {
 		return {...ended, unfinishedTasksByJob: ended.unfinishedTasksByJob.set(task.jobId, unfinished)};
@@ -180,7 +184,7 @@
 }
 
 /**
-Cancels a task. A queued or blocked task ends at once, a live one must stop first. The cost does not depend on the number of tasks.
+Cancels a task. A queued task ends at once, a live one must stop first. The cost does not depend on the number of tasks.
 
 @example
 cancelTask(state, 'task-1', 17).tasks.get('task-1').phase; // => 'cancelled'
@@ -191,7 +195,7 @@
 		return state;
 	}
 
-	if (task.phase === 'queued' || task.phase === 'blocked') {
+	if (task.phase === 'queued') {
 		return endTask(state, task, 'cancelled', {offset, reason: 'cancelled while queued'});
 	}
 
--- a/src/cluster/workflow-progress.ts
+++ b/src/cluster/workflow-progress.ts
@@ -1,52 +1,16 @@
-import {Map as immutableMap} from 'immutable';
+import {Map as immutableMap, Set as immutableSet} from 'immutable';
 import {type ClusterState, type Task, type WorkflowRun} from './cluster-state.js';
 import {entityName, removeEntityOffset, markChanged} from './entity-offsets.js';
 import {type Job} from './intent.js';
 import {MAX_FINISHED_WORKFLOWS} from './state-limits.js';
-import {enqueue} from './task-queue.js';
-import {
-	committedByStep, stepKeyOf, taskIdOf, type Step, type TaskPosition, type Workflow,
-} from './workflow.js';
-
-/** Returns the kind of work under which interference is estimated: the step's image, or else the workflow's queue, in characters that a name may have. */
-function taskKindOf(workflow: Workflow, step: Step): string {
-	return (step.image ?? workflow.queue).replaceAll(/[^\w.:\-]/gv, '_').slice(0, 128);
-}
-
-function addTask(state: ClusterState, run: WorkflowRun, {taskId, position, offset}: Readonly<{taskId: string; position: TaskPosition; offset: number}>): ClusterState {
-	const {workflow, owner} = run;
-	const step = workflow.steps[position.stepIndex]!;
-	const isBlocked = (step.dependsOn ?? []).length > 0;
-	const task: Task = {
-		spec: {
-			taskId,
-			demand: committedByStep(step),
-			declaredRunTimeMs: Math.max(1, step.declaredRunTimeMs),
-			taskKind: taskKindOf(workflow, step),
-			// All tasks of the job share the workflow's payload.
-			payload: '',
-		},
-		position,
-		...owner,
-		phase: 'blocked',
-		attempt: 0,
-		claim: undefined,
-		checkpoint: '',
-		failures: 0,
-		evictions: 0,
-		failedOnVmIds: [],
-		submittedOffset: offset,
-		changedOffset: offset,
-		reason: isBlocked ? 'waits for earlier steps' : 'waits for a placement',
-	};
-	return isBlocked ? {...state, tasks: state.tasks.set(taskId, task)} : enqueue(state, task);
-}
+import {createReadyTasks, noCreatedTasks, readyStepsOf} from './task-creation.js';
+import {stepKeyOf, type Step, type Workflow} from './workflow.js';
 
 /**
-Creates the tasks of the next occurrence of a workflow. Occurrences are created in order; a record for any other one is ignored.
+Makes the next occurrence of a workflow. Occurrences are made in order; a record for any other one is ignored.
 
 @example
-createOccurrence(state, 'job-1', {occurrence: 0, offset: 17}).jobs.get('job-1'); // => ['job-1.0.0.0']
+createOccurrence(state, 'job-1', {occurrence: 0, offset: 17}).workflows.get('job-1').taskIds; // => Set {'job-1.0.0.0'}
 */
 export function createOccurrence(state: ClusterState, jobId: string, {occurrence, offset}: Readonly<{occurrence: number; offset: number}>): ClusterState {
 	const run = state.workflows.get(jobId);
@@ -54,29 +18,32 @@
 		return state;
 	}
 
-	const taskIds: string[] = [];
-	let {unfinishedByStep} = run;
-	let next = state;
-	for (const [stepIndex, step] of run.workflow.steps.entries()) {
-		const position = {occurrence, stepIndex};
-		unfinishedByStep = unfinishedByStep.set(stepKeyOf(position), step.count);
-		for (let index = 0; index < step.count; index++) {
-			const taskId = taskIdOf(jobId, position, index);
-			taskIds.push(taskId);
-			next = addTask(next, run, {taskId, position, offset});
-		}
+	let {unfinishedByStep, createdByStep} = run;
+	let taskCount = 0;
+	for (const [stepIndex, {count}] of run.workflow.steps.entries()) {
+		const key = stepKeyOf({occurrence, stepIndex});
+		unfinishedByStep = unfinishedByStep.set(key, count);
+		createdByStep = createdByStep.set(key, {...noCreatedTasks, offset});
+		taskCount += count;
 	}
 
-	return {
-		...next,
-		jobs: next.jobs.update(jobId, [], existingTaskIds => [...existingTaskIds, ...taskIds]),
-		unfinishedTasksByJob: next.unfinishedTasksByJob.update(jobId, 0, count => count + taskIds.length),
-		workflows: next.workflows.set(jobId, {...run, unfinishedByStep, madeOccurrences: occurrence + 1}),
+	const made: WorkflowRun = {
+		...run, unfinishedByStep, createdByStep, madeOccurrences: occurrence + 1,
 	};
+	return createReadyTasks({
+		...state,
+		unfinishedTasksByJob: state.unfinishedTasksByJob.update(jobId, 0, count => count + taskCount),
+		workflows: state.workflows.set(jobId, {...made, readySteps: readyStepsOf(made)}),
+	}, jobId);
 }
 
+/** A workflow of which no occurrence is under way. */
+const noTasks: Pick<WorkflowRun, 'unfinishedByStep' | 'createdByStep' | 'readySteps' | 'taskIds' | 'queuedTasks'> = {
+	unfinishedByStep: immutableMap(), createdByStep: immutableMap(), readySteps: [], taskIds: immutableSet(), queuedTasks: 0,
+};
+
 /**
-Adds the job of a workflow. Without a schedule its tasks are created at once.
+Adds the job of a workflow. Without a schedule its only occurrence is made at once.
 
 @example
 addWorkflow(state, job, workflow, 17).workflows.get(job.jobId).phase; // => 'queued'
@@ -89,8 +56,8 @@
 			jobId, teamId, workClass, priority,
 		},
 		phase: 'queued',
-		unfinishedByStep: immutableMap(),
 		madeOccurrences: 0,
+		...noTasks,
 	};
 	const added = markChanged({
 		...state, jobs: state.jobs.set(jobId, []), workflows: state.workflows.set(jobId, run),
@@ -108,32 +75,8 @@
 	return run.phase === 'cancelled' || run.phase === 'failed';
 }
 
-/** Queues the tasks of the steps that depend on the finished step and whose other dependencies have finished too. */
-function unblockSteps(state: ClusterState, run: WorkflowRun, finished: TaskPosition): ClusterState {
-	const {workflow, unfinishedByStep, owner: {jobId}} = run;
-	const {occurrence} = finished;
-	let next = state;
-	for (const [stepIndex, step] of workflow.steps.entries()) {
-		const dependsOn = step.dependsOn ?? [];
-		const isUnblocked = dependsOn.includes(finished.stepIndex)
-			&& dependsOn.every(dependency => (unfinishedByStep.get(stepKeyOf({occurrence, stepIndex: dependency})) ?? 0) === 0);
-		if (!isUnblocked) {
-			continue;
-		}
-
-		for (let index = 0; index < step.count; index++) {
-			const task = next.tasks.get(taskIdOf(jobId, {occurrence, stepIndex}, index));
-			if (task?.phase === 'blocked') {
-				next = enqueue(next, {...task, reason: 'waits for a placement'});
-			}
-		}
-	}
-
-	return next;
-}
-
 /**
-Records that a task of a workflow has finished. When it was the last one of its step, the steps that no longer wait for others are queued.
+Records that a task of a workflow has finished. When it was the last one of its step, tasks of the steps that no longer wait for others are created.
 
 @example
 advanceWorkflow(state, task).queued.get('urgent').size; // => 6
@@ -147,8 +90,9 @@
 	const key = stepKeyOf(task.position);
 	const unfinishedCount = (run.unfinishedByStep.get(key) ?? 1) - 1;
 	const advanced: WorkflowRun = {...run, unfinishedByStep: run.unfinishedByStep.set(key, unfinishedCount)};
-	const next: ClusterState = {...state, workflows: state.workflows.set(task.jobId, advanced)};
-	return unfinishedCount === 0 && !isStopping(advanced) ? unblockSteps(next, advanced, task.position) : next;
+	const isUnblocking = unfinishedCount === 0 && !isStopping(advanced);
+	const next: ClusterState = {...state, workflows: state.workflows.set(task.jobId, isUnblocking ? {...advanced, readySteps: readyStepsOf(advanced)} : advanced)};
+	return isUnblocking ? createReadyTasks(next, task.jobId) : next;
 }
 
 /**
@@ -164,11 +108,9 @@
 	}
 
 	const hasMore = !isStopping(run) && run.madeOccurrences < (run.workflow.schedule?.times ?? 1);
-	const tasks = state.tasks.deleteAll(state.jobs.get(jobId) ?? []);
+	const tasks = state.tasks.deleteAll(run.taskIds);
 	if (hasMore) {
-		return {
-			...state, tasks, jobs: state.jobs.set(jobId, []), workflows: state.workflows.set(jobId, {...run, unfinishedByStep: immutableMap()}),
-		};
+		return {...state, tasks, workflows: state.workflows.set(jobId, {...run, ...noTasks})};
 	}
 
 	const finishedWorkflows = state.finishedWorkflows.set(jobId, {
@@ -203,3 +145,16 @@
 export function stepOf(state: ClusterState, task: Task): Step | undefined {
 	return task.position && state.workflows.get(task.jobId)?.workflow.steps[task.position.stepIndex];
 }
+
+/** IDs of a job's tasks. */
+export type TaskIds = Iterable<string> & Readonly<{some: (predicate: (taskId: string) => boolean) => boolean}>;
+
+/**
+Returns the tasks of a job that the state holds: of a workflow those that were created and have not ended.
+
+@example
+[...taskIdsOf(state, 'job-1')]; // => ['job-1.0.0.0']
+*/
+export function taskIdsOf({jobs, workflows}: Pick<ClusterState, 'jobs' | 'workflows'>, jobId: string): TaskIds {
+	return workflows.get(jobId)?.taskIds ?? jobs.get(jobId) ?? [];
+}
--- a/src/cluster/workflow.ts
+++ b/src/cluster/workflow.ts
@@ -82,6 +82,21 @@
 	return `${jobId}.${occurrence}.${stepIndex}.${index}`;
 }
 
+const taskIdPattern = /^(?<jobId>.+)\.(?<occurrence>\d+)\.(?<stepIndex>\d+)\.(?<index>\d+)$/v;
+
+/**
+Returns the job, the step and the index that the ID of a workflow's task names; undefined for any other ID.
+
+@example
+parseTaskId('5c0e7a21d94b36f8.0.1.17'); // => {jobId: '5c0e7a21d94b36f8', position: {occurrence: 0, stepIndex: 1}, index: 17}
+*/
+export function parseTaskId(taskId: string): Readonly<{jobId: string; position: TaskPosition; index: number}> | undefined {
+	const groups = taskIdPattern.exec(taskId)?.groups;
+	return groups && {
+		jobId: groups.jobId!, position: {occurrence: Number(groups.occurrence), stepIndex: Number(groups.stepIndex)}, index: Number(groups.index),
+	};
+}
+
 /**
 Returns the key of a step of one occurrence, under which its unfinished tasks are counted.
 
@@ -92,6 +107,17 @@
 	return `${occurrence}.${stepIndex}`;
 }
 
+/**
+Returns the occurrence and step that a key names.
+
+@example
+parseStepKey('0.1'); // => {occurrence: 0, stepIndex: 1}
+*/
+export function parseStepKey(key: string): TaskPosition {
+	const separator = key.indexOf('.');
+	return {occurrence: Number(key.slice(0, separator)), stepIndex: Number(key.slice(separator + 1))};
+}
+
 /**
 Returns the resources that each task of a step commits on a VM. Filling tasks commit no processors.
 
--- a/src/dispatch/agent-commands.ts
+++ b/src/dispatch/agent-commands.ts
@@ -158,7 +158,6 @@
 			};
 		}
 
-		case 'blocked':
 		case 'queued':
 		case 'running':
 		case 'finished':
--- a/src/dispatch/task-event-relay.ts
+++ b/src/dispatch/task-event-relay.ts
@@ -1,5 +1,6 @@
 import {type ClusterRecordOf} from '../cluster/cluster-record.js';
 import {type ClusterState} from '../cluster/cluster-state.js';
+import {absenceReasonOf} from '../cluster/task-creation.js';
 import {type ControlEffect} from '../entry/control-effect.js';
 import {type EntryContext} from '../entry/entry-context.js';
 import {type TaskEvent, TaskOutcome} from '../generated/arbutushinge/v1/agent_pb.js';
@@ -87,7 +88,7 @@
 
 /** Returns whether this entry has read the claim of the event's attempt, or of a later attempt. */
 function hasReadClaim(cluster: ClusterState, event: TaskEvent): boolean {
-	return (cluster.tasks.get(event.taskId)?.attempt ?? 0) >= event.attempt;
+	return (cluster.tasks.get(event.taskId)?.attempt ?? 0) >= event.attempt || absenceReasonOf(cluster, event.taskId) === 'ended';
 }
 
 function isReflected(cluster: ClusterState, event: TaskEvent, link: AgentLink): boolean {
--- a/src/entry/job-interface.ts
+++ b/src/entry/job-interface.ts
@@ -3,6 +3,7 @@
 import {type ClusterState, type Task, type WorkflowPhase} from '../cluster/cluster-state.js';
 import {isKnownJob} from '../cluster/early-cancellations.js';
 import {jobSchema, nameSchema, type Job} from '../cluster/intent.js';
+import {taskIdsOf} from '../cluster/workflow-progress.js';
 import {type CallerJobError, type CallerJobs} from './caller-server.js';
 import {type DeferredAnswer} from './control-effect.js';
 import {type DeferredSubject, type SubmitOrigin} from './entry-event.js';
@@ -126,12 +127,15 @@
 		return {jobId, phase: finished.phase, tasks: []};
 	}
 
-	const taskIds = cluster.jobs.get(jobId);
+	if (!cluster.jobs.has(jobId)) {
+		return undefined;
+	}
+
 	const phase = cluster.workflows.get(jobId)?.phase;
-	return taskIds && {
+	return {
 		jobId,
 		...(phase !== undefined && {phase}),
-		tasks: taskIds.map(taskId => cluster.tasks.get(taskId)).filter(task => task !== undefined).map(task => ({
+		tasks: [...taskIdsOf(cluster, jobId)].map(taskId => cluster.tasks.get(taskId)).filter(task => task !== undefined).map(task => ({
 			taskId: task.spec.taskId,
 			phase: task.phase,
 			attempt: task.attempt,
--- a/src/operator/explain-subject.ts
+++ b/src/operator/explain-subject.ts
@@ -4,6 +4,7 @@
 	type ClusterState, type KeyClaim, type PlanDecision, type Task, type TaskClaim,
 } from '../cluster/cluster-state.js';
 import {type Resources} from '../cluster/resources.js';
+import {absenceReasonOf} from '../cluster/task-creation.js';
 import {type TypedError} from '../errors/typed-error.js';
 import {type Explanation} from './operator-api.js';
 
@@ -26,6 +27,11 @@
 		return ok({subject, kind: 'task', lines: explainTask(state, task)});
 	}
 
+	const absenceReason = absenceReasonOf(state, subject);
+	if (absenceReason !== undefined) {
+		return ok({subject, kind: 'task', lines: [`Task ${subject} ${absenceReason === 'ended' ? 'has ended' : absenceReason}; the cluster state holds no record of it.`]});
+	}
+
 	const decision = state.planDecisions.get(subject);
 	if (decision !== undefined) {
 		return ok({subject, kind: 'plan', lines: explainPlan(state, decision)});
--- a/src/placement/admit-filling-jobs.ts
+++ b/src/placement/admit-filling-jobs.ts
@@ -1,6 +1,7 @@
 import {type ClusterState, type Vm} from '../cluster/cluster-state.js';
 import {fitsInto} from '../cluster/resources.js';
 import {isAllowedOnVm} from '../cluster/step-constraints.js';
+import {taskIdsOf} from '../cluster/workflow-progress.js';
 import {minFillingLimitMilli} from './filling-limit.js';
 import {fillingDemandMilli} from './filling-work.js';
 import {type FillingQueue} from './filling-limits.js';
@@ -120,5 +121,7 @@
 }
 
 function hasStarted(jobId: string, {cluster, pending}: Readonly<{cluster: ClusterState; pending: OfferContext['pending']}>): boolean {
-	return (cluster.jobs.get(jobId) ?? []).some(taskId => (cluster.tasks.get(taskId)?.attempt ?? 1) > 0 || pending.byTask.has(taskId));
+	// The state holds no tasks that have ended, but the run of a job of which a task has started is no longer queued.
+	return cluster.workflows.get(jobId)?.phase !== 'queued'
+		|| taskIdsOf(cluster, jobId).some(taskId => (cluster.tasks.get(taskId)?.attempt ?? 1) > 0 || pending.byTask.has(taskId));
 }
--- a/src/placement/forbidden-waits.ts
+++ b/src/placement/forbidden-waits.ts
@@ -1,5 +1,5 @@
 import {type ClusterState, type Task} from '../cluster/cluster-state.js';
-import {isStopping} from '../cluster/workflow-progress.js';
+import {isStopping, taskIdsOf} from '../cluster/workflow-progress.js';
 import {longRunningTasksOf} from './long-running-waits.js';
 import {
 	type CapacityReading, isHalfFree, capacityForTask, type WorkerFreeResources, workerFreeResourcesOf,
@@ -127,7 +127,8 @@
 		}
 	}
 
-	for (const [jobId, taskIds] of isAfterTraffic ? cluster.jobs : []) {
+	for (const jobId of isAfterTraffic ? cluster.jobs.keys() : []) {
+		const taskIds = taskIdsOf(cluster, jobId);
 		const task = taskIds.some(taskId => running.has(taskId)) ? undefined : firstRunnable(taskIds, moment);
 		const waitMs = waitOf(jobId, task !== undefined);
 		if (task) {
@@ -149,9 +150,9 @@
 }
 
 /** Returns the first task of a job that could start, however the capacity is counted. */
-function firstRunnable(taskIds: readonly string[], moment: Moment): Task | undefined {
+function firstRunnable(taskIds: Iterable<string>, moment: Moment): Task | undefined {
 	const {cluster, workers} = moment;
-	return taskIds
+	return [...taskIds]
 		.map(taskId => cluster.tasks.get(taskId))
 		.filter(task => task !== undefined)
 		.find(task => mayRun(task, cluster) && isHalfFreeFor(task, moment) && capacityForTask(task, cluster, workers).twiceOver.length > 0);
--- a/src/placement/idle-jobs.ts
+++ b/src/placement/idle-jobs.ts
@@ -1,4 +1,5 @@
 import {type ClusterState} from '../cluster/cluster-state.js';
+import {taskIdsOf} from '../cluster/workflow-progress.js';
 import {type PendingClaims} from './pending-claims.js';
 
 /**
@@ -21,7 +22,7 @@
 		}
 
 		checkedJobIds.add(jobId);
-		const siblings = cluster.jobs.get(jobId) ?? [];
+		const siblings = taskIdsOf(cluster, jobId);
 		if (!siblings.some(sibling => cluster.tasks.get(sibling)?.claim !== undefined || pending.byTask.has(sibling))) {
 			sinceMs.set(jobId, before.get(jobId) ?? nowMs);
 		}
--- a/src/placement/long-running-waits.ts
+++ b/src/placement/long-running-waits.ts
@@ -1,7 +1,7 @@
 import {type ClusterState, type Task, type Vm} from '../cluster/cluster-state.js';
 import {fitsInto, noResources} from '../cluster/resources.js';
 import {isAllowedOnVm} from '../cluster/step-constraints.js';
-import {isLongRunning} from '../cluster/workflow-progress.js';
+import {isLongRunning, taskIdsOf} from '../cluster/workflow-progress.js';
 import {freeResourcesOf} from './feasibility.js';
 import {type PendingClaims, siblingsKeyOf} from './pending-claims.js';
 
@@ -15,7 +15,7 @@
 /** Since when each long-running task has not run, on the clock of this entry. */
 export type LongRunningWaits = ReadonlyMap<string, LongRunningWait>;
 
-// Keyed by the map of jobs, which is replaced when a job is added or removed or gets more tasks.
+// Keyed by the map of jobs, which is replaced when a job is added or removed.
 const longRunningJobIdsByJobs = new WeakMap<ClusterState['jobs'], readonly string[]>();
 
 function longRunningJobIds({jobs, workflows}: ClusterState): readonly string[] {
@@ -37,7 +37,7 @@
 */
 export function longRunningTasksOf(cluster: ClusterState): readonly Task[] {
 	return longRunningJobIds(cluster)
-		.flatMap(jobId => cluster.jobs.get(jobId) ?? [])
+		.flatMap(jobId => [...taskIdsOf(cluster, jobId)])
 		.map(taskId => cluster.tasks.get(taskId))
 		.filter(task => task !== undefined)
 		.filter(task => isLongRunning(cluster, task));
--- a/src/placement/queue-order.ts
+++ b/src/placement/queue-order.ts
@@ -1,6 +1,6 @@
 import {type ClusterState, type Task, type WorkflowRun} from '../cluster/cluster-state.js';
-import {stepKeyOf} from '../cluster/workflow.js';
-import {isLongRunning, stepOf} from '../cluster/workflow-progress.js';
+import {stepKeyOf, type Workflow} from '../cluster/workflow.js';
+import {isLongRunning, stepOf, taskIdsOf} from '../cluster/workflow-progress.js';
 
 /**
 Rank of a queued task within its priority class. It matters when the load exceeds the capacity of the VMs: jobs that can still meet their
@@ -25,16 +25,16 @@
 /** Remaining work of a job, in millicores times milliseconds, and the critical paths (longest chains of declared run times) of the whole job and of its unfinished steps. */
 type RemainingWork = Readonly<{remainingWork: number; criticalPathMs: number; remainingPathMs: number}>;
 
-// Keyed by the workflow run, which is replaced whenever one of its tasks finishes.
-const remainingWorkByRun = new WeakMap<WorkflowRun, RemainingWork>();
+// Holds the newest result of each workflow; it depends on `unfinishedByStep` as well, which is replaced whenever a task finishes.
+const remainingWorkByWorkflow = new WeakMap<Workflow, Readonly<{unfinishedByStep: WorkflowRun['unfinishedByStep']; remaining: RemainingWork}>>();
 
 function remainingWorkOf(run: WorkflowRun): RemainingWork {
-	const cached = remainingWorkByRun.get(run);
-	if (cached) {
-		return cached;
+	const {workflow, unfinishedByStep, madeOccurrences} = run;
+	const cached = remainingWorkByWorkflow.get(workflow);
+	if (cached?.unfinishedByStep === unfinishedByStep) {
+		return cached.remaining;
 	}
 
-	const {workflow, unfinishedByStep, madeOccurrences} = run;
 	const occurrence = Math.max(0, madeOccurrences - 1);
 	let remainingWork = 0;
 	/** Longest chain that ends with each step. */
@@ -54,7 +54,7 @@
 		criticalPathMs: Math.max(...chains.map(({criticalPathMs}) => criticalPathMs)),
 		remainingPathMs: Math.max(...chains.map(({remainingPathMs}) => remainingPathMs)),
 	};
-	remainingWorkByRun.set(run, remaining);
+	remainingWorkByWorkflow.set(workflow, {unfinishedByStep, remaining});
 	return remaining;
 }
 
@@ -72,18 +72,20 @@
 }
 
 /** Returns whether as many tasks of a task's step are unavailable as `maxUnavailable` allows, so that no other one may be stopped. */
-function isAtUnavailableLimit(cluster: ClusterState, {jobId, position}: Task, maxUnavailable: number | undefined): boolean {
+function isAtUnavailableLimit(cluster: ClusterState, task: Task, maxUnavailable: number | undefined): boolean {
+	const {jobId, position} = task;
 	if (maxUnavailable === undefined || !position) {
 		return false;
 	}
 
-	let unavailable = 0;
-	for (const taskId of cluster.jobs.get(jobId) ?? []) {
+	let available = 0;
+	for (const taskId of taskIdsOf(cluster, jobId)) {
 		const other = cluster.tasks.get(taskId);
-		unavailable += other?.position?.stepIndex === position.stepIndex && other.position.occurrence === position.occurrence && other.phase !== 'running' ? 1 : 0;
+		available += other?.position?.stepIndex === position.stepIndex && other.position.occurrence === position.occurrence && other.phase === 'running' ? 1 : 0;
 	}
 
-	return unavailable >= maxUnavailable;
+	// Tasks that are not created yet do not run either.
+	return (stepOf(cluster, task)?.count ?? 0) - available >= maxUnavailable;
 }
 
 /** Returns the rank of a long-running task. It is never late for its caller; of those that have run before, the one that ended first goes first. */
--- a/src/placement/reservations.ts
+++ b/src/placement/reservations.ts
@@ -5,6 +5,7 @@
 	fitsInto, noResources, type Resources, subtractResources,
 } from '../cluster/resources.js';
 import {isAllowedOnVm} from '../cluster/step-constraints.js';
+import {taskIdsOf} from '../cluster/workflow-progress.js';
 import {freeResourcesOf, acceptsNewTasks} from './feasibility.js';
 import {fillingDemandMilli} from './filling-work.js';
 import {type PendingClaims, siblingsKeyOf} from './pending-claims.js';
@@ -224,7 +225,7 @@
 /** Returns whether a task may reserve: a restart of a long-running or serving task, or one task of a job without claims. More reservations would take resources from the short tasks. */
 function mayReserve(reservations: Reservations, task: Task, {cluster, pending}: ReservationContext): boolean {
 	return isRestart(task, cluster)
-		|| !(cluster.jobs.get(task.jobId) ?? []).some(taskId => cluster.tasks.get(taskId)?.claim !== undefined || pending.byTask.has(taskId) || reservations.vmIdByTask.has(taskId));
+		|| !taskIdsOf(cluster, task.jobId).some(taskId => cluster.tasks.get(taskId)?.claim !== undefined || pending.byTask.has(taskId) || reservations.vmIdByTask.has(taskId));
 }
 
 /** Returns whether a VM may run a task once it has enough free resources. */
--- a/src/placement/starved-jobs.ts
+++ b/src/placement/starved-jobs.ts
@@ -1,6 +1,7 @@
 import {type Map as ImmutableMap, type Set as ImmutableSet} from 'immutable';
 import {type ClusterState, type Task} from '../cluster/cluster-state.js';
 import {isEvacuated} from '../cluster/evacuations.js';
+import {taskIdsOf} from '../cluster/workflow-progress.js';
 import {type EntryContext} from '../entry/entry-context.js';
 import {fillingLoadOf} from './filling-work.js';
 import {pendingFillingMilli, type PendingClaims} from './pending-claims.js';
@@ -94,7 +95,7 @@
 }
 
 function hasActiveTask(jobId: string, cluster: ClusterState, pending: PendingClaims, silentVmIds: ImmutableSet<string>): boolean {
-	return (cluster.jobs.get(jobId) ?? []).some(taskId => pending.byTask.has(taskId) || isActive(cluster.tasks.get(taskId), cluster, silentVmIds));
+	return taskIdsOf(cluster, jobId).some(taskId => pending.byTask.has(taskId) || isActive(cluster.tasks.get(taskId), cluster, silentVmIds));
 }
 
 /** Returns whether a task is claimed on a VM that is live and reachable, with a worker that answers. On any other the task may have stopped, and its claim may end seconds later. */
--- a/src/placement/vm-candidates.ts
+++ b/src/placement/vm-candidates.ts
@@ -4,7 +4,7 @@
 } from '../cluster/resources.js';
 import {isAllowedOnVm} from '../cluster/step-constraints.js';
 import {type Step as WorkflowStep} from '../cluster/workflow.js';
-import {stepOf} from '../cluster/workflow-progress.js';
+import {stepOf, taskIdsOf} from '../cluster/workflow-progress.js';
 import {chooseVictims} from './choose-victims.js';
 import {type PlacementCandidate} from './choose-vm.js';
 import {freeResourcesOf} from './feasibility.js';
@@ -152,7 +152,7 @@
 		return found;
 	}
 
-	const siblings = (cluster.jobs.get(task.jobId) ?? [])
+	const siblings = [...taskIdsOf(cluster, task.jobId)]
 		.map(taskId => cluster.tasks.get(taskId)?.claim?.vmId)
 		.map(vmId => (vmId === undefined ? undefined : cluster.vms.get(vmId)))
 		.filter(vm => vm !== undefined);
