Refuse new jobs when the memory for unfinished ones is full

Jobs of any form were accepted until the heaps of all entries that decide were exhausted, and every start read them again: 4,000 jobs with the longest description, 400 of 250 steps with up to 249 dependencies, 1,500 of an ordinary size. Each entry that decides holds all unfinished jobs, and the limits of a job and of the bodies in flight say nothing of their sum. Ruled out: a lower limit on one job, which leaves the sum, and refusing in the reducer, where a record is accepted work and no reader may drop it.

A decider now refuses a new job with 429 when the unfinished jobs would take more than limits.jobBytes, an eighth of the heap, counted by measured bytes of a job, step, dependency and character. Queues and small jobs keep shares of what is left. Retry-After is the memory that must become free, for the job and for those refused before it, over the rate at which ending jobs release it. A job that another entry may have taken is then answered 504, not written once more. The refusal waits for the same proof as that of the overload admission.

--- a/soak/hostile-jobs.test.ts
+++ b/soak/hostile-jobs.test.ts
@@ -43,6 +43,14 @@
 	{
 		title: '256 jobs of 4,000 tasks each', jobs: 256, pauseMs: 50, body: {spec: lasting, steps: stepsOf(4, 1000)},
 	},
+	{
+		title: '4,000 jobs with the longest description', jobs: 4000, pauseMs: 5, body: {spec: lasting.padEnd(4000), steps: stepsOf(1, 1)},
+	},
+	{
+		title: '400 jobs of the most steps and dependencies', jobs: 400, pauseMs: 30, body: {
+			spec: lasting, steps: stepsOf(250, 1).map((each, index) => ({...each, dependsOn: Array.from({length: index}, (_, dependency) => dependency)})),
+		},
+	},
 	{
 		title: '1,500 jobs of 180 tasks each', jobs: 1500, pauseMs: 15, body: {spec: lasting, steps: stepsOf(5, 36)},
 	},
@@ -63,7 +71,9 @@
 
 async function checkJobs(t: ExecutionContext, {jobs, pauseMs, body}: JobCrowd): Promise<void> {
 	const site = await startSite({
-		bundleDirectory: bundle.directory(), runTimeMs: payload => payload === lasting ? Number.POSITIVE_INFINITY : 150, entryCount: 2, agentCount: 1, nodeArguments,
+		bundleDirectory: bundle.directory(), runTimeMs: payload => payload.startsWith(lasting) ? Number.POSITIVE_INFINITY : 150, entryCount: 2, agentCount: 1, nodeArguments,
+		// As deployed.
+		entrySettings: {jobAdmission: {enabled: true}},
 	});
 	const first = site.entries[0]!;
 	const second = site.entries[1]!;
--- a/soak/site.ts
+++ b/soak/site.ts
@@ -85,7 +85,7 @@
 */
 export async function startSite({
 	bundleDirectory, runTimeMs, onEvent = () => undefined, onAppended = () => undefined, prepareStore = () => undefined,
-	entryCount = 2, agentCount = 2, deciderCount, nodeArguments = {entry: [], agent: []}, operatorToken,
+	entryCount = 2, agentCount = 2, deciderCount, nodeArguments = {entry: [], agent: []}, operatorToken, entrySettings = {},
 }: Readonly<{
 	bundleDirectory: string;
 	/** Run time of a task by its payload. */
@@ -102,6 +102,8 @@
 	nodeArguments?: Readonly<Record<'entry' | 'agent', readonly string[]>>;
 	/** Token of the entries' operator interfaces, which stay closed without it. */
 	operatorToken?: string;
+	/** Further settings of the entries. */
+	entrySettings?: Readonly<Record<string, unknown>>;
 }>): Promise<Site> {
 	const runner: ProcessRunner = createProcessRunner({commonArguments: []});
 	const directory = await mkdtemp(path.join(tmpdir(), 'arbutushinge-soak-'));
@@ -201,6 +203,7 @@
 			...(deciderCount !== undefined && {deciders: {count: deciderCount, relayAddress}}),
 			snapshotEveryRecords: 20_000,
 			timings: entryTimings,
+			...entrySettings,
 		});
 		return {
 			...started, queueAddress, readinessAddress, callerAddress, operatorAddress, agentAddress,
--- a/src/admission/admission-state.ts
+++ b/src/admission/admission-state.ts
@@ -7,6 +7,7 @@
 import {noRefusalPeriods, type RefusalPeriods} from './refusal-periods.js';
 import {noJobSizes, type JobSizes} from './size-classes.js';
 import {noSlotPromises, type SlotPromises} from './slot-promises.js';
+import {initialStateBudget, type StateBudget} from './state-budget.js';
 import {type SortedWork} from './sorted-work.js';
 import {type UnreadJob} from './unread-jobs.js';
 
@@ -20,6 +21,7 @@
 	shares: CapacityShares;
 	sizes: JobSizes;
 	periods: RefusalPeriods;
+	budget: StateBudget;
 }>;
 
 /** What is measured a few times a second, for all decisions until the next time. */
@@ -44,4 +46,5 @@
 	shares: noCapacityShares,
 	sizes: noJobSizes,
 	periods: noRefusalPeriods,
+	budget: initialStateBudget,
 };
--- a/src/entry/deferred-answers.ts
+++ b/src/entry/deferred-answers.ts
@@ -37,10 +37,12 @@
 /** Jobs without a known outcome that are remembered, which bounds the memory and the cost of a page. */
 const maxUnknownJobs = 4096;
 
-/** Decides whether to accept jobs in overload; it is undefined where all jobs are accepted. */
+/** Decides whether to accept jobs. */
 export type JobAdmission = Readonly<{
 	state: AdmissionState;
 	decide: (state: AdmissionState, job: Job, origin: SubmitOrigin) => AdmissionDecision;
+	/** Decides by the memory for unfinished jobs alone. */
+	decideByMemory: (state: AdmissionState, job: Job) => AdmissionDecision;
 }>;
 
 /** A request with the ID under which it is answered. */
@@ -84,7 +86,14 @@
 		return answered({result: 'rejected', offset: context.cluster.offset, reason});
 	}
 
-	const decision = admission && decideJob(state, subject, admission);
+	const decision = admission && (decideJob(state, subject, admission) ?? decideRepeatedJob(state, subject, admission));
+	if (decision?.verdict.isAccepted === false && mayBeWritten(state, subject)) {
+		// It is neither true that the job will not run, nor may it be written once more.
+		return {
+			state, effects: [...decision.effects, {kind: 'answer-deferred', replyId, answer: unproven(decision.verdict, context)}], admission: decision.state,
+		};
+	}
+
 	if (decision?.verdict.isAccepted !== false) {
 		const accepted: DeferredSubject = decision?.verdict.isAccepted ? {...subject, kind: 'job', job: decision.verdict.job} : subject;
 		return {
@@ -106,6 +115,11 @@
 	return subject.kind === 'job' && !mayBeWritten(state, subject) ? admission.decide(admission.state, subject.job, subject.origin ?? {}) : undefined;
 }
 
+/** Returns the decision by memory on a job that another entry may have written and this one has not; undefined for others. */
+function decideRepeatedJob(state: DeferredAnswers, subject: DeferredSubject, admission: JobAdmission): AdmissionDecision | undefined {
+	return subject.kind === 'job' && !isBeingWritten(state, subject.job.jobId) ? admission.decideByMemory(admission.state, subject.job) : undefined;
+}
+
 /** Returns whether an append of a job may be under way, here or at an entry that did not answer; neither 429 nor 503 would then be true. */
 function mayBeWritten(state: DeferredAnswers, subject: DeferredSubject): boolean {
 	if (subject.kind !== 'job') {
@@ -113,7 +127,12 @@
 	}
 
 	const {job: {jobId}, origin} = subject;
-	return (origin?.mayHaveRun ?? false) || state.some(({subject: other, refusal}) => other.kind === 'job' && other.job.jobId === jobId && refusal === undefined);
+	return (origin?.mayHaveRun ?? false) || isBeingWritten(state, jobId);
+}
+
+/** Returns whether this entry is appending a job. */
+function isBeingWritten(state: DeferredAnswers, jobId: string): boolean {
+	return state.some(({subject: other, refusal}) => other.kind === 'job' && other.job.jobId === jobId && refusal === undefined);
 }
 
 /**
@@ -195,7 +214,7 @@
 }
 
 /** Returns the answer to a job that was not appended here, while another entry may be appending it. */
-function unproven({retryAfterMs}: PendingRefusal, context: EntryContext): DeferredAnswer {
+function unproven({retryAfterMs}: Pick<PendingRefusal, 'retryAfterMs'>, context: EntryContext): DeferredAnswer {
 	return {
 		result: 'unknown',
 		offset: context.cluster.offset,
--- a/src/entry/entry-admission.ts
+++ b/src/entry/entry-admission.ts
@@ -1,16 +1,19 @@
 import {recordAcceptedWork} from '../admission/accepted-work.js';
-import {decideAdmission} from '../admission/decide-admission.js';
+import {type AdmissionState} from '../admission/admission-state.js';
+import {decideAdmission, type AdmissionDecision} from '../admission/decide-admission.js';
 import {measuredEndsOf, recordMeasuredEnds} from '../admission/measured-ends.js';
 import {refreshAdmission, tickAdmission} from '../admission/refresh-admission.js';
 import {type RunTimes} from '../admission/run-times.js';
+import {recordAcceptedJob, refuseBeyondBudget} from '../admission/state-budget.js';
 import {type ClusterState} from '../cluster/cluster-state.js';
+import {type Job} from '../cluster/intent.js';
 import {type LoggedRecord} from '../log/log-envelope.js';
 import {fillingLimitMilliOf} from '../placement/filling-limits.js';
 import {expectedRunTimeMs} from '../placement/run-time-estimates.js';
 import {type EntrySettings} from '../settings/entry-settings.js';
 import {type JobAdmission} from './deferred-answers.js';
 import {type EntryEffect} from './entry-effect.js';
-import {type EventInputs} from './entry-event.js';
+import {type EventInputs, type SubmitOrigin} from './entry-event.js';
 import {type EntryState} from './entry-state.js';
 
 /**
@@ -27,36 +30,60 @@
 }
 
 /**
-Returns the admission of jobs with the backlogs measured; undefined when the settings do not enable it.
+Returns the admission of jobs: within the memory for them, and in overload where the settings enable it.
 
 @example
 requestDeferredAnswer(state.deferred, {replyId, subject}, context, admissionOf(state, inputs, settings));
 */
-export function admissionOf(state: EntryState, {nowMs, wallTimeMs}: EventInputs, {jobAdmission}: EntrySettings): JobAdmission | undefined {
-	if (!jobAdmission.enabled) {
-		return undefined;
-	}
-
+export function admissionOf(state: EntryState, inputs: EventInputs, settings: EntrySettings): JobAdmission {
 	const {cluster} = state;
-	const runTimes = runTimesOf(state);
+	const {nowMs} = inputs;
+	const decideByMemory = (admission: AdmissionState, job: Job, decideFurther = acceptJob): AdmissionDecision => {
+		const {state: budget, effects, refusal} = refuseBeyondBudget(admission.budget, job, {
+			cluster, limitBytes: settings.limits.jobBytes ?? Number.POSITIVE_INFINITY, nowMs,
+		});
+		const current = {...admission, budget};
+		if (refusal) {
+			return {state: current, verdict: {isAccepted: false, ...refusal}, effects};
+		}
+
+		const decision = decideFurther(current, job);
+		return decision.verdict.isAccepted ? {...decision, state: {...decision.state, budget: recordAcceptedJob(budget, job, nowMs)}} : decision;
+	};
+
 	return {
 		state: state.admission,
-		decide(admission, job, {callerFailureDomain}) {
-			const current = refreshAdmission(admission, {
-				cluster,
-				fillingRoomByVm: state.placement.fillingRoomByVm,
-				fillingLimitMilliOf: service => fillingLimitMilliOf(state.placement.fillingLimits, service),
-				runTimes,
-				wallTimeMs,
-				nowMs,
-			});
-			return decideAdmission(current, job, {
-				cluster, settings: jobAdmission, runTimes, callerFailureDomain, nowMs, wallTimeMs,
-			});
-		},
+		decide: (admission, job, origin) => settings.jobAdmission.enabled
+			? decideByMemory(admission, job, current => decideInOverload(current, job, origin, {state, inputs, settings}))
+			: decideByMemory(admission, job),
+		decideByMemory: (admission, job) => decideByMemory(admission, job),
 	};
 }
 
+const acceptJob = (state: AdmissionState, job: Job): AdmissionDecision => ({state, verdict: {isAccepted: true, why: 'not-limited', job}, effects: []});
+
+/** Decides on a job by the time at which it would end, with the backlogs measured. */
+function decideInOverload(
+	admission: AdmissionState,
+	job: Job,
+	{callerFailureDomain}: SubmitOrigin,
+	{state, inputs: {nowMs, wallTimeMs}, settings: {jobAdmission}}: Readonly<{state: EntryState; inputs: EventInputs; settings: EntrySettings}>,
+): AdmissionDecision {
+	const {cluster} = state;
+	const runTimes = runTimesOf(state);
+	const current = refreshAdmission(admission, {
+		cluster,
+		fillingRoomByVm: state.placement.fillingRoomByVm,
+		fillingLimitMilliOf: service => fillingLimitMilliOf(state.placement.fillingLimits, service),
+		runTimes,
+		wallTimeMs,
+		nowMs,
+	});
+	return decideAdmission(current, job, {
+		cluster, settings: jobAdmission, runTimes, callerFailureDomain, nowMs, wallTimeMs,
+	});
+}
+
 /**
 Records what the admission learns from the records of a page.
 
--- a/src/entry/entry-process.ts
+++ b/src/entry/entry-process.ts
@@ -38,6 +38,7 @@
 import {createSystemWallClock, type SettledWallClock} from './settled-wall-clock.js';
 import {createRequestHistory} from './request-history.js';
 import {createRequestForwarder} from './request-forwarder.js';
+import {withJobBytes} from './with-job-bytes.js';
 
 /** A running entry. */
 export type EntryProcess = Readonly<{
@@ -65,7 +66,7 @@
 await entry.stop();
 */
 export async function startEntry({
-	settings, eventLog, metrics, timeline, platformLog, evacuationRequests, wallClock = createSystemWallClock(), intake,
+	settings: givenSettings, eventLog, metrics, timeline, platformLog, evacuationRequests, wallClock = createSystemWallClock(), intake,
 }: Readonly<{
 	settings: EntrySettings;
 	eventLog: EventLog;
@@ -79,6 +80,7 @@
 	/** Account of the process for its servers. */
 	intake?: Intake;
 }>): Promise<Result<EntryProcess, TypedError>> {
+	const settings = withJobBytes(givenSettings);
 	let isStopping = false;
 	const token = settings.operatorTokenFile === undefined ? ok(undefined) : await readTokenFile(settings.operatorTokenFile);
 	if (token.isErr) {
@@ -184,6 +186,7 @@
 		nowMs: () => performance.now(),
 		logFreshnessMs: settings.timings.logFreshnessMs,
 		maxRecordBytes: logService.limits.recordBytes,
+		jobBytes: settings.limits.jobBytes,
 		failureDomain: settings.failureDomain,
 	});
 
--- a/src/entry/job-interface.ts
+++ b/src/entry/job-interface.ts
@@ -1,8 +1,9 @@
 import {Buffer} from 'node:buffer';
 import {err, ok, type Result} from 'true-myth/result';
+import {isTooLargeForBudget} from '../admission/state-budget.js';
 import {type ClusterState, type Task, type WorkflowPhase} from '../cluster/cluster-state.js';
 import {isKnownJob} from '../cluster/early-cancellations.js';
-import {jobSchema, nameSchema, type Job} from '../cluster/intent.js';
+import {jobSchema, nameSchema} from '../cluster/intent.js';
 import {taskIdsOf} from '../cluster/workflow-progress.js';
 import {type CallerJobError, type CallerJobs} from './caller-server.js';
 import {type DeferredAnswer} from './control-effect.js';
@@ -45,13 +46,15 @@
 const jobs = createJobInterface({state, requestDecision, nowMs: () => performance.now(), logFreshnessMs: 2000, maxRecordBytes: 261_120});
 await jobs.find('panel-17');
 */
-export function createJobInterface({state, requestDecision, nowMs, logFreshnessMs, maxRecordBytes, failureDomain}: Readonly<{
+export function createJobInterface({state, requestDecision, nowMs, logFreshnessMs, maxRecordBytes, jobBytes = Number.POSITIVE_INFINITY, failureDomain}: Readonly<{
 	state: () => EntryState;
 	requestDecision: (subject: DeferredSubject) => Promise<DeferredAnswer>;
 	nowMs: () => number;
 	logFreshnessMs: number;
 	/** Largest record that the log takes, in bytes; larger jobs are refused. */
 	maxRecordBytes: number;
+	/** Memory for all unfinished jobs, in bytes. */
+	jobBytes?: number;
 	/** Failure domain of this entry, which counts as that of the callers whose requests no other entry relayed. */
 	failureDomain?: string;
 }>): JobInterface {
@@ -75,13 +78,17 @@
 				});
 			}
 
-			const jobBytes = Buffer.byteLength(JSON.stringify(job.data));
-			const maxJobBytes = maxRecordBytes - recordOverheadBytes;
-			if (jobBytes > maxJobBytes) {
-				return err(jobTooLarge(job.data, jobBytes, maxJobBytes));
+			const {jobId} = job.data;
+			const recordBytes = Buffer.byteLength(JSON.stringify(job.data));
+			const maxJobRecordBytes = maxRecordBytes - recordOverheadBytes;
+			if (recordBytes > maxJobRecordBytes) {
+				return err(jobTooLarge(`job ${jobId} takes ${recordBytes} bytes in the log, where at most ${maxJobRecordBytes} fit`));
+			}
+
+			if (isTooLargeForBudget(job.data, jobBytes) && !isKnownJob(state().cluster, jobId)) {
+				return err(jobTooLarge(`job ${jobId} has more steps and dependencies than the memory for all unfinished jobs bears`));
 			}
 
-			const {jobId} = job.data;
 			const answer = await requestDecision({kind: 'job', job: job.data, origin: origin ?? {callerFailureDomain: failureDomain}});
 			return toResult(jobId, answer);
 		},
@@ -146,12 +153,12 @@
 	};
 }
 
-function jobTooLarge({jobId}: Job, jobBytes: number, maxJobBytes: number): CallerJobError {
+function jobTooLarge(message: string): CallerJobError {
 	return {
 		status: 413,
 		error: {
 			kind: 'job-too-large',
-			message: `job ${jobId} takes ${jobBytes} bytes in the log, where at most ${maxJobBytes} fit`,
+			message,
 			remedy: 'split it into smaller jobs',
 		},
 	};
--- a/src/entry/refuse-job.test.ts
+++ b/src/entry/refuse-job.test.ts
@@ -18,6 +18,7 @@
 const refusing: JobAdmission = {
 	state: initialAdmission,
 	decide: (state): AdmissionDecision => ({state, verdict: {isAccepted: false, retryAfterMs: 4000, reason: 'full'}, effects: []}),
+	decideByMemory: (state): AdmissionDecision => ({state, verdict: {isAccepted: true, why: 'not-limited', job}, effects: []}),
 };
 
 /** Returns what an entry has read at a time; each writer had applied the log through the given offset. */
@@ -80,8 +81,17 @@
 	t.true(appends(ask({}, accepted.state)));
 });
 
+/** Guards against jobs that pass the bound on memory since another entry may have taken them. */
+test('a job that may be on its way to the log and for which there is no memory is answered as unknown, and is not written again', t => {
+	const full: JobAdmission = {...refusing, decideByMemory: (state, refused) => refusing.decide(state, refused, {})};
+	const asked = requestDeferredAnswer(noDeferredAnswers, {replyId: 'reply', subject: {kind: 'job', job, origin: {mayHaveRun: true}}}, contextAt(1000, {offset: 10, applied: [9]}), full);
+	t.like(answerOf(asked), {result: 'unknown', retryAfterMs: 4000});
+	t.false(appends(asked));
+	t.true(asked.state.isEmpty());
+});
+
 test('a job is accepted when there is capacity for it by the time of the proof', t => {
-	const accepting: JobAdmission = {state: initialAdmission, decide: state => ({state, verdict: {isAccepted: true, why: 'in-time', job}, effects: []})};
+	const accepting: JobAdmission = {...refusing, decide: state => ({state, verdict: {isAccepted: true, why: 'in-time', job}, effects: []})};
 	const read = resolveDeferredAnswers(ask().state, contextAt(1200, {offset: 12, applied: [11, 11]}), refusing);
 	const proven = resolveDeferredAnswers(read.state, contextAt(1400, {offset: 16, applied: [13, 14]}), accepting);
 	t.true(appends(proven));
