Keep only the ID of a job whose caller got 504

While the log is slow, an entry remembers up to 4,096 jobs of unknown outcome for a minute, so that it does not refuse them as not run. It kept each whole, after the intake had stopped to count its body: up to 4,096 times 262,144 bytes. Found by reading, on the path of the jobs that exhausted the heaps.

A later submission and the log's record are known by the job's ID, which is all that is kept now. The new test fails without the change: the remembered request of a job with a description of 4,000 bytes has more than 500 bytes of JSON.

--- a/src/entry/deferred-answers.ts
+++ b/src/entry/deferred-answers.ts
@@ -161,7 +161,7 @@
 		if (answer) {
 			const isUnknownJob = !decided && !refusal && subject.kind === 'job' && unknownJobs < maxUnknownJobs;
 			unknownJobs += isUnknownJob ? 1 : 0;
-			next = isUnknownJob ? next.set(replyId, {...waiting, isAnswered: true}) : next.delete(replyId);
+			next = isUnknownJob ? next.set(replyId, {...waiting, subject: withoutContent(subject), isAnswered: true}) : next.delete(replyId);
 			effects.push({kind: 'answer-deferred', replyId, answer});
 			continue;
 		}
@@ -187,6 +187,16 @@
 	return {state: next, effects, admission: current?.state};
 }
 
+/** Returns a subject with the ID of its job only, by which a later submission of it is known. */
+function withoutContent(subject: DeferredSubject): DeferredSubject {
+	if (subject.kind !== 'job') {
+		return subject;
+	}
+
+	const {workflow, ...job} = subject.job;
+	return {...subject, job: {...job, tasks: []}};
+}
+
 /** Refuses a job whose refusal is proven, unless a new decision accepts it: the backlog may have drained while the proof was awaited. */
 function resolveRefusal(state: DeferredAnswers, replyId: string, context: EntryContext, admission: JobAdmission | undefined): DeferredTransition {
 	const {subject, requestedAtMs, refusal} = state.get(replyId)!;
--- a/src/entry/refuse-job.test.ts
+++ b/src/entry/refuse-job.test.ts
@@ -134,3 +134,17 @@
 	t.is(late.state.size, 4096);
 	t.true(resolveDeferredAnswers(late.state, {...outage, nowMs: 61_001}).state.isEmpty());
 });
+
+/** Guards against a heap that the bodies of jobs exhaust whose callers were told that the outcome is unknown, as while the log is slow: 4,096 jobs of 256 KB. */
+test('of a job whose caller got 504 only its ID is kept', t => {
+	const {decisionTimeoutMs} = settings.timings;
+	const {workflow, ...rest} = job;
+	const subject = {kind: 'job', job: {...rest, workflow: {...workflow!, payload: 'x'.repeat(4000)}}} as const;
+	const accepted = requestDeferredAnswer(noDeferredAnswers, {replyId: 'first', subject}, contextAt(1000, {offset: 10, applied: [9]}));
+	const outage = contextAt(1001 + decisionTimeoutMs, {offset: 10, applied: [9], tailSentAtMs: 1000});
+	const late = resolveDeferredAnswers(accepted.state, outage);
+	t.true(JSON.stringify(late.state.get('first')).length < 500);
+	t.like(answerOf(requestDeferredAnswer(late.state, {replyId: 'second', subject}, outage)), {result: 'unknown'});
+	const read = resolveDeferredAnswers(late.state, contextAt(30_000, {offset: 12, applied: [11], runs: [['job', runFixture(job, [2, 2])]]}));
+	t.true(read.state.isEmpty());
+});
