Bound the tasks that demand next to nothing on a VM, and all in the memory

Tasks with a demand of 0 were all claimed and started at once, since no VM is ever full of them: each takes 2 KB in every entry that decides, and its agent and worker hold it too. Found on the path of the jobs that exhausted the heaps; no deployment showed it.

A VM with 512 tasks takes none that demand less than a 512th of its processors and memory. Placement stops at limits.taskBytes, three tenths of the heap, of which such tasks may use half, so that others are placed beside them.

The new test of the pass fails without the change.

--- a/soak/hostile-jobs.test.ts
+++ b/soak/hostile-jobs.test.ts
@@ -51,6 +51,9 @@
 			spec: lasting, steps: stepsOf(250, 1).map((each, index) => ({...each, dependsOn: Array.from({length: index}, (_, dependency) => dependency)})),
 		},
 	},
+	{
+		title: 'four jobs of 256,000 tasks that demand nothing', jobs: 4, pauseMs: 0, body: {spec: lasting, steps: stepsOf(256, 1000).map(each => ({...each, cpu: 0, memMb: 0}))},
+	},
 	{
 		title: '1,500 jobs of 180 tasks each', jobs: 1500, pauseMs: 15, body: {spec: lasting, steps: stepsOf(5, 36)},
 	},
--- a/src/entry/entry-process.ts
+++ b/src/entry/entry-process.ts
@@ -38,7 +38,7 @@
 import {createSystemWallClock, type SettledWallClock} from './settled-wall-clock.js';
 import {createRequestHistory} from './request-history.js';
 import {createRequestForwarder} from './request-forwarder.js';
-import {withJobBytes} from './with-job-bytes.js';
+import {withStateLimits} from './with-state-limits.js';
 
 /** A running entry. */
 export type EntryProcess = Readonly<{
@@ -80,7 +80,7 @@
 	/** Account of the process for its servers. */
 	intake?: Intake;
 }>): Promise<Result<EntryProcess, TypedError>> {
-	const settings = withJobBytes(givenSettings);
+	const settings = withStateLimits(givenSettings);
 	let isStopping = false;
 	const token = settings.operatorTokenFile === undefined ? ok(undefined) : await readTokenFile(settings.operatorTokenFile);
 	if (token.isErr) {
--- a/src/placement/place-queued-tasks.test.ts
+++ b/src/placement/place-queued-tasks.test.ts
@@ -242,3 +242,27 @@
 	});
 	t.deepEqual(effects.map(effect => effect.kind === 'append-record' && effect.record.kind === 'task-claimed' ? effect.record.vmId : effect.kind), ['vm-free']);
 });
+
+/** Guards against entries and agents whose memory tasks exhaust that demand next to nothing: no VM is ever full of them. */
+test('a VM gets only so many tasks that demand next to nothing, and others are placed beside them', t => {
+	const context = {...contextAt(10_000, 1), incarnation: queueOwner};
+	const {cluster, settings} = context;
+	const queued = cluster.tasks.first()!;
+	const placed = ({tasksOnVm = 0, processorsMilli, taskBytes}: Readonly<{tasksOnVm?: number; processorsMilli: number; taskBytes?: number}>): number => placeQueuedTasks(initialPlacement, {
+		...context,
+		settings: {...settings, limits: {...settings.limits, taskBytes}},
+		cluster: {
+			...cluster,
+			tasks: cluster.tasks.set(queued.spec.taskId, {...queued, spec: {...queued.spec, demand: {processorsMilli, memoryMb: 0, accelerators: 0}}}),
+			vms: cluster.vms.map(vm => ({...vm, taskIds: immutableSet(Array.from({length: tasksOnVm}, (_, index) => `task-on-vm-${index}`))})),
+		},
+	}).effects.length;
+
+	t.is(placed({tasksOnVm: 511, processorsMilli: 0}), 1);
+	t.is(placed({tasksOnVm: 512, processorsMilli: 0}), 0);
+	t.is(placed({tasksOnVm: 512, processorsMilli: 100}), 1);
+	t.is(placed({processorsMilli: 0, taskBytes: 2001}), 1);
+	t.is(placed({processorsMilli: 0, taskBytes: 1500}), 0);
+	t.is(placed({processorsMilli: 100, taskBytes: 1500}), 1);
+	t.is(placed({processorsMilli: 100, taskBytes: 1000}), 0);
+});
--- a/src/placement/place-queued-tasks.ts
+++ b/src/placement/place-queued-tasks.ts
@@ -1,3 +1,4 @@
+import {taskFootprintBytes} from '../admission/job-footprint.js';
 import {addResources, fitsInto, noResources} from '../cluster/resources.js';
 import {type Task} from '../cluster/cluster-state.js';
 import {type PriorityClass} from '../cluster/intent.js';
@@ -11,8 +12,11 @@
 import {fillingLimitMilliOf, updateFillingLimits, withFillingQueue} from './filling-limits.js';
 import {fillingDemandMilli} from './filling-work.js';
 import {describeMissingCapacity, acceptsNewTasks} from './feasibility.js';
+import {shareOfOtherTasks} from './negligible-tasks.js';
 import {isFleetSettled, observeFleetGrowth} from './fleet-growth.js';
-import {addPendingClaim, prunePendingClaims, siblingsKeyOf} from './pending-claims.js';
+import {
+	addPendingClaim, prunePendingClaims, siblingsKeyOf, type PendingClaims,
+} from './pending-claims.js';
 import {createPlacementFailures} from './placement-failures.js';
 import {missedStartsOf, plannedStartEvent} from './placement-plan.js';
 import {type PlacementContext, type PlacementPass} from './placement-pass.js';
@@ -56,7 +60,8 @@
 		ownersSeen: owners.ownersSeen(),
 		reservations: retainValidReservations(state.reservations, {cluster: context.cluster, pending, nowMs: context.nowMs}, silentVmIds),
 	};
-	if (!isLogFresh(context) || context.cluster.queued.every(tasks => tasks.isEmpty())) {
+	const usedTaskMemory = usedTaskMemoryOf(pending, context);
+	if (!isLogFresh(context) || context.cluster.queued.every(tasks => tasks.isEmpty()) || usedTaskMemory >= 1) {
 		return {state: pruned, effects: []};
 	}
 
@@ -73,6 +78,7 @@
 		owners,
 		harms: new Map(),
 		starved,
+		isTaskMemoryShort: usedTaskMemory >= 1 - shareOfOtherTasks,
 		effects: [],
 		failures: createPlacementFailures(),
 		reservationAttempts: 0,
@@ -106,6 +112,11 @@
 	};
 }
 
+/** Returns the used share of the memory for tasks. A claimed task takes more of it than a queued one, and makes place for another one in the queue. */
+function usedTaskMemoryOf(pending: PendingClaims, {cluster, settings}: PlacementContext): number {
+	return taskFootprintBytes(cluster, {pendingClaims: pending.byTask.size}) / (settings.limits.taskBytes ?? Number.POSITIVE_INFINITY);
+}
+
 function moveFillingLimits(pass: PlacementPass): void {
 	const {cluster, nowMs, settings: {planning}} = pass.context;
 	if (planning.enabled) {
--- a/src/placement/placement-pass.ts
+++ b/src/placement/placement-pass.ts
@@ -25,6 +25,8 @@
 	coldVms: readonly Vm[];
 	/** Millicores of cold VMs that are not given to tasks yet. */
 	withheldMilliByVm: VmsByWarmth['withheldMilliByVm'];
+	/** Whether the memory for tasks is left to those whose number the VMs' resources bound. */
+	readonly isTaskMemoryShort: boolean;
 	/** Demands that no VM could take in this pass; a demand of the same service that is at least as large cannot be placed either. */
 	readonly demandsWithoutVm: Array<Readonly<{service: string | undefined; demand: Resources}>>;
 	/** Steps whose task no VM could take in this pass; their other tasks cannot be placed either, since free resources only shrink during a pass. */
--- a/src/placement/tasks-without-vm.ts
+++ b/src/placement/tasks-without-vm.ts
@@ -2,6 +2,7 @@
 import {fitsInto} from '../cluster/resources.js';
 import {stepOf} from '../cluster/workflow-progress.js';
 import {fillingDemandMilli} from './filling-work.js';
+import {isFullForTask} from './negligible-tasks.js';
 import {type PlacementPass} from './placement-pass.js';
 import {stepOccurrenceKeyOf} from './step-occurrence-key.js';
 import {requiredIdleMilliOf} from './vm-candidates.js';
@@ -34,8 +35,8 @@
 		pass.stepsWithoutVm.add(stepKey);
 	}
 
-	// A task that was rejected because of its step's constraints does not show that other tasks cannot be placed.
-	if (!isConstrained(cluster, task) && fillingDemandMilli(task, cluster) === 0) {
+	// A task that was rejected because of its step's constraints, or of the number of tasks on the VMs, does not show that other tasks cannot be placed.
+	if (!isConstrained(cluster, task) && !pass.vms.some(vm => isFullForTask(pass, task, vm)) && fillingDemandMilli(task, cluster) === 0) {
 		pass.demandsWithoutVm.push({service: serviceOf(cluster, task), demand: task.spec.demand});
 	}
 }
--- a/src/placement/vm-candidates.ts
+++ b/src/placement/vm-candidates.ts
@@ -11,6 +11,7 @@
 import {maxLatencyImpactMilli, fillingDemandMilli, latencyImpactOfPlacementMilli} from './filling-work.js';
 import {harmOfPlacement, type ExpectedHarm} from './interference-estimates.js';
 import {offeredMilliOf} from './offered-processors.js';
+import {isFullForTask} from './negligible-tasks.js';
 import {siblingsKeyOf} from './pending-claims.js';
 import {type PlacementPass} from './placement-pass.js';
 import {expectedEndAtMs} from './placement-plan.js';
@@ -166,8 +167,8 @@
 	}));
 }
 
-/** Returns whether a task's step allows it on a VM, pending claims included. */
+/** Returns whether a task's step and the number of tasks on a VM allow it there, pending claims included. */
 function isAllowed(pass: PlacementPass, task: Task, step: WorkflowStep | undefined, vm: Vm): boolean {
 	const pendingSiblings = step?.maxTasksPerVm === undefined ? 0 : pass.state.pending.siblings.get(siblingsKeyOf(task, vm.vmId), 0);
-	return isAllowedOnVm(pass.context.cluster, task, vm, pendingSiblings);
+	return !isFullForTask(pass, task, vm) && isAllowedOnVm(pass.context.cluster, task, vm, pendingSiblings);
 }
--- a/src/settings/entry-settings.ts
+++ b/src/settings/entry-settings.ts
@@ -86,6 +86,7 @@
 		bodyBytes: z.int().min(1024).default(67_108_864).describe('Largest body of a caller\'s request'),
 		keyedBodyBytes: z.int().min(1024).default(1_048_576).describe('Largest body of a keyed request, which is held in memory'),
 		jobBytes: z.int().min(1_048_576).optional().describe('Most memory for the unfinished jobs of the cluster state, beyond which new jobs are refused with 429; an eighth of the heap without it'),
+		taskBytes: z.int().min(1_048_576).optional().describe('Most memory for the tasks of the cluster state, beyond which no more are placed; three tenths of the heap without it'),
 		connections: z.int().min(1).default(4096).describe('Most connections of callers'),
 		idleTimeoutMs: z.int().min(100).max(maxDurationMs).default(30_000).describe('Time without a byte after which a caller\'s connection is closed'),
 		defaultDeadlineMs: z.int().min(1).max(maxDurationMs).default(10_000).describe('Deadline of a request that names none'),
