Remove an occurrence from the state when its steps have finished

The counts of an occurrence's steps stayed in the state until no other occurrence of the job was under way, so that a schedule whose occurrences overlap, of up to 100,000, grew it for good. Nothing writes the records of due occurrences yet; found on the path of the jobs that exhausted the heaps.

An occurrence leaves the state with its last step. The new test fails without the change, with the counts of 50 occurrences.

--- a/src/cluster/workflow-progress.test.ts
+++ b/src/cluster/workflow-progress.test.ts
@@ -211,3 +211,17 @@
 	const decoded = decodeClusterState(JSON.parse(text));
 	t.deepEqual(decoded.isOk && encodeClusterState(decoded.value), encodeClusterState(log.state));
 });
+
+/** Guards against a state that grows with the occurrences of a schedule that overlap, up to 100,000 of them. */
+test('an occurrence that is over leaves the state while others are under way', t => {
+	const log = new Log().submit([step()], {schedule: {firstAtMs: 0, intervalMs: 1000, times: 100}});
+	for (let occurrence = 0; occurrence < 50; occurrence++) {
+		log.append({kind: 'occurrence-due', jobId: 'job', occurrence});
+		if (occurrence > 0) {
+			log.claim(`job.${occurrence}.0.0`).end(`job.${occurrence}.0.0`, 'finished');
+		}
+	}
+
+	t.deepEqual([...log.state.workflows.get('job')!.unfinishedByStep], [['0.0', 1]]);
+	t.deepEqual([...log.state.workflows.get('job')!.createdByStep.keys()], ['0.0']);
+});
--- a/src/cluster/workflow-progress.ts
+++ b/src/cluster/workflow-progress.ts
@@ -75,6 +75,14 @@
 	return run.phase === 'cancelled' || run.phase === 'failed';
 }
 
+/** Returns a run with the steps that are ready now, and without an occurrence whose steps have all finished. */
+function withReadySteps(run: WorkflowRun, occurrence: number): WorkflowRun {
+	const keys = run.workflow.steps.map((_step, stepIndex) => stepKeyOf({occurrence, stepIndex}));
+	const isOver = keys.every(key => run.unfinishedByStep.get(key) === 0);
+	const current = isOver ? {...run, unfinishedByStep: run.unfinishedByStep.deleteAll(keys), createdByStep: run.createdByStep.deleteAll(keys)} : run;
+	return {...current, readySteps: readyStepsOf(current)};
+}
+
 /**
 Records that a task of a workflow has finished. When it was the last one of its step, tasks of the steps that no longer wait for others are created.
 
@@ -91,7 +99,7 @@
 	const unfinishedCount = (run.unfinishedByStep.get(key) ?? 1) - 1;
 	const advanced: WorkflowRun = {...run, unfinishedByStep: run.unfinishedByStep.set(key, unfinishedCount)};
 	const isUnblocking = unfinishedCount === 0 && !isStopping(advanced);
-	const next: ClusterState = {...state, workflows: state.workflows.set(task.jobId, isUnblocking ? {...advanced, readySteps: readyStepsOf(advanced)} : advanced)};
+	const next: ClusterState = {...state, workflows: state.workflows.set(task.jobId, isUnblocking ? withReadySteps(advanced, task.position.occurrence) : advanced)};
 	return isUnblocking ? createReadyTasks(next, task.jobId) : next;
 }
 
