Consider the tasks behind those that are known to find no VM

A pass considers 4,096 tasks of a class, and counted those that an earlier failure of the same pass had shown to find no VM, so that the tasks of four jobs used the bound up. Ruled out: full VMs (12 of 16 processors were taken) and jobs without a queued task (eight idle ones were counted).

Behind the first 4,096, such tasks are passed over, and 1,024 others are considered. The new test of the pass fails without the change.

The soak learns the overload: a client hands in large jobs that do not end beside all other faults, and a refused job must never run.

--- a/soak/main.ts
+++ b/soak/main.ts
@@ -19,6 +19,7 @@
 cli.option('--late-starts', 'Executors also carry out starts seconds late, those of their next lives among them');
 cli.option('--recuts', 'Executors also start again under their IDs and are cut off soon after, while tasks run for longer than their lease');
 cli.option('--cancels', 'Clients cancel two fifths of the jobs, also before they are accepted');
+cli.option('--overload', 'A client hands in large jobs that do not end, more than the memory for jobs bears');
 cli.option('--evacuations', 'The operator evacuates failure domains; nothing may start there from 5 s after the request');
 cli.option('--deciders <number>', 'Entries that decide; all of them without it');
 cli.option('--logs <directory>', 'Where the logs of failing seeds are written', {default: 'soak-logs'});
@@ -66,7 +67,7 @@
 	await queue.addAll(Array.from({length: last - first + 1}, (_, index) => async () => {
 		const seed = first + index;
 		const result = await runSoak({
-			seed, bundleDirectory, entryCount: Number(options.entries), hasLateStarts: options.lateStarts === true, hasRecuts: options.recuts === true, hasCancels: options.cancels === true, hasEvacuations: options.evacuations === true, ...(options.losses !== undefined && {losses: lossesOf(options.losses)}),
+			seed, bundleDirectory, entryCount: Number(options.entries), hasLateStarts: options.lateStarts === true, hasRecuts: options.recuts === true, hasCancels: options.cancels === true, hasEvacuations: options.evacuations === true, hasOverload: options.overload === true, ...(options.losses !== undefined && {losses: lossesOf(options.losses)}),
 			...(options.vms !== undefined && {agentCount: Number(options.vms)}), ...(options.deciders !== undefined && {deciderCount: Number(options.deciders)}),
 		});
 		const {failures, jobs, faults, durationMs, longestWaitMs, ownLagMs} = result;
--- a/soak/run-soak.test.ts
+++ b/soak/run-soak.test.ts
@@ -10,6 +10,7 @@
 	[9, {entryCount: 4, deciderCount: 2}, 'two entries that decide and two that relay'],
 	[1, {hasRecuts: true}, 'executors that start again under their IDs and are cut off, with tasks that outlast their lease'],
 	[301, {losses: ['executor', 'restart']}, 'executors that are gone for good and a calm in which tasks that last run again'],
+	[4, {hasOverload: true, entryCount: 3}, 'more jobs than the memory for them bears'],
 ] as const) {
 	test(`the real programs keep their promises to callers while faults come from outside, with ${title}, seed ${seed}`, async t => {
 		const bundleDirectory = await mkdtemp(path.join(tmpdir(), 'arbutushinge-bundle-'));
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -68,11 +68,18 @@
 const longTaskMs = 12_000;
 const longJobRatio = 2;
 const lastingPayload = 'lasts';
+
+/** Memory for unfinished jobs in an overload; two thirds of it are full after 60 of its jobs. */
+const overloadJobBytes = 1_048_576;
+const overloadPauseMs = 100;
+
+/** A job of an overload: a task fits beside the others on each VM, and lasts. */
+const overloadBody = {spec: lastingPayload.padEnd(4000), steps: Array.from({length: 4}, () => ({count: 1000, cpu: 12_000, memMb: 10}))};
 const lastingJobCount = 2;
 const lastingCount = 2;
 
 function runTimeMsOf(payload: string): number {
-	return payload === lastingPayload ? Number.POSITIVE_INFINITY : Number(/^runs-(?<ms>\d+)$/v.exec(payload)?.groups?.ms ?? goodTaskMs);
+	return payload.startsWith(lastingPayload) ? Number.POSITIVE_INFINITY : Number(/^runs-(?<ms>\d+)$/v.exec(payload)?.groups?.ms ?? goodTaskMs);
 }
 
 const idOfJob = (number: number): string => number.toString(16).padStart(16, 'b');
@@ -97,7 +104,7 @@
 @example
 const {failures} = await runSoak({seed: 1, bundleDirectory: 'dist'});
 */
-export async function runSoak({seed, bundleDirectory, losses: lossKinds, hasLateStarts = false, hasRecuts = false, hasCancels = false, hasEvacuations = false, ...size}: Readonly<{
+export async function runSoak({seed, bundleDirectory, losses: lossKinds, hasLateStarts = false, hasRecuts = false, hasCancels = false, hasEvacuations = false, hasOverload = false, ...size}: Readonly<{
 	seed: number;
 	bundleDirectory: string;
 	/** Kinds of losses for good; a calm follows in which tasks that last have to run again. */
@@ -110,6 +117,8 @@
 	hasCancels?: boolean;
 	/** The operator evacuates failure domains. */
 	hasEvacuations?: boolean;
+	/** A client hands in large jobs that do not end, more than the memory for jobs bears. */
+	hasOverload?: boolean;
 	entryCount?: number;
 	agentCount?: number;
 	/** Entries that decide; all of them without it. */
@@ -124,7 +133,7 @@
 	const clientGenerator = xoroshiro128plus(Math.imul(seed, seedFactor) + 1);
 	const events: ExecutorEvent[] = [];
 	const site = await startSite({
-		...((hasLosses || hasRecuts) && {agentCount: agentCountWithLosses}), ...size, bundleDirectory, runTimeMs: runTimeMsOf, onEvent(event) {
+		...((hasLosses || hasRecuts) && {agentCount: agentCountWithLosses}), ...size, ...(hasOverload && {entrySettings: {jobAdmission: {enabled: true}, limits: {jobBytes: overloadJobBytes}}}), bundleDirectory, runTimeMs: runTimeMsOf, onEvent(event) {
 			events.push(event);
 		},
 	});
@@ -184,7 +193,15 @@
 				await delay(submitPauseMs);
 			}
 		})();
-		await Promise.all([submitting, ...faults.map(async fault => inject(fault, startMs)), ...evacuations.map(async evacuation => inject(evacuation, startMs, evacuationFaults))]);
+		const overloading = hasOverload
+			? (async () => {
+				for (let number = 1; performance.now() < startMs + submitMs; number++) {
+					clients.submit({jobId: `c${number}`.padStart(16, '0'), isLasting: true}, overloadBody);
+					await delay(overloadPauseMs);
+				}
+			})()
+			: undefined;
+		await Promise.all([submitting, overloading, ...faults.map(async fault => inject(fault, startMs)), ...evacuations.map(async evacuation => inject(evacuation, startMs, evacuationFaults))]);
 		for (const {executor} of site.agents) {
 			executor.setOddAnswers({});
 		}
--- a/src/placement/place-queued-tasks.test.ts
+++ b/src/placement/place-queued-tasks.test.ts
@@ -2,6 +2,7 @@
 import {Map as immutableMap, OrderedMap as orderedMap, Set as immutableSet} from 'immutable';
 import {mergeLatencyImpacts, noLatencyImpactEstimates} from '../agent/latency-impact-estimates.js';
 import {type Task, type Vm, type WorkflowRun} from '../cluster/cluster-state.js';
+import {WorkflowLog, workflowStep} from '../cluster/workflow-log-fixture.js';
 import {createdTasksFixture} from '../cluster/workflow-run-fixture.js';
 import {type PriorityClass} from '../cluster/intent.js';
 import {noResources} from '../cluster/resources.js';
@@ -266,3 +267,17 @@
 	t.is(placed({processorsMilli: 100, taskBytes: 1500}), 1);
 	t.is(placed({processorsMilli: 100, taskBytes: 1000}), 0);
 });
+
+/** Guards against accepted jobs that never start behind a few large ones that wait for room: a pass considered the first 4,096 tasks alone. */
+test('a small job starts although more tasks go before it than a pass considers', t => {
+	const log = new WorkflowLog();
+	const demand = {processorsMilli: 600_000, memoryMb: 1, accelerators: 0};
+	for (let index = 0; index < 12; index++) {
+		log.submit(`large-${index}`, [workflowStep({count: 1000, demand})]);
+	}
+
+	log.claim('large-0.0.0.0').submit('small', [workflowStep()]);
+	t.true(log.queuedTaskIds().indexOf('small.0.0.0') > 5000);
+	const {effects} = placeQueuedTasks(initialPlacement, {...contextAt(10_000, 1), incarnation: 'i', cluster: log.state});
+	t.deepEqual(effects.map(effect => effect.kind === 'append-record' && effect.record.kind === 'task-claimed' ? effect.record.taskId : ''), ['small.0.0.0']);
+});
--- a/src/placement/place-queued-tasks.ts
+++ b/src/placement/place-queued-tasks.ts
@@ -42,6 +42,8 @@
 const maxPendingClaims = 512;
 /** Queued tasks of one class considered in a pass, which bounds its duration. */
 const maxScannedTasks = 4096;
+/** Tasks considered behind those, of requirements that no task before them has shown to find no VM. */
+const maxScannedTasksBehind = 1024;
 /**
 Claims VMs for queued tasks, the most urgent class first.
 
@@ -154,13 +156,25 @@
 			pass.state = {...pass.state, fillingLimits: withFillingQueue(pass.state.fillingLimits, service, queue)};
 		},
 	});
-	for (const taskId of ordered.slice(0, maxScannedTasks)) {
+	let scannedTasks = 0;
+	for (const taskId of ordered) {
 		if (pass.state.pending.byTask.size >= maxPendingClaims) {
 			return;
 		}
 
+		const task = cluster.tasks.get(taskId)!;
+		// The tasks of a few large jobs must not keep the pass from all that wait behind them.
+		if (scannedTasks >= maxScannedTasks && isKnownWithoutVm(pass, task)) {
+			continue;
+		}
+
+		scannedTasks++;
+		if (scannedTasks > maxScannedTasks + maxScannedTasksBehind) {
+			break;
+		}
+
 		pass.failures.isolate('task', taskId, () => {
-			placeTask(pass, cluster.tasks.get(taskId)!);
+			placeTask(pass, task);
 		});
 	}
 
