--- a/src/entry/with-state-limits.ts
+++ b/src/entry/with-state-limits.ts
@@ -8,7 +8,7 @@
 Returns the settings with the memory for unfinished jobs and their tasks, which follows from the heap of the process unless it is set.
 
 @example
-withStateLimits(settings).limits.jobBytes; // => 32_000_000 with a heap of 244 MB
+withStateLimits(settings).limits.jobBytes; // => 35_127_296 with --max-old-space-size=220
 */
 export function withStateLimits(settings: EntrySettings): EntrySettings {
 	const {limits} = settings;
