Give each priority class its own places in the queue

With the bound on queued tasks for all classes together, a flood of one class left the jobs of another a single place each, so that an urgent job of 36 tasks would have waited for a claim to be read back before each next task was created. Small jobs beside large ones of their class would have, too.

Each class now has 4,000 places, of which one job takes at most an eighth of what is left, and 4,000 more of which a job with few queued tasks may take up to 16.

--- a/src/cluster/state-limits.ts
+++ b/src/cluster/state-limits.ts
@@ -2,13 +2,16 @@
 export const MAX_FINISHED_JOBS = 2000;
 
 /**
-Queued tasks of workflows that the state holds, of 1 KB each, so that its size follows from the jobs and from what runs, not from the `count` of their
-steps. It is exceeded by one task for each further job and by tasks that are queued again.
+Queued tasks of a priority class, of 1 KB each, beyond which none are created for workflows that have some, so that the size of the state follows from the
+jobs and from what runs, not from the `count` of their steps. It is exceeded by one task for each further job and by tasks that are queued again.
 */
-export const MAX_QUEUED_TASKS = 16_000;
+export const MAX_QUEUED_TASKS_PER_CLASS = 8000;
 
-/** Queued tasks of one workflow that the state holds: a whole step of the largest size. */
-export const MAX_QUEUED_TASKS_PER_WORKFLOW = 1000;
+/** Queued tasks of a priority class up to which a workflow may have more than `MAX_QUEUED_TASKS_OF_SMALL_JOB`. */
+export const MAX_QUEUED_TASKS_OF_LARGE_JOBS = 4000;
+
+/** Queued tasks that a workflow may have beside large ones, so that an ordinary job is not created one task after the other. */
+export const MAX_QUEUED_TASKS_OF_SMALL_JOB = 16;
 
 /** Tasks of finished jobs without a workflow that stay in the state. Such a job has up to 1,000 tasks, so the limit on jobs alone does not bound the state. */
 export const MAX_FINISHED_TASKS = 40_000;
--- a/src/cluster/task-creation.ts
+++ b/src/cluster/task-creation.ts
@@ -2,13 +2,13 @@
 import {
 	type ClusterState, type CreatedTasks, type Task, type WorkflowRun,
 } from './cluster-state.js';
-import {MAX_QUEUED_TASKS, MAX_QUEUED_TASKS_PER_WORKFLOW} from './state-limits.js';
+import {MAX_QUEUED_TASKS_OF_LARGE_JOBS, MAX_QUEUED_TASKS_OF_SMALL_JOB, MAX_QUEUED_TASKS_PER_CLASS} from './state-limits.js';
 import {enqueue} from './task-queue.js';
 import {
 	committedByStep, parseStepKey, parseTaskId, stepKeyOf, taskIdOf, type Step, type TaskPosition, type Workflow,
 } from './workflow.js';
 
-/** Share of the free places in the queues that one workflow may take, so that a few large jobs leave places to the jobs that come after them. */
+/** Share of the free places of a queue that one workflow may take, so that a few large jobs leave places to the jobs that come after them. */
 const queueShare = 1 / 8;
 
 /** Returns the kind of work under which interference is estimated: the step's image, or else the workflow's queue, in characters that a name may have. */
@@ -55,14 +55,11 @@
 	return enqueue({...state, workflows: state.workflows.update(owner.jobId, run, current => ({...current, taskIds: current.taskIds.add(taskId)}))}, task);
 }
 
-/** Returns how many tasks of a workflow may be queued: at least one, so that each job goes on however full the queues are. */
-function queuedTasksAllowed(state: ClusterState): number {
-	let queuedTasks = 0;
-	for (const queue of state.queued.values()) {
-		queuedTasks += queue.size;
-	}
-
-	return Math.max(1, Math.min(MAX_QUEUED_TASKS_PER_WORKFLOW, Math.floor((MAX_QUEUED_TASKS - queuedTasks) * queueShare)));
+/** Returns how many tasks of a workflow may be queued: at least one, so that each job goes on however full the queue of its class is. */
+function queuedTasksAllowed({queued}: ClusterState, {owner: {priority}}: WorkflowRun): number {
+	const queuedTasks = queued.get(priority)?.size ?? 0;
+	const shareUpTo = (limit: number): number => Math.floor((limit - queuedTasks) * queueShare);
+	return Math.max(1, shareUpTo(MAX_QUEUED_TASKS_OF_LARGE_JOBS), Math.min(MAX_QUEUED_TASKS_OF_SMALL_JOB, shareUpTo(MAX_QUEUED_TASKS_PER_CLASS)));
 }
 
 /**
@@ -70,12 +67,12 @@
 as a number only. Call it when a step becomes ready and when a task leaves the queue.
 
 @example
-createReadyTasks(state, 'job-1').workflows.get('job-1').queuedTasks; // => 1000
+createReadyTasks(state, 'job-1').workflows.get('job-1').queuedTasks; // => 500
 */
 export function createReadyTasks(state: ClusterState, jobId: string): ClusterState {
 	let next = state;
 	for (let run = next.workflows.get(jobId); run !== undefined && run.readySteps.length > 0; run = next.workflows.get(jobId)) {
-		if (run.queuedTasks >= queuedTasksAllowed(next)) {
+		if (run.queuedTasks >= queuedTasksAllowed(next, run)) {
 			return next;
 		}
 
--- a/src/cluster/workflow-log-fixture.ts
+++ b/src/cluster/workflow-log-fixture.ts
@@ -1,6 +1,7 @@
 import {type ClusterRecord} from './cluster-record.js';
 import {type ClusterState} from './cluster-state.js';
 import {encodeClusterState} from './cluster-state-codec.js';
+import {type PriorityClass} from './intent.js';
 import {applyRecord, emptyClusterState} from './reduce-cluster.js';
 import {type Step, type Workflow} from './workflow.js';
 
@@ -60,14 +61,14 @@
 		return log;
 	}
 
-	submit(jobId: string, steps: readonly Step[], changes: Partial<Workflow> = {}): this {
+	submit(jobId: string, steps: readonly Step[], changes: Partial<Workflow> = {}, priority: PriorityClass = 'normal'): this {
 		return this.append({
 			kind: 'job-submitted',
 			job: {
 				jobId,
 				teamId: 'team',
 				workClass: 'batch',
-				priority: 'normal',
+				priority,
 				tasks: [],
 				workflow: {
 					queue: 'queue', service: 'loaves', payload: '', steps, maxFailures: 2, ...changes,
