Name what the budget expects of refused callers

Callers that were told to come back are expected returns; a return is something else to a reader. The time that they are told is computed in named steps. No change of behaviour; the tests of the budget pass.

--- a/src/admission/state-budget.ts
+++ b/src/admission/state-budget.ts
@@ -10,8 +10,8 @@
 /** A job that this decider has accepted and not read back. */
 type UnreadJob = Readonly<{holder: string; bytes: number; acceptedAtMs: number}>;
 
-/** What a refused caller was told: there is memory for its job from then on. */
-type Return = Readonly<{holder: string; bytes: number; dueAtMs: number}>;
+/** A refused caller that was told to come back, with the time from which there should be memory for its job. */
+type ExpectedReturn = Readonly<{holder: string; bytes: number; dueAtMs: number}>;
 
 /** The memory that unfinished jobs take, as far as this decider knows. Each part is bounded; losing it with the process does no harm. */
 export type StateBudget = Readonly<{
@@ -20,7 +20,7 @@
 	/** Rate at which ending jobs release memory, in bytes a millisecond. */
 	releaseRate: number;
 	unread: OrderedMap<string, UnreadJob>;
-	returns: OrderedMap<string, Return>;
+	expectedReturns: OrderedMap<string, ExpectedReturn>;
 	/** When the newest refusal was logged. */
 	loggedAtMs: number;
 }>;
@@ -30,7 +30,7 @@
 	held: {totalBytes: 0, bytesByHolder: new Map(), bytesByWorkflow: new Map()},
 	releaseRate: 0,
 	unread: orderedMap(),
-	returns: orderedMap(),
+	expectedReturns: orderedMap(),
 	loggedAtMs: Number.NEGATIVE_INFINITY,
 };
 
@@ -50,7 +50,7 @@
 const unreadKeptMs = 10_000;
 
 /** How long memory is kept for a caller that does not come back at the time it was told. */
-const returnKeptMs = 5000;
+const expectedReturnKeptMs = 5000;
 
 /** Share of the free memory that is kept for such callers at most: many may never come back. */
 const maxKeptShare = 1 / 2;
@@ -59,8 +59,12 @@
 const earlyByMs = 1000;
 
 const logIntervalMs = 10_000;
-const maxReturns = 2048;
+
+/** Bounds of the tables: older parts are forgotten. */
+const maxExpectedReturns = 2048;
 const maxUnread = 4096;
+
+/** Shortest and longest `Retry-After`. */
 const minRetryAfterMs = 1000;
 const maxRetryAfterMs = 30_000;
 
@@ -81,8 +85,8 @@
 }
 
 /**
-Refuses a new job when the memory does not bear it beside all unfinished ones. Every entry that decides holds all of them, so that accepting without a bound would
-end them all. A job is refused when it would take more than its share of the room that is left to its queue. Its caller is told when, at the
+Refuses a new job when the memory does not bear it beside all unfinished ones. Every entry that decides holds all of them, so that accepting without a
+bound would end them all. A job is refused when it would take more than its share of the room that is left to its queue. Its caller is told when, at the
 rate at which jobs end now, there is memory for it behind those that were refused before. The job must not be known.
 
 @example
@@ -98,13 +102,15 @@
 		return {state, effects: [], refusal: undefined};
 	}
 
-	const dueAtMs = Math.max(nowMs, state.returns.get(jobId)?.dueAtMs ?? 0, nowMs + releaseMs(state, missingBytes + returningBytes(state, {jobId, holder}, Number.POSITIVE_INFINITY).totalBytes));
-	const retryAfterMs = Math.max(minRetryAfterMs, dueAtMs - nowMs);
+	// Those who were refused before go first.
+	const releasedBytes = missingBytes + expectedBytes(state, {jobId, holder}, Number.POSITIVE_INFINITY).totalBytes;
+	const knownWaitMs = (state.expectedReturns.get(jobId)?.dueAtMs ?? nowMs) - nowMs;
+	const retryAfterMs = Math.max(minRetryAfterMs, knownWaitMs, releaseMs(state, releasedBytes));
 	const isLogDue = nowMs - state.loggedAtMs >= logIntervalMs;
 	return {
 		state: {
 			...state,
-			returns: withoutOldest(state.returns.set(jobId, {holder, bytes, dueAtMs: nowMs + retryAfterMs}), maxReturns),
+			expectedReturns: withoutOldest(state.expectedReturns.set(jobId, {holder, bytes, dueAtMs: nowMs + retryAfterMs}), maxExpectedReturns),
 			loggedAtMs: isLogDue ? nowMs : state.loggedAtMs,
 		},
 		effects: [
@@ -139,7 +145,7 @@
 export function recordAcceptedJob(budget: StateBudget, job: Job, nowMs: number): StateBudget {
 	const {jobId} = job;
 	const unread = budget.unread.set(jobId, {holder: holderOf(job), bytes: jobFootprintBytes(job), acceptedAtMs: nowMs});
-	return {...budget, unread: withoutOldest(unread, maxUnread), returns: budget.returns.delete(jobId)};
+	return {...budget, unread: withoutOldest(unread, maxUnread), expectedReturns: budget.expectedReturns.delete(jobId)};
 }
 
 /** Returns the time in which ending jobs release so much memory; the longest that callers are told when none end. */
@@ -162,8 +168,8 @@
 }
 
 /** Returns the memory that callers need who were told to come back by then, without the one of a job. */
-function returningBytes({returns}: StateBudget, {jobId, holder}: Readonly<{jobId: string; holder: string}>, untilMs: number): Sums {
-	return sumBytes(returns.filter(({dueAtMs}, otherId) => otherId !== jobId && dueAtMs <= untilMs).values(), holder);
+function expectedBytes({expectedReturns}: StateBudget, {jobId, holder}: Readonly<{jobId: string; holder: string}>, untilMs: number): Sums {
+	return sumBytes(expectedReturns.filter(({dueAtMs}, otherId) => otherId !== jobId && dueAtMs <= untilMs).values(), holder);
 }
 
 /** Returns how much more a holder may take, until it holds `holderFactor` times what is then free. */
@@ -177,14 +183,14 @@
 	{jobId, holder, bytes}: Readonly<{jobId: string; holder: string; bytes: number}>,
 	{deciderCount, limitBytes, nowMs}: Readonly<{deciderCount: number; limitBytes: number; nowMs: number}>,
 ): number {
-	const isDue = (state.returns.get(jobId)?.dueAtMs ?? Number.POSITIVE_INFINITY) <= nowMs + earlyByMs;
+	const isDue = (state.expectedReturns.get(jobId)?.dueAtMs ?? Number.POSITIVE_INFINITY) <= nowMs + earlyByMs;
 	// Others may accept as much before their records are read, so that each decider uses its part of what is free.
 	const unread = sumBytes(state.unread.values(), holder);
 	const unusedBytes = Math.max(0, limitBytes - state.held.totalBytes - (deciderCount * unread.totalBytes));
-	const returning = isDue ? {totalBytes: 0, ofHolderBytes: 0} : returningBytes(state, {jobId, holder}, nowMs + earlyByMs);
-	const keptShare = Math.min(1, maxKeptShare * unusedBytes / Math.max(1, returning.totalBytes));
-	const freeBytes = unusedBytes - (keptShare * returning.totalBytes);
-	const holderBytes = (state.held.bytesByHolder.get(holder) ?? 0) + (deciderCount * unread.ofHolderBytes) + (keptShare * returning.ofHolderBytes);
+	const expected = isDue ? {totalBytes: 0, ofHolderBytes: 0} : expectedBytes(state, {jobId, holder}, nowMs + earlyByMs);
+	const keptShare = Math.min(1, maxKeptShare * unusedBytes / Math.max(1, expected.totalBytes));
+	const freeBytes = unusedBytes - (keptShare * expected.totalBytes);
+	const holderBytes = (state.held.bytesByHolder.get(holder) ?? 0) + (deciderCount * unread.ofHolderBytes) + (keptShare * expected.ofHolderBytes);
 	return (bytes / jobShare) - holderRoomBytes(freeBytes, holderBytes);
 }
 
@@ -199,7 +205,7 @@
 		held: measureHeldBytes(cluster),
 		releaseRate: releaseRateOf(budget, cluster, nowMs),
 		unread: budget.unread.filter(({acceptedAtMs}, jobId) => nowMs - acceptedAtMs <= unreadKeptMs && !isKnownJob(cluster, jobId)),
-		returns: budget.returns.filter(({dueAtMs}) => nowMs - dueAtMs <= returnKeptMs),
+		expectedReturns: budget.expectedReturns.filter(({dueAtMs}) => nowMs - dueAtMs <= expectedReturnKeptMs),
 	};
 }
 
