Keep the replacement of a lost task among the tasks of its workflow

Since the run of a workflow holds the IDs of its tasks, the replacement of a lost latency-critical task, which has an ID of its own, was missing there, so that a cancellation of the job left it in the queue.

The new test fails without the change.

--- a/src/cluster/task-creation.test.ts
+++ b/src/cluster/task-creation.test.ts
@@ -104,6 +104,26 @@
 	t.deepEqual(encodeClusterState(loaded.state), encodeClusterState(log.state));
 });
 
+/** Guards against a replaced task that its job does not know, so that a cancellation of the job leaves it in the queue. */
+test('the replacement of a lost latency-critical task belongs to its workflow', t => {
+	const log = new WorkflowLog().append({
+		kind: 'job-submitted', job: {
+			jobId: 'job', teamId: 'team', workClass: 'latency-critical', priority: 'normal', tasks: [], workflow: {
+				queue: 'queue', service: 'loaves', payload: '', steps: [workflowStep({count: 2})], maxFailures: 2,
+			},
+		},
+	});
+	log.claim('job.0.0.0').append({kind: 'vm-unreachable', vmId: 'vm-1', agentIncarnation: 'agent-1'}).append({
+		kind: 'vm-revoked', vmId: 'vm-1', agentIncarnation: 'agent-1', reason: 'test',
+	});
+	const {taskIds} = log.state.workflows.get('job')!;
+	t.deepEqual([...taskIds].toSorted(), [...log.queuedTaskIds()].toSorted());
+	t.is(taskIds.size, 2);
+	log.append({kind: 'job-cancelled', jobId: 'job'});
+	t.is(log.state.tasks.size, 0);
+	t.is(log.state.finishedWorkflows.get('job')?.phase, 'cancelled');
+});
+
 /** Guards against jobs that are lost, or run twice, when entries are replaced by ones of this version. */
 test('a snapshot of the version that stored all tasks is read, and its jobs go on', t => {
 	const log = new WorkflowLog().submit('job', [workflowStep({count: 2}), workflowStep({count: 3, dependsOn: [0]})]);
--- a/src/cluster/task-transitions.ts
+++ b/src/cluster/task-transitions.ts
@@ -139,6 +139,7 @@
 		...released,
 		tasks: released.tasks.delete(taskId),
 		jobs: released.jobs.update(task.jobId, [], taskIds => taskIds.map(id => id === taskId ? newId : id)),
+		workflows: released.workflows.update(task.jobId, run => run && {...run, taskIds: run.taskIds.delete(taskId).add(newId)}),
 	}, {
 		...task,
 		spec: {...task.spec, taskId: newId},
