--- a/src/cluster/cluster-state-codec.ts
+++ b/src/cluster/cluster-state-codec.ts
@@ -8,6 +8,7 @@
 import {countSchema, resourceAmountSchema, timeMsSchema} from '../validation/bounds-schema.js';
 import {describeIssues} from '../validation/describe-issues.js';
 import {checkClusterState} from './check-cluster-state.js';
+import {entityName} from './entity-offsets.js';
 import {scoreInputsSchema} from './cluster-record.js';
 import {
 	type BackendServer, type ClusterState, type EntryMember, type Task, type TaskClaim, type Vm, type WorkflowRun,
@@ -16,10 +17,10 @@
 	priorityClassSchema, requestLimitsSchema, serviceSchema, weightsSchema,
 } from './intent.js';
 import {type Resources} from './resources.js';
-import {isReady, readyStepsOf} from './task-creation.js';
+import {createReadyTasks, readyStepsOf} from './task-creation.js';
 import {unboundedContact, type VmContact} from './vm-contact.js';
 import {addVmOffer, type VmOffer} from './vm-offer.js';
-import {parseStepKey, workflowSchema, type Workflow} from './workflow.js';
+import {parseTaskId, stepKeyOf, workflowSchema} from './workflow.js';
 
 /** Version of the encoding, to be incremented with every incompatible change of it. A snapshot of a later version is not loaded. */
 const VERSION = 4;
@@ -320,12 +321,15 @@
 	};
 }
 
-/** @param tasks the run's tasks that the state holds. */
-function unpackWorkflowRun({unfinishedByStep, createdByStep, ...packed}: EncodedRun, tasks: readonly Task[]): WorkflowRun {
+/**
+@param tasks the run's tasks that the state holds.
+@param former what stands for `createdByStep` in a run of the version before.
+*/
+function unpackWorkflowRun({unfinishedByStep, createdByStep, ...packed}: EncodedRun, tasks: readonly Task[], former: FormerCreatedTasks): WorkflowRun {
 	const run = {
 		...packed,
 		unfinishedByStep: immutableMap(unfinishedByStep),
-		createdByStep: immutableMap((createdByStep ?? createdStepsOf(packed.workflow, unfinishedByStep, tasks))
+		createdByStep: immutableMap((createdByStep ?? createdStepsOf(unfinishedByStep, former))
 			.map(([key, nextIndex, aheadIndexes, offset]) => [key, {nextIndex, aheadIndexes: immutableSet(aheadIndexes), offset}])),
 	};
 	return {
@@ -336,14 +340,38 @@
 	};
 }
 
-/** Returns which tasks the version before had created and not as `blocked`: those of the steps that wait for no other one. */
-function createdStepsOf(workflow: Workflow, unfinishedByStep: EncodedRun['unfinishedByStep'], tasks: readonly Task[]): NonNullable<EncodedRun['createdByStep']> {
-	const unfinished = immutableMap(unfinishedByStep);
-	return unfinishedByStep.map(([key]) => {
-		const position = parseStepKey(key);
-		const offset = tasks.find(task => task.position?.occurrence === position.occurrence)?.submittedOffset ?? -1;
-		return [key, isReady({workflow, unfinishedByStep: unfinished}, position) ? workflow.steps[position.stepIndex]?.count ?? 0 : 0, [], offset];
-	});
+/**
+Returns whether a task of the version before has never been claimed and can be left to its step's number. Such tasks may be more than the state bears.
+*/
+function isWaiting(packed: EncodedTask): boolean {
+	const [phase, attempt, position] = [packed[9], packed[10], packed[19]];
+	return position !== null && (phase === 'blocked' || (phase === 'queued' && attempt === 0));
+}
+
+/** Returns the indexes of the given tasks by job and step, those that have ended included. */
+function createdIndexesOf(tasks: readonly EncodedTask[]): Map<string, Map<string, number[]>> {
+	const byJob = new Map<string, Map<string, number[]>>();
+	for (const packed of tasks) {
+		const parsed = packed[19] === null ? undefined : parseTaskId(packed[0]);
+		if (parsed) {
+			const byStep = byJob.get(parsed.jobId) ?? new Map<string, number[]>();
+			byJob.set(parsed.jobId, byStep);
+			const key = stepKeyOf(parsed.position);
+			const indexes = byStep.get(key) ?? [];
+			byStep.set(key, indexes);
+			indexes.push(parsed.index);
+		}
+	}
+
+	return byJob;
+}
+
+/** Indexes of the created tasks of a run of the version before by step, and the offset of its submission. */
+type FormerCreatedTasks = Readonly<{indexes: ReadonlyMap<string, readonly number[]> | undefined; offset: number}>;
+
+/** Returns which tasks of a run of the version before count as created. */
+function createdStepsOf(unfinishedByStep: EncodedRun['unfinishedByStep'], {indexes, offset}: FormerCreatedTasks): NonNullable<EncodedRun['createdByStep']> {
+	return unfinishedByStep.map(([key]) => [key, 0, [...indexes?.get(key) ?? []], offset]);
 }
 
 const packMember = ({readLag, withdrawsAfterMs, ...member}: EntryMember): EncodedClusterState['entries'][number] => ({
@@ -475,15 +503,22 @@
 	const {configuration} = data;
 	const vms = data.vms.map(packed => unpackVm(packed));
 	const workflowIds = new Set(data.workflows.map(({owner}) => owner.jobId));
-	const tasks = data.tasks.map(packed => unpackTask(packed)).filter(unpacked => unpacked !== undefined);
+	const holdsAllTasks = data.version === VERSION_WITH_ALL_TASKS;
+	const heldTasks = holdsAllTasks ? data.tasks.filter(packed => !isWaiting(packed)) : data.tasks;
+	const createdByJob = holdsAllTasks ? createdIndexesOf(heldTasks) : new Map<string, Map<string, number[]>>();
+	const entityOffsets = immutableMap(data.entityOffsets);
+	const tasks = heldTasks.map(packed => unpackTask(packed)).filter(unpacked => unpacked !== undefined);
 	const tasksByJob = new Map<string, Task[]>();
 	for (const [, value] of tasks) {
 		if (value.position) {
-			tasksByJob.set(value.jobId, [...tasksByJob.get(value.jobId) ?? [], value]);
+			const ofJob = tasksByJob.get(value.jobId) ?? [];
+			tasksByJob.set(value.jobId, ofJob);
+			ofJob.push(value);
 		}
 	}
 
-	return {
+	const heldIds = new Set(tasks.map(([taskId]) => taskId));
+	const state: ClusterState = {
 		offset: data.offset,
 		entries: immutableMap(data.entries.map(member => [member.incarnation, member])),
 		endedIncarnations: orderedSet(data.endedIncarnations),
@@ -495,12 +530,15 @@
 		backendServers: immutableMap(data.backendServers.map(packed => unpackBackendServer(packed))),
 		goneBackendServerIds: orderedSet(data.goneBackendServerIds),
 		tasks: immutableMap(tasks),
-		queued: immutableMap(data.queued.map(([priority, taskIds]) => [priority, orderedMap(taskIds.map(taskId => [taskId, true as const]))])),
+		queued: immutableMap(data.queued.map(([priority, taskIds]) =>
+			[priority, orderedMap(taskIds.filter(taskId => !holdsAllTasks || heldIds.has(taskId)).map(taskId => [taskId, true as const]))])),
 		jobs: immutableMap(data.jobs.map(([jobId, taskIds]) => [jobId, workflowIds.has(jobId) ? [] : taskIds])),
 		unfinishedTasksByJob: immutableMap(data.unfinishedTasksByJob),
 		finishedJobs: orderedMap(data.finishedJobs),
 		finishedTaskCount: data.finishedTaskCount,
-		workflows: immutableMap(data.workflows.map(run => [run.owner.jobId, unpackWorkflowRun(run, tasksByJob.get(run.owner.jobId) ?? [])])),
+		workflows: immutableMap(data.workflows.map(run => [run.owner.jobId, unpackWorkflowRun(run, tasksByJob.get(run.owner.jobId) ?? [], {
+			indexes: createdByJob.get(run.owner.jobId), offset: entityOffsets.get(entityName('job', run.owner.jobId)) ?? -1,
+		})])),
 		finishedWorkflows: orderedMap(data.finishedWorkflows.map(([jobId, queue, phase]) => [jobId, {queue, phase}])),
 		earlyCancellations: orderedMap(data.earlyCancellations),
 		earlyCancellationsForgottenThroughOffset: data.earlyCancellationsForgottenThroughOffset,
@@ -521,6 +559,18 @@
 			}])),
 		},
 		planDecisions: orderedMap(data.planDecisions.map(planDecision => [planDecision.planId, planDecision])),
-		entityOffsets: immutableMap(data.entityOffsets),
+		entityOffsets,
 	};
+	return holdsAllTasks ? withReadyTasks(state) : state;
+}
+
+/** Creates the waiting tasks that were left out, job after job in the order of submission. */
+function withReadyTasks(state: ClusterState): ClusterState {
+	const offsetOf = (jobId: string): number => state.entityOffsets.get(entityName('job', jobId)) ?? -1;
+	let next = state;
+	for (const jobId of [...state.workflows.keys()].toSorted((left, right) => offsetOf(left) - offsetOf(right) || (left < right ? -1 : 1))) {
+		next = createReadyTasks(next, jobId);
+	}
+
+	return next;
 }
--- a/src/cluster/task-creation.test.ts
+++ b/src/cluster/task-creation.test.ts
@@ -152,3 +152,32 @@
 
 	t.is(loaded.state.finishedWorkflows.get('job')?.phase, 'completed');
 });
+
+/** Guards against an entry that ends at each start: the version before wrote every waiting task into its snapshot. */
+test('a snapshot of the version before holds no more waiting tasks once it is read than the queue takes', t => {
+	const log = new WorkflowLog().submit('large', Array.from({length: 100}, () => workflowStep({count: 1000})));
+	log.claim('large.0.0.0').claim('large.0.0.1').finish('large.0.0.1');
+	const {workflows, tasks, queued, ...rest} = encodeClusterState(log.state);
+	const waiting = tasks.find(task => task[0] === 'large.0.0.2')!;
+	const allWaiting = Array.from({length: 99}, (_, step) => Array.from({length: 1000}, (__, index) => waiting.with(0, `large.0.${step + 1}.${index}`).with(19, [0, step + 1]))).flat();
+	const ended = waiting.with(0, 'large.0.0.1').with(9, 'finished').with(10, 1);
+	const former = {
+		...rest,
+		version: 3,
+		workflows: workflows.map(({createdByStep, ...run}) => run),
+		tasks: [...tasks, ended, ...allWaiting],
+		queued: queued.map(([priority, taskIds]) => [priority, priority === 'normal' ? [...taskIds, ...allWaiting.map(([taskId]) => taskId)] : taskIds]),
+	};
+	const decoded = decodeClusterState(structuredClone(former));
+	t.true(decoded.isOk);
+	const loaded = log.copy(decoded.unwrapOr(log.state));
+	t.true(loaded.state.tasks.size <= 1000);
+	t.is(queuedTaskCount(loaded.state), loaded.state.workflows.get('large')!.queuedTasks);
+	t.is(loaded.state.unfinishedTasksByJob.get('large'), 99_999);
+	t.is(loaded.state.tasks.get('large.0.0.0')?.phase, 'claimed');
+	t.is(absenceReasonOf(loaded.state, 'large.0.0.1'), 'ended');
+	t.is(loaded.queuedTaskIds()[0], 'large.0.0.2');
+	t.is(loaded.state.tasks.get('large.0.0.2')?.submittedOffset, log.state.tasks.get('large.0.0.2')?.submittedOffset);
+	loaded.claim('large.0.99.999');
+	t.is(loaded.state.tasks.get('large.0.99.999')?.phase, 'claimed');
+});
