--- a/soak/hostile-jobs.test.ts
+++ b/soak/hostile-jobs.test.ts
@@ -25,7 +25,7 @@
 const settleMs = 8000;
 const waitMs = 30_000;
 
-type Body = Readonly<{spec: string; steps: ReadonlyArray<Readonly<Record<string, unknown>>>}>;
+type Body = Readonly<{spec: string; steps: ReadonlyArray<Readonly<Record<string, unknown>>>} & Record<string, unknown>>;
 
 /** Tasks with this description do not end. */
 const lasting = 'lasting';
@@ -34,7 +34,8 @@
 const step = {cpu: 9000, memMb: 1, estimatedMs: 1000};
 const stepsOf = (steps: number, count: number): Body['steps'] => Array.from({length: steps}, () => ({...step, count}));
 
-type JobCrowd = Readonly<{title: string; jobs: number; pauseMs: number; body: Body}>;
+/** Jobs that are handed in one after the other; `isCancelled` when each is cancelled as soon as it is answered. */
+type JobCrowd = Readonly<{title: string; jobs: number; pauseMs: number; body: Body; isCancelled?: boolean}>;
 
 const crowds: readonly JobCrowd[] = [
 	{
@@ -54,27 +55,60 @@
 	{
 		title: 'four jobs of 256,000 tasks that demand nothing', jobs: 4, pauseMs: 0, body: {spec: lasting, steps: stepsOf(256, 1000).map(each => ({...each, cpu: 0, memMb: 0}))},
 	},
+	{
+		title: '2,000 scheduled jobs of 100,000 occurrences', jobs: 2000, pauseMs: 10, body: {
+			spec: lasting, steps: stepsOf(5, 36), repeatCount: 100_000, firstRunMs: 1, intervalMs: 1,
+		},
+	},
+	{
+		title: '1,500 jobs of 4,000 tasks that are cancelled at once', jobs: 1500, pauseMs: 15, body: {spec: lasting, steps: stepsOf(4, 1000)}, isCancelled: true,
+	},
 	{
 		title: '1,500 jobs of 180 tasks each', jobs: 1500, pauseMs: 15, body: {spec: lasting, steps: stepsOf(5, 36)},
 	},
 ];
 
 /** Hands in a job and returns the status of the answer, 0 without one. */
-async function submit({queueAddress}: SiteEntry, jobId: string, body: Body): Promise<number> {
-	try {
-		const answer = await fetch(`http://${queueAddress}${queuePrefix}${jobId}`, {method: 'POST', body: JSON.stringify(body), signal: AbortSignal.timeout(callTimeoutMs)});
+async function submit({queueAddress}: SiteEntry, jobId: string, {body, isCancelled = false}: JobCrowd): Promise<number> {
+	const url = `http://${queueAddress}${queuePrefix}${jobId}`;
+	const call = async (init: RequestInit): Promise<number> => {
+		const answer = await fetch(url, {...init, signal: AbortSignal.timeout(callTimeoutMs)});
 		await answer.arrayBuffer();
 		return answer.status;
+	};
+
+	try {
+		const status = await call({method: 'POST', body: JSON.stringify(body)});
+		if (isCancelled) {
+			await call({method: 'DELETE'});
+		}
+
+		return status;
 	} catch {
 		return 0;
 	}
 }
 
+/** Returns the state that an entry gives of a job. */
+async function stateOf({queueAddress}: SiteEntry, jobId: string): Promise<string> {
+	const answer = await fetch(`http://${queueAddress}${queuePrefix}${jobId}`, {signal: AbortSignal.timeout(callTimeoutMs)});
+	return answer.text();
+}
+
 const newJobId = (): string => randomBytes(8).toString('hex');
 
-async function checkJobs(t: ExecutionContext, {jobs, pauseMs, body}: JobCrowd): Promise<void> {
+async function checkJobs(t: ExecutionContext, crowd: JobCrowd): Promise<void> {
+	const {jobs, pauseMs} = crowd;
+	const running = new Set<string>();
 	const site = await startSite({
 		bundleDirectory: bundle.directory(), runTimeMs: payload => payload.startsWith(lasting) ? Number.POSITIVE_INFINITY : 150, entryCount: 2, agentCount: 1, nodeArguments,
+		onEvent({kind, taskId}) {
+			if (kind === 'started') {
+				running.add(taskId);
+			} else if (kind === 'ended') {
+				running.delete(taskId);
+			}
+		},
 		// As deployed.
 		entrySettings: {jobAdmission: {enabled: true}},
 	});
@@ -91,7 +125,7 @@
 		const statuses = new Map<number, number>();
 		const answers: Array<Promise<void>> = [];
 		for (let index = 0; index < jobs; index++) {
-			answers.push(submit(index % 2 === 0 ? first : second, newJobId(), body).then(status => {
+			answers.push(submit(index % 2 === 0 ? first : second, newJobId(), crowd).then(status => {
 				statuses.set(status, (statuses.get(status) ?? 0) + 1);
 			}));
 			await delay(pauseMs);
@@ -106,6 +140,8 @@
 		await runGoodJob(site, first, {timeoutMs: waitMs});
 		for (const jobId of known) {
 			t.true(await isAnswered(second.current(), `http://${second.queueAddress}${queuePrefix}${jobId}`), 'a job that was accepted before is known');
+			t.is(await stateOf(second, jobId), '{"state":"running"}', 'a job that was accepted before goes on');
+			t.true(running.has(`${jobId}.0.0.0`), 'its task runs');
 		}
 
 		const peaks = stops.map(stop => stop());
--- a/src/entry/with-state-limits.ts
+++ b/src/entry/with-state-limits.ts
@@ -1,7 +1,7 @@
 import {getHeapStatistics} from 'node:v8';
 import {type EntrySettings} from '../settings/entry-settings.js';
 
-/** Shares of the heap for the unfinished jobs and for their tasks. Reading a snapshot takes up to three times what the state takes. */
+/** Shares of the heap for the unfinished jobs and for their tasks. The rest is for reading a snapshot, which takes as much again, and for all else. */
 const shareOfHeap = {jobs: 1 / 8, tasks: 3 / 10};
 
 /**
