--- a/src/cluster/cluster-state-codec.ts
+++ b/src/cluster/cluster-state-codec.ts
@@ -20,7 +20,9 @@
 import {createReadyTasks, readyStepsOf} from './task-creation.js';
 import {unboundedContact, type VmContact} from './vm-contact.js';
 import {addVmOffer, type VmOffer} from './vm-offer.js';
-import {parseTaskId, stepKeyOf, workflowSchema} from './workflow.js';
+import {
+	parseTaskId, stepKeyOf, withoutReplacementSuffix, workflowSchema,
+} from './workflow.js';
 
 /** Version of the encoding, to be incremented with every incompatible change of it. A snapshot of a later version is not loaded. */
 const VERSION = 4;
@@ -352,7 +354,7 @@
 function createdIndexesOf(tasks: readonly EncodedTask[]): Map<string, Map<string, number[]>> {
 	const byJob = new Map<string, Map<string, number[]>>();
 	for (const packed of tasks) {
-		const parsed = packed[19] === null ? undefined : parseTaskId(packed[0]);
+		const parsed = packed[19] === null ? undefined : parseTaskId(withoutReplacementSuffix(packed[0]));
 		if (parsed) {
 			const byStep = byJob.get(parsed.jobId) ?? new Map<string, number[]>();
 			byJob.set(parsed.jobId, byStep);
--- a/src/cluster/task-creation.test.ts
+++ b/src/cluster/task-creation.test.ts
@@ -181,3 +181,21 @@
 	loaded.claim('large.0.99.999');
 	t.is(loaded.state.tasks.get('large.0.99.999')?.phase, 'claimed');
 });
+
+/** Guards against a task that runs twice after an upgrade: the ID of a replacement does not end with the index of the task that it replaces. */
+test('a task that was replaced before a snapshot of the version before is not created again', t => {
+	const log = new WorkflowLog().submit('job', [workflowStep({count: 2})]);
+	log.claim('job.0.0.0').claim('job.0.0.1');
+	const {workflows, tasks, vms, ...rest} = encodeClusterState(log.state);
+	const replacementId = 'job.0.0.0.r4';
+	const former = {
+		...rest,
+		version: 3,
+		workflows: workflows.map(({createdByStep, ...run}) => run),
+		vms: vms.map(vm => ({...vm, taskIds: [replacementId, 'job.0.0.1']})),
+		tasks: tasks.map(task => task[0] === 'job.0.0.0' ? task.with(0, replacementId) : task),
+	};
+	const decoded = decodeClusterState(structuredClone(former));
+	t.true(decoded.isOk);
+	t.deepEqual([...decoded.unwrapOr(log.state).tasks.keys()].toSorted(), [replacementId, 'job.0.0.1'].toSorted());
+});
--- a/src/cluster/task-transitions.ts
+++ b/src/cluster/task-transitions.ts
@@ -5,6 +5,7 @@
 import {createReadyTasks, removeEndedTask} from './task-creation.js';
 import {dequeue, enqueue} from './task-queue.js';
 import {releaseClaim} from './vm-commitment.js';
+import {withoutReplacementSuffix} from './workflow.js';
 import {
 	addWorkflow, advanceWorkflow, finishWorkflow, isStopping,
 } from './workflow-progress.js';
@@ -110,12 +111,11 @@
 	}, offset, [entityName('job', task.jobId)]));
 }
 
-const replacementSuffix = /\.r\d+(?:-\d+)?$/v;
 const maxNameLength = 128;
 
 /** Returns an unused ID for the replacement of a lost latency-critical task, such as `replica-1.r17`, where 17 is the offset of the record that reported the loss. */
 function replacementId(state: ClusterState, taskId: string, offset: number): string {
-	const base = taskId.replace(replacementSuffix, '');
+	const base = withoutReplacementSuffix(taskId);
 	for (let index = 0; ; index++) {
 		const suffix = index === 0 ? `.r${offset}` : `.r${offset}-${index}`;
 		const id = base.slice(0, maxNameLength - suffix.length) + suffix;
--- a/src/cluster/workflow.ts
+++ b/src/cluster/workflow.ts
@@ -82,6 +82,18 @@
 	return `${jobId}.${occurrence}.${stepIndex}.${index}`;
 }
 
+const replacementSuffix = /\.r\d+(?:-\d+)?$/v;
+
+/**
+Returns the ID of the task that a replacement stands for, which is its own for any other task.
+
+@example
+withoutReplacementSuffix('5c0e7a21d94b36f8.0.1.17.r204'); // => '5c0e7a21d94b36f8.0.1.17'
+*/
+export function withoutReplacementSuffix(taskId: string): string {
+	return taskId.replace(replacementSuffix, '');
+}
+
 const taskIdPattern = /^(?<jobId>.+)\.(?<occurrence>\d+)\.(?<stepIndex>\d+)\.(?<index>\d+)$/v;
 
 /**
